--- a/src/libs/core/resultcode.cpp
+++ b/src/libs/core/resultcode.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-    constexpr std::array c_resultCodes {
+    constexpr std::array resultCodeTable {
         result_code_info { result_code::Ok, run_state::Yes, 200, "Ok", "The request was answered whole." },
         result_code_info { result_code::MalformedRequest, run_state::No, 400, "MalformedRequest", "The request could not be parsed; correct it and send it again." },
         result_code_info { result_code::UnknownEntry, run_state::No, 404, "UnknownEntry", "The catalogue has no entry of this name; check the name with 'ragwortreach catalogue get'." },
@@ -74,14 +74,14 @@
 
 std::span<const result_code_info> resultCodes()
 {
-    return c_resultCodes;
+    return resultCodeTable;
 }
 
 const result_code_info& resultCodeInfo(result_code code)
 {
-    const auto it = std::find_if(c_resultCodes.begin(), c_resultCodes.end(),
+    const auto it = std::find_if(resultCodeTable.begin(), c_resultCodes.end(),
         [code](const result_code_info& info) { return info.code == code; });
-    return it == c_resultCodes.end() ? c_resultCodes.back() : *it;
+    return it == resultCodeTable.end() ? c_resultCodes.back() : *it;
 }
 
 std::string_view toString(run_state state)
