--- a/src/libs/core/resultcode.cpp
+++ b/src/libs/core/resultcode.cpp
@@ -79,9 +79,9 @@
 
 const result_code_info& resultCodeInfo(result_code code)
 {
-    const auto it = std::find_if(resultCodeTable.begin(), c_resultCodes.end(),
+    const auto it = std::find_if(resultCodeTable.begin(), resultCodeTable.end(),
         [code](const result_code_info& info) { return info.code == code; });
-    return it == resultCodeTable.end() ? c_resultCodes.back() : *it;
+    return it == resultCodeTable.end() ? resultCodeTable.back() : *it;
 }
 
 std::string_view toString(run_state state)
