--- /dev/null
+++ b/src/libs/core/timelineevent.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "hybridtime.h"
+#include "resultcode.h"
+
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace ragwortreach {
+
+/// What happened in an event of the time line.
+enum class event_kind {
+    RequestReceived,
+    RequestQueued,
+    RequestRefused,
+    RequestAnswered,
+    RequestFailed,
+    RequestCancelled,
+    AttemptStarted,
+    AttemptEnded,
+    AttemptHedged,
+    KeyClaimed,
+    BatchOpened,
+    BatchOwnerChanged,
+    BatchClosed,
+    BatchCancelled,
+    SampleStarted,
+    SampleFinished,
+    SampleDiscarded,
+    SampleResumed,
+    SamplesDelivered,
+    EditSubmitted,
+    EditAccepted,
+    EditRejected,
+    EditApplied,
+    SnapshotWritten,
+    SnapshotLoaded,
+    LogLost,
+    LogRestored,
+    MemberJoined,
+    MemberSuspected,
+    MemberLeaving,
+    MemberGone,
+    LimitChanged,
+    CapacityChanged,
+    HolderChanged,
+    OrderSent,
+    OrderRefused,
+    WeightsLoaded,
+    WeightsRejected,
+    DaemonStarted,
+    DrainStarted,
+    DrainEnded,
+};
+
+/// Row of the table of event kinds.
+struct event_kind_info {
+    event_kind kind;
+    std::string_view name;
+};
+
+/// All event kinds with their names, in the order of the enumeration.
+std::span<const event_kind_info> eventKinds();
+
+/// Name of \a kind in lower case with underscores, as the time line shows it.
+std::string_view toString(event_kind kind);
+
+/// Event kind called \a name, or nothing when there is none.
+std::optional<event_kind> eventKindFromName(std::string_view name);
+
+/// Entry of the time line of one process.
+struct timeline_event {
+    hybrid_time time;
+    event_kind kind = event_kind::DaemonStarted;
+    /// Id of the request, batch, edit, order, upstream or VM that the event is about.
+    std::string subject;
+    result_code code = result_code::Ok;
+    /// Whole sentence for operators.
+    std::string detail;
+
+    bool operator==(const timeline_event&) const = default;
+};
+
+}
