--- /dev/null
+++ b/src/libs/core/cataloguesnapshot.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "logrecord.h"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace ragwortreach {
+
+class catalogue_fold;
+
+/// State of the catalogue up to an offset, the data of one record of the stream `catalogue-snapshots`.
+struct catalogue_snapshot {
+    /// All records below this offset are part of the state.
+    std::uint64_t covered = 0;
+    /// catalogue_fold::hash() of the state.
+    std::uint64_t hash = 0;
+    /// JSON text of the state.
+    std::string state;
+
+    bool operator==(const catalogue_snapshot&) const = default;
+};
+
+/// Outcome of restore().
+enum class restore_result {
+    Restored,
+    /// The snapshot covers no more than the fold has applied already.
+    Behind,
+    /// The state is malformed or does not have the hash that the snapshot names.
+    Corrupt,
+};
+
+catalogue_snapshot makeSnapshot(const catalogue_fold& fold);
+
+/// JSON text of \a snapshot.
+std::string encodeSnapshot(const catalogue_snapshot& snapshot);
+
+/// Reads what encodeSnapshot() wrote; none when \a text is malformed or of another schema.
+std::optional<catalogue_snapshot> decodeSnapshot(std::string_view text);
+
+/// Replaces the state of \a fold by \a snapshot if this moves its position forward.
+restore_result restore(catalogue_fold& fold, const catalogue_snapshot& snapshot);
+
+/// Restores \a fold from the snapshot among \a texts that covers most, corrupt ones left out.
+///
+/// The order of the texts does not matter: a daemon that lags may have written the last one.
+restore_result restoreBest(catalogue_fold& fold, std::span<const std::string> texts);
+
+}
--- /dev/null
+++ b/src/libs/core/cataloguestatecodec.cpp
@@ -0,0 +1,197 @@
+#include "cataloguestatecodec.h"
+
+#include "cataloguefold.h"
+
+#include <nlohmann/json.hpp>
+
+#include <stdexcept>
+
+namespace ragwortreach {
+
+namespace {
+
+    using nlohmann::json;
+
+    enum class detail_level {
+        Canonical,
+        Whole,
+    };
+
+    json bodyToJson(const catalogue_entry& body)
+    {
+        return json::parse(toJson(body));
+    }
+
+    catalogue_entry bodyFromJson(const json& source)
+    {
+        catalogue_entry body;
+        std::string detail;
+        if (parseEntry(source.dump(), body, detail))
+            throw std::invalid_argument(detail);
+        return body;
+    }
+
+    json itemToJson(const catalogue_item& item)
+    {
+        json target {
+            { "entry", item.name },
+            { "revision", item.revision },
+            { "operator", item.operatorName },
+            { "offset", item.offset },
+            { "record", item.recordId },
+        };
+        if (!item.isDeleted)
+            target["body"] = bodyToJson(item.body);
+        return target;
+    }
+
+    catalogue_item itemFromJson(const json& source)
+    {
+        catalogue_item item;
+        item.name = source.at("entry");
+        item.revision = source.at("revision");
+        item.operatorName = source.at("operator");
+        item.offset = source.at("offset");
+        item.recordId = source.at("record");
+        item.isDeleted = !source.contains("body");
+        if (!item.isDeleted)
+            item.body = bodyFromJson(source.at("body"));
+        return item;
+    }
+
+    json historyToJson(const edit_history_item& edit)
+    {
+        json target {
+            { "offset", edit.offset },
+            { "record", edit.recordId },
+            { "operator", edit.operatorName },
+            { "replaces", edit.replaces },
+            { "revision", edit.revision },
+            { "code", static_cast<int>(edit.code) },
+            { "detail", edit.detail },
+        };
+        if (edit.body)
+            target["body"] = bodyToJson(*edit.body);
+        return target;
+    }
+
+    edit_history_item historyFromJson(const json& source)
+    {
+        edit_history_item edit;
+        edit.offset = source.at("offset");
+        edit.recordId = source.at("record");
+        edit.operatorName = source.at("operator");
+        edit.replaces = source.at("replaces");
+        edit.revision = source.at("revision");
+        edit.code = static_cast<result_code>(source.at("code").get<int>());
+        edit.detail = source.at("detail");
+        if (source.contains("body"))
+            edit.body = bodyFromJson(source.at("body"));
+        return edit;
+    }
+
+    json verdictToJson(const edit_verdict& verdict, detail_level level)
+    {
+        json target {
+            { "offset", verdict.offset },
+            { "record", verdict.recordId },
+            { "code", static_cast<int>(verdict.code) },
+            { "entry", verdict.entry },
+            { "revision", verdict.revision },
+        };
+        if (level == detail_level::Whole)
+            target["detail"] = verdict.detail;
+        return target;
+    }
+
+    edit_outcome outcomeOf(result_code code)
+    {
+        if (code == result_code::Ok)
+            return edit_outcome::Accepted;
+        return code == result_code::EditConflict ? edit_outcome::Conflict : edit_outcome::Skipped;
+    }
+
+    edit_verdict verdictFromJson(const json& source)
+    {
+        edit_verdict verdict;
+        verdict.offset = source.at("offset");
+        verdict.recordId = source.at("record");
+        verdict.code = static_cast<result_code>(source.at("code").get<int>());
+        verdict.outcome = outcomeOf(verdict.code);
+        verdict.entry = source.at("entry");
+        verdict.revision = source.at("revision");
+        verdict.detail = source.at("detail");
+        return verdict;
+    }
+
+}
+
+/// Access of the codec to the parts of a fold.
+struct catalogue_state_codec::parts {
+    static json encode(const catalogue_fold& fold, detail_level level)
+    {
+        json entries = json::array();
+        for (const catalogue_fold::slot_map::value_type& value : fold.m_slots) {
+            json entry = itemToJson(value.second.item);
+            if (level == detail_level::Whole) {
+                for (const edit_history_item& edit : value.second.history)
+                    entry["history"].push_back(historyToJson(edit));
+            }
+            entries.push_back(std::move(entry));
+        }
+        json verdicts = json::array();
+        for (const edit_verdict& verdict : fold.m_verdicts)
+            verdicts.push_back(verdictToJson(verdict, level));
+        json state {
+            { "position", fold.m_position },
+            { "revision_floor", fold.m_revisionFloor },
+            { "skipped", fold.m_skippedRecords },
+            { "entries", std::move(entries) },
+            { "verdicts", std::move(verdicts) },
+        };
+        if (level == detail_level::Whole)
+            state["gaps"] = fold.m_gaps;
+        return state;
+    }
+
+    static catalogue_fold decode(const json& state)
+    {
+        catalogue_fold fold;
+        fold.m_position = state.at("position");
+        fold.m_revisionFloor = state.at("revision_floor");
+        fold.m_skippedRecords = state.at("skipped");
+        fold.m_gaps = state.at("gaps");
+        for (const json& source : state.at("entries")) {
+            catalogue_fold::slot slot;
+            slot.item = itemFromJson(source);
+            for (const json& edit : source.value("history", json::array()))
+                slot.history.push_back(historyFromJson(edit));
+            fold.m_slots.emplace(slot.item.name, slot);
+        }
+        for (const json& verdict : state.at("verdicts"))
+            fold.remember(verdictFromJson(verdict));
+        return fold;
+    }
+};
+
+std::string catalogue_state_codec::encode(const catalogue_fold& fold)
+{
+    return parts::encode(fold, detail_level::Whole).dump();
+}
+
+std::string catalogue_state_codec::canonical(const catalogue_fold& fold)
+{
+    return parts::encode(fold, detail_level::Canonical).dump();
+}
+
+bool catalogue_state_codec::decode(std::string_view text, catalogue_fold& fold)
+{
+    try {
+        fold = parts::decode(json::parse(text));
+        return true;
+    } catch (const std::exception&) {
+        return false;
+    }
+}
+
+}
