--- /dev/null
+++ b/src/libs/core/replicarouter.cpp
@@ -0,0 +1,183 @@
+#include "replicarouter.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace ragwortreach {
+
+namespace {
+
+    std::uint64_t rank(std::string_view vm, std::uint64_t key)
+    {
+        return XXH3_64bits_withSeed(vm.data(), vm.size(), key);
+    }
+
+}
+
+replica_router::replica_router(std::string vm, std::uint64_t seed, std::size_t subset)
+    : m_vm(std::move(vm))
+    , m_random(rank(m_vm, seed))
+    , m_subset(std::max<std::size_t>(1, subset))
+{
+}
+
+void replica_router::setReplicas(std::span<const replica_listing> replicas)
+{
+    const std::uint64_t key = rank(m_vm, 0);
+    std::vector<replica_listing> chosen(replicas.begin(), replicas.end());
+    // Live replicas come first, so that leaving ones do not take the place of others in the subset.
+    std::sort(chosen.begin(), chosen.end(), [key](const replica_listing& left, const replica_listing& right) {
+        if (left.state != right.state)
+            return left.state < right.state;
+        return rank(left.vm, key) < rank(right.vm, key);
+    });
+    chosen.resize(std::min(chosen.size(), m_subset));
+
+    std::vector<replica> next;
+    for (const replica_listing& listing : chosen) {
+        replica* known = find(listing.vm);
+        replica entry = known ? std::move(*known) : replica {};
+        entry.vm = listing.vm;
+        entry.listed = listing.state;
+        next.push_back(std::move(entry));
+    }
+    m_replicas = std::move(next);
+}
+
+void replica_router::setSuspect(std::string_view vm, bool suspect)
+{
+    replica* found = find(vm);
+    if (found)
+        found->suspect = suspect;
+}
+
+void replica_router::reportLoad(std::string_view vm, std::uint32_t running, std::uint32_t waiting)
+{
+    replica* found = find(vm);
+    if (!found)
+        return;
+    found->reported = running + waiting;
+    found->inFlightAtReport = found->inFlight;
+}
+
+void replica_router::reportWeights(std::string_view vm, const weight_version& weights)
+{
+    replica* found = find(vm);
+    if (found)
+        found->weights = weights;
+}
+
+std::optional<std::string> replica_router::pick(const route_request& request)
+{
+    std::vector<const replica*> choice = candidates(request, replica_state::Live);
+    if (choice.empty())
+        choice = candidates(request, replica_state::Suspect);
+    if (choice.empty())
+        return std::nullopt;
+    const replica* picked = request.groupKey ? pickForGroup(std::move(choice), *request.groupKey) : pickOfTwo(choice);
+    return picked->vm;
+}
+
+void replica_router::started(std::string_view vm)
+{
+    replica* found = find(vm);
+    if (found)
+        ++found->inFlight;
+}
+
+void replica_router::finished(std::string_view vm)
+{
+    replica* found = find(vm);
+    if (found && found->inFlight > 0)
+        --found->inFlight;
+}
+
+std::vector<replica_status> replica_router::replicas() const
+{
+    std::vector<replica_status> statuses;
+    for (const replica& entry : m_replicas)
+        statuses.push_back({ entry.vm, entry.state(), entry.inFlight, entry.load(), entry.weights });
+    return statuses;
+}
+
+std::uint32_t replica_router::inFlight() const
+{
+    std::uint32_t sum = 0;
+    for (const replica& entry : m_replicas)
+        sum += entry.inFlight;
+    return sum;
+}
+
+replica_state replica_router::replica::state() const
+{
+    if (listed == replica_state::Live && suspect)
+        return replica_state::Suspect;
+    return listed;
+}
+
+/// Calls of others by the last report, and the own calls of now.
+std::uint32_t replica_router::replica::load() const
+{
+    const std::uint32_t others = reported > inFlightAtReport ? reported - inFlightAtReport : 0;
+    return others + inFlight;
+}
+
+replica_router::replica* replica_router::find(std::string_view vm)
+{
+    const auto it = std::find_if(m_replicas.begin(), m_replicas.end(), [vm](const replica& entry) { return entry.vm == vm; });
+    return it == m_replicas.end() ? nullptr : &*it;
+}
+
+std::vector<const replica_router::replica*> replica_router::candidates(const route_request& request, replica_state state) const
+{
+    std::vector<const replica*> found;
+    for (const replica& entry : m_replicas) {
+        if (entry.state() != state)
+            continue;
+        if (std::find(request.excluded.begin(), request.excluded.end(), entry.vm) != request.excluded.end())
+            continue;
+        const bool isFresh = !request.trainerVersion
+            || (entry.weights && versionsBehind(*request.trainerVersion, *entry.weights) <= request.maxVersionsBehind);
+        if (isFresh)
+            found.push_back(&entry);
+    }
+    return found;
+}
+
+/// First by rank for the key whose load with this call stays within the bound over the mean.
+const replica_router::replica* replica_router::pickForGroup(std::vector<const replica*> candidates, std::uint64_t groupKey) const
+{
+    std::sort(candidates.begin(), candidates.end(), [groupKey](const replica* left, const replica* right) {
+        return rank(left->vm, groupKey) < rank(right->vm, groupKey);
+    });
+    std::uint64_t total = 1;
+    for (const replica* entry : candidates)
+        total += entry->load();
+    const double mean = static_cast<double>(total) / static_cast<double>(candidates.size());
+    const double bound = std::ceil(groupLoadBound * mean);
+    const auto it = std::find_if(candidates.begin(), candidates.end(),
+        [bound](const replica* entry) { return static_cast<double>(entry->load()) + 1 <= bound; });
+    return it == candidates.end() ? candidates.front() : *it;
+}
+
+const replica_router::replica* replica_router::pickOfTwo(const std::vector<const replica*>& candidates)
+{
+    const replica* first = candidates[random() % candidates.size()];
+    const replica* second = candidates[random() % candidates.size()];
+    return second->load() < first->load() ? second : first;
+}
+
+/// SplitMix64.
+std::uint64_t replica_router::random()
+{
+    m_random += 0x9e3779b97f4a7c15ULL;
+    std::uint64_t value = m_random;
+    value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    value = (value ^ (value >> 27)) * 0x94d049bb133111ebULL;
+    return value ^ (value >> 31);
+}
+
+}
--- /dev/null
+++ b/src/libs/core/sampledraft.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "batchsample.h"
+#include "instant.h"
+#include "samplelabel.h"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <system_error>
+#include <vector>
+
+namespace ragwortreach {
+
+/// Sample that is still being generated: tokens, text and label grow together, chunk by chunk.
+class sample_draft {
+public:
+    /// Adds one chunk. Returns an error when it spoils the label or the sample grows too large.
+    std::error_code append(std::uint32_t position, std::span<const std::uint32_t> tokenIds, std::string_view text,
+        std::span<const weight_version> versions);
+
+    /// Keeps whole chunks up to \a tokens tokens.
+    void truncate(std::uint32_t tokens);
+
+    std::uint32_t tokens() const { return static_cast<std::uint32_t>(m_tokenIds.size()); }
+    const std::vector<std::uint32_t>& tokenIds() const { return m_tokenIds; }
+    const std::string& text() const { return m_text; }
+    const sample_label& label() const { return m_label; }
+
+    /// Whether there are tokens and the label covers them all.
+    bool isWhole() const { return !m_tokenIds.empty() && !m_label.isSpoiled() && m_label.tokens() == tokens(); }
+
+    /// Start of the first stream that added to the draft.
+    const std::optional<instant>& startedAt() const { return m_startedAt; }
+    void setStartedAt(instant startedAt);
+
+private:
+    struct chunk_end {
+        std::uint32_t tokens = 0;
+        std::uint32_t textBytes = 0;
+    };
+
+    std::vector<std::uint32_t> m_tokenIds;
+    std::string m_text;
+    std::vector<chunk_end> m_chunkEnds;
+    sample_label m_label;
+    std::optional<instant> m_startedAt;
+};
+
+}
