Core: Share the staleness bound between the catalogue and batches

Both modules defined a type of this name with another shape for the age. One definition is left, in catalogueentry.h; its age is empty where there is no limit, which the batch tracker needs. Keeping two types and converting was ruled out, since a header that includes both does not compile.

--- a/src/libs/core/batchsettings.h
+++ b/src/libs/core/batchsettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "catalogueentry.h"
 #include "instant.h"
 
 #include <cstdint>
@@ -7,20 +8,6 @@
 
 namespace ragwortreach {
 
-/// Limit on how old a delivered sample may be.
-struct staleness_bound {
-    /// Versions by which a sample may be behind the trainer.
-    std::uint64_t versions = 0;
-    /// Time since the first stream of the sample was started; empty for no limit.
-    std::optional<duration> age;
-};
-
-/// What the entry weighs more: few stale samples or an idle trainer.
-enum class look_ahead {
-    Fresh,
-    Busy,
-};
-
 /// Settings of one batch at its owner, from the catalogue entry.
 struct batch_settings {
     staleness_bound bound;
--- a/src/libs/core/catalogueentry.cpp
+++ b/src/libs/core/catalogueentry.cpp
@@ -95,7 +95,7 @@
         { "due_ms", toMilliseconds(entry.due) },
         { "idempotent", entry.idempotent },
         { "limits", { { "requests_per_second", entry.limits.requestsPerSecond }, { "in_flight", entry.limits.inFlight }, { "queue", entry.limits.queue } } },
-        { "staleness", { { "versions", entry.staleness.versions }, { "age_ms", std::max<std::int64_t>(1, toMilliseconds(entry.staleness.age)) } } },
+        { "staleness", { { "versions", entry.staleness.versions }, { "age_ms", std::max<std::int64_t>(1, toMilliseconds(entry.staleness.age.value_or(duration::zero()))) } } },
         { "look_ahead", entry.lookAhead == look_ahead::Busy ? "busy" : "fresh" },
         { "log_outage", entry.logOutage == log_outage::RunOnce ? "run_once" : "refuse" },
     };
--- a/src/libs/core/catalogueentry.h
+++ b/src/libs/core/catalogueentry.h
@@ -3,6 +3,7 @@
 #include "instant.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <system_error>
@@ -46,8 +47,8 @@
 struct staleness_bound {
     /// Number of versions that a sample may be behind the trainer.
     std::uint64_t versions = 0;
-    /// Time since the sample was generated.
-    duration age = duration::zero();
+    /// Time since the first stream of the sample was started; empty for no limit.
+    std::optional<duration> age;
 
     bool operator==(const staleness_bound&) const = default;
 };
