Platform: Add the HTTP server and the clients of the outside systems

Each outside system has one narrow client: log, VM list, weight store, engine and scorer. A connection returns to its pool only after a whole answer, so that an abandoned answer never meets the next call, and calls that must not run twice can ask for a new connection. UpstreamUnreachable is reported only when no byte was written. The types of the events and effects of the core come along, as the clients use them.

--- /dev/null
+++ b/src/libs/core/daemoneffect.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "callmessage.h"
+#include "enginemessage.h"
+#include "logpage.h"
+#include "membership.h"
+#include "peermessage.h"
+#include "timelineevent.h"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace ragwortreach {
+
+/// Read a stream of the log; ends with log_read_ended.
+struct read_stream {
+    std::string stream;
+    std::uint64_t from = 0;
+    std::size_t maxRecords = 0;
+    /// Time to wait for a record when there is none.
+    duration wait {};
+};
+
+/// Append records to a stream; ends with append_ended.
+struct append_stream {
+    std::uint64_t append = 0;
+    std::string stream;
+    std::vector<log_append> records;
+};
+
+/// Read the VM list; ends with vm_list_read.
+struct read_vm_list { };
+
+/// Send a request to a peer; ends with peer_reply_received.
+struct ask_peer {
+    request_number number = 0;
+    /// "ip:port" of the peer channel.
+    std::string address;
+    peer_request request;
+    duration timeout {};
+};
+
+/// Answer a request of a peer.
+struct answer_peer {
+    request_number number = 0;
+    peer_reply reply;
+};
+
+/// Answer a request of a caller or an operator with a JSON document.
+struct answer_request {
+    request_number number = 0;
+    int httpStatus = 200;
+    std::string body;
+};
+
+/// Start a stream at an engine; its chunks and its end come back under \a stream.
+struct open_engine_stream {
+    std::uint64_t stream = 0;
+    std::string address;
+    completion_request request;
+    duration timeout {};
+};
+
+/// Stop a stream, here and at the engine. No event of it follows.
+struct close_engine_stream {
+    std::uint64_t stream = 0;
+};
+
+/// Ask a scorer; ends with score_ended.
+struct ask_scorer {
+    std::uint64_t score = 0;
+    std::string address;
+    score_request request;
+    duration timeout {};
+};
+
+/// Ask a replica for its state; ends with engine_state_read.
+struct read_engine_state {
+    std::string vm;
+    std::string address;
+};
+
+/// Ask the weight store for the versions of a model; ends with versions_read.
+struct read_versions {
+    std::string model;
+};
+
+/// Order a replica to load weights; ends with order_ended.
+struct send_order {
+    std::string vm;
+    std::string address;
+    std::string model;
+    weight_version weights;
+    std::uint64_t fencing = 0;
+};
+
+/// Add an event to the time line.
+struct note_event {
+    event_kind kind = event_kind::RequestReceived;
+    std::string subject;
+    result_code code = result_code::Ok;
+    std::string detail;
+};
+
+using daemon_effect = std::variant<read_stream, append_stream, read_vm_list, send_message, ask_peer, answer_peer,
+    answer_request, start_attempt, stop_attempt, forward_answer, replay_answer, refuse_call, open_engine_stream,
+    close_engine_stream, ask_scorer, read_engine_state, read_versions, send_order, note_event>;
+
+/// Effects in the order in which they are carried out.
+using daemon_effects = std::vector<daemon_effect>;
+
+}
--- /dev/null
+++ b/src/libs/platform/endpoint.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace ragwortreach {
+
+/// IP address and port of a process.
+struct endpoint {
+    std::string host;
+    std::uint16_t port = 0;
+
+    friend bool operator==(const endpoint&, const endpoint&) = default;
+};
+
+/// Parses "host:port". Names are not resolved: the host has to be an IP number.
+std::optional<endpoint> parseEndpoint(std::string_view text);
+
+/// "host:port".
+std::string toString(const endpoint& address);
+
+}
--- /dev/null
+++ b/src/libs/platform/httpcall.cpp
@@ -0,0 +1,268 @@
+#include "httpcall.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace ragwortreach::Internal {
+
+namespace {
+
+    namespace beast = boost::beast;
+    namespace http = boost::beast::http;
+    using boost::asio::ip::tcp;
+    using boost::system::error_code;
+
+    constexpr std::chrono::seconds maxIdleTime { 15 };
+    constexpr std::size_t maxIdlePerAddress = 64;
+    constexpr std::size_t maxHeadBytes = 64U * 1024;
+
+    bool isStillOpen(beast::tcp_stream& stream)
+    {
+        error_code error;
+        char byte = 0;
+        stream.socket().non_blocking(true, error);
+        stream.socket().receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+        return error == boost::asio::error::would_block;
+    }
+
+    bool maySendBody(const std::string& method)
+    {
+        return method == "POST" || method == "PUT" || method == "PATCH";
+    }
+
+}
+
+http_client_state::http_client_state(boost::asio::io_context& ioContext)
+    : context(ioContext)
+{
+}
+
+std::unique_ptr<beast::tcp_stream> http_client_state::takeIdle(const std::string& address)
+{
+    std::deque<pooled_connection>& connections = idle[address];
+    while (!connections.empty()) {
+        pooled_connection connection = std::move(connections.back());
+        connections.pop_back();
+        const bool isRecent = std::chrono::steady_clock::now() - connection.idleSince < maxIdleTime;
+        if (isRecent && isStillOpen(*connection.stream))
+            return std::move(connection.stream);
+    }
+    return nullptr;
+}
+
+void http_client_state::putIdle(const std::string& address, std::unique_ptr<beast::tcp_stream> stream)
+{
+    std::deque<pooled_connection>& connections = idle[address];
+    connections.push_back({ std::move(stream), std::chrono::steady_clock::now() });
+    if (connections.size() > maxIdlePerAddress)
+        connections.pop_front();
+}
+
+http_call::http_call(std::shared_ptr<http_client_state> state, endpoint address, http_call_options options,
+    http_call_handlers handlers)
+    : m_state(std::move(state))
+    , m_address(std::move(address))
+    , m_options(options)
+    , m_handlers(std::move(handlers))
+    , m_timer(m_state->context)
+{
+}
+
+void http_call::start(http_request request)
+{
+    buildRequest(std::move(request));
+    startTimer();
+    if (m_options.mayReuseConnection)
+        m_stream = m_state->takeIdle(toString(m_address));
+    if (m_stream) {
+        write();
+        return;
+    }
+    connect();
+}
+
+void http_call::cancel()
+{
+    if (m_isDone)
+        return;
+    m_isDone = true;
+    m_handlers = {};
+    release();
+}
+
+void http_call::setPaused(bool isPaused)
+{
+    m_isPaused = isPaused;
+    if (!isPaused && m_isHeadRead && !m_isReading && !m_isDone)
+        readBody();
+}
+
+void http_call::startTimer()
+{
+    m_timer.expires_after(m_options.timeout);
+    m_timer.async_wait([self = self_pointer(this)](const error_code& error) {
+        if (error || self->m_isDone)
+            return;
+        self->m_isTimedOut = true;
+        self->fail(boost::asio::error::timed_out);
+    });
+}
+
+void http_call::buildRequest(http_request request)
+{
+    m_request.version(11);
+    m_request.method_string(request.method);
+    m_request.target(request.target);
+    for (const http_header& header : request.headers)
+        m_request.insert(header.name, header.value);
+    if (m_request.find(http::field::host) == m_request.end())
+        m_request.set(http::field::host, toString(m_address));
+    const bool hasBody = !request.body.empty() || maySendBody(request.method);
+    m_request.body() = std::move(request.body);
+    if (hasBody)
+        m_request.content_length(m_request.body().size());
+}
+
+void http_call::connect()
+{
+    error_code error;
+    const tcp::endpoint target(boost::asio::ip::make_address(m_address.host, error), m_address.port);
+    m_stream = std::make_unique<beast::tcp_stream>(m_state->context);
+    if (error) {
+        boost::asio::post(m_state->context, [self = self_pointer(this), error] { self->fail(error); });
+        return;
+    }
+    m_stream->async_connect(target, [self = self_pointer(this)](const error_code& connectError) {
+        if (self->m_isDone)
+            return;
+        if (connectError) {
+            self->fail(connectError);
+            return;
+        }
+        error_code ignored;
+        self->m_stream->socket().set_option(tcp::no_delay(true), ignored);
+        self->write();
+    });
+}
+
+void http_call::write()
+{
+    m_isWritten = true;
+    http::async_write(*m_stream, m_request, [self = self_pointer(this)](const error_code& error, std::size_t) {
+        if (self->m_isDone)
+            return;
+        if (error) {
+            self->fail(error);
+            return;
+        }
+        self->readHead();
+    });
+}
+
+void http_call::readHead()
+{
+    m_parser.emplace();
+    m_parser->header_limit(maxHeadBytes);
+    m_parser->body_limit(boost::none);
+    m_parser->skip(m_request.method() == http::verb::head);
+    http::async_read_header(*m_stream, m_buffer, *m_parser, [self = self_pointer(this)](const error_code& error, std::size_t) {
+        if (self->m_isDone)
+            return;
+        if (error) {
+            self->fail(error);
+            return;
+        }
+        self->reportHead();
+    });
+}
+
+void http_call::reportHead()
+{
+    m_isHeadRead = true;
+    http_response_head head;
+    head.status = m_parser->get().result_int();
+    if (m_parser->content_length())
+        head.contentLength = *m_parser->content_length();
+    for (auto it = m_parser->get().begin(); it != m_parser->get().end(); ++it)
+        head.headers.push_back({ std::string(it->name_string()), std::string(it->value()) });
+    if (m_handlers.onHead)
+        m_handlers.onHead(head);
+    if (m_isDone)
+        return;
+    readBody();
+}
+
+void http_call::readBody()
+{
+    if (m_parser->is_done()) {
+        onBodyRead({});
+        return;
+    }
+    m_isReading = true;
+    http::async_read_some(*m_stream, m_buffer, *m_parser, [self = self_pointer(this)](const error_code& error, std::size_t) {
+        self->m_isReading = false;
+        if (!self->m_isDone)
+            self->onBodyRead(error);
+    });
+}
+
+void http_call::onBodyRead(const error_code& error)
+{
+    if (error) {
+        fail(error);
+        return;
+    }
+    const std::string piece = std::exchange(m_parser->get().body(), {});
+    if (!piece.empty() && m_handlers.onBody)
+        m_handlers.onBody(piece);
+    if (m_isDone)
+        return;
+    if (m_parser->is_done()) {
+        finish({});
+        return;
+    }
+    if (!m_isPaused)
+        readBody();
+}
+
+void http_call::fail(const error_code& error)
+{
+    if (!m_isWritten) {
+        finish({ result_code::UpstreamUnreachable, "No connection to " + toString(m_address) + ": " + error.message() + "." });
+        return;
+    }
+    const std::string where = toString(m_address) + ": " + error.message() + ".";
+    if (m_isTimedOut) {
+        finish({ result_code::UpstreamTimeout, "No whole answer in time from " + where });
+        return;
+    }
+    const result_code code = m_isHeadRead ? result_code::UpstreamTruncated : result_code::UpstreamBroken;
+    finish({ code, "The connection broke before the answer was whole, " + where });
+}
+
+void http_call::finish(http_outcome outcome)
+{
+    m_isDone = true;
+    const bool isReusable = outcome.code == result_code::Ok && m_parser->keep_alive() && m_buffer.size() == 0;
+    if (isReusable)
+        m_state->putIdle(toString(m_address), std::move(m_stream));
+    const std::function<void(const http_outcome&)> onDone = std::move(m_handlers.onDone);
+    m_handlers = {};
+    release();
+    if (onDone)
+        onDone(outcome);
+}
+
+void http_call::release()
+{
+    m_timer.cancel();
+    if (!m_stream)
+        return;
+    error_code ignored;
+    m_stream->socket().close(ignored);
+}
+
+}
--- /dev/null
+++ b/src/libs/platform/httpcall.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "httpclient.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include <deque>
+#include <map>
+#include <optional>
+
+namespace ragwortreach::Internal {
+
+/// Connection that has carried whole answers only.
+struct pooled_connection {
+    std::unique_ptr<boost::beast::tcp_stream> stream;
+    std::chrono::steady_clock::time_point idleSince;
+};
+
+/// Pool shared by the calls of one client; it outlives the client while calls run.
+struct http_client_state {
+    explicit http_client_state(boost::asio::io_context& ioContext);
+
+    std::unique_ptr<boost::beast::tcp_stream> takeIdle(const std::string& address);
+    void putIdle(const std::string& address, std::unique_ptr<boost::beast::tcp_stream> stream);
+
+    boost::asio::io_context& context;
+    std::map<std::string, std::deque<pooled_connection>> idle;
+};
+
+/// One request and its answer on one connection.
+class http_call : public boost::intrusive_ref_counter<http_call, boost::thread_unsafe_counter> {
+public:
+    http_call(std::shared_ptr<http_client_state> state, endpoint address, http_call_options options,
+        http_call_handlers handlers);
+
+    void start(http_request request);
+    void cancel();
+    void setPaused(bool isPaused);
+
+private:
+    using self_pointer = boost::intrusive_ptr<http_call>;
+
+    void startTimer();
+    void buildRequest(http_request request);
+    void connect();
+    void write();
+    void readHead();
+    void reportHead();
+    void readBody();
+    void onBodyRead(const boost::system::error_code& error);
+    void fail(const boost::system::error_code& error);
+    void finish(http_outcome outcome);
+    void release();
+
+    std::shared_ptr<http_client_state> m_state;
+    endpoint m_address;
+    http_call_options m_options;
+    http_call_handlers m_handlers;
+    boost::asio::steady_timer m_timer;
+    std::unique_ptr<boost::beast::tcp_stream> m_stream;
+    boost::beast::flat_buffer m_buffer;
+    boost::beast::http::request<boost::beast::http::string_body> m_request;
+    std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> m_parser;
+    bool m_isWritten = false;
+    bool m_isHeadRead = false;
+    bool m_isPaused = false;
+    bool m_isReading = false;
+    bool m_isTimedOut = false;
+    bool m_isDone = false;
+};
+
+}
--- /dev/null
+++ b/src/libs/platform/httpclient.cpp
@@ -0,0 +1,80 @@
+#include "httpclient.h"
+
+#include "httpcall.h"
+
+namespace ragwortreach {
+
+namespace {
+
+    struct whole_answer {
+        http_response response;
+        std::size_t limit = 0;
+        bool isTooLarge = false;
+    };
+
+}
+
+http_call_handle::http_call_handle() = default;
+http_call_handle::http_call_handle(boost::intrusive_ptr<Internal::http_call> call)
+    : m_call(std::move(call))
+{
+}
+http_call_handle::http_call_handle(const http_call_handle&) = default;
+http_call_handle& http_call_handle::operator=(const http_call_handle&) = default;
+http_call_handle::~http_call_handle() = default;
+
+void http_call_handle::cancel()
+{
+    if (m_call)
+        m_call->cancel();
+    m_call = nullptr;
+}
+
+void http_call_handle::setPaused(bool isPaused)
+{
+    if (m_call)
+        m_call->setPaused(isPaused);
+}
+
+http_client::http_client(boost::asio::io_context& context)
+    : m_state(std::make_shared<Internal::http_client_state>(context))
+{
+}
+
+http_client::~http_client() = default;
+
+http_call_handle http_client::call(const endpoint& address, http_request request, const http_call_options& options,
+    http_call_handlers handlers)
+{
+    const boost::intrusive_ptr<Internal::http_call> call(
+        new Internal::http_call(m_state, address, options, std::move(handlers)));
+    call->start(std::move(request));
+    return http_call_handle(call);
+}
+
+http_call_handle http_client::callWhole(const endpoint& address, http_request request,
+    const http_call_options& options, std::function<void(const http_outcome&, const http_response&)> handler)
+{
+    const std::shared_ptr<whole_answer> answer = std::make_shared<whole_answer>();
+    answer->limit = options.bodyLimit;
+    http_call_handlers handlers;
+    handlers.onHead = [answer](const http_response_head& head) {
+        answer->response.status = head.status;
+        answer->response.headers = head.headers;
+    };
+    handlers.onBody = [answer](std::string_view piece) {
+        answer->isTooLarge = answer->isTooLarge || answer->response.body.size() + piece.size() > answer->limit;
+        if (!answer->isTooLarge)
+            answer->response.body += piece;
+    };
+    handlers.onDone = [answer, whenDone = std::move(handler)](const http_outcome& outcome) {
+        if (answer->isTooLarge) {
+            whenDone({ result_code::UpstreamTruncated, "The answer is larger than the limit." }, answer->response);
+            return;
+        }
+        whenDone(outcome, answer->response);
+    };
+    return call(address, std::move(request), options, std::move(handlers));
+}
+
+}
--- /dev/null
+++ b/src/libs/platform/httpmessage.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace ragwortreach {
+
+struct http_header {
+    std::string name;
+    std::string value;
+};
+
+/// HTTP request with its whole body.
+struct http_request {
+    std::string method = "GET";
+    std::string target = "/";
+    std::vector<http_header> headers;
+    std::string body;
+};
+
+/// Status line and headers of an answer.
+struct http_response_head {
+    int status = 200;
+    std::vector<http_header> headers;
+    /// Absent for a chunked body.
+    std::optional<std::uint64_t> contentLength;
+};
+
+/// HTTP answer with its whole body.
+struct http_response {
+    int status = 200;
+    std::vector<http_header> headers;
+    std::string body;
+};
+
+/// Value of the first header called \a name, compared without regard to case.
+std::optional<std::string_view> headerValue(std::span<const http_header> headers, std::string_view name);
+
+/// True for headers that belong to one connection and are not forwarded (RFC 9110, section 7.6.1).
+bool isHopByHop(std::string_view name);
+
+/// Path of \a target, without the query.
+std::string_view targetPath(std::string_view target);
+
+/// Value of the parameter \a name in the query of \a target.
+std::optional<std::string> queryValue(std::string_view target, std::string_view name);
+
+}
--- /dev/null
+++ b/src/libs/platform/httpsession.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "httpserver.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/intrusive/list.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include <optional>
+
+namespace ragwortreach::Internal {
+
+/// Connection of one caller; it carries one exchange after another.
+class http_session : public boost::intrusive_ref_counter<http_session, boost::thread_unsafe_counter>,
+                     public boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
+public:
+    http_session(std::shared_ptr<http_server_state> server, boost::asio::ip::tcp::socket socket);
+    ~http_session();
+
+    void start();
+    /// Closes the connection when no exchange is open on it.
+    void closeIfIdle();
+    bool isExchangeOpen() const { return m_isExchangeOpen; }
+
+    const http_request& request() const { return m_request; }
+    bool isCurrent(std::uint64_t number) const { return number == m_number && m_isExchangeOpen; }
+    void respond(http_response response);
+    void beginStream(const http_response_head& head);
+    void write(std::string_view piece);
+    void endStream();
+    void abort();
+    std::size_t queuedBytes() const { return m_pending.size() + m_sending.size(); }
+    void setGoneHandler(std::function<void()> handler) { m_onGone = std::move(handler); }
+    void setDrainedHandler(std::function<void()> handler) { m_onDrained = std::move(handler); }
+
+private:
+    using self_pointer = boost::intrusive_ptr<http_session>;
+
+    void readRequest();
+    void startReadTimer();
+    void onRequestRead(const boost::system::error_code& error);
+    void rejectRequest(const boost::system::error_code& error);
+    void openExchange();
+    void watchCaller();
+    void queue(std::string_view bytes);
+    void flush();
+    void onFlushed(const boost::system::error_code& error);
+    void completeExchange();
+    void lose();
+    void close();
+
+    std::shared_ptr<http_server_state> m_server;
+    boost::asio::ip::tcp::socket m_socket;
+    boost::asio::steady_timer m_readTimer;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
+    http_request m_request;
+    std::function<void()> m_onGone;
+    std::function<void()> m_onDrained;
+    std::string m_pending;
+    std::string m_sending;
+    std::uint64_t m_number = 0;
+    bool m_isExchangeOpen = false;
+    bool m_isAnswerComplete = false;
+    bool m_isChunked = false;
+    bool m_isHead = false;
+    bool m_isKeepAlive = false;
+};
+
+/// What the sessions of one server share.
+class http_server_state : public std::enable_shared_from_this<http_server_state> {
+public:
+    http_server_state(boost::asio::io_context& context, const http_server_limits& limits,
+        http_server::request_handler onRequest, http_server::error_handler onError);
+
+    std::error_code listen(const endpoint& address);
+    void accept();
+    void stopAccepting();
+
+    http_server_limits limits;
+    http_server::request_handler onRequest;
+    http_server::error_handler onError;
+    boost::asio::ip::tcp::acceptor acceptor;
+    boost::intrusive::list<http_session, boost::intrusive::constant_time_size<false>> sessions;
+    std::size_t openExchanges = 0;
+    bool isDraining = false;
+};
+
+}
--- /dev/null
+++ b/src/libs/platform/scorerclient.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "endpoint.h"
+
+#include <core/enginemessage.h>
+#include <core/instant.h>
+
+#include <functional>
+#include <optional>
+
+namespace ragwortreach {
+
+class http_client;
+
+/// Client of the services that score samples.
+class scorer_client {
+public:
+    explicit scorer_client(http_client& client);
+
+    /// Scoring is idempotent: a request may be repeated. No reward means that the request failed.
+    void score(const endpoint& address, const score_request& request, duration timeout,
+        std::function<void(std::optional<double>)> handler);
+
+private:
+    http_client& m_client;
+};
+
+}
