--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -8,16 +8,17 @@
 
 DEFINE_string(settings, "", "JSON file that names the servers to play");
 
+using namespace ragwortreach::StandIns;
+
 int main(int argc, char** argv)
 {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     try {
         std::ifstream file(FLAGS_settings);
-        const nlohmann::json settings = nlohmann::json::parse(file);
         boost::asio::io_context context;
-        const ragwortreach::StandIns::standin_set standins(context, settings);
-        for (const std::string& address : standins.addresses())
-            std::cout << address << std::endl;
+        const std::vector<standin_server_ptr> servers = startStandIns(context, nlohmann::json::parse(file));
+        for (const standin_server_ptr& server : servers)
+            std::cout << server->address() << std::endl;
         context.run();
     } catch (const std::exception& error) {
         std::cerr << "standin: " << error.what() << std::endl;
--- a/tests/standins/platformstandin.cpp
+++ b/tests/standins/platformstandin.cpp
@@ -1,10 +1,13 @@
-#include "platformstandin.h"
+#include "standinset.h"
 
 #include <algorithm>
 #include <limits>
+#include <map>
+#include <sstream>
 #include <utility>
 
 using nlohmann::json;
+using steady_clock = std::chrono::steady_clock;
 
 namespace ragwortreach::StandIns {
 
@@ -12,206 +15,245 @@
 
     constexpr std::size_t maxVmLists = 64;
     constexpr std::uint64_t defaultReadRecords = 500;
-    constexpr int retryAfterSeconds = 1;
 
-    /// Splits "/{first}/{second}/{third}"; parts that are missing are empty.
-    struct path_parts {
-        explicit path_parts(const std::string& path)
+    /// Counts calls in fixed windows of one second.
+    struct rate_limit {
+        /// True when one more call fits into \a perSecond; 0 means no limit.
+        bool admit(std::int64_t perSecond)
         {
-            const std::size_t second = std::min(path.find('/', 1), path.size());
-            const std::size_t third = std::min(path.find('/', std::min(second + 1, path.size())), path.size());
-            collection = path.substr(0, second);
-            id = second < path.size() ? path.substr(second + 1, third - second - 1) : "";
-            action = third < path.size() ? path.substr(third + 1) : "";
+            const steady_clock::time_point now = steady_clock::now();
+            if (now - windowStart >= std::chrono::seconds(1)) {
+                windowStart = now;
+                calls = 0;
+            }
+            return perSecond <= 0 || calls++ < perSecond;
         }
 
-        std::string collection;
-        std::string id;
-        std::string action;
+        steady_clock::time_point windowStart;
+        std::int64_t calls = 0;
     };
 
-    http_answer tooManyRequests()
-    {
-        return { 429, { { "error", "rate" } }, { { "Retry-After", std::to_string(retryAfterSeconds) } } };
-    }
+    /// Records of one stream. Record ids mean nothing to it: the same id twice makes two records.
+    struct stream_records {
+        std::uint64_t end() const { return first + records.size(); }
 
-}
+        void retain(std::size_t count)
+        {
+            for (; records.size() > count; ++first)
+                records.pop_front();
+        }
 
-platform_standin::platform_standin(boost::asio::io_context& context, const json& settings)
-    : m_controls(settings.value("faults", json::object()))
-    , m_models(settings.value("models", json::object()))
-    , m_server(context, settings.value("listen", "127.0.0.1:0"), [this](const http_connection_ptr& connection) { handle(connection); })
-{
-    m_controls.setOnChange([this] { faultsChanged(); });
-    setVms({ { "vms", settings.value("vms", json::array()) } });
-}
+        std::uint64_t first = 0;
+        std::deque<json> records;
+    };
 
-void platform_standin::handle(const http_connection_ptr& connection)
-{
-    if (m_controls.handle(connection))
-        return;
-    const http_request& request = connection->request();
-    const path_parts parts(request.path);
-    if (request.path == "/vms" && request.method == "GET")
-        handleVms(connection);
-    else if (request.path == "/_standin/vms" && request.method == "PUT") {
-        setVms(request.json());
-        connection->answer({ 200, m_vmLists.back().list });
-    } else if (parts.collection == "/streams" && parts.action == "records")
-        handleStream(connection, parts.id);
-    else if (parts.collection == "/models")
-        handleModel(connection, parts.id, parts.action);
-    else
-        connection->answer({ 404, { { "error", "unknown path" } } });
-}
+    struct waiting_read {
+        http_connection_ptr connection;
+        std::string stream;
+        std::uint64_t from = 0;
+        std::size_t max = 0;
+    };
 
-void platform_standin::handleStream(const http_connection_ptr& connection, const std::string& stream)
-{
-    if (m_controls.handleOutage(connection, "/log/outage"))
-        return;
-    if (connection->request().method == "POST")
-        append(connection, stream);
-    else
-        read(connection, stream);
-}
+    struct vm_list_change {
+        steady_clock::time_point time;
+        json list;
+    };
 
-void platform_standin::append(const http_connection_ptr& connection, const std::string& stream)
-{
-    const json body = connection->request().json();
-    if (!body.contains("records") || !body["records"].is_array() || body["records"].empty()) {
-        connection->answer({ 400, { { "error", "records expected" } } });
-        return;
-    }
-    if (!m_appendRate.admit(std::chrono::steady_clock::now(), m_controls.number("/log/appends_per_second"))) {
-        connection->answer(tooManyRequests());
-        return;
-    }
-    const std::uint64_t first = m_streams.append(stream, body["records"]);
-    const std::uint64_t next = m_streams.end(stream);
-    m_controls.countExecution(connection->request(), "");
-    m_streams.retain(m_controls.number("/log/retention_records", std::numeric_limits<std::int64_t>::max()));
-    if (m_controls.take("/log/lose_reply_after_write")) {
-        m_controls.count("lost_replies");
-        connection->close();
-    } else
-        answer(connection, m_controls.delay("/log/latency_ms"), { 200, { { "first", first }, { "next", next } } });
-    finishReads(stream);
-}
+    class platform_standin {
+    public:
+        platform_standin(boost::asio::io_context& context, const json& settings)
+            : m_server(
+                context, settings, [this](const http_connection_ptr& connection) { handle(connection); }, [this] { faultsChanged(); })
+            , m_models(settings.value("models", json::object()))
+        {
+            setVms({ { "vms", settings.value("vms", json::array()) } });
+        }
 
-void platform_standin::read(const http_connection_ptr& connection, const std::string& stream)
-{
-    const http_request& request = connection->request();
-    const waiting_read wait { connection, stream, request.number("from", 0), request.number("max", defaultReadRecords) };
-    const std::uint64_t waitMs = request.number("wait_ms", 0);
-    m_controls.count("reads");
-    if (waitMs == 0 || wait.from != m_streams.end(stream)) {
-        answerRead(wait);
-        return;
-    }
-    const std::uint64_t waitNumber = m_nextWait++;
-    m_waits.emplace(waitNumber, wait);
-    m_server.after(std::chrono::milliseconds(waitMs), [this, waitNumber] {
-        const std::map<std::uint64_t, waiting_read>::node_type found = m_waits.extract(waitNumber);
-        if (!found.empty())
-            answerRead(found.mapped());
-    });
-}
+        standin_server& server() { return m_server; }
 
-void platform_standin::answerRead(const waiting_read& wait)
-{
-    if (m_controls.handleOutage(wait.connection, "/log/outage"))
-        return;
-    const std::uint64_t first = m_streams.firstRetained(wait.stream);
-    const std::chrono::milliseconds delay = m_controls.delay("/log/latency_ms");
-    if (wait.from < first)
-        answer(wait.connection, delay, { 410, { { "first_retained", first }, { "end", m_streams.end(wait.stream) } } });
-    else
-        answer(wait.connection, delay, { 200, m_streams.read(wait.stream, wait.from, wait.max, gap(wait.stream)) });
-}
+    private:
+        void handle(const http_connection_ptr& connection)
+        {
+            std::istringstream path(requestPath(connection->request()).substr(1));
+            std::string collection;
+            std::string id;
+            std::string action;
+            std::getline(path, collection, '/');
+            std::getline(path, id, '/');
+            std::getline(path, action);
+            if (collection == "vms")
+                handleVms(connection);
+            else if (collection == "streams" && action == "records")
+                handleStream(connection, id);
+            else if (collection == "models")
+                handleModel(connection, id, action);
+            else if (collection == "_standin" && id == "vms") {
+                setVms(requestJson(connection->request()));
+                connection->answer({ 200, m_vmLists.back().list });
+            } else
+                connection->answer({ 404, { { "error", "unknown path" } } });
+        }
 
-void platform_standin::finishReads(const std::string& stream)
-{
-    for (std::map<std::uint64_t, waiting_read>::iterator it = m_waits.begin(); it != m_waits.end();) {
-        if (it->second.stream == stream) {
-            answerRead(it->second);
-            it = m_waits.erase(it);
-        } else
-            ++it;
-    }
-}
+        void handleStream(const http_connection_ptr& connection, const std::string& stream)
+        {
+            if (controls().refuseInOutage(connection, "/log/outage"))
+                return;
+            if (connection->request().method() == boost::beast::http::verb::post)
+                append(connection, stream);
+            else
+                read(connection, stream);
+        }
 
-void platform_standin::faultsChanged()
-{
-    m_streams.retain(m_controls.number("/log/retention_records", std::numeric_limits<std::int64_t>::max()));
-    if (!m_controls.isOn("/log/outage"))
-        return;
-    for (const std::pair<const std::uint64_t, waiting_read>& wait : m_waits)
-        answerRead(wait.second);
-    m_waits.clear();
-}
+        void append(const http_connection_ptr& connection, const std::string& stream)
+        {
+            const json records = requestJson(connection->request()).value("records", json::array());
+            if (records.empty() || !m_appendRate.admit(controls().number("/log/appends_per_second"))) {
+                refuse(connection, records.empty() ? 400 : 429);
+                return;
+            }
+            stream_records& target = m_streams[stream];
+            const std::uint64_t first = target.end();
+            for (const json& record : records)
+                target.records.push_back({ { "offset", target.end() }, { "id", record.value("id", "") }, { "data", record.value("data", json()) } });
+            const std::uint64_t next = target.end();
+            target.retain(retention());
+            controls().countExecution(connection->request());
+            if (controls().take("/log/lose_reply_after_write"))
+                connection->close();
+            else
+                m_server.answerAfter(controls().delay("/log/latency_ms"), connection, { 200, { { "first", first }, { "next", next } } });
+            finishReads(stream);
+        }
 
-offset_range platform_standin::gap(const std::string& stream) const
-{
-    const json fault = m_controls.value("/log/gap");
-    if (!fault.is_object() || fault.value("stream", "") != stream)
-        return {};
-    return { fault.value("first", std::uint64_t(0)), fault.value("last", std::uint64_t(0)) };
-}
+        void read(const http_connection_ptr& connection, const std::string& stream)
+        {
+            const http_request& request = connection->request();
+            const std::uint64_t waitMs = queryNumber(request, "wait_ms", 0);
+            const waiting_read wait { connection, stream, queryNumber(request, "from", 0), queryNumber(request, "max", defaultReadRecords) };
+            controls().count("reads");
+            if (waitMs == 0 || wait.from < m_streams[stream].end()) {
+                answerRead(wait);
+                return;
+            }
+            const std::uint64_t waitNumber = m_nextWait++;
+            m_waits.emplace(waitNumber, wait);
+            m_server.after(std::chrono::milliseconds(waitMs), [this, waitNumber] {
+                const std::map<std::uint64_t, waiting_read>::node_type found = m_waits.extract(waitNumber);
+                if (!found.empty())
+                    answerRead(found.mapped());
+            });
+        }
 
-void platform_standin::setVms(json list)
-{
-    m_vmRevision = list.value("revision", m_vmRevision + 1);
-    list["revision"] = m_vmRevision;
-    m_vmLists.push_back({ std::chrono::steady_clock::now(), std::move(list) });
-    if (m_vmLists.size() > maxVmLists)
-        m_vmLists.pop_front();
-}
+        void answerRead(const waiting_read& wait)
+        {
+            if (controls().refuseInOutage(wait.connection, "/log/outage"))
+                return;
+            const stream_records& stream = m_streams[wait.stream];
+            const json gap = controls().value("/log/gap");
+            const bool hasGap = gap.is_object() && gap.value("stream", "") == wait.stream;
+            json records = json::array();
+            std::uint64_t next = std::max(wait.from, stream.first);
+            for (; next < stream.end() && records.size() < wait.max; ++next) {
+                if (!hasGap || next < gap.value("first", 0U) || next >= gap.value("last", 0U))
+                    records.push_back(stream.records[next - stream.first]);
+            }
+            http_answer answer { 200, { { "first_retained", stream.first }, { "next", next }, { "end", stream.end() }, { "records", records } } };
+            if (wait.from < stream.first)
+                answer = { 410, { { "first_retained", stream.first }, { "end", stream.end() } } };
+            m_server.answerAfter(controls().delay("/log/latency_ms"), wait.connection, answer);
+        }
 
-void platform_standin::handleVms(const http_connection_ptr& connection)
-{
-    if (m_controls.handleOutage(connection, "/vm_list/outage"))
-        return;
-    const std::chrono::steady_clock::time_point visible = std::chrono::steady_clock::now() - m_controls.delay("/vm_list/lag_ms");
-    std::size_t index = m_vmLists.size() - 1;
-    while (index > 0 && m_vmLists[index].time > visible)
-        --index;
-    const std::size_t older = m_controls.number("/vm_list/older_revision");
-    connection->answer({ 200, m_vmLists[index - std::min(index, older)].list });
-}
+        /// Answers the reads that wait for records of \a stream, or all of them when it is empty.
+        void finishReads(const std::string& stream)
+        {
+            for (std::map<std::uint64_t, waiting_read>::iterator it = m_waits.begin(); it != m_waits.end();) {
+                const bool isMeant = stream.empty() || it->second.stream == stream;
+                if (isMeant)
+                    answerRead(it->second);
+                it = isMeant ? m_waits.erase(it) : std::next(it);
+            }
+        }
 
-void platform_standin::handleModel(const http_connection_ptr& connection, const std::string& model, const std::string& action)
-{
-    if (m_controls.handleOutage(connection, "/weight_store/outage"))
-        return;
-    const http_request& request = connection->request();
-    const std::chrono::milliseconds delay = m_controls.delay("/weight_store/latency_ms");
-    if (action == "loads" && request.method == "POST") {
-        if (!m_loadRate.admit(std::chrono::steady_clock::now(), m_controls.number("/weight_store/rate_per_second"))) {
-            m_controls.count("loads_refused");
-            answer(connection, delay, tooManyRequests());
-            return;
+        void faultsChanged()
+        {
+            for (std::pair<const std::string, stream_records>& stream : m_streams)
+                stream.second.retain(retention());
+            if (controls().isOn("/log/outage"))
+                finishReads("");
         }
-        m_controls.countExecution(request, "");
-        answer(connection, delay, { 200, { { "model", model } } });
-    } else if (action == "versions") {
-        json& versions = m_models[model];
-        const json version = { { "base", request.json().value("base", 0) }, { "adapter", request.json().value("adapter", 0) } };
-        if (request.method == "POST" && std::find(versions.begin(), versions.end(), version) == versions.end()) {
-            versions.push_back(version);
-            std::sort(versions.begin(), versions.end());
+
+        void setVms(json list)
+        {
+            m_vmRevision = list.value("revision", m_vmRevision + 1);
+            list["revision"] = m_vmRevision;
+            m_vmLists.push_back({ steady_clock::now(), std::move(list) });
+            if (m_vmLists.size() > maxVmLists)
+                m_vmLists.pop_front();
+        }
+
+        void handleVms(const http_connection_ptr& connection)
+        {
+            if (controls().refuseInOutage(connection, "/vm_list/outage"))
+                return;
+            const steady_clock::time_point visible = steady_clock::now() - controls().delay("/vm_list/lag_ms");
+            std::size_t index = m_vmLists.size() - 1;
+            while (index > 0 && m_vmLists[index].time > visible)
+                --index;
+            const std::size_t older = controls().number("/vm_list/older_revision");
+            connection->answer({ 200, m_vmLists[index - std::min(index, older)].list });
+        }
+
+        void handleModel(const http_connection_ptr& connection, const std::string& model, const std::string& action)
+        {
+            if (controls().refuseInOutage(connection, "/weight_store/outage"))
+                return;
+            const bool isPost = connection->request().method() == boost::beast::http::verb::post;
+            const json body = requestJson(connection->request());
+            const json version = { { "base", body.value("base", 0) }, { "adapter", body.value("adapter", 0) } };
+            json& versions = m_models[model];
+            const bool isKnown = std::find(versions.begin(), versions.end(), version) != versions.end();
+            if (action == "loads") {
+                if (!m_loadRate.admit(controls().number("/weight_store/rate_per_second"))) {
+                    controls().count("loads_refused");
+                    refuse(connection, 429);
+                    return;
+                }
+                controls().countExecution(connection->request());
+            } else if (isPost && !isKnown) {
+                versions.push_back(version);
+                std::sort(versions.begin(), versions.end(), [](const json& left, const json& right) {
+                    return std::pair(left["base"], left["adapter"]) < std::pair(right["base"], right["adapter"]);
+                });
+            }
+            m_server.answerAfter(controls().delay("/weight_store/latency_ms"), connection,
+                { 200, { { "model", model }, { "versions", versions.is_null() ? json::array() : versions } } });
         }
-        answer(connection, delay, { 200, { { "model", model }, { "versions", versions.is_null() ? json::array() : versions } } });
-    } else
-        connection->answer({ 404, { { "error", "unknown path" } } });
+
+        static void refuse(const http_connection_ptr& connection, int status)
+        {
+            connection->answer({ status, { { "error", "refused" } }, { { "Retry-After", "1" } } });
+        }
+
+        std::size_t retention() { return controls().number("/log/retention_records", std::numeric_limits<std::int64_t>::max()); }
+        standin_controls& controls() { return m_server.controls(); }
+
+        standin_server m_server;
+        std::map<std::string, stream_records> m_streams;
+        std::map<std::uint64_t, waiting_read> m_waits;
+        std::uint64_t m_nextWait = 0;
+        std::deque<vm_list_change> m_vmLists;
+        std::uint64_t m_vmRevision = 0;
+        json m_models;
+        rate_limit m_appendRate;
+        rate_limit m_loadRate;
+    };
+
 }
 
-void platform_standin::answer(const http_connection_ptr& connection, std::chrono::milliseconds delay, http_answer answer)
+standin_server_ptr startPlatform(boost::asio::io_context& context, const json& settings)
 {
-    if (delay.count() <= 0) {
-        connection->answer(answer);
-        return;
-    }
-    m_server.after(delay, [connection, answer = std::move(answer)] { connection->answer(answer); });
+    const std::shared_ptr<platform_standin> standin = std::make_shared<platform_standin>(context, settings);
+    return { standin, &standin->server() };
 }
 
 }
--- a/tests/standins/servicestandin.cpp
+++ b/tests/standins/servicestandin.cpp
@@ -1,45 +1,98 @@
-#include "servicestandin.h"
+#include "standinset.h"
 
 using nlohmann::json;
 
 namespace ragwortreach::StandIns {
 
-service_standin::service_standin(boost::asio::io_context& context, const json& settings)
-    : m_controls(settings.value("faults", json::object()))
-    , m_service(settings.value("service", "service"))
-    , m_server(context, settings.value("listen", "127.0.0.1:0"), [this](const http_connection_ptr& connection) { handle(connection); })
-{
+namespace {
+
+    constexpr std::uint64_t rewardSteps = 1000;
+
+    class service_standin {
+    public:
+        service_standin(boost::asio::io_context& context, const json& settings)
+            : m_server(context, settings, [this](const http_connection_ptr& connection) { handle(connection); })
+            , m_service(settings.value("service", "service"))
+        {
+        }
+
+        standin_server& server() { return m_server; }
+
+    private:
+        void handle(const http_connection_ptr& connection)
+        {
+            standin_controls& controls = m_server.controls();
+            if (controls.take("/refuse_unrun")) {
+                controls.count("refused");
+                connection->answer({ 503, { { "error", "refused" } }, { { "X-Upstream-Ran", "no" } } });
+                return;
+            }
+            if (controls.take("/die_before_run")) {
+                connection->close();
+                return;
+            }
+            const http_request& request = connection->request();
+            const std::uint64_t execution = controls.countExecution(request, std::string(request["X-Request-Id"]));
+            const http_answer whole { 200, { { "service", m_service }, { "execution", execution }, { "path", requestPath(request) }, { "body_bytes", request.body().size() } } };
+            m_server.after(controls.delay("/latency_ms"), [this, connection, whole] { answer(connection, whole); });
+        }
+
+        void answer(const http_connection_ptr& connection, const http_answer& answer)
+        {
+            if (m_server.controls().take("/die_before_answer"))
+                connection->close();
+            else if (m_server.controls().take("/die_mid_body"))
+                connection->answer(answer, answer_shape::Truncated);
+            else
+                connection->answer(answer, m_server.controls().take("/answer_twice") ? answer_shape::Twice : answer_shape::Whole);
+        }
+
+        standin_server m_server;
+        std::string m_service;
+    };
+
+    class scorer_standin {
+    public:
+        scorer_standin(boost::asio::io_context& context, const json& settings)
+            : m_server(context, settings, [this](const http_connection_ptr& connection) { handle(connection); })
+        {
+        }
+
+        standin_server& server() { return m_server; }
+
+    private:
+        void handle(const http_connection_ptr& connection)
+        {
+            standin_controls& controls = m_server.controls();
+            if (controls.refuseInOutage(connection, "/outage"))
+                return;
+            const json body = requestJson(connection->request());
+            const std::string sample = body.value("sample_id", "");
+            controls.countExecution(connection->request(), sample);
+            if (controls.take("/never"))
+                return;
+            const std::uint64_t steps = tokenAt(body.value("token_ids", json::array()).dump(), 0, 0) % rewardSteps;
+            const http_answer scored { 200, { { "sample_id", sample }, { "reward", static_cast<double>(steps) / rewardSteps } } };
+            const answer_shape shape = controls.take("/answer_twice") ? answer_shape::Twice : answer_shape::Whole;
+            m_server.after(controls.delay("/latency_ms") * (controls.isOn("/twice_latency") ? 2 : 1),
+                [connection, scored, shape] { connection->answer(scored, shape); });
+        }
+
+        standin_server m_server;
+    };
+
 }
 
-void service_standin::handle(const http_connection_ptr& connection)
+standin_server_ptr startService(boost::asio::io_context& context, const json& settings)
 {
-    if (m_controls.handle(connection))
-        return;
-    if (m_controls.take("/refuse_unrun")) {
-        m_controls.count("refused");
-        connection->answer({ 503, { { "error", "refused" } }, { { "X-Upstream-Ran", "no" } } });
-        return;
-    }
-    if (m_controls.take("/die_before_run")) {
-        connection->close();
-        return;
-    }
-    const http_request& request = connection->request();
-    const std::uint64_t execution = m_controls.countExecution(request, request.header("x-request-id"));
-    const http_answer whole { 200, { { "service", m_service }, { "execution", execution }, { "path", request.path }, { "body_bytes", request.body.size() } } };
-    m_server.after(m_controls.delay("/latency_ms"), [this, connection, whole] { answer(connection, whole); });
+    const std::shared_ptr<service_standin> standin = std::make_shared<service_standin>(context, settings);
+    return { standin, &standin->server() };
 }
 
-void service_standin::answer(const http_connection_ptr& connection, const http_answer& answer)
+standin_server_ptr startScorer(boost::asio::io_context& context, const json& settings)
 {
-    if (m_controls.take("/die_before_answer"))
-        connection->close();
-    else if (m_controls.take("/die_mid_body"))
-        connection->answerTruncated(answer);
-    else if (m_controls.take("/answer_twice"))
-        connection->answerTwice(answer);
-    else
-        connection->answer(answer);
+    const std::shared_ptr<scorer_standin> standin = std::make_shared<scorer_standin>(context, settings);
+    return { standin, &standin->server() };
 }
 
 }
--- a/tests/standins/standincontrols.cpp
+++ b/tests/standins/standincontrols.cpp
@@ -1,7 +1,5 @@
 #include "standincontrols.h"
 
-#include <utility>
-
 using nlohmann::json;
 
 namespace ragwortreach::StandIns {
@@ -26,30 +24,6 @@
 
 }
 
-standin_controls::standin_controls(json faults)
-    : m_faults(faults.is_object() ? std::move(faults) : json::object())
-    , m_counters({ { "executions", 0 }, { "paths", json::object() }, { "keys", json::object() },
-          { "requests", json::object() }, { "events", json::object() } })
-{
-}
-
-bool standin_controls::handle(const http_connection_ptr& connection)
-{
-    const http_request& request = connection->request();
-    if (request.path == "/_standin/counters" && request.method == "GET") {
-        connection->answer({ 200, m_counters });
-        return true;
-    }
-    if (request.path != "/_standin/faults")
-        return false;
-    if (request.method == "POST")
-        m_faults.merge_patch(request.json());
-    connection->answer({ 200, m_faults });
-    if (request.method == "POST" && m_onChange)
-        m_onChange();
-    return true;
-}
-
 json standin_controls::value(const std::string& pointer) const
 {
     const json::json_pointer path(pointer);
@@ -77,17 +51,7 @@
     return current.is_number() ? current.get<std::int64_t>() : fallback;
 }
 
-std::chrono::milliseconds standin_controls::delay(const std::string& pointer) const
-{
-    return std::chrono::milliseconds(number(pointer));
-}
-
-void standin_controls::clear(const std::string& pointer)
-{
-    m_faults[json::json_pointer(pointer)] = nullptr;
-}
-
-bool standin_controls::handleOutage(const http_connection_ptr& connection, const std::string& pointer) const
+bool standin_controls::refuseInOutage(const http_connection_ptr& connection, const std::string& pointer) const
 {
     const json current = value(pointer);
     if (!isOnValue(current))
@@ -99,17 +63,17 @@
 
 std::uint64_t standin_controls::countExecution(const http_request& request, const std::string& requestId)
 {
-    countName(m_counters["paths"], request.path);
-    countName(m_counters["keys"], request.header("idempotency-key"));
+    countName(m_counters["paths"], requestPath(request));
+    countName(m_counters["keys"], std::string(request["Idempotency-Key"]));
     countName(m_counters["requests"], requestId);
     const std::uint64_t executions = m_counters["executions"].get<std::uint64_t>() + 1;
     m_counters["executions"] = executions;
     return executions;
 }
 
-void standin_controls::count(const std::string& counter)
+void standin_controls::count(const std::string& event)
 {
-    countName(m_counters["events"], counter);
+    countName(m_counters["events"], event);
 }
 
 }
--- a/tests/standins/standinset.cpp
+++ b/tests/standins/standinset.cpp
@@ -1,34 +1,40 @@
 #include "standinset.h"
 
+#include <xxhash.h>
+
+#include <map>
 #include <stdexcept>
 
 using nlohmann::json;
 
 namespace ragwortreach::StandIns {
 
-standin_set::standin_set(boost::asio::io_context& context, const json& settings)
+namespace {
+
+    constexpr std::uint64_t vocabularySize = 50'000;
+
+}
+
+std::uint32_t tokenAt(std::string_view prompt, std::uint64_t seed, std::uint64_t position)
 {
-    for (const json& server : settings.at("servers")) {
-        const std::string role = server.value("role", "");
-        if (role == "platform")
-            m_standins.emplace_back(std::make_unique<platform_standin>(context, server));
-        else if (role == "engine")
-            m_standins.emplace_back(std::make_unique<engine_standin>(context, server));
-        else if (role == "service")
-            m_standins.emplace_back(std::make_unique<service_standin>(context, server));
-        else if (role == "scorer")
-            m_standins.emplace_back(std::make_unique<scorer_standin>(context, server));
-        else
-            throw std::invalid_argument("unknown role \"" + role + "\"");
-    }
+    const std::uint64_t promptHash = XXH64(prompt.data(), prompt.size(), seed);
+    return static_cast<std::uint32_t>(XXH64(&position, sizeof(position), promptHash) % vocabularySize);
 }
 
-std::vector<std::string> standin_set::addresses() const
+std::vector<standin_server_ptr> startStandIns(boost::asio::io_context& context, const json& settings)
 {
-    std::vector<std::string> addresses;
-    for (const standin& item : m_standins)
-        addresses.push_back(std::visit([](const auto& server) { return server->address(); }, item));
-    return addresses;
+    using starter = standin_server_ptr (*)(boost::asio::io_context&, const json&);
+    const std::map<std::string, starter> starters = {
+        { "platform", startPlatform }, { "engine", startEngine }, { "service", startService }, { "scorer", startScorer }
+    };
+    std::vector<standin_server_ptr> servers;
+    for (const json& server : settings.at("servers")) {
+        const std::map<std::string, starter>::const_iterator found = starters.find(server.value("role", ""));
+        if (found == starters.end())
+            throw std::invalid_argument("role: got " + server.value("role", "") + ", expected platform, engine, service or scorer");
+        servers.push_back(found->second(context, server));
+    }
+    return servers;
 }
 
 }
--- a/tests/standins/standinset.h
+++ b/tests/standins/standinset.h
@@ -1,31 +1,52 @@
 #pragma once
 
-#include "enginestandin.h"
-#include "platformstandin.h"
-#include "scorerstandin.h"
-#include "servicestandin.h"
+#include "standinserver.h"
 
 #include <memory>
 #include <string>
-#include <variant>
 #include <vector>
 
 namespace ragwortreach::StandIns {
 
-/// The stand-ins that a settings file names: {"servers":[{"role":"platform|engine|service|scorer",...}]}.
-class standin_set {
-public:
-    /// Throws std::exception when a role is unknown or an address cannot be used.
-    standin_set(boost::asio::io_context& context, const nlohmann::json& settings);
-
-    /// Addresses in the order of the settings, "ip:port".
-    std::vector<std::string> addresses() const;
-
-private:
-    using standin = std::variant<std::unique_ptr<platform_standin>, std::unique_ptr<engine_standin>,
-        std::unique_ptr<service_standin>, std::unique_ptr<scorer_standin>>;
-
-    std::vector<standin> m_standins;
-};
+using standin_server_ptr = std::shared_ptr<standin_server>;
+
+/// The platform's log, VM list and weight store on one port. Settings: "vms", "models".
+///
+/// Faults, where an outage is true (status 503) or "silent" (no answer):
+/// - /log: latency_ms, outage, lose_reply_after_write (count), appends_per_second, retention_records,
+///   gap {"stream","first","last"}: reads leave out the records from first up to, but without, last.
+/// - /vm_list: lag_ms, outage, older_revision (serves the list so many changes back).
+/// - /weight_store: rate_per_second (loads), outage, latency_ms.
+standin_server_ptr startPlatform(boost::asio::io_context& context, const nlohmann::json& settings);
+
+/// A model engine that batches continuously: up to "slots" completions run, the others wait in order.
+/// Settings: "model", "weights", "token_ms", "tokens", "slots", "weight_store", "serves" (its role).
+///
+/// The token at a position depends on prompt and seed only. "max_tokens" bounds the whole answer with the
+/// tokens in "resume_token_ids", so that a resumed request repeats the number of the first one; a resumed
+/// token that differs from the engine's own counts as "resume_mismatches".
+/// Faults: crash (with crash_ms), swap_fails, swap_fails_partway (tokens alternate between both versions),
+/// ignore_fencing, omit_weights, keep_cache (the prefix cache outlives a swap), load_ms, load_lag_ms,
+/// cache_lag_ms, cache_gap_every, die_mid_body, refuse_unrun, slow_ms (for each token, of the next
+/// slow_first_n completions if that is set).
+standin_server_ptr startEngine(boost::asio::io_context& context, const nlohmann::json& settings);
+
+/// A plain service that answers any request with the number of its run. Settings: "service".
+///
+/// Faults: latency_ms (after the run), refuse_unrun (status 503 and "X-Upstream-Ran: no"),
+/// die_before_run, die_before_answer (after the run), die_mid_body, answer_twice.
+standin_server_ptr startService(boost::asio::io_context& context, const nlohmann::json& settings);
+
+/// A scorer whose reward is a hash of the tokens in [0, 1).
+///
+/// Faults: latency_ms, twice_latency (doubles it), never (no answer), answer_twice, outage.
+standin_server_ptr startScorer(boost::asio::io_context& context, const nlohmann::json& settings);
+
+/// Starts the stand-ins named in {"servers":[{"role":"platform|engine|service|scorer","listen":"ip:port",
+/// "faults":{},...}]}, in that order. Throws std::exception when a role is unknown or a port is taken.
+std::vector<standin_server_ptr> startStandIns(boost::asio::io_context& context, const nlohmann::json& settings);
+
+/// Token at \a position of the answer to \a prompt, the same for every engine and weight version.
+std::uint32_t tokenAt(std::string_view prompt, std::uint64_t seed, std::uint64_t position);
 
 }
