--- /dev/null
+++ b/src/libs/core/ordercall.cpp
@@ -0,0 +1,187 @@
+#include "ordercall.h"
+
+#include "claimfold.h"
+
+#include <utility>
+
+namespace ragwortreach {
+
+struct order_call::event_handler {
+    order_call& call;
+
+    void operator()(const order_events::started& event) const { call.start(event.isLogDown); }
+    void operator()(const order_events::append_finished& event) const { call.noteAppend(event); }
+    void operator()(const order_events::upstream_answered& event) const { call.noteAnswer(event.answer); }
+    void operator()(const order_events::upstream_not_run& event) const { call.noteNotRun(event.code); }
+    void operator()(const order_events::upstream_unknown& event) const { call.noteUnknown(event.code); }
+    void operator()(const order_events::caller_gone&) const { call.noteCallerGone(); }
+    void operator()(const order_events::tick&) const { call.advance(); }
+};
+
+order_call::order_call(const claim_fold& fold, order_settings settings)
+    : m_fold(fold)
+    , m_settings(std::move(settings))
+{
+}
+
+std::vector<order_effect> order_call::handle(const order_event& event, instant now)
+{
+    m_now = now;
+    std::visit(event_handler { *this }, event);
+    return std::exchange(m_effects, {});
+}
+
+void order_call::start(bool isLogDown)
+{
+    if (m_phase != phase::Idle)
+        return;
+    m_startedAt = m_now;
+    m_isLogDown = isLogDown || !m_fold.isComplete();
+    if (const std::optional<claim_refusal> refusal = m_fold.refusal(m_settings.claim, m_settings.claimId))
+        return refuse(refusal->code, refusal->answer);
+    if (m_now >= m_settings.due)
+        return refuse(result_code::DueTimeUnreachable);
+    if (m_isLogDown && m_settings.logOutage == log_outage::Refuse)
+        return refuse(result_code::ClaimUnavailable);
+    if (m_isLogDown)
+        return run();
+    m_phase = phase::Claiming;
+    append(m_settings.claimId, toJson(claim_record(m_settings.claim)));
+}
+
+void order_call::noteAppend(const order_events::append_finished& event)
+{
+    m_isLogDown = event.outcome != append_outcome::Appended;
+    const bool isClaim = event.recordId == m_settings.claimId;
+    if (isClaim && event.outcome != append_outcome::Failed)
+        m_wasClaimSent = true;
+    if (event.recordId != m_recordId)
+        return;
+    m_isAppendPending = false;
+    m_retryAt = m_now + retryPeriod;
+    if (m_phase == phase::Recording && event.outcome == append_outcome::Appended)
+        return finish();
+    advance();
+}
+
+void order_call::noteAnswer(const recorded_answer& upstreamAnswer)
+{
+    if (m_phase != phase::Running)
+        return;
+    answer(result_code::Ok, upstreamAnswer);
+    recordFinish(result_code::Ok, upstreamAnswer);
+}
+
+void order_call::noteNotRun(result_code code)
+{
+    if (m_phase != phase::Running)
+        return;
+    refuse(code);
+}
+
+void order_call::noteUnknown(result_code code)
+{
+    if (m_phase != phase::Running)
+        return;
+    answer(code, {});
+    recordFinish(result_code::OutcomeUnknown, {});
+}
+
+void order_call::noteCallerGone()
+{
+    m_isAnswered = true;
+    if (m_phase == phase::Idle || m_phase == phase::Claiming)
+        recordVoid();
+}
+
+void order_call::advance()
+{
+    if (m_phase == phase::Claiming)
+        return advanceClaim();
+    if (m_phase != phase::Recording)
+        return;
+    if (m_now >= m_recordUntil)
+        return finish();
+    if (!m_isAppendPending && m_now >= m_retryAt)
+        append(m_recordId, m_recordData);
+}
+
+void order_call::advanceClaim()
+{
+    const duration wait = (m_settings.due - m_startedAt) / 2;
+    if (m_now >= m_startedAt + wait)
+        return giveUpClaim();
+    if (const std::optional<claim_refusal> refusal = m_fold.refusal(m_settings.claim, m_settings.claimId))
+        return refuse(refusal->code, refusal->answer);
+    const claim_state state = m_fold.state(m_settings.claimId);
+    if (state == claim_state::Won)
+        return run();
+    if (state != claim_state::Unseen)
+        return refuse(result_code::KeyInUse);
+    if (m_isLogDown && m_settings.logOutage == log_outage::RunOnce && m_now >= m_startedAt + outageWait)
+        return run();
+    if (!m_isAppendPending && m_isLogDown && m_now >= m_retryAt)
+        append(m_settings.claimId, m_recordData);
+}
+
+void order_call::giveUpClaim()
+{
+    if (m_isLogDown && m_settings.logOutage == log_outage::RunOnce && m_now < m_settings.due)
+        return run();
+    refuse(result_code::ClaimUnavailable);
+}
+
+void order_call::run()
+{
+    m_phase = phase::Running;
+    m_effects.emplace_back(order_effects::run_upstream {});
+}
+
+void order_call::refuse(result_code code, const recorded_answer& recorded)
+{
+    answer(code, recorded);
+    recordVoid();
+}
+
+void order_call::answer(result_code code, const recorded_answer& given)
+{
+    if (!std::exchange(m_isAnswered, true))
+        m_effects.emplace_back(order_effects::answer_caller { code, given });
+}
+
+void order_call::recordVoid()
+{
+    const claim_state state = m_fold.state(m_settings.claimId);
+    if (!mayBeAppended() || state == claim_state::Lost || state == claim_state::Voided)
+        return finish();
+    startRecording("-void", claim_void { m_settings.claimId });
+}
+
+void order_call::recordFinish(result_code code, const recorded_answer& outcome)
+{
+    startRecording("-finish", claim_finish { m_settings.claimId, m_settings.claim, code, outcome });
+}
+
+void order_call::startRecording(std::string_view suffix, const claim_record& record)
+{
+    m_phase = phase::Recording;
+    m_recordUntil = m_now + recordPatience;
+    append(m_settings.claimId + std::string(suffix), toJson(record));
+}
+
+void order_call::append(const std::string& recordId, const std::string& data)
+{
+    m_isAppendPending = true;
+    m_recordId = recordId;
+    m_recordData = data;
+    m_retryAt = m_now + retryPeriod;
+    m_effects.emplace_back(order_effects::append_record { recordId, data });
+}
+
+void order_call::finish()
+{
+    m_phase = phase::Finished;
+    m_effects.emplace_back(order_effects::call_finished {});
+}
+
+}
