--- /dev/null
+++ b/src/libs/core/membertable.cpp
@@ -0,0 +1,207 @@
+#include "membertable.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace ragwortreach::Internal {
+
+namespace {
+
+    bool isNewer(const member_delta& delta, const member_entry& entry)
+    {
+        return std::pair(delta.refutation, delta.health) > std::pair(entry.refutation, entry.health);
+    }
+
+    void setDetails(member& view, const member_details& details)
+    {
+        view.dataCentre = details.dataCentre;
+        view.region = details.region;
+        view.addresses = details.addresses;
+    }
+
+}
+
+std::uint64_t nameHash(std::string_view vm)
+{
+    return XXH3_64bits(vm.data(), vm.size());
+}
+
+std::size_t digestBucket(std::uint64_t hash)
+{
+    return hash % digestBucketCount;
+}
+
+std::uint32_t digestHash(const member_delta& delta)
+{
+    if (delta.health == member_health::Failed)
+        return 0;
+    const std::array<std::uint64_t, 5> facts { nameHash(delta.vm), delta.life.incarnation, delta.life.run,
+        delta.refutation, delta.leaving ? 1U : 0U };
+    return static_cast<std::uint32_t>(XXH3_64bits(facts.data(), sizeof(facts)));
+}
+
+member_delta toDelta(const member_entry& entry, bool isDetailed)
+{
+    member_delta delta { entry.view.vm, entry.view.life, entry.refutation, entry.health, entry.leaving, std::nullopt };
+    if (isDetailed)
+        delta.details = member_details { entry.view.dataCentre, entry.view.region, entry.view.addresses };
+    return delta;
+}
+
+member_state stateOf(member_health health, bool leaving)
+{
+    if (health == member_health::Failed)
+        return member_state::Failed;
+    if (leaving)
+        return member_state::Leaving;
+    return health == member_health::Suspect ? member_state::Suspect : member_state::Alive;
+}
+
+member_table::member_table(std::size_t maxMembers)
+    : m_maxMembers(maxMembers)
+{
+}
+
+member_entry* member_table::find(std::string_view vm)
+{
+    const auto it = m_entries.find(vm);
+    return it == m_entries.end() ? nullptr : &it->second;
+}
+
+const member_entry* member_table::find(std::string_view vm) const
+{
+    const auto it = m_entries.find(vm);
+    return it == m_entries.end() ? nullptr : &it->second;
+}
+
+apply_result member_table::apply(const member_delta& delta, bool isSync, instant now)
+{
+    member_entry* entry = find(delta.vm);
+    if (!entry)
+        return applyUnknown(delta, now);
+    if (delta.life < entry->view.life)
+        return {};
+    if (delta.life > entry->view.life)
+        return applyNewLife(*entry, delta, now);
+    return applySameLife(*entry, delta, isSync, now);
+}
+
+apply_result member_table::applyUnknown(const member_delta& delta, instant now)
+{
+    if (delta.health == member_health::Failed)
+        return {};
+    if (!delta.details)
+        return { apply_outcome::DetailsMissing, nullptr, std::nullopt, false };
+    if (!makeRoom())
+        return {};
+    member_entry& entry = m_entries[delta.vm];
+    entry.view.vm = delta.vm;
+    entry.hash = nameHash(delta.vm);
+    const auto place = std::lower_bound(m_ring.begin(), m_ring.end(), entry.hash,
+        [](const member_entry* left, std::uint64_t hash) { return left->hash < hash; });
+    m_ring.insert(place, &entry);
+    const apply_result result = applyNewLife(entry, delta, now);
+    return { result.outcome, result.entry, std::nullopt, true };
+}
+
+apply_result member_table::applyNewLife(member_entry& entry, const member_delta& delta, instant now)
+{
+    if (!delta.details && delta.health != member_health::Failed)
+        return { apply_outcome::DetailsMissing, &entry, std::nullopt, false };
+    const member_state previous = entry.view.state;
+    if (delta.details)
+        setDetails(entry.view, *delta.details);
+    entry.view.life = delta.life;
+    entry.view.values = {};
+    entry.refutation = delta.refutation;
+    entry.leaving = delta.leaving;
+    entry.isNewLife = true;
+    setHealth(entry, delta.health, now);
+    return { apply_outcome::Changed, &entry, previous, true };
+}
+
+apply_result member_table::applySameLife(member_entry& entry, const member_delta& delta, bool isSync, instant now)
+{
+    const member_state previous = entry.view.state;
+    const bool becomesLeaving = delta.leaving && !entry.leaving;
+    member_delta effective = delta;
+    if (isSync && delta.health == member_health::Failed && entry.health != member_health::Failed)
+        effective.health = member_health::Suspect;
+    const bool becomesNewer = isNewer(effective, entry);
+    if (!becomesLeaving && !becomesNewer)
+        return {};
+    entry.leaving = entry.leaving || delta.leaving;
+    if (becomesNewer)
+        entry.refutation = effective.refutation;
+    setHealth(entry, becomesNewer ? effective.health : entry.health, now);
+    return { apply_outcome::Changed, &entry, previous, false };
+}
+
+void member_table::setHealth(member_entry& entry, member_health health, instant now)
+{
+    const bool wasSuspect = entry.health == member_health::Suspect;
+    const bool isSuspect = health == member_health::Suspect;
+    if (wasSuspect && !isSuspect)
+        --m_suspectCount;
+    if (isSuspect && !wasSuspect)
+        ++m_suspectCount;
+    entry.health = health;
+    entry.since = now;
+    entry.view.state = stateOf(health, entry.leaving);
+}
+
+bool member_table::applyValues(const values_delta& values)
+{
+    member_entry* entry = find(values.vm);
+    if (!entry || entry->view.life != values.life || entry->view.values.revision >= values.values.revision)
+        return false;
+    entry->view.values = values.values;
+    return true;
+}
+
+void member_table::forgetFailedBefore(instant limit)
+{
+    std::vector<std::string> forgotten;
+    for (const std::pair<const std::string, member_entry>& item : m_entries) {
+        if (item.second.health == member_health::Failed && item.second.since < limit)
+            forgotten.push_back(item.first);
+    }
+    for (const std::string& vm : forgotten)
+        erase(vm);
+}
+
+void member_table::delaySuspicions(duration gap)
+{
+    for (std::pair<const std::string, member_entry>& item : m_entries) {
+        if (item.second.health == member_health::Suspect)
+            item.second.since += gap;
+    }
+}
+
+bool member_table::makeRoom()
+{
+    if (m_entries.size() + 1 < m_maxMembers)
+        return true;
+    const member_entry* oldest = nullptr;
+    for (const std::pair<const std::string, member_entry>& item : m_entries) {
+        const member_entry& entry = item.second;
+        if (entry.health == member_health::Failed && (!oldest || entry.since < oldest->since))
+            oldest = &entry;
+    }
+    if (!oldest)
+        return false;
+    erase(oldest->view.vm);
+    return true;
+}
+
+void member_table::erase(std::string_view vm)
+{
+    const auto it = m_entries.find(vm);
+    m_ring.erase(std::remove(m_ring.begin(), m_ring.end(), &it->second), m_ring.end());
+    m_entries.erase(it);
+    ++m_erasures;
+}
+
+}
--- /dev/null
+++ b/src/libs/wire/socketaddress.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <boost/asio/ip/address.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace ragwortreach {
+
+/// IP number and port.
+struct socket_address {
+    boost::asio::ip::address ip;
+    std::uint16_t port = 0;
+};
+
+/// Parses "ip:port" or "[ip]:port"; names are not resolved.
+std::optional<socket_address> parseSocketAddress(std::string_view text);
+
+/// "ip:port", with brackets round an IPv6 number.
+std::string formatSocketAddress(const socket_address& address);
+
+}
