Core: Compose the modules to one daemon core

daemon_core::handle(event, now) returns effects, so that many daemons can be driven by any harness. Controllers for the platform, the catalogue, calls and batches translate between the modules and the typed events; they share one context with the membership view, the upstreams and the effects. Calling I/O from the modules directly was ruled out, since the decisions could then only be tested with real sockets. Not yet tested beyond the modules' own tests.

--- /dev/null
+++ b/src/libs/core/batchcontroller.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "batchindextail.h"
+#include "batchowner.h"
+#include "daemonevent.h"
+#include "requestorigin.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace ragwortreach::Internal {
+
+class daemon_context;
+
+/// Answers the requests of trainers about batches: at the owner itself, elsewhere by forwarding to the owner.
+///
+/// The owner follows from the membership view. Two owners at one time only waste work, because the trainer
+/// names in each fetch what it holds.
+class batch_controller {
+public:
+    explicit batch_controller(daemon_context& context);
+
+    void tick();
+    void handle(const batch_request_received& event);
+    void handle(const engine_chunk_received& event) { m_owner.handle(event); }
+    void handle(const engine_stream_ended& event) { m_owner.handle(event); }
+    void handle(const score_ended& event) { m_owner.handle(event); }
+    void handle(const versions_read& event) { m_owner.handle(event); }
+    void handle(const caller_gone& event) { m_owner.abandonFetch(event.number); }
+    /// Takes a request of a peer, which is never forwarded again.
+    void handlePeer(request_number number, const peer_request& request);
+    /// Each returns whether the event belonged to a batch.
+    bool handle(const log_read_ended& event);
+    bool handle(const append_ended& event);
+    bool handle(const peer_reply_received& event);
+
+    const batch_owner& owner() const { return m_owner; }
+
+private:
+    struct pending_open {
+        request_origin from;
+        std::string contentHash;
+        instant since {};
+    };
+
+    void dispatch(const request_origin& from, const peer_request& request);
+    void open(const request_origin& from, const open_batch_request& request);
+    void openHere(const request_origin& from, const batch_spec& spec);
+    bool answerKnown(const request_origin& from, const batch_spec& spec, const std::string& hash);
+    void fetch(const request_origin& from, const fetch_batch_request& request);
+    void fetchHere(const request_origin& from, const std::string& batch, const fetch_request& request);
+    void cancel(const request_origin& from, const cancel_batch_request& request);
+    void progress(const request_origin& from, const batch_progress_request& request);
+    void forward(const request_origin& from, const std::string& owner, peer_request request, duration timeout);
+
+    std::string ownerOf(const std::string& batch) const;
+    void answerOpens();
+    bool answerOpen(const std::string& batch, const pending_open& waiting);
+    void moveBatches();
+    void closeFinished();
+
+    daemon_context& m_context;
+    batch_index_tail m_index;
+    batch_owner m_owner;
+    std::map<std::string, std::vector<pending_open>> m_opens;
+    std::map<request_number, request_origin> m_forwards;
+    /// Since when another daemon is the owner of a batch that this daemon runs.
+    std::map<std::string, instant> m_foreignSince;
+    instant m_nextMove {};
+};
+
+}
--- a/src/libs/core/callmessage.h
+++ b/src/libs/core/callmessage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "claimrecord.h"
 #include "instant.h"
 #include "resultcode.h"
 
@@ -33,13 +34,12 @@
     std::uint32_t attempt = 0;
     /// Ok when the answer arrived whole, whatever its status.
     result_code code = result_code::Ok;
-    int httpStatus = 0;
     /// The upstream says that the call did not run.
     bool isRefusedUnrun = false;
     /// A part of the answer has gone to the caller, so that no other attempt can answer.
     bool isAnswerBegun = false;
-    /// Body of the answer, when it is kept for repeated calls with the same key.
-    std::string body;
+    /// Answer as it is kept for repeated calls with the same key.
+    recorded_answer answer;
     std::string detail;
 };
 
@@ -73,8 +73,7 @@
 /// Answer the call with the answer that an earlier call with the same key got.
 struct replay_answer {
     request_number number = 0;
-    int httpStatus = 200;
-    std::string body;
+    recorded_answer answer;
 };
 
 /// Answer the call with a problem document.
--- /dev/null
+++ b/src/libs/core/cataloguejson.cpp
@@ -0,0 +1,75 @@
+#include "cataloguejson.h"
+
+#include "cataloguefold.h"
+
+#include <nlohmann/json.hpp>
+
+namespace ragwortreach {
+
+namespace {
+
+    using nlohmann::json;
+
+    json itemJson(const catalogue_item& item)
+    {
+        return { { "entry", item.name }, { "revision", item.revision }, { "operator", item.operatorName },
+            { "body", json::parse(toJson(item.body)) } };
+    }
+
+    json editJson(const edit_history_item& edit)
+    {
+        json document { { "offset", edit.offset }, { "record", edit.recordId }, { "operator", edit.operatorName },
+            { "replaces", edit.replaces }, { "revision", edit.revision }, { "code", static_cast<int>(edit.code) },
+            { "detail", edit.detail }, { "body", nullptr } };
+        if (edit.body)
+            document["body"] = json::parse(toJson(*edit.body));
+        return document;
+    }
+
+    json problemJson(const edit_verdict& verdict)
+    {
+        const result_code_info& info = resultCodeInfo(verdict.code);
+        json document { { "type", "about:blank" }, { "title", info.name }, { "status", info.httpStatus },
+            { "detail", verdict.detail }, { "code", static_cast<int>(verdict.code) }, { "run", toString(info.run) },
+            { "request", verdict.recordId }, { "accepted", false }, { "offset", verdict.offset } };
+        if (verdict.current)
+            document["current"] = itemJson(*verdict.current);
+        return document;
+    }
+
+}
+
+std::string verdictJson(const edit_verdict& verdict)
+{
+    if (verdict.outcome != edit_outcome::Accepted)
+        return problemJson(verdict).dump();
+    return json { { "accepted", true }, { "offset", verdict.offset }, { "revision", verdict.revision } }.dump();
+}
+
+std::string catalogueJson(const catalogue_fold& fold)
+{
+    json entries = json::array();
+    const std::vector<catalogue_item> items = fold.entries();
+    for (const catalogue_item& item : items)
+        entries.push_back(itemJson(item));
+    return json { { "position", fold.position() }, { "entries", std::move(entries) } }.dump();
+}
+
+std::string entryJson(const catalogue_fold& fold, std::string_view name)
+{
+    const catalogue_item* const item = fold.item(name);
+    if (!item || item->isDeleted)
+        return {};
+    return itemJson(*item).dump();
+}
+
+std::string historyJson(const catalogue_fold& fold, std::string_view name)
+{
+    json edits = json::array();
+    const std::vector<edit_history_item> history = fold.history(name);
+    for (const edit_history_item& edit : history)
+        edits.push_back(editJson(edit));
+    return json { { "entry", name }, { "revision", fold.revision(name) }, { "edits", std::move(edits) } }.dump();
+}
+
+}
--- /dev/null
+++ b/src/libs/core/claimtail.cpp
@@ -0,0 +1,43 @@
+#include "claimtail.h"
+
+#include "daemoncontext.h"
+
+#include <algorithm>
+
+namespace ragwortreach::Internal {
+
+claim_tail::claim_tail()
+    : m_tail("claims")
+{
+}
+
+void claim_tail::tick(daemon_context& context)
+{
+    m_tail.read(context, m_fold.position());
+}
+
+bool claim_tail::handle(daemon_context& context, const log_read_ended& event)
+{
+    if (!m_tail.noteRead(context, event))
+        return false;
+    if (event.code == result_code::LogUnavailable)
+        return true;
+    if (!m_isStarted) {
+        start(event.page);
+    } else if (event.code == result_code::LogTruncated) {
+        m_fold.skipTo(event.page.firstRetained);
+    }
+    for (const log_record& record : event.page.records)
+        m_fold.apply(record);
+    m_tail.read(context, m_fold.position());
+    return true;
+}
+
+void claim_tail::start(const log_page& page)
+{
+    m_isStarted = true;
+    const std::uint64_t wanted = m_fold.startFor(page.end);
+    m_fold.startAt(std::max(wanted, page.firstRetained), page.firstRetained >= wanted);
+}
+
+}
--- /dev/null
+++ b/src/libs/core/daemoncounters.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace ragwortreach {
+
+/// What a daemon counts about its decisions.
+enum class daemon_counter : std::size_t {
+    CallsReceived,
+    CallsAnswered,
+    CallsRefused,
+    CallsBroken,
+    CallsReplayed,
+    AttemptsStarted,
+    AttemptsFailed,
+    AttemptsRepeated,
+    BatchesOpened,
+    BatchesRestored,
+    BatchesFinished,
+    BatchesHandedOver,
+    FetchesReceived,
+    FetchesForwarded,
+    SamplesDelivered,
+    StreamsStarted,
+    StreamsFailed,
+    StreamsStopped,
+    ScoresAsked,
+    ScoresFailed,
+    RecordsAppended,
+    AppendsFailed,
+    AppendsUnknown,
+    EditsSubmitted,
+    OrdersSent,
+    OrdersRefused,
+    VmListFailures,
+};
+
+inline constexpr std::size_t daemonCounterCount = static_cast<std::size_t>(daemon_counter::VmListFailures) + 1;
+
+/// Name of \a counter in lower case with underscores.
+std::string_view toString(daemon_counter counter);
+
+/// Counters of one daemon since its start.
+class daemon_counters {
+public:
+    void add(daemon_counter counter, std::uint64_t amount = 1) { m_values[static_cast<std::size_t>(counter)] += amount; }
+    std::uint64_t value(daemon_counter counter) const { return m_values[static_cast<std::size_t>(counter)]; }
+
+private:
+    std::array<std::uint64_t, daemonCounterCount> m_values {};
+};
+
+}
--- /dev/null
+++ b/src/libs/core/platformcontroller.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "daemonevent.h"
+
+namespace ragwortreach::Internal {
+
+class daemon_context;
+
+/// Reads the VM list and the states of the engines, and runs the membership view.
+class platform_controller {
+public:
+    explicit platform_controller(daemon_context& context);
+
+    void tick();
+    void handle(const vm_list_read& event);
+    void handle(const message_received& event);
+    void handle(const engine_state_read& event);
+    /// Spreads that this daemon is leaving, and the catalogue position.
+    void announce();
+    /// Whether the VM list was read at least once, or peers are known.
+    bool isReady() const { return m_hasList; }
+
+private:
+    void readList();
+    void readEngines();
+    void runMembership(const membership_event& event);
+    void noteChange(const member_changed& change);
+
+    daemon_context& m_context;
+    instant m_nextListRead {};
+    instant m_nextEngineRead {};
+    bool m_isReadingList = false;
+    bool m_isListLost = false;
+    bool m_hasList = false;
+    bool m_announcedLeaving = false;
+    std::uint64_t m_announcedPosition = 0;
+};
+
+}
--- a/src/libs/platform/httpmessage.cpp
+++ b/src/libs/platform/httpmessage.cpp
@@ -14,11 +14,6 @@
         "te", "trailer", "transfer-encoding", "upgrade"
     };
 
-    bool isSameName(std::string_view left, std::string_view right)
-    {
-        return boost::beast::iequals({ left.data(), left.size() }, { right.data(), right.size() });
-    }
-
     int hexDigit(char c)
     {
         if (c >= '0' && c <= '9')
@@ -47,10 +42,15 @@
 
 }
 
+bool isSameHeader(std::string_view left, std::string_view right)
+{
+    return boost::beast::iequals({ left.data(), left.size() }, { right.data(), right.size() });
+}
+
 std::optional<std::string_view> headerValue(std::span<const http_header> headers, std::string_view name)
 {
     const auto it = std::find_if(headers.begin(), headers.end(),
-        [name](const http_header& header) { return isSameName(header.name, name); });
+        [name](const http_header& header) { return isSameHeader(header.name, name); });
     if (it == headers.end())
         return std::nullopt;
     return it->value;
@@ -59,7 +59,7 @@
 bool isHopByHop(std::string_view name)
 {
     return std::any_of(hopByHopHeaders.begin(), hopByHopHeaders.end(),
-        [name](std::string_view header) { return isSameName(header, name); });
+        [name](std::string_view header) { return isSameHeader(header, name); });
 }
 
 std::string_view targetPath(std::string_view target)
--- a/src/libs/platform/httpmessage.h
+++ b/src/libs/platform/httpmessage.h
@@ -36,6 +36,9 @@
     std::string body;
 };
 
+/// Compares header names without regard to case.
+bool isSameHeader(std::string_view left, std::string_view right);
+
 /// Value of the first header called \a name, compared without regard to case.
 std::optional<std::string_view> headerValue(std::span<const http_header> headers, std::string_view name);
 
--- /dev/null
+++ b/src/libs/service/callproxy.cpp
@@ -0,0 +1,217 @@
+#include "callproxy.h"
+
+#include "problem.h"
+
+#include <algorithm>
+#include <array>
+
+namespace ragwortreach {
+
+namespace {
+
+    constexpr std::size_t collectedBodyLimit = 256U * 1024;
+    constexpr std::size_t keptBodyLimit = 16U * 1024;
+    constexpr std::size_t callerQueueLimit = 1024U * 1024;
+
+    constexpr std::array<std::string_view, 3> rewrittenHeaders { "Host", "Content-Length", "Expect" };
+
+    bool isForwardedHeader(std::string_view name)
+    {
+        const bool isRewritten = std::any_of(rewrittenHeaders.begin(), rewrittenHeaders.end(),
+            [name](std::string_view header) { return isSameHeader(header, name); });
+        return !isRewritten && !isHopByHop(name);
+    }
+
+    std::vector<http_header> forwardedHeaders(const std::vector<http_header>& headers)
+    {
+        std::vector<http_header> forwarded;
+        std::copy_if(headers.begin(), headers.end(), std::back_inserter(forwarded),
+            [](const http_header& header) { return isForwardedHeader(header.name); });
+        return forwarded;
+    }
+
+}
+
+call_proxy::proxied_call::proxied_call(http_exchange callerExchange)
+    : exchange(std::move(callerExchange))
+{
+}
+
+call_proxy::call_proxy(http_client& client, event_handler onEvent)
+    : m_client(client)
+    , m_onEvent(std::move(onEvent))
+{
+}
+
+void call_proxy::add(const call_arrived& call, const http_exchange& exchange, std::string upstreamTarget)
+{
+    std::unique_ptr<proxied_call> added = std::make_unique<proxied_call>(exchange);
+    added->requestId = call.requestId;
+    added->isKeyed = !call.idempotencyKey.empty();
+    added->upstreamRequest.method = exchange.request().method;
+    added->upstreamRequest.target = std::move(upstreamTarget);
+    added->upstreamRequest.headers = forwardedHeaders(exchange.request().headers);
+    added->upstreamRequest.headers.push_back({ "X-Request-Id", call.requestId });
+    added->upstreamRequest.body = exchange.request().body;
+    added->exchange.setGoneHandler([this, number = call.number] { loseCaller(number); });
+    m_calls.emplace(call.number, std::move(added));
+    m_onEvent(call);
+}
+
+void call_proxy::startAttempt(const start_attempt& effect)
+{
+    proxied_call* const call = find(effect.number);
+    if (!call)
+        return;
+    ++m_counters.attempts;
+    call->attempt = effect.attempt;
+    call->answer = {};
+    const request_number number = effect.number;
+    http_call_handlers handlers;
+    handlers.onHead = [this, number](const http_response_head& head) { readHead(number, head); };
+    handlers.onBody = [this, number](std::string_view piece) { readBody(number, piece); };
+    handlers.onDone = [this, number](const http_outcome& outcome) { endAttempt(number, outcome); };
+    http_call_options options;
+    options.timeout = effect.timeout;
+    options.mayReuseConnection = effect.mayReuseConnection;
+    const endpoint address = parseEndpoint(effect.address).value_or(endpoint {});
+    call->handle = m_client.call(address, call->upstreamRequest, options, std::move(handlers));
+}
+
+void call_proxy::stopAttempt(const stop_attempt& effect)
+{
+    proxied_call* const call = find(effect.number);
+    if (call && call->attempt == effect.attempt)
+        call->handle.cancel();
+}
+
+void call_proxy::forwardAnswer(const forward_answer& effect)
+{
+    proxied_call* const call = find(effect.number);
+    if (!call)
+        return;
+    ++m_counters.answersWhole;
+    if (call->isAnswerBegun)
+        call->exchange.endStream();
+    else
+        call->exchange.respond(std::move(call->answer));
+    remove(effect.number);
+}
+
+void call_proxy::replayAnswer(const replay_answer& effect)
+{
+    proxied_call* const call = find(effect.number);
+    if (!call)
+        return;
+    http_response response { effect.answer.status, { { "Idempotency-Replayed", "true" } }, effect.answer.body };
+    if (!effect.answer.contentType.empty())
+        response.headers.push_back({ "Content-Type", effect.answer.contentType });
+    call->exchange.respond(std::move(response));
+    remove(effect.number);
+}
+
+void call_proxy::refuse(const refuse_call& effect)
+{
+    proxied_call* const call = find(effect.number);
+    if (!call)
+        return;
+    if (call->isAnswerBegun) {
+        ++m_counters.answersBroken;
+        call->exchange.abort();
+    } else {
+        call->exchange.respond(problemResponse(effect.code, effect.detail, call->requestId, effect.retryAfter));
+    }
+    remove(effect.number);
+}
+
+call_proxy::proxied_call* call_proxy::find(request_number number)
+{
+    const auto it = m_calls.find(number);
+    return it == m_calls.end() ? nullptr : it->second.get();
+}
+
+void call_proxy::readHead(request_number number, const http_response_head& head)
+{
+    proxied_call* const call = find(number);
+    if (!call)
+        return;
+    call->answer.status = head.status;
+    for (const http_header& header : forwardedHeaders(head.headers))
+        call->answer.headers.push_back(header);
+    const bool isCollected = (head.contentLength && *head.contentLength <= collectedBodyLimit) || head.status >= 500;
+    if (!isCollected)
+        beginPassing(*call, head.contentLength);
+}
+
+void call_proxy::beginPassing(proxied_call& call, std::optional<std::uint64_t> length)
+{
+    call.isAnswerBegun = true;
+    call.exchange.beginStream({ call.answer.status, call.answer.headers, length });
+    if (!call.answer.body.empty())
+        call.exchange.write(std::exchange(call.answer.body, {}));
+}
+
+void call_proxy::readBody(request_number number, std::string_view piece)
+{
+    proxied_call* const call = find(number);
+    if (!call)
+        return;
+    m_counters.bodyBytes += piece.size();
+    if (!call->isAnswerBegun && call->answer.body.size() + piece.size() > collectedBodyLimit)
+        beginPassing(*call, std::nullopt);
+    if (call->isAnswerBegun)
+        pass(number, *call, piece);
+    else
+        call->answer.body += piece;
+}
+
+void call_proxy::pass(request_number number, proxied_call& call, std::string_view piece)
+{
+    call.exchange.write(piece);
+    if (call.exchange.queuedBytes() < callerQueueLimit)
+        return;
+    call.handle.setPaused(true);
+    call.exchange.setDrainedHandler([this, number] {
+        proxied_call* const drained = find(number);
+        if (drained)
+            drained->handle.setPaused(false);
+    });
+}
+
+void call_proxy::endAttempt(request_number number, const http_outcome& outcome)
+{
+    proxied_call* const call = find(number);
+    if (!call)
+        return;
+    attempt_ended event;
+    event.number = number;
+    event.attempt = call->attempt;
+    event.code = outcome.code;
+    event.detail = outcome.detail;
+    event.isRefusedUnrun = headerValue(call->answer.headers, "X-Upstream-Ran") == "no";
+    event.isAnswerBegun = call->isAnswerBegun;
+    event.answer.status = call->answer.status;
+    event.answer.contentType = headerValue(call->answer.headers, "Content-Type").value_or(std::string_view());
+    event.answer.isBodyKept = call->isKeyed && !call->isAnswerBegun && call->answer.body.size() <= keptBodyLimit;
+    if (event.answer.isBodyKept)
+        event.answer.body = call->answer.body;
+    m_onEvent(event);
+}
+
+void call_proxy::loseCaller(request_number number)
+{
+    if (!find(number))
+        return;
+    m_onEvent(caller_gone { number });
+}
+
+void call_proxy::remove(request_number number)
+{
+    const auto it = m_calls.find(number);
+    if (it == m_calls.end())
+        return;
+    it->second->handle.cancel();
+    m_calls.erase(it);
+}
+
+}
--- a/src/libs/wire/peerchannel.h
+++ b/src/libs/wire/peerchannel.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "messageclock.h"
-#include "peermessage.h"
+#include <core/peermessage.h>
 
 #include <core/instant.h>
 
--- a/src/libs/wire/peercodec.h
+++ b/src/libs/wire/peercodec.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "peermessage.h"
+#include <core/peermessage.h>
 
 #include <core/instant.h>
 
