Support: Add settings, flags, log and metrics

Settings are one JSON file with flags laid over it; both are checked by the same JSON schema, and an error names the key, the value, what was expected and the remedy. gflags ends the process on a bad flag with a message of its own, so the flags are parsed here and set through its interface.

--- /dev/null
+++ b/src/libs/support/flagparser.cpp
@@ -0,0 +1,92 @@
+#include "flagparser.h"
+
+#include <core/resultcode.h>
+
+#include <gflags/gflags.h>
+
+#include <cstddef>
+#include <optional>
+#include <string_view>
+
+namespace ragwortreach {
+
+namespace {
+
+    /// One flag as it stands on the command line.
+    struct flag_argument {
+        std::string name;
+        std::optional<std::string> value;
+    };
+
+    flag_argument splitFlag(std::string_view text)
+    {
+        text.remove_prefix(text.starts_with("--") ? 2 : 1);
+        const std::size_t equals = text.find('=');
+        flag_argument flag { std::string(text.substr(0, equals)), std::nullopt };
+        if (equals != std::string_view::npos)
+            flag.value = std::string(text.substr(equals + 1));
+        return flag;
+    }
+
+    /// Turns "--noflag" into "--flag=false" when only that flag exists.
+    void resolveNegation(flag_argument& flag)
+    {
+        gflags::CommandLineFlagInfo info;
+        if (gflags::GetCommandLineFlagInfo(flag.name.c_str(), &info) || !flag.name.starts_with("no") || flag.value)
+            return;
+        const std::string positive = flag.name.substr(2);
+        if (gflags::GetCommandLineFlagInfo(positive.c_str(), &info) && info.type == "bool")
+            flag = { positive, "false" };
+    }
+
+    std::error_code setFlag(flag_argument& flag, const char* next, bool& isNextTaken, std::string& detail)
+    {
+        gflags::CommandLineFlagInfo info;
+        if (!gflags::GetCommandLineFlagInfo(flag.name.c_str(), &info)) {
+            detail = "The flag '--" + flag.name + "' is not known; '--help' lists all flags. Remove the flag or correct its spelling.";
+            return result_code::SettingsUnknownKey;
+        }
+        if (!flag.value && info.type == "bool")
+            flag.value = "true";
+        isNextTaken = !flag.value && next != nullptr;
+        if (isNextTaken)
+            flag.value = next;
+        if (!flag.value) {
+            detail = "The flag '--" + flag.name + "' has no value; expected one of type " + info.type + ". Add a value.";
+            return result_code::SettingsOutOfRange;
+        }
+        if (gflags::SetCommandLineOption(flag.name.c_str(), flag.value->c_str()).empty()) {
+            detail = "The flag '--" + flag.name + "' has the value '" + *flag.value + "'; expected one of type " + info.type + ". Correct the value.";
+            return result_code::SettingsWrongType;
+        }
+        return {};
+    }
+
+}
+
+std::error_code parseFlags(std::span<const char* const> arguments, std::vector<std::string>& words, std::string& detail)
+{
+    bool areFlagsOver = false;
+    for (std::size_t i = 1; i < arguments.size(); ++i) {
+        const std::string_view argument = arguments[i];
+        if (areFlagsOver || argument.size() < 2 || argument.front() != '-') {
+            words.emplace_back(argument);
+            continue;
+        }
+        if (argument == "--") {
+            areFlagsOver = true;
+            continue;
+        }
+        flag_argument flag = splitFlag(argument);
+        resolveNegation(flag);
+        bool isNextTaken = false;
+        const char* next = i + 1 < arguments.size() ? arguments[i + 1] : nullptr;
+        const std::error_code error = setFlag(flag, next, isNextTaken, detail);
+        if (error)
+            return error;
+        i += isNextTaken ? 1 : 0;
+    }
+    return {};
+}
+
+}
--- /dev/null
+++ b/src/libs/support/processreadings.cpp
@@ -0,0 +1,80 @@
+#include "processreadings.h"
+
+#include "metrics.h"
+
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <sstream>
+#include <string>
+#include <system_error>
+#include <unistd.h>
+#include <vector>
+
+namespace ragwortreach {
+
+namespace {
+
+    // Positions after the command's name in /proc/self/stat, see proc(5).
+    constexpr std::size_t userTimeField = 11;
+    constexpr std::size_t systemTimeField = 12;
+    constexpr std::size_t threadsField = 17;
+    constexpr std::size_t residentPagesField = 21;
+
+    constexpr metric_family cpuFamily { metric_kind::Counter, "process_cpu_seconds_total", "Processor time in user and kernel mode, in seconds." };
+    constexpr metric_family residentFamily { metric_kind::Gauge, "process_resident_memory_bytes", "Resident memory, in bytes." };
+    constexpr metric_family openFilesFamily { metric_kind::Gauge, "process_open_fds", "Open file descriptors." };
+    constexpr metric_family threadsFamily { metric_kind::Gauge, "process_threads", "Threads." };
+
+    std::vector<std::uint64_t> readStatFields()
+    {
+        std::ifstream file("/proc/self/stat");
+        const std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+        // The command's name may hold spaces and parentheses.
+        const std::size_t nameEnd = text.rfind(')');
+        if (nameEnd == std::string::npos)
+            return {};
+        std::istringstream rest(text.substr(nameEnd + 1));
+        std::vector<std::uint64_t> fields;
+        std::string field;
+        while (rest >> field)
+            fields.push_back(std::strtoull(field.c_str(), nullptr, 10));
+        return fields;
+    }
+
+    std::uint64_t countOpenFiles()
+    {
+        std::error_code error;
+        std::uint64_t count = 0;
+        std::filesystem::directory_iterator it("/proc/self/fd", error);
+        for (; !error && it != std::filesystem::directory_iterator(); it.increment(error))
+            ++count;
+        return count;
+    }
+
+}
+
+process_readings readProcess()
+{
+    process_readings readings;
+    readings.openFiles = countOpenFiles();
+    const std::vector<std::uint64_t> fields = readStatFields();
+    if (fields.size() <= residentPagesField)
+        return readings;
+    const double ticks = static_cast<double>(fields[userTimeField] + fields[systemTimeField]);
+    readings.cpuSeconds = ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
+    readings.residentBytes = fields[residentPagesField] * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
+    readings.threads = fields[threadsField];
+    return readings;
+}
+
+void setProcessReadings(metrics& target)
+{
+    const process_readings readings = readProcess();
+    target.set(cpuFamily, {}, readings.cpuSeconds);
+    target.set(residentFamily, {}, static_cast<double>(readings.residentBytes));
+    target.set(openFilesFamily, {}, static_cast<double>(readings.openFiles));
+    target.set(threadsFamily, {}, static_cast<double>(readings.threads));
+}
+
+}
--- /dev/null
+++ b/src/libs/support/settingsflags.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace ragwortreach {
+
+/// Command-line flag that overrides one setting.
+struct settings_flag {
+    /// Name of the flag, without dashes.
+    std::string_view flag;
+    /// JSON pointer of the setting.
+    std::string_view pointer;
+};
+
+/// All flags that override settings.
+std::span<const settings_flag> settingsFlags();
+
+/// JSON object with the settings that flags of the command line override.
+///
+/// Numbers are written as numbers, anything else as strings, so that the schema judges flags as it judges the file.
+std::string settingsFlagsAsJson();
+
+}
