Support: Keep addresses in the settings as checked text

The HTTP clients and the sockets between daemons each have an address type of their own; a third one in the settings clashed with that of the sockets.

--- a/src/libs/support/settings.cpp
+++ b/src/libs/support/settings.cpp
@@ -32,20 +32,38 @@
     /// Key of an address and where it is stored.
     struct address_target {
         const char* pointer;
-        socket_address& address;
+        std::string& address;
     };
 
+    bool isSocketAddress(std::string_view text)
+    {
+        const std::size_t colon = text.rfind(':');
+        std::string host(text.substr(0, colon));
+        const bool isBracketed = host.size() > 2 && host.front() == '[' && host.back() == ']';
+        if (isBracketed)
+            host = host.substr(1, host.size() - 2);
+        boost::system::error_code error;
+        const boost::asio::ip::address ip = boost::asio::ip::make_address(host, error);
+        if (error || ip.is_v6() != isBracketed)
+            return false;
+        const std::string_view portText = text.substr(colon + 1);
+        std::uint16_t port = 0;
+        const std::from_chars_result result = std::from_chars(portText.begin(), portText.end(), port);
+        return result.ec == std::errc() && result.ptr == portText.end() && port != 0;
+    }
+
     std::error_code readAddress(const json& document, const address_target& target, std::string& detail)
     {
         const std::string text = document.at(json::json_pointer(target.pointer)).get<std::string>();
-        const std::error_code error = parseSocketAddress(text, target.address);
-        if (!error)
+        if (isSocketAddress(text)) {
+            target.address = text;
             return {};
+        }
         std::string key(target.pointer + 1);
         key.replace(key.find('/'), 1, ".");
         detail = "The key '" + key + "' has the value \"" + text
             + "\"; expected an IP number and a port from 1 to 65535, such as 127.0.0.1:8080. Correct the value.";
-        return error;
+        return result_code::SettingsOutOfRange;
     }
 
     std::error_code readAddresses(const json& document, daemon_settings& settings, std::string& detail)
@@ -112,39 +130,11 @@
 
 }
 
-std::string socket_address::toString() const
-{
-    const bool isIpv6 = host.find(':') != std::string::npos;
-    return (isIpv6 ? '[' + host + ']' : host) + ':' + std::to_string(port);
-}
-
 std::string_view toString(log_level level)
 {
     return logLevelNames.at(static_cast<std::size_t>(level)).name;
 }
 
-std::error_code parseSocketAddress(std::string_view text, socket_address& address)
-{
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string_view::npos)
-        return result_code::SettingsOutOfRange;
-    std::string host(text.substr(0, colon));
-    const bool isBracketed = host.size() > 2 && host.front() == '[' && host.back() == ']';
-    if (isBracketed)
-        host = host.substr(1, host.size() - 2);
-    boost::system::error_code error;
-    const boost::asio::ip::address ip = boost::asio::ip::make_address(host, error);
-    if (error || ip.is_v6() != isBracketed)
-        return result_code::SettingsOutOfRange;
-    const std::string_view portText = text.substr(colon + 1);
-    std::uint16_t port = 0;
-    const std::from_chars_result result = std::from_chars(portText.begin(), portText.end(), port);
-    if (result.ec != std::errc() || result.ptr != portText.end() || port == 0)
-        return result_code::SettingsOutOfRange;
-    address = { ip.to_string(), port };
-    return {};
-}
-
 std::error_code loadSettings(std::string_view text, daemon_settings& settings, std::string& detail)
 {
     return loadSettings(text, "{}", settings, detail);
--- a/src/libs/support/settings.h
+++ b/src/libs/support/settings.h
@@ -9,31 +9,19 @@
 
 namespace ragwortreach {
 
-/// IP number and port on which a daemon listens or which it calls.
-struct socket_address {
-    /// IPv4 or IPv6 number, without brackets.
-    std::string host;
-    std::uint16_t port = 0;
-
-    /// "127.0.0.1:8080" or "[::1]:8080".
-    std::string toString() const;
-
-    bool operator==(const socket_address&) const = default;
-};
-
-/// Addresses on which the daemon listens.
+/// Addresses on which the daemon listens, as "ip:port" or "[ip]:port".
 struct listen_settings {
-    socket_address caller;
-    socket_address admin;
-    socket_address gossip;
-    socket_address peer;
+    std::string caller;
+    std::string admin;
+    std::string gossip;
+    std::string peer;
 };
 
-/// Addresses of the platform's services.
+/// Addresses of the platform's services, as "ip:port" or "[ip]:port".
 struct platform_settings {
-    socket_address log;
-    socket_address vmList;
-    socket_address weightStore;
+    std::string log;
+    std::string vmList;
+    std::string weightStore;
 };
 
 /// Bounds on one request of a caller, in bytes.
@@ -89,7 +77,4 @@
 /// Like loadSettings() above, with the values of the JSON object \a overrides laid over those of \a text first.
 std::error_code loadSettings(std::string_view text, std::string_view overrides, daemon_settings& settings, std::string& detail);
 
-/// Parses "ip:port" or "[ip]:port". Returns result_code::SettingsOutOfRange when \a text is no such address.
-std::error_code parseSocketAddress(std::string_view text, socket_address& address);
-
 }
