--- a/src/libs/platform/endpoint.cpp
+++ b/src/libs/platform/endpoint.cpp
@@ -16,7 +16,11 @@
     const std::from_chars_result parsed = std::from_chars(portText.data(), portText.data() + portText.size(), port);
     if (parsed.ec != std::errc() || parsed.ptr != portText.data() + portText.size())
         return std::nullopt;
-    const std::string host(text.substr(0, colon));
+    std::string_view number = text.substr(0, colon);
+    const bool isBracketed = number.size() > 2 && number.front() == '[' && number.back() == ']';
+    if (isBracketed)
+        number = number.substr(1, number.size() - 2);
+    const std::string host(number);
     boost::system::error_code error;
     boost::asio::ip::make_address(host, error);
     if (error)
@@ -26,7 +30,9 @@
 
 std::string toString(const endpoint& address)
 {
-    return address.host + ':' + std::to_string(address.port);
+    const bool isBracketed = address.host.find(':') != std::string::npos;
+    const std::string host = isBracketed ? '[' + address.host + ']' : address.host;
+    return host + ':' + std::to_string(address.port);
 }
 
 }
--- a/src/libs/platform/endpoint.h
+++ b/src/libs/platform/endpoint.h
@@ -15,10 +15,10 @@
     friend bool operator==(const endpoint&, const endpoint&) = default;
 };
 
-/// Parses "host:port". Names are not resolved: the host has to be an IP number.
+/// Parses "host:port" or "[host]:port". Names are not resolved: the host has to be an IP number.
 std::optional<endpoint> parseEndpoint(std::string_view text);
 
-/// "host:port".
+/// "host:port", with brackets round an IPv6 number.
 std::string toString(const endpoint& address);
 
 }
--- a/src/libs/platform/httpcall.cpp
+++ b/src/libs/platform/httpcall.cpp
@@ -6,6 +6,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <limits>
+
 namespace ragwortreach::Internal {
 
 namespace {
@@ -166,7 +168,7 @@
 {
     m_parser.emplace();
     m_parser->header_limit(maxHeadBytes);
-    m_parser->body_limit(boost::none);
+    m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
     m_parser->skip(m_request.method() == http::verb::head);
     http::async_read_header(*m_stream, m_buffer, *m_parser, [self = self_pointer(this)](const error_code& error, std::size_t) {
         if (self->m_isDone)
--- a/src/libs/service/callproxy.cpp
+++ b/src/libs/service/callproxy.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace ragwortreach {
 
@@ -44,6 +45,11 @@
 }
 
 void call_proxy::add(const call_arrived& call, const http_exchange& exchange, std::string upstreamTarget)
+{
+    add(call, exchange, std::move(upstreamTarget), exchange.request().body);
+}
+
+void call_proxy::add(const call_arrived& call, const http_exchange& exchange, std::string upstreamTarget, std::string body)
 {
     std::unique_ptr<proxied_call> added = std::make_unique<proxied_call>(exchange);
     added->requestId = call.requestId;
@@ -52,7 +58,7 @@
     added->upstreamRequest.target = std::move(upstreamTarget);
     added->upstreamRequest.headers = forwardedHeaders(exchange.request().headers);
     added->upstreamRequest.headers.push_back({ "X-Request-Id", call.requestId });
-    added->upstreamRequest.body = exchange.request().body;
+    added->upstreamRequest.body = std::move(body);
     added->exchange.setGoneHandler([this, number = call.number] { loseCaller(number); });
     m_calls.emplace(call.number, std::move(added));
     m_onEvent(call);
--- a/src/libs/service/callproxy.h
+++ b/src/libs/service/callproxy.h
@@ -33,8 +33,10 @@
 
     call_proxy(http_client& client, event_handler onEvent);
 
-    /// Takes a call; the request that goes upstream has the target \a upstreamTarget.
+    /// Takes a call; the request that goes upstream has the target \a upstreamTarget and the caller's body.
     void add(const call_arrived& call, const http_exchange& exchange, std::string upstreamTarget);
+    /// Like add() above, with another body.
+    void add(const call_arrived& call, const http_exchange& exchange, std::string upstreamTarget, std::string body);
 
     void startAttempt(const start_attempt& effect);
     void stopAttempt(const stop_attempt& effect);
--- /dev/null
+++ b/src/libs/service/hostmetrics.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <support/metrics.h>
+
+#include <cstddef>
+#include <string>
+
+namespace ragwortreach {
+
+class call_proxy;
+class daemon_core;
+
+/// Metrics of one daemon in the text format of Prometheus.
+class host_metrics {
+public:
+    /// Reads all counters and gauges.
+    std::string text(const daemon_core& core, const call_proxy& proxy, std::size_t openExchanges);
+
+private:
+    metrics m_metrics;
+};
+
+}
