Tests: Prove what the stand-ins promise

Each fault is switched on at a server in the test's own process and shows at the receiver's counters and on the wire.

--- /dev/null
+++ b/tests/auto/standins/tst_platformstandin.cpp
@@ -0,0 +1,128 @@
+#include "runningstandin.h"
+
+#include <catch2/catch.hpp>
+
+#include <future>
+
+using namespace ragwortreach::Tests;
+using nlohmann::json;
+
+namespace {
+
+const json platform = json::array({ { { "role", "platform" }, { "vms", { { { "vm", "a" } } } }, { "models", { { "m", { { { "base", 1 }, { "adapter", 1 } } } } } } } });
+
+json records(int count)
+{
+    json list = json::array();
+    for (int i = 0; i < count; ++i)
+        list.push_back({ { "id", "r" + std::to_string(i) }, { "data", i } });
+    return { { "records", list } };
+}
+
+std::vector<int> offsets(const http_reply& reply)
+{
+    std::vector<int> result;
+    const json body = reply.json();
+    for (const json& record : body.value("records", json::array()))
+        result.push_back(record["offset"]);
+    return result;
+}
+
+}
+
+TEST_CASE("The log gives offsets in order and keeps a record for each append, also under one id")
+{
+    const running_standins log(platform);
+    CHECK(log.get("/streams/s/records?from=0").json()["end"] == 0);
+    CHECK(log.post("/streams/s/records", records(3)).json() == json({ { "first", 0 }, { "next", 3 } }));
+    CHECK(log.post("/streams/s/records", records(2)).json() == json({ { "first", 3 }, { "next", 5 } }));
+    CHECK(offsets(log.get("/streams/s/records?from=1&max=3")) == std::vector<int> { 1, 2, 3 });
+    CHECK(log.get("/streams/s/records?from=1&max=3").json()["next"] == 4);
+    CHECK(log.get("/streams/other/records?from=0").json()["end"] == 0);
+    CHECK(log.post("/streams/s/records", json::object()).status == 400);
+}
+
+TEST_CASE("The log's faults show as the protocol says")
+{
+    const running_standins log(platform);
+    log.post("/streams/s/records", records(5));
+    SECTION("A lost reply leaves the records in the log")
+    {
+        log.fault({ { "log", { { "lose_reply_after_write", 1 } } } });
+        CHECK(log.post("/streams/s/records", records(1)).status == 0);
+        CHECK(log.post("/streams/s/records", records(1)).status == 200);
+        CHECK(offsets(log.get("/streams/s/records?from=5")) == std::vector<int> { 5, 6 });
+    }
+    SECTION("Records past retention are gone for good")
+    {
+        log.fault({ { "log", { { "retention_records", 2 } } } });
+        const http_reply reply = log.get("/streams/s/records?from=2");
+        CHECK(reply.status == 410);
+        CHECK(reply.json() == json({ { "first_retained", 3 }, { "end", 5 } }));
+        CHECK(offsets(log.get("/streams/s/records?from=3")) == std::vector<int> { 3, 4 });
+    }
+    SECTION("A gap leaves out records and moves on behind them")
+    {
+        log.fault({ { "log", { { "gap", { { "stream", "s" }, { "first", 1 }, { "last", 3 } } } } } });
+        CHECK(offsets(log.get("/streams/s/records?from=0")) == std::vector<int> { 0, 3, 4 });
+        CHECK(log.get("/streams/s/records?from=0").json()["next"] == 5);
+    }
+    SECTION("An outage refuses and writes nothing")
+    {
+        log.fault({ { "log", { { "outage", true } } } });
+        CHECK(log.post("/streams/s/records", records(1)).status == 503);
+        CHECK(log.get("/streams/s/records?from=0").status == 503);
+        log.fault({ { "log", { { "outage", false } } } });
+        CHECK(log.get("/streams/s/records?from=0").json()["end"] == 5);
+    }
+    SECTION("A read that waits ends with the next record")
+    {
+        std::future<http_reply> waiting = std::async(std::launch::async, [&log] { return log.get("/streams/s/records?from=5&wait_ms=50000"); });
+        REQUIRE(waitUntil([&log] { return log.counters()["events"].value("reads", 0) == 1; }));
+        log.post("/streams/s/records", records(1));
+        CHECK(offsets(waiting.get()) == std::vector<int> { 5 });
+    }
+}
+
+TEST_CASE("The VM list can lag, go back and fail")
+{
+    const running_standins list(platform);
+    send(list.address(), "PUT", "/_standin/vms", { { "vms", json::array() } });
+    struct row {
+        json faults;
+        int status;
+        int revision;
+    };
+    const row rows[] = {
+        { json::object(), 200, 2 },
+        { { { "lag_ms", 600'000 } }, 200, 1 },
+        { { { "older_revision", 1 } }, 200, 1 },
+        { { { "older_revision", 9 } }, 200, 1 },
+        { { { "outage", true } }, 503, 0 },
+    };
+    for (const row& expected : rows) {
+        CAPTURE(expected.faults.dump());
+        list.fault({ { "vm_list", nullptr } });
+        list.fault({ { "vm_list", expected.faults } });
+        CHECK(list.get("/vms").status == expected.status);
+        CHECK(list.get("/vms").json().value("revision", 0) == expected.revision);
+    }
+}
+
+TEST_CASE("The weight store keeps versions in order and refuses loads over its rate")
+{
+    const running_standins store(platform);
+    store.post("/models/m/versions", { { "base", 1 }, { "adapter", 10 } });
+    store.post("/models/m/versions", { { "base", 1 }, { "adapter", 9 } });
+    store.post("/models/m/versions", { { "base", 1 }, { "adapter", 9 } });
+    const json versions = store.get("/models/m/versions").json()["versions"];
+    REQUIRE(versions.size() == 3);
+    CHECK(versions[1]["adapter"] == 9);
+    CHECK(versions[2]["adapter"] == 10);
+    store.fault({ { "weight_store", { { "rate_per_second", 1 } } } });
+    http_reply reply;
+    REQUIRE(waitUntil([&] { return (reply = store.post("/models/m/loads", versions[1])).status == 429; }));
+    CHECK(reply.headers.at("Retry-After") == "1");
+    store.fault({ { "weight_store", { { "outage", true } } } });
+    CHECK(store.get("/models/m/versions").status == 503);
+}
