--- a/src/libs/core/batchindexfold.h
+++ b/src/libs/core/batchindexfold.h
@@ -48,9 +48,9 @@
 };
 
 /// Largest number of open batches in the whole fleet.
-inline constexpr std::size_t maxOpenBatches = 16 * 1024;
+inline constexpr std::size_t maxOpenBatches = std::size_t { 16 } * 1024;
 /// Largest number of batches that are remembered after their end.
-inline constexpr std::size_t maxEndedBatches = 16 * 1024;
+inline constexpr std::size_t maxEndedBatches = std::size_t { 16 } * 1024;
 
 /// Record that opens the batch of \a spec.
 batch_index_record openingRecord(const batch_spec& spec);
--- a/src/libs/core/batchsample.cpp
+++ b/src/libs/core/batchsample.cpp
@@ -43,7 +43,7 @@
         std::vector<token_span> spans;
         for (const json& span : document.at("spans"))
             spans.push_back(spanOf(span));
-        sample.label = sample_label::fromSpans(std::move(spans));
+        sample.label = sample_label::fromSpans(spans);
         return sample;
     }
 
--- a/src/libs/core/batchsample.h
+++ b/src/libs/core/batchsample.h
@@ -13,7 +13,7 @@
 namespace ragwortreach {
 
 /// Largest number of bytes of the text of one sample.
-inline constexpr std::size_t maxSampleTextBytes = 1024 * 1024;
+inline constexpr std::size_t maxSampleTextBytes = std::size_t { 1024 } * 1024;
 
 /// Whole sample of a slot, as it goes to the trainer and into the log.
 struct batch_sample {
--- a/src/libs/core/batchspec.h
+++ b/src/libs/core/batchspec.h
@@ -15,9 +15,9 @@
 /// Largest number of samples in one batch.
 inline constexpr std::uint32_t maxBatchSlots = 4096;
 inline constexpr std::size_t maxBatchGroups = 2048;
-inline constexpr std::size_t maxPromptBytes = 64 * 1024;
+inline constexpr std::size_t maxPromptBytes = std::size_t { 64 } * 1024;
 /// Largest sum of all prompts of a batch.
-inline constexpr std::size_t maxBatchPromptBytes = 4 * 1024 * 1024;
+inline constexpr std::size_t maxBatchPromptBytes = std::size_t { 4 } * 1024 * 1024;
 inline constexpr std::uint32_t maxSampleTokens = 32 * 1024;
 /// Largest length of an id or a name, which also occur in paths and names of streams.
 inline constexpr std::size_t maxNameBytes = 128;
--- a/src/libs/core/batchtracker.cpp
+++ b/src/libs/core/batchtracker.cpp
@@ -383,7 +383,14 @@
     ++m_counters.streams;
 }
 
+/// Starts what capacity and look-ahead allow; suspended samples go on before new ones are begun.
 void batch_tracker::startStreams()
+{
+    startStreams(true);
+    startStreams(false);
+}
+
+void batch_tracker::startStreams(bool suspended)
 {
     if (m_counters.streams >= m_capacity)
         return;
@@ -395,6 +402,8 @@
         const slot_state& slot = m_slots[index];
         if (slot.held || slot.phase != slot_phase::Open || !slot.streams.empty() || slot.notBefore > m_now)
             continue;
+        if (suspended != (slot.draft.tokens() > 0))
+            continue;
         startStream(index, false);
         ++started;
     }
@@ -423,7 +432,6 @@
         std::uint32_t tokens;
         std::uint32_t slot;
         std::uint32_t attempt;
-        auto operator<=>(const open_stream&) const = default;
     };
     if (m_counters.streams <= m_capacity)
         return;
@@ -432,7 +440,8 @@
         for (const stream_state& stream : m_slots[index].streams)
             open.push_back({ stream.draft.tokens(), index, stream.attempt });
     }
-    std::sort(open.begin(), open.end());
+    std::stable_sort(open.begin(), open.end(),
+        [](const open_stream& left, const open_stream& right) { return left.tokens < right.tokens; });
     open.resize(m_counters.streams - m_capacity);
     for (const open_stream& stream : open) {
         m_effects.emplace_back(cancel_stream { stream.slot, stream.attempt });
--- a/src/libs/core/batchtracker.h
+++ b/src/libs/core/batchtracker.h
@@ -52,9 +52,6 @@
     std::uint32_t wantedStreams() const;
     bool isFinished() const { return m_finished; }
 
-
-
-
 private:
     struct stream_state;
     struct slot_state;
@@ -82,6 +79,7 @@
     stream_state* findStream(std::uint32_t slot, std::uint32_t attempt);
     void startStream(std::uint32_t index, bool hedge);
     void startStreams();
+    void startStreams(bool suspended);
     void startHedges();
     void suspendExcess();
     void suspendStalled();
--- a/src/libs/core/replicarouter.cpp
+++ b/src/libs/core/replicarouter.cpp
@@ -165,8 +165,12 @@
 
 const replica_router::replica* replica_router::pickOfTwo(const std::vector<const replica*>& candidates)
 {
-    const replica* first = candidates[random() % candidates.size()];
-    const replica* second = candidates[random() % candidates.size()];
+    if (candidates.size() == 1)
+        return candidates.front();
+    const std::size_t firstIndex = random() % candidates.size();
+    const std::size_t distance = 1 + random() % (candidates.size() - 1);
+    const replica* first = candidates[firstIndex];
+    const replica* second = candidates[(firstIndex + distance) % candidates.size()];
     return second->load() < first->load() ? second : first;
 }
 
--- a/src/libs/core/samplelabel.cpp
+++ b/src/libs/core/samplelabel.cpp
@@ -43,7 +43,7 @@
         m_spans.back().end = std::min(m_spans.back().end, tokens);
 }
 
-sample_label sample_label::fromSpans(std::vector<token_span> spans)
+sample_label sample_label::fromSpans(std::span<const token_span> spans)
 {
     sample_label label;
     for (const token_span& span : spans) {
--- a/src/libs/core/samplelabel.h
+++ b/src/libs/core/samplelabel.h
@@ -2,7 +2,6 @@
 
 #include "weightversion.h"
 
-#include <cstdint>
 #include <cstddef>
 #include <cstdint>
 #include <span>
@@ -41,7 +40,7 @@
     void truncate(std::uint32_t tokens);
 
     /// Takes spans that were read from a record. Spans that are not contiguous from 0 spoil the label.
-    static sample_label fromSpans(std::vector<token_span> spans);
+    static sample_label fromSpans(std::span<const token_span> spans);
 
     bool isSpoiled() const { return m_spoiled; }
     std::uint32_t tokens() const { return m_spans.empty() ? 0 : m_spans.back().end; }
--- a/src/libs/core/weightversion.h
+++ b/src/libs/core/weightversion.h
@@ -13,7 +13,12 @@
     std::uint64_t base = 0;
     std::uint64_t adapter = 0;
 
-    auto operator<=>(const weight_version&) const = default;
+    bool operator==(const weight_version&) const = default;
+    std::strong_ordering operator<=>(const weight_version& other) const
+    {
+        const std::strong_ordering byBase = base <=> other.base;
+        return std::is_neq(byBase) ? byBase : adapter <=> other.adapter;
+    }
 };
 
 /// Distance between versions that share no line of descent.
