--- a/src/libs/core/callcontroller.cpp
+++ b/src/libs/core/callcontroller.cpp
@@ -69,7 +69,7 @@
         startOrder(added);
         return;
     }
-    startAttempt(added);
+    startFirstAttempt(added);
 }
 
 std::optional<refuse_call> call_controller::refusal(const call_arrived& event) const
@@ -104,7 +104,13 @@
     runOrder(state.call.number, order_events::started { m_claims.isLogDown() });
 }
 
-void call_controller::startAttempt(call_state& state)
+void call_controller::startFirstAttempt(call_state& state)
+{
+    if (!startAttempt(state))
+        endUnrun(state, result_code::NoUpstream, "No upstream of " + state.call.entry + " can take the call.");
+}
+
+bool call_controller::startAttempt(call_state& state)
 {
     replica_router* const router = m_context.upstreams.router(state.entry.upstream);
     route_request route;
@@ -112,10 +118,8 @@
     if (state.call.prefixHash != 0)
         route.groupKey = state.call.prefixHash;
     const std::optional<std::string> vm = router ? router->pick(route) : std::nullopt;
-    if (!vm) {
-        endUnrun(state, result_code::NoUpstream, "No upstream of " + state.call.entry + " can take the call.");
-        return;
-    }
+    if (!vm)
+        return false;
     router->started(*vm);
     ++state.attempts;
     state.vm = *vm;
@@ -123,6 +127,7 @@
     m_context.count(daemon_counter::AttemptsStarted);
     const std::string& address = m_context.upstreams.replica(*vm)->listing.address;
     m_context.emit(start_attempt { state.call.number, state.attempts, *vm, address, state.due - m_context.now, state.entry.idempotent });
+    return true;
 }
 
 void call_controller::handle(const attempt_ended& event)
@@ -135,23 +140,9 @@
 
 void call_controller::endAttempt(call_state& state, const attempt_ended& event)
 {
-    replica_router* const router = m_context.upstreams.router(state.entry.upstream);
-    if (router)
-        router->finished(state.vm);
-    if (event.code == result_code::Ok)
-        m_context.upstreams.noteSuccess(state.vm);
-    else
-        m_context.upstreams.noteFailure(state.vm, m_context.now);
-    if (event.code != result_code::Ok || event.isRefusedUnrun) {
-        m_context.count(daemon_counter::AttemptsFailed);
-        m_context.note(event_kind::AttemptEnded, state.call.requestId,
-            "Attempt " + std::to_string(state.attempts) + " at " + state.vm + " failed: " + event.detail, event.code);
-    }
-    const bool mayRepeat = !event.isAnswerBegun && state.attempts < maxAttempts && m_context.now < state.due
-        && (isUnrun(event) || (state.entry.idempotent && event.code != result_code::Ok));
-    if (mayRepeat) {
+    noteAttempt(state, event);
+    if (mayRepeat(state, event) && startAttempt(state)) {
         m_context.count(daemon_counter::AttemptsRepeated);
-        startAttempt(state);
         return;
     }
     if (isUnrun(event)) {
@@ -169,6 +160,28 @@
         answer(state);
 }
 
+void call_controller::noteAttempt(const call_state& state, const attempt_ended& event)
+{
+    if (replica_router* const router = m_context.upstreams.router(state.entry.upstream))
+        router->finished(state.vm);
+    if (event.code == result_code::Ok)
+        m_context.upstreams.noteSuccess(state.vm);
+    else
+        m_context.upstreams.noteFailure(state.vm, m_context.now);
+    if (event.code == result_code::Ok && !event.isRefusedUnrun)
+        return;
+    m_context.count(daemon_counter::AttemptsFailed);
+    m_context.note(event_kind::AttemptEnded, state.call.requestId,
+        "Attempt " + std::to_string(state.attempts) + " at " + state.vm + " failed: " + event.detail, event.code);
+}
+
+bool call_controller::mayRepeat(const call_state& state, const attempt_ended& event) const
+{
+    if (event.isAnswerBegun || state.attempts >= maxAttempts || m_context.now >= state.due)
+        return false;
+    return isUnrun(event) || (state.entry.idempotent && event.code != result_code::Ok);
+}
+
 void call_controller::endUnrun(call_state& state, result_code code, const std::string& detail)
 {
     if (state.order)
@@ -255,7 +268,7 @@
     }
     if (std::holds_alternative<order_effects::run_upstream>(effect)) {
         m_context.note(event_kind::KeyClaimed, state.call.requestId, "The key " + state.call.idempotencyKey + " is claimed.");
-        startAttempt(state);
+        startFirstAttempt(state);
         return false;
     }
     if (const order_effects::answer_caller* const answer = std::get_if<order_effects::answer_caller>(&effect)) {
--- a/src/libs/core/callcontroller.h
+++ b/src/libs/core/callcontroller.h
@@ -61,8 +61,12 @@
 
     std::optional<refuse_call> refusal(const call_arrived& event) const;
     void startOrder(call_state& state);
-    void startAttempt(call_state& state);
+    void startFirstAttempt(call_state& state);
+    /// Returns false when no replica is left that was not tried.
+    bool startAttempt(call_state& state);
     void endAttempt(call_state& state, const attempt_ended& event);
+    void noteAttempt(const call_state& state, const attempt_ended& event);
+    bool mayRepeat(const call_state& state, const attempt_ended& event) const;
     void endUnrun(call_state& state, result_code code, const std::string& detail);
     void endBroken(call_state& state, const attempt_ended& event);
     void runOrder(request_number number, const order_event& event);
