Service, Platform: Follow the linter

Members of the file-local host state, constants of sizes and parameters that are only read are written as the linter asks. An exception that reaches main is reported with exit code 1.

--- a/src/apps/ragwortreachd/main.cpp
+++ b/src/apps/ragwortreachd/main.cpp
@@ -9,8 +9,11 @@
 #include <gflags/gflags.h>
 
 #include <csignal>
+#include <cstdio>
+#include <exception>
 #include <fstream>
 #include <iostream>
+#include <span>
 #include <sstream>
 
 DEFINE_string(settings, "", "JSON file with the settings of the daemon");
@@ -19,6 +22,7 @@
 
 using namespace ragwortreach;
 
+constexpr int exitFailure = 1;
 constexpr int exitUsage = 2;
 constexpr int exitListen = 3;
 
@@ -54,14 +58,10 @@
     return 0;
 }
 
-}
-
-int main(int argc, char** argv)
+int start(std::span<const char* const> arguments)
 {
-    std::signal(SIGPIPE, SIG_IGN);
     std::vector<std::string> words;
     std::string detail;
-    const std::vector<const char*> arguments(argv, argv + argc);
     if (parseFlags(arguments, words, detail))
         return fail(exitUsage, detail);
     if (!words.empty())
@@ -76,3 +76,17 @@
         return fail(exitUsage, detail);
     return run(settings);
 }
+
+}
+
+int main(int argc, char** argv)
+{
+    try {
+        std::signal(SIGPIPE, SIG_IGN);
+        const std::vector<const char*> arguments(argv, argv + argc);
+        return start(arguments);
+    } catch (const std::exception& error) {
+        std::fprintf(stderr, "ragwortreachd: The daemon stopped: %s\n", error.what());
+        return exitFailure;
+    }
+}
--- a/src/libs/core/instant.h
+++ b/src/libs/core/instant.h
@@ -15,7 +15,6 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<core_clock, duration>;
-    static constexpr bool is_steady = true;
 };
 
 /// Monotonic point in time of one process. Not comparable between machines.
--- a/src/libs/core/peermessage.h
+++ b/src/libs/core/peermessage.h
@@ -13,7 +13,7 @@
 namespace ragwortreach {
 
 /// Largest encoded request or reply between daemons, in bytes.
-constexpr std::size_t maxPeerMessageSize = 16 * 1024 * 1024;
+constexpr std::size_t maxPeerMessageSize = std::size_t { 16 } * 1024 * 1024;
 /// Longest id of a batch, in bytes.
 constexpr std::size_t maxBatchIdLength = 256;
 /// Most records of one catalogue_read_reply.
--- a/src/libs/platform/httpcall.cpp
+++ b/src/libs/platform/httpcall.cpp
@@ -19,7 +19,7 @@
 
     constexpr std::chrono::seconds maxIdleTime { 15 };
     constexpr std::size_t maxIdlePerAddress = 64;
-    constexpr std::size_t maxHeadBytes = 64U * 1024;
+    constexpr std::size_t maxHeadBytes = std::size_t { 64 } * 1024;
 
     bool isStillOpen(beast::tcp_stream& stream)
     {
--- a/src/libs/platform/httpclient.h
+++ b/src/libs/platform/httpclient.h
@@ -30,7 +30,7 @@
     /// connection, since a pooled one may close under the write and leave its outcome unknown.
     bool mayReuseConnection = true;
     /// Largest body that callWhole() accepts, in bytes.
-    std::size_t bodyLimit = 16U * 1024 * 1024;
+    std::size_t bodyLimit = std::size_t { 16 } * 1024 * 1024;
 };
 
 /// Outcome of a call. \a code is Ok only for an answer that arrived whole.
--- a/src/libs/platform/httpserver.cpp
+++ b/src/libs/platform/httpserver.cpp
@@ -18,31 +18,31 @@
     return m_session->request();
 }
 
-void http_exchange::respond(http_response response)
+void http_exchange::respond(http_response response) const
 {
     if (isOpen())
         m_session->respond(std::move(response));
 }
 
-void http_exchange::beginStream(http_response_head head)
+void http_exchange::beginStream(const http_response_head& head) const
 {
     if (isOpen())
         m_session->beginStream(head);
 }
 
-void http_exchange::write(std::string_view piece)
+void http_exchange::write(std::string_view piece) const
 {
     if (isOpen())
         m_session->write(piece);
 }
 
-void http_exchange::endStream()
+void http_exchange::endStream() const
 {
     if (isOpen())
         m_session->endStream();
 }
 
-void http_exchange::abort()
+void http_exchange::abort() const
 {
     if (isOpen())
         m_session->abort();
@@ -58,13 +58,13 @@
     return isOpen() ? m_session->queuedBytes() : 0;
 }
 
-void http_exchange::setGoneHandler(std::function<void()> handler)
+void http_exchange::setGoneHandler(std::function<void()> handler) const
 {
     if (isOpen())
         m_session->setGoneHandler(std::move(handler));
 }
 
-void http_exchange::setDrainedHandler(std::function<void()> handler)
+void http_exchange::setDrainedHandler(std::function<void()> handler) const
 {
     if (isOpen())
         m_session->setDrainedHandler(std::move(handler));
--- a/src/libs/platform/httpserver.h
+++ b/src/libs/platform/httpserver.h
@@ -24,8 +24,8 @@
 
 /// Bounds on what a caller may send.
 struct http_server_limits {
-    std::size_t headerBytes = 16U * 1024;
-    std::size_t bodyBytes = 8U * 1024 * 1024;
+    std::size_t headerBytes = std::size_t { 16 } * 1024;
+    std::size_t bodyBytes = std::size_t { 8 } * 1024 * 1024;
     /// Time a caller has to send one whole request once it started.
     duration readTimeout = std::chrono::seconds(30);
 };
@@ -43,21 +43,21 @@
 
     const http_request& request() const;
 
-    void respond(http_response response);
+    void respond(http_response response) const;
     /// A length makes the body a plain one; without it the body is sent in chunks.
-    void beginStream(http_response_head head);
-    void write(std::string_view piece);
-    void endStream();
+    void beginStream(const http_response_head& head) const;
+    void write(std::string_view piece) const;
+    void endStream() const;
     /// Closes the connection, so that the caller sees a broken answer rather than a short one.
-    void abort();
+    void abort() const;
 
     bool isOpen() const;
     /// Bytes that wait for the caller to read them.
     std::size_t queuedBytes() const;
     /// Called when the caller closes its connection before the answer is whole.
-    void setGoneHandler(std::function<void()> handler);
+    void setGoneHandler(std::function<void()> handler) const;
     /// Called when the bytes that waited have been sent.
-    void setDrainedHandler(std::function<void()> handler);
+    void setDrainedHandler(std::function<void()> handler) const;
 
 private:
     boost::intrusive_ptr<Internal::http_session> m_session;
--- a/src/libs/platform/logclient.cpp
+++ b/src/libs/platform/logclient.cpp
@@ -11,7 +11,7 @@
     using nlohmann::json;
 
     constexpr std::chrono::seconds answerTimeout { 3 };
-    constexpr std::size_t maxPageBytes = 64U * 1024 * 1024;
+    constexpr std::size_t maxPageBytes = std::size_t { 64 } * 1024 * 1024;
 
     std::string appendBody(std::span<const log_append> records)
     {
--- a/src/libs/platform/ssereader.cpp
+++ b/src/libs/platform/ssereader.cpp
@@ -3,7 +3,7 @@
 namespace ragwortreach {
 
 namespace {
-    constexpr std::size_t maxEventBytes = 1024U * 1024;
+    constexpr std::size_t maxEventBytes = std::size_t { 1024 } * 1024;
 }
 
 sse_reader::sse_reader(std::function<void(std::string_view)> onData)
--- a/src/libs/service/adminroutes.cpp
+++ b/src/libs/service/adminroutes.cpp
@@ -61,23 +61,22 @@
 
 void admin_routes::handle(const http_exchange& exchange)
 {
-    http_exchange answer = exchange;
     const std::string_view path = targetPath(exchange.request().target);
     const bool isEdit = path == "/v1/catalogue/edits";
     if (!isEdit && exchange.request().method != "GET")
-        answer.respond(problemResponse(result_code::MethodNotAllowed, {}, {}));
+        exchange.respond(problemResponse(result_code::MethodNotAllowed, {}, {}));
     else if (path == "/healthz" || path == "/readyz")
-        answer.respond(answerProbe(path));
+        exchange.respond(answerProbe(path));
     else if (path == "/metrics")
-        answer.respond(textResponse(200, m_metricsText()));
+        exchange.respond(textResponse(200, m_metricsText()));
     else if (path == "/status")
-        answer.respond(jsonResponse(200, m_core.status()));
+        exchange.respond(jsonResponse(200, m_core.status()));
     else if (path == "/timeline")
         handleTimeline(exchange);
     else if (path == cataloguePath || path.starts_with("/v1/catalogue/"))
         handleCatalogue(exchange, path.substr(cataloguePath.size()));
     else
-        answer.respond(problemResponse(result_code::UnknownRoute, {}, {}));
+        exchange.respond(problemResponse(result_code::UnknownRoute, {}, {}));
 }
 
 http_response admin_routes::answerProbe(std::string_view path) const
@@ -86,7 +85,7 @@
     return isUp ? textResponse(200, "ok\n") : textResponse(503, m_core.isDraining() ? "draining\n" : "starting\n");
 }
 
-void admin_routes::handleCatalogue(http_exchange exchange, std::string_view rest)
+void admin_routes::handleCatalogue(const http_exchange& exchange, std::string_view rest)
 {
     const catalogue_fold& fold = m_core.catalogue().fold();
     if (rest.empty() || rest == "/") {
@@ -117,20 +116,19 @@
 
 void admin_routes::handleEdit(const http_exchange& exchange)
 {
-    http_exchange answer = exchange;
     if (exchange.request().method != "POST") {
-        answer.respond(problemResponse(result_code::MethodNotAllowed, {}, {}));
+        exchange.respond(problemResponse(result_code::MethodNotAllowed, {}, {}));
         return;
     }
     const std::optional<submitted_edit> edit = parseEdit(exchange.request().body);
     if (!edit) {
-        answer.respond(problemResponse(result_code::MalformedRequest, "The body is not a JSON object with an id of 1 to 128 bytes.", {}));
+        exchange.respond(problemResponse(result_code::MalformedRequest, "The body is not a JSON object with an id of 1 to 128 bytes.", {}));
         return;
     }
     m_onEdit(exchange, *edit);
 }
 
-void admin_routes::handleConfirmations(http_exchange exchange)
+void admin_routes::handleConfirmations(const http_exchange& exchange)
 {
     const std::optional<std::uint64_t> offset = parseNumber(queryValue(exchange.request().target, "offset").value_or(std::string()));
     if (!offset) {
@@ -140,7 +138,7 @@
     exchange.respond(jsonResponse(200, m_core.confirmations(*offset)));
 }
 
-void admin_routes::handleTimeline(http_exchange exchange)
+void admin_routes::handleTimeline(const http_exchange& exchange)
 {
     const std::string subject = queryValue(exchange.request().target, "subject").value_or(std::string());
     const std::string since = queryValue(exchange.request().target, "since").value_or("0");
--- a/src/libs/service/adminroutes.h
+++ b/src/libs/service/adminroutes.h
@@ -28,10 +28,10 @@
     void handle(const http_exchange& exchange);
 
 private:
-    void handleCatalogue(http_exchange exchange, std::string_view rest);
+    void handleCatalogue(const http_exchange& exchange, std::string_view rest);
     void handleEdit(const http_exchange& exchange);
-    void handleConfirmations(http_exchange exchange);
-    void handleTimeline(http_exchange exchange);
+    void handleConfirmations(const http_exchange& exchange);
+    void handleTimeline(const http_exchange& exchange);
     http_response answerProbe(std::string_view path) const;
 
     const daemon_core& m_core;
--- a/src/libs/service/callerroutes.cpp
+++ b/src/libs/service/callerroutes.cpp
@@ -85,7 +85,7 @@
     return call;
 }
 
-void caller_routes::handleService(http_exchange exchange, std::string_view path)
+void caller_routes::handleService(const http_exchange& exchange, std::string_view path)
 {
     call_arrived call = makeCall(exchange);
     const std::string_view rest = path.substr(servicePrefix.size());
@@ -106,7 +106,7 @@
     m_proxy.add(call, exchange, std::move(upstreamTarget));
 }
 
-void caller_routes::handleCompletion(http_exchange exchange)
+void caller_routes::handleCompletion(const http_exchange& exchange)
 {
     if (exchange.request().method != "POST") {
         refuse(exchange, result_code::MethodNotAllowed, {});
@@ -128,7 +128,7 @@
     m_proxy.add(call, exchange, std::string(completionsPath), body.dump());
 }
 
-void caller_routes::handleBatches(http_exchange exchange, std::string_view path)
+void caller_routes::handleBatches(const http_exchange& exchange, std::string_view path)
 {
     const std::string& method = exchange.request().method;
     if (path == batchesPath) {
@@ -156,7 +156,7 @@
         refuse(exchange, result_code::MethodNotAllowed, {});
 }
 
-void caller_routes::refuse(http_exchange exchange, result_code code, std::string_view detail)
+void caller_routes::refuse(const http_exchange& exchange, result_code code, std::string_view detail)
 {
     exchange.respond(problemResponse(code, detail, {}));
 }
--- a/src/libs/service/callerroutes.h
+++ b/src/libs/service/callerroutes.h
@@ -25,11 +25,11 @@
     void handle(const http_exchange& exchange);
 
 private:
-    void handleService(http_exchange exchange, std::string_view path);
-    void handleCompletion(http_exchange exchange);
-    void handleBatches(http_exchange exchange, std::string_view path);
+    void handleService(const http_exchange& exchange, std::string_view path);
+    void handleCompletion(const http_exchange& exchange);
+    void handleBatches(const http_exchange& exchange, std::string_view path);
     call_arrived makeCall(const http_exchange& exchange);
-    void refuse(http_exchange exchange, result_code code, std::string_view detail);
+    void refuse(const http_exchange& exchange, result_code code, std::string_view detail);
 
     std::string m_idPrefix;
     const catalogue_fold& m_catalogue;
--- a/src/libs/service/callproxy.cpp
+++ b/src/libs/service/callproxy.cpp
@@ -10,9 +10,9 @@
 
 namespace {
 
-    constexpr std::size_t collectedBodyLimit = 256U * 1024;
-    constexpr std::size_t keptBodyLimit = 16U * 1024;
-    constexpr std::size_t callerQueueLimit = 1024U * 1024;
+    constexpr std::size_t collectedBodyLimit = std::size_t { 256 } * 1024;
+    constexpr std::size_t keptBodyLimit = std::size_t { 16 } * 1024;
+    constexpr std::size_t callerQueueLimit = std::size_t { 1024 } * 1024;
 
     constexpr std::array<std::string_view, 3> rewrittenHeaders { "Host", "Content-Length", "Expect" };
 
@@ -33,8 +33,8 @@
 
 }
 
-call_proxy::proxied_call::proxied_call(http_exchange callerExchange)
-    : exchange(std::move(callerExchange))
+call_proxy::proxied_call::proxied_call(const http_exchange& callerExchange)
+    : exchange(callerExchange)
 {
 }
 
--- a/src/libs/service/callproxy.h
+++ b/src/libs/service/callproxy.h
@@ -49,7 +49,7 @@
 
 private:
     struct proxied_call {
-        explicit proxied_call(http_exchange callerExchange);
+        explicit proxied_call(const http_exchange& callerExchange);
 
         http_exchange exchange;
         std::string requestId;
--- a/src/libs/service/daemonhost.cpp
+++ b/src/libs/service/daemonhost.cpp
@@ -75,8 +75,7 @@
 
 }
 
-class daemon_host::state {
-public:
+struct daemon_host::state {
     state(boost::asio::io_context& ioContext, const daemon_settings& daemonSettings, log& daemonLog)
         : context(ioContext)
         , settings(daemonSettings)
@@ -103,8 +102,6 @@
     std::error_code open(std::string& detail);
     void post(daemon_event event);
     void drain();
-
-private:
     void makeRoutes();
     std::error_code openSockets(std::string& detail);
     void tick();
--- a/src/libs/service/daemonhost.h
+++ b/src/libs/service/daemonhost.h
@@ -28,7 +28,7 @@
     void drain();
 
 private:
-    class state;
+    struct state;
     std::unique_ptr<state> m_state;
 };
 
--- a/src/libs/service/effectexecutor.cpp
+++ b/src/libs/service/effectexecutor.cpp
@@ -65,12 +65,11 @@
 
 void effect_executor::addExchange(request_number number, const http_exchange& exchange)
 {
-    http_exchange kept = exchange;
-    kept.setGoneHandler([this, number] {
+    exchange.setGoneHandler([this, number] {
         if (m_exchanges.erase(number) > 0)
             m_onEvent(caller_gone { number });
     });
-    m_exchanges.emplace(number, kept);
+    m_exchanges.emplace(number, exchange);
 }
 
 void effect_executor::addPeerRequest(request_number number, std::function<void(peer_reply)> sender)
@@ -116,7 +115,7 @@
     const auto it = m_exchanges.find(effect.number);
     if (it == m_exchanges.end())
         return;
-    http_exchange exchange = it->second;
+    const http_exchange exchange = it->second;
     m_exchanges.erase(it);
     http_response response = jsonResponse(effect.httpStatus, effect.body);
     if (effect.httpStatus >= 400)
@@ -131,7 +130,7 @@
         m_targets.proxy.refuse(effect);
         return;
     }
-    http_exchange exchange = it->second;
+    const http_exchange exchange = it->second;
     m_exchanges.erase(it);
     exchange.respond(problemResponse(effect.code, effect.detail, {}, effect.retryAfter));
 }
