--- /dev/null
+++ b/src/libs/commandline/cataloguecommand.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "commandenvironment.h"
+
+#include <string>
+
+namespace ragwortreach {
+
+/// `catalogue check FILE`: checks the entries of a file without a daemon.
+exit_code runCatalogueCheck(const command_environment& environment, const std::string& path);
+
+/// `catalogue get`: lists the entries; `catalogue get ENTRY`: writes one as a file for apply.
+exit_code runCatalogueGet(const command_environment& environment, const std::string& entry);
+
+/// `catalogue diff FILE`: shows what apply would change.
+exit_code runCatalogueDiff(const command_environment& environment, const std::string& path);
+
+/// `catalogue apply FILE`: applies the entries of a file in order and stops at the first that fails.
+exit_code runCatalogueApply(const command_environment& environment, const std::string& path);
+
+/// `catalogue history ENTRY`: shows all edits of an entry with their verdicts.
+exit_code runCatalogueHistory(const command_environment& environment, const std::string& entry);
+
+}
--- /dev/null
+++ b/src/libs/commandline/timelinecommand.cpp
@@ -0,0 +1,197 @@
+#include "timelinecommand.h"
+
+#include "adminclient.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <ctime>
+#include <ostream>
+#include <set>
+
+namespace ragwortreach {
+
+using nlohmann::json;
+
+namespace {
+
+    constexpr std::uint64_t millisecondsPerSecond = 1000;
+
+    using merged_or_failure = std::variant<merged_timeline, command_failure>;
+
+    std::optional<std::uint64_t> millisecondsPerUnit(char unit)
+    {
+        switch (unit) {
+        case 's':
+            return millisecondsPerSecond;
+        case 'm':
+            return 60 * millisecondsPerSecond;
+        case 'h':
+            return 3600 * millisecondsPerSecond;
+        default:
+            return std::nullopt;
+        }
+    }
+
+    json eventJson(const shown_event& event)
+    {
+        return { { "time", std::to_string(event.time.packed) }, { "wall_ms", event.time.wallMilliseconds() },
+            { "logical", event.time.logical() }, { "vm", event.vm }, { "kind", event.kind }, { "subject", event.subject },
+            { "code", event.code }, { "detail", event.detail } };
+    }
+
+    void writeJson(const command_environment& environment, const merged_timeline& timeline)
+    {
+        json events = json::array();
+        for (const shown_event& event : timeline.events)
+            events.push_back(eventJson(event));
+        environment.output << json { { "events", events }, { "answered", timeline.answered }, { "missing", timeline.missing } } << '\n';
+    }
+
+    void reportMissing(const command_environment& environment, const merged_timeline& timeline)
+    {
+        for (const std::string& name : timeline.missing)
+            environment.errors << "The time line lacks the events of " << name << ", which did not answer.\n";
+    }
+
+    std::string codeText(int code)
+    {
+        if (code == 0)
+            return {};
+        return " [" + std::string(resultCodeInfo(static_cast<result_code>(code)).name) + ", result code " + std::to_string(code) + ']';
+    }
+
+    std::string spaced(std::string kind)
+    {
+        std::replace(kind.begin(), kind.end(), '_', ' ');
+        return kind;
+    }
+
+    /// "is answered" in words: the sentence of the event, or its kind when it has none.
+    std::string sentence(const shown_event& event)
+    {
+        return event.detail.empty() ? spaced(event.kind) + '.' : event.detail;
+    }
+
+    void writeStory(const command_environment& environment, const std::string& subject, const merged_timeline& timeline)
+    {
+        const std::vector<shown_event>& events = timeline.events;
+        std::set<std::string> vms;
+        for (const shown_event& event : events)
+            vms.insert(event.vm);
+        const std::uint64_t begin = events.front().time.wallMilliseconds();
+        const std::uint64_t span = events.back().time.wallMilliseconds() - begin;
+        environment.output << subject << ": " << events.size() << " events on " << vms.size() << " VMs within " << span << " ms.\n";
+        for (const shown_event& event : events) {
+            environment.output << timeText(event.time) << " (after " << event.time.wallMilliseconds() - begin << " ms) on " << event.vm << ", "
+                               << spaced(event.kind) << ": " << sentence(event) << codeText(event.code) << '\n';
+        }
+        const int code = events.back().code;
+        if (code != 0)
+            environment.output << "The last event carries result code " << code << ": " << resultCodeInfo(static_cast<result_code>(code)).text << '\n';
+    }
+
+}
+
+std::optional<hybrid_time> parseSince(std::string_view text, std::uint64_t wallMilliseconds)
+{
+    if (text.empty())
+        return hybrid_time {};
+    std::uint64_t number = 0;
+    const std::from_chars_result result = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (result.ec != std::errc())
+        return std::nullopt;
+    const std::string_view unit(result.ptr, static_cast<std::size_t>(text.data() + text.size() - result.ptr));
+    if (unit.empty())
+        return hybrid_time { number };
+    const std::optional<std::uint64_t> factor = millisecondsPerUnit(unit.front());
+    if (unit.size() != 1 || !factor)
+        return std::nullopt;
+    const std::uint64_t back = number > wallMilliseconds / *factor ? wallMilliseconds : number * *factor;
+    return hybrid_time::fromMilliseconds(wallMilliseconds - back);
+}
+
+std::string timeText(hybrid_time time)
+{
+    const std::time_t seconds = static_cast<std::time_t>(time.wallMilliseconds() / millisecondsPerSecond);
+    std::tm utc {};
+    gmtime_r(&seconds, &utc);
+    std::array<char, 32> date {};
+    std::strftime(date.data(), date.size(), "%Y-%m-%dT%H:%M:%S", &utc);
+    const std::string fraction = std::to_string(millisecondsPerSecond + time.wallMilliseconds() % millisecondsPerSecond);
+    return std::string(date.data()) + '.' + fraction.substr(1) + 'Z';
+}
+
+merged_or_failure readMergedTimeline(const command_environment& environment, std::string_view subject, hybrid_time since)
+{
+    const admin_client client(environment);
+    const admin_result<daemon_status> result = client.status();
+    if (const command_failure* failure = std::get_if<command_failure>(&result))
+        return *failure;
+    const daemon_status& status = std::get<daemon_status>(result);
+    std::vector<member_row> members { { status.vm, status.dataCentre, "", 0, 0, environment.server } };
+    std::copy_if(status.members.begin(), status.members.end(), std::back_inserter(members),
+        [&status](const member_row& member) { return member.vm != status.vm && !member.admin.empty(); });
+    merged_timeline timeline;
+    for (const member_row& member : members) {
+        const admin_result<std::vector<shown_event>> events = client.timeline(member.admin, subject, since);
+        const std::vector<shown_event>* shown = std::get_if<std::vector<shown_event>>(&events);
+        if (shown == nullptr) {
+            timeline.missing.push_back(member.vm + " (" + member.admin + ')');
+            continue;
+        }
+        timeline.answered.push_back(member.vm);
+        timeline.events.insert(timeline.events.end(), shown->begin(), shown->end());
+    }
+    std::stable_sort(timeline.events.begin(), timeline.events.end(),
+        [](const shown_event& left, const shown_event& right) { return left.time < right.time; });
+    return timeline;
+}
+
+exit_code runTimeline(const command_environment& environment, const std::string& subject, const std::string& since)
+{
+    const std::optional<hybrid_time> begin = parseSince(since, environment.wallMilliseconds());
+    if (!begin)
+        return report(environment, { exit_code::Usage, "The value '" + since + "' of '--since' is no time; expected a number with s, m or h, such as 5m." });
+    const merged_or_failure result = readMergedTimeline(environment, subject, *begin);
+    if (const command_failure* failure = std::get_if<command_failure>(&result))
+        return report(environment, *failure);
+    const merged_timeline& timeline = std::get<merged_timeline>(result);
+    reportMissing(environment, timeline);
+    if (environment.format == output_format::Json) {
+        writeJson(environment, timeline);
+        return exit_code::Ok;
+    }
+    for (const shown_event& event : timeline.events) {
+        environment.output << timeText(event.time) << '+' << event.time.logical() << ' ' << event.vm << ' ' << event.kind << ' '
+                           << event.subject << ": " << sentence(event) << codeText(event.code) << '\n';
+    }
+    return exit_code::Ok;
+}
+
+exit_code runExplain(const command_environment& environment, const std::string& subject, const std::string& since)
+{
+    const std::optional<hybrid_time> begin = parseSince(since, environment.wallMilliseconds());
+    if (!begin)
+        return report(environment, { exit_code::Usage, "The value '" + since + "' of '--since' is no time; expected a number with s, m or h, such as 5m." });
+    const merged_or_failure result = readMergedTimeline(environment, subject, *begin);
+    if (const command_failure* failure = std::get_if<command_failure>(&result))
+        return report(environment, *failure);
+    const merged_timeline& timeline = std::get<merged_timeline>(result);
+    reportMissing(environment, timeline);
+    if (environment.format == output_format::Json)
+        writeJson(environment, timeline);
+    if (timeline.events.empty()) {
+        return report(environment,
+            { exit_code::Rejected,
+                "None of the " + std::to_string(timeline.answered.size()) + " daemons that answered holds an event about '" + subject
+                    + "'; check the id. Daemons keep only their newest events." });
+    }
+    if (environment.format == output_format::Text)
+        writeStory(environment, subject, timeline);
+    return exit_code::Ok;
+}
+
+}
--- /dev/null
+++ b/tests/auto/commandline/tst_syncexchange.cpp
@@ -0,0 +1,49 @@
+#include <commandline/syncexchange.h>
+
+#include <platform/httpserver.h>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+using namespace ragwortreach;
+
+namespace {
+
+constexpr std::chrono::milliseconds longTime { 20000 };
+
+}
+
+TEST_CASE("An exchange brings the whole answer of a daemon")
+{
+    boost::asio::io_context context;
+    http_server server(
+        context, {}, [](http_exchange exchange) { exchange.respond({ 201, {}, exchange.request().method + exchange.request().target + exchange.request().body }); },
+        [](std::error_code) { return http_response(); });
+    REQUIRE(!server.listen({ "127.0.0.1", 0 }));
+    std::thread thread([&context] { context.run(); });
+    http_request request;
+    request.method = "POST";
+    request.target = "/x";
+    request.body = "body";
+    const http_reply reply = exchangeNow("127.0.0.1:" + std::to_string(server.port()), request, longTime);
+    context.stop();
+    thread.join();
+    CAPTURE(reply.outcome.detail);
+    CHECK(reply.outcome.code == result_code::Ok);
+    CHECK(reply.response.status == 201);
+    CHECK(reply.response.body == "POST/xbody");
+}
+
+TEST_CASE("A daemon that is not there was not sent anything")
+{
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor closed(context, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+    const std::string address = "127.0.0.1:" + std::to_string(closed.local_endpoint().port());
+    closed.close();
+    CHECK(exchangeNow(address, {}, longTime).outcome.code == result_code::UpstreamUnreachable);
+    CHECK(exchangeNow("nowhere", {}, longTime).outcome.code == result_code::UpstreamUnreachable);
+}
