Command line: Add load

Customers arrive as a Poisson process from a seed and don't wait for answers, so that latencies of a slow system are not hidden by the slowed arrivals.

--- a/src/libs/commandline/commandline.cpp
+++ b/src/libs/commandline/commandline.cpp
@@ -89,7 +89,7 @@
         constexpr std::size_t idLength = 32;
         std::random_device device;
         std::uniform_int_distribution<std::size_t> distribution(0, digits.size() - 1);
-        std::string id = "edit-";
+        std::string id;
         for (std::size_t i = 0; i < idLength; ++i)
             id += digits[distribution(device)];
         return id;
--- /dev/null
+++ b/src/libs/commandline/customerload.cpp
@@ -0,0 +1,133 @@
+#include "customerload.h"
+
+#include "loadanswer.h"
+
+#include <boost/asio/io_context.hpp>
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace ragwortreach {
+
+using nlohmann::json;
+
+namespace {
+
+    constexpr std::string_view lastChunk = "data: [DONE]";
+
+    double milliseconds(std::chrono::steady_clock::duration time)
+    {
+        return std::chrono::duration<double, std::milli>(time).count();
+    }
+
+    /// Whether a service that echoes its path echoed that of another request.
+    bool isWrongAnswer(const std::string& body, const std::string& key)
+    {
+        const json document = json::parse(body, nullptr, false);
+        const bool isEcho = document.is_object() && document.contains("path") && document["path"].is_string();
+        return isEcho && document["path"].get<std::string>().find(key) == std::string::npos;
+    }
+
+}
+
+customer_load::customer_load(boost::asio::io_context& context, http_client& client, const load_plan& plan, const customer_plan& customer, std::uint64_t seed)
+    : m_client(client)
+    , m_plan(plan)
+    , m_customer(customer)
+    , m_callers(plan.callers, seed)
+    , m_timer(context)
+    , m_random(seed)
+    , m_gap(customer.requestsPerSecond)
+{
+    m_report.entry = customer.entry;
+}
+
+void customer_load::start(std::function<void()> onIdle)
+{
+    m_onIdle = std::move(onIdle);
+    m_next = clock::now();
+    m_end = m_next + m_plan.time;
+    scheduleArrival();
+}
+
+customer_report customer_load::report() const
+{
+    customer_report report = m_report;
+    report.broken += m_inFlight;
+    return report;
+}
+
+void customer_load::scheduleArrival()
+{
+    m_next += std::chrono::duration_cast<clock::duration>(std::chrono::duration<double>(m_gap(m_random)));
+    if (m_next >= m_end) {
+        m_isOver = true;
+        if (isIdle())
+            m_onIdle();
+        return;
+    }
+    m_timer.expires_at(m_next);
+    m_timer.async_wait([this](const boost::system::error_code& error) {
+        if (error)
+            return;
+        send(m_next);
+        scheduleArrival();
+    });
+}
+
+http_request customer_load::makeRequest(const std::string& key) const
+{
+    http_request request;
+    request.method = "POST";
+    request.headers = { { "Content-Type", "application/json" }, { "X-Owner", m_customer.owner },
+        { "X-Due-Ms", std::to_string(m_customer.due.count()) }, { "Idempotency-Key", key } };
+    if (m_customer.kind == entry_kind::Service) {
+        request.target = "/v1/services/" + m_customer.entry + "/load/" + key;
+        request.body = json { { "key", key } }.dump();
+        return request;
+    }
+    request.target = "/v1/completions";
+    request.body = json { { "model", m_customer.entry }, { "prompt", "Question " + key }, { "max_tokens", m_customer.maxTokens }, { "stream", true } }.dump();
+    return request;
+}
+
+void customer_load::send(clock::time_point arrival)
+{
+    const std::string key = m_plan.run + '-' + m_customer.entry + '-' + std::to_string(m_report.arrived);
+    ++m_report.arrived;
+    ++m_inFlight;
+    http_call_options options;
+    options.timeout = 2 * m_customer.due + m_plan.grace;
+    m_client.callWhole(m_callers.current(), makeRequest(key), options,
+        [this, arrival, key](const http_outcome& outcome, const http_response& response) { finish(arrival, key, outcome, response); });
+    m_callers.advance();
+}
+
+void customer_load::finish(clock::time_point arrival, const std::string& key, const http_outcome& outcome, const http_response& response)
+{
+    --m_inFlight;
+    const result_code code = answerCode(outcome, response);
+    const bool isModel = m_customer.kind == entry_kind::Model;
+    if (outcome.code != result_code::Ok || (code == result_code::Ok && isModel && response.body.find(lastChunk) == std::string::npos))
+        ++m_report.broken;
+    else if (code != result_code::Ok)
+        ++m_report.refusals[static_cast<int>(code)];
+    else if (!isModel && isWrongAnswer(response.body, key))
+        ++m_report.wrongAnswers;
+    else
+        countWhole(arrival);
+    if (isIdle())
+        m_onIdle();
+}
+
+void customer_load::countWhole(clock::time_point arrival)
+{
+    const double latency = milliseconds(clock::now() - arrival);
+    m_report.latencies.push_back(latency);
+    if (latency <= static_cast<double>(m_customer.due.count()))
+        ++m_report.wholeInTime;
+    else
+        ++m_report.wholeLate;
+}
+
+}
--- a/tests/auto/commandline/tst_commandline.cpp
+++ b/tests/auto/commandline/tst_commandline.cpp
@@ -75,6 +75,12 @@
         { { "r", "status", "--timeout_ms=soon" }, "The flag '--timeout_ms' has the value 'soon'; expected one of type int32." },
         { { "r", "status", "--timeout_ms=0" }, "expect times above 0" },
         { { "r", "status", "--server" }, "The flag '--server' has no value" },
+        { { "r", "load" }, "There is nothing to play" },
+        { { "r", "load", "--groups=0" }, "The flag '--groups' has the value 0; expected at least 1." },
+        { { "r", "load", "--callers=here" }, "The flag '--callers' has the value 'here'; expected IP numbers with ports" },
+        { { "r", "load", "--customers=a:b:1:c" }, "expected ENTRY:KIND:RATE:OWNER" },
+        { { "r", "load", "--customers=a:model:fast:c" }, "expected a RATE above 0" },
+        { { "r", "load", "--trainers=a:b" }, "expected ENTRY:NAME:OWNER:MODEL" },
         { { "r", "timeline", "--since=yesterday" }, "The value 'yesterday' of '--since' is no time" },
     };
     for (const bad_line_row& row : rows) {
