Command line: Tell the daemon when a trainer holds its whole batch

Against a running daemon each batch stayed open with one sample remaining: the load stopped fetching as soon as it held all slots, so that the daemon never heard of the last ones. One more fetch closes the batch; it does not count as idle time.

--- a/src/libs/commandline/trainerload.cpp
+++ b/src/libs/commandline/trainerload.cpp
@@ -18,6 +18,7 @@
     constexpr std::chrono::milliseconds fetchWait { 1000 };
     constexpr std::chrono::milliseconds callTimeout { 10000 };
     constexpr std::uint32_t maxSamplesPerFetch = 256;
+    constexpr std::uint32_t maxClosingCalls = 3;
 
     double milliseconds(std::chrono::steady_clock::duration time)
     {
@@ -139,11 +140,16 @@
     fetch();
 }
 
+std::string trainer_load::fetchText(std::chrono::milliseconds wait)
+{
+    return json { { "fetch", ++m_fetchNumber }, { "version", versionJson(m_version) }, { "held", rangesJson(m_held) },
+        { "max", maxSamplesPerFetch }, { "wait_ms", wait.count() } }
+        .dump();
+}
+
 void trainer_load::fetch()
 {
-    const json body { { "fetch", ++m_fetchNumber }, { "version", versionJson(m_version) }, { "held", rangesJson(m_held) },
-        { "max", maxSamplesPerFetch }, { "wait_ms", fetchWait.count() } };
-    post(m_callers.current(), "/v1/batches/" + m_batch + "/fetch", body.dump(), &trainer_load::onFetched);
+    post(m_callers.current(), "/v1/batches/" + m_batch + "/fetch", fetchText(fetchWait), &trainer_load::onFetched);
 }
 
 void trainer_load::onFetched(const http_response& response)
@@ -169,16 +175,35 @@
         fetch();
         return;
     }
+    const double waited = milliseconds(clock::now() - m_opened);
+    m_isBatchOpen = false;
+    m_report.idleMilliseconds += waited;
+    m_report.batchTimes.push_back(waited);
     ++(isWhole ? m_report.completed : m_report.incomplete);
+    m_closingCallsLeft = maxClosingCalls;
+    if (isComplete)
+        train();
+    else
+        closeBatch();
+}
+
+void trainer_load::closeBatch()
+{
+    if (m_closingCallsLeft == 0) {
+        train();
+        return;
+    }
+    --m_closingCallsLeft;
+    post(m_callers.current(), "/v1/batches/" + m_batch + "/fetch", fetchText(std::chrono::milliseconds::zero()), &trainer_load::onClosed);
+}
+
+void trainer_load::onClosed(const http_response&)
+{
     train();
 }
 
 void trainer_load::train()
 {
-    const double waited = milliseconds(clock::now() - m_opened);
-    m_isBatchOpen = false;
-    m_report.idleMilliseconds += waited;
-    m_report.batchTimes.push_back(waited);
     m_report.trainingMilliseconds += static_cast<double>(m_trainer.training.count());
     after(m_trainer.training, &trainer_load::publish);
 }
@@ -237,6 +262,10 @@
     ++m_report.failedCalls;
     ++m_report.failures[static_cast<int>(code)];
     m_callers.advance();
+    if (!m_isBatchOpen) {
+        after(retryTime(response, retryPeriod), &trainer_load::closeBatch);
+        return;
+    }
     const bool isRefusedForGood = code == result_code::BatchConflict || code == result_code::BatchCancelled || code == result_code::WrongOwner
         || code == result_code::MalformedRequest || code == result_code::ValueOutOfRange;
     if (isRefusedForGood) {
--- a/src/libs/commandline/trainerload.h
+++ b/src/libs/commandline/trainerload.h
@@ -38,7 +38,12 @@
     void openBatch();
     void onOpened(const http_response& response);
     void fetch();
+    /// Body of the next fetch.
+    std::string fetchText(std::chrono::milliseconds wait);
     void onFetched(const http_response& response);
+    /// Tells the daemon that the trainer holds the whole batch.
+    void closeBatch();
+    void onClosed(const http_response& response);
     void train();
     void publish();
     void post(const endpoint& address, const std::string& target, const std::string& body, answer_handler onAnswer);
@@ -59,6 +64,7 @@
     std::uint64_t m_batchNumber = 0;
     std::uint64_t m_fetchNumber = 0;
     std::set<std::uint32_t> m_held;
+    std::uint32_t m_closingCallsLeft = 0;
     bool m_isBatchOpen = false;
     bool m_isIdle = false;
     trainer_report m_report;
--- a/tests/auto/commandline/tst_loaddriver.cpp
+++ b/tests/auto/commandline/tst_loaddriver.cpp
@@ -90,6 +90,8 @@
         fetches.push_back(body);
         const json held = json::array({ { { "base", 1 }, { "adapter", 7 } } });
         json samples = json::array();
+        if (body["held"] == json::parse("[[0,2]]"))
+            return { { "samples", samples }, { "complete", true } };
         if (body["held"].empty())
             samples = { sample(2, held), sample(0, json::array({ { { "base", 1 }, { "adapter", 5 } }, { { "base", 1 }, { "adapter", 6 } } })) };
         else
@@ -180,10 +182,11 @@
     CHECK(report.failures == std::map<int, std::uint64_t> { { 204, 1 } });
     CHECK(report.staleness == std::vector<double> { 0, 2, 1, 3 });
     CHECK(daemon.versions == std::vector<json> { { { "base", 1 }, { "adapter", 8 } }, { { "base", 1 }, { "adapter", 9 } } });
-    REQUIRE(daemon.fetches.size() == 4);
+    REQUIRE(daemon.fetches.size() == 6);
     CHECK(daemon.fetches[1]["held"] == json::parse("[[0,0],[2,2]]"));
     CHECK(daemon.fetches[1]["fetch"] == 2);
-    CHECK(daemon.fetches[2]["version"] == json { { "base", 1 }, { "adapter", 8 } });
+    CHECK(daemon.fetches[2]["held"] == json::parse("[[0,2]]"));
+    CHECK(daemon.fetches[3]["version"] == json { { "base", 1 }, { "adapter", 8 } });
 }
 
 TEST_CASE("Arrivals come from the seed")
