--- a/tests/auto/standins/runningstandin.h
+++ b/tests/auto/client/runningstandins.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include <client/testclient.h>
+#include "testclient.h"
+
 #include <standins/standinset.h>
 
 #include <string>
@@ -30,10 +31,10 @@
     running_standins& operator=(const running_standins&) = delete;
 
     const std::string& address(std::size_t index = 0) const { return m_addresses.at(index); }
-    http_reply get(const std::string& target) const { return send(address(), "GET", target); }
-    http_reply post(const std::string& target, const nlohmann::json& body) const { return send(address(), "POST", target, body); }
-    void fault(const nlohmann::json& faults) const { post("/_standin/faults", faults); }
-    nlohmann::json counters() const { return get("/_standin/counters").json(); }
+    http_reply get(const std::string& target, std::size_t index = 0) const { return send(address(index), "GET", target); }
+    http_reply post(const std::string& target, const nlohmann::json& body, std::size_t index = 0) const { return send(address(index), "POST", target, body); }
+    void fault(const nlohmann::json& faults, std::size_t index = 0) const { post("/_standin/faults", faults, index); }
+    nlohmann::json counters(std::size_t index = 0) const { return get("/_standin/counters", index).json(); }
 
 private:
     boost::asio::io_context m_context;
--- a/tests/auto/standins/tst_enginestandin.cpp
+++ b/tests/auto/standins/tst_enginestandin.cpp
@@ -1,4 +1,4 @@
-#include "runningstandin.h"
+#include <client/runningstandins.h>
 
 #include <catch2/catch.hpp>
 
--- /dev/null
+++ b/tests/auto/system/tst_batches.cpp
@@ -0,0 +1,155 @@
+#include "testfleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <set>
+
+using namespace ragwortreach::Tests;
+using nlohmann::json;
+
+namespace {
+
+constexpr int groups = 4;
+constexpr int samplesPerGroup = 4;
+constexpr std::size_t samples = groups * samplesPerGroup;
+
+const json weights = { { "base", 1 }, { "adapter", 1 } };
+
+http_reply openBatch(const test_fleet& fleet, std::size_t index)
+{
+    json groupList = json::array();
+    for (int i = 0; i < groups; ++i)
+        groupList.push_back({ { "prompt", "prompt " + std::to_string(i) }, { "count", samplesPerGroup } });
+    return fleet.call(index, "POST", "/v1/batches",
+        { { "batch", "step-1" }, { "entry", "rollouts" }, { "trainer", "t1" }, { "owner", "pitsinurk" }, { "data_centre", "ee-north-a" }, { "due_ms", 60'000 }, { "max_tokens", 64 }, { "groups", groupList } });
+}
+
+/// A trainer that fetches until it holds all samples and checks each one.
+class test_trainer {
+public:
+    explicit test_trainer(const test_fleet& fleet)
+        : m_fleet(fleet)
+    {
+    }
+
+    std::size_t held() const { return m_held.size(); }
+
+    void fetch(std::size_t index)
+    {
+        json held = json::array();
+        for (const int slot : m_held)
+            held.push_back({ slot, slot });
+        const http_reply reply = m_fleet.call(index, "POST", "/v1/batches/step-1/fetch",
+            { { "fetch", ++m_fetch }, { "version", weights }, { "held", held }, { "max", 64 }, { "wait_ms", 200 } });
+        m_lastReply = reply.body;
+        if (reply.status != 200 || !reply.isWhole)
+            return;
+        const json body = reply.json();
+        for (const json& sample : body["samples"])
+            take(sample);
+        m_isComplete = body["complete"] == true;
+    }
+
+    bool fetchAll(std::size_t index)
+    {
+        const bool hasAll = waitUntil([this, index] {
+            fetch(index);
+            return held() == samples;
+        });
+        UNSCOPED_INFO("last reply: " << m_lastReply);
+        return hasAll;
+    }
+
+    /// Whether the daemon says so as well.
+    bool isComplete(std::size_t index)
+    {
+        return waitUntil([this, index] {
+            fetch(index);
+            return m_isComplete;
+        });
+    }
+
+private:
+    void take(const json& sample)
+    {
+        CAPTURE(sample.dump());
+        CHECK(m_held.insert(sample["slot"].get<int>()).second);
+        CHECK(sample["group"] == sample["slot"].get<int>() / samplesPerGroup);
+        CHECK(sample["reward"].is_number());
+        REQUIRE(sample["token_ids"].size() == 12);
+        std::size_t position = 0;
+        for (const json& span : sample["spans"]) {
+            CHECK(span["begin"] == position);
+            CHECK(span["weights"] == json::array({ weights }));
+            position = span["end"];
+        }
+        CHECK(position == sample["token_ids"].size());
+    }
+
+    const test_fleet& m_fleet;
+    std::set<int> m_held;
+    int m_fetch = 0;
+    bool m_isComplete = false;
+    std::string m_lastReply;
+};
+
+std::string ownerVm(const test_fleet& fleet, std::size_t index)
+{
+    const json status = fleet.admin(index, "GET", "/status").json();
+    for (const json& batch : status.value("batches", json::array())) {
+        if (batch["batch"] == "step-1")
+            return batch["owner_vm"];
+    }
+    return {};
+}
+
+}
+
+TEST_CASE("A trainer fetches each sample of a batch exactly once, with its label")
+{
+    const test_fleet fleet(3);
+    fleet.putEntry("rollouts", rolloutsEntry());
+    const http_reply opened = openBatch(fleet, 0);
+    CAPTURE(opened.body);
+    REQUIRE(opened.status == 201);
+    CHECK(openBatch(fleet, 1).status == 200);
+    test_trainer trainer(fleet);
+    CHECK(trainer.fetchAll(1));
+    CHECK(trainer.isComplete(2));
+}
+
+TEST_CASE("A batch survives the death of its owner in mid-step")
+{
+    const test_fleet fleet(3, 100);
+    fleet.putEntry("rollouts", rolloutsEntry());
+    const http_reply opened = openBatch(fleet, 0);
+    CAPTURE(opened.body);
+    REQUIRE(opened.status == 201);
+    std::string owner;
+    REQUIRE(waitUntil([&] { return !(owner = ownerVm(fleet, 0)).empty(); }));
+    REQUIRE(waitUntil([&] { return fleet.standins().counters(EngineOne)["executions"] > 0 || fleet.standins().counters(EngineTwo)["executions"] > 0; }));
+    std::size_t survivor = fleet.size();
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        if (fleet.daemon(i).vm() == owner)
+            fleet.daemon(i).killAndWait();
+        else
+            survivor = i;
+    }
+    REQUIRE(survivor < fleet.size());
+    test_trainer trainer(fleet);
+    CHECK(trainer.fetchAll(survivor));
+    CHECK(trainer.isComplete(survivor));
+}
+
+TEST_CASE("A batch goes on while engines die under its streams and one comes back with other weights")
+{
+    const test_fleet fleet(2, 20);
+    fleet.putEntry("rollouts", rolloutsEntry());
+    REQUIRE(openBatch(fleet, 0).status == 201);
+    fleet.standins().fault({ { "die_mid_body", 5 } }, EngineOne);
+    fleet.standins().fault({ { "die_mid_body", 5 } }, EngineTwo);
+    test_trainer trainer(fleet);
+    CHECK(trainer.fetchAll(0));
+    CHECK(fleet.standins().counters(EngineOne)["events"].value("resume_mismatches", 0) == 0);
+    CHECK(fleet.standins().counters(EngineTwo)["events"].value("resume_mismatches", 0) == 0);
+}
--- /dev/null
+++ b/tests/auto/system/tst_calls.cpp
@@ -0,0 +1,120 @@
+#include "testfleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <future>
+
+using namespace ragwortreach::Tests;
+using nlohmann::json;
+
+namespace {
+
+const header_map orderHeaders = { { "X-Owner", "pitsinurk" }, { "Idempotency-Key", "order-1" } };
+const header_map callerHeaders = { { "X-Owner", "pitsinurk" } };
+
+http_reply placeOrder(const test_fleet& fleet, std::size_t index)
+{
+    return fleet.call(index, "POST", "/v1/services/orders/thread", { { "parcels", 1 } }, orderHeaders);
+}
+
+int runs(const test_fleet& fleet)
+{
+    return fleet.standins().counters(Shop)["executions"];
+}
+
+}
+
+TEST_CASE("A customer gets the whole answer at any daemon")
+{
+    const test_fleet fleet(3);
+    fleet.putEntry("shop", shopEntry(true));
+    fleet.putEntry("assistant", assistantEntry());
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        const http_reply page = fleet.call(i, "GET", "/v1/services/shop/patterns?kind=torchon", nullptr, callerHeaders);
+        CAPTURE(page.body);
+        CHECK(page.status == 200);
+        CHECK(page.isWhole);
+        CHECK(page.json()["path"] == "/patterns");
+        const http_reply stream = fleet.call(i, "POST", "/v1/completions", { { "model", "assistant" }, { "prompt", "ground" }, { "max_tokens", 8 }, { "seed", 3 }, { "stream", true } }, callerHeaders);
+        CAPTURE(stream.body);
+        CHECK(stream.status == 200);
+        CHECK(stream.isWhole);
+        CHECK(stream.isDone());
+        std::uint64_t position = 0;
+        for (const json& event : stream.events())
+            CHECK(event["choices"][0]["token_ids"] == json::array({ ragwortreach::StandIns::tokenAt("ground", 3, position++) }));
+        CHECK(position == 8);
+    }
+    CHECK(runs(fleet) == 3);
+}
+
+TEST_CASE("An upstream that dies in mid-body gives a broken answer, never a short one that looks whole")
+{
+    const test_fleet fleet(1);
+    fleet.putEntry("orders", shopEntry(false));
+    fleet.putEntry("assistant", assistantEntry());
+    fleet.standins().fault({ { "die_mid_body", 1 } }, Shop);
+    const http_reply order = placeOrder(fleet, 0);
+    CAPTURE(order.body);
+    CHECK_FALSE((order.status == 200 && order.isWhole));
+    CHECK(runs(fleet) == 1);
+    fleet.standins().fault({ { "die_mid_body", 1 } }, EngineOne);
+    fleet.standins().fault({ { "die_mid_body", 1 } }, EngineTwo);
+    const http_reply stream = fleet.call(0, "POST", "/v1/completions", { { "model", "assistant" }, { "prompt", "p" }, { "max_tokens", 8 }, { "stream", true } }, callerHeaders);
+    CAPTURE(stream.body);
+    CHECK((!stream.isWhole || stream.status != 200 || stream.events().size() == 8));
+}
+
+TEST_CASE("An order retried with its key at another daemon runs at most once")
+{
+    const test_fleet fleet(3);
+    fleet.putEntry("orders", shopEntry(false));
+    SECTION("After an answer that arrived")
+    {
+        CHECK(placeOrder(fleet, 0).status == 200);
+        placeOrder(fleet, 1);
+        placeOrder(fleet, 2);
+        CHECK(runs(fleet) == 1);
+    }
+    SECTION("After an upstream that ran it and died")
+    {
+        fleet.standins().fault({ { "die_before_answer", 1 } }, Shop);
+        const http_reply lost = placeOrder(fleet, 0);
+        CAPTURE(lost.body);
+        CHECK(lost.json()["run"] == "unknown");
+        CHECK(placeOrder(fleet, 1).json().value("run", "") != "no");
+        CHECK(runs(fleet) == 1);
+    }
+    SECTION("After a refusal that says it did not run, the retry runs it")
+    {
+        fleet.standins().fault({ { "refuse_unrun", true } }, Shop);
+        const http_reply refused = placeOrder(fleet, 0);
+        CAPTURE(refused.body);
+        CHECK(refused.json()["run"] == "no");
+        CHECK(runs(fleet) == 0);
+        fleet.standins().fault({ { "refuse_unrun", false } }, Shop);
+        CHECK(waitUntil([&fleet] { return placeOrder(fleet, 1).status == 200; }));
+        CHECK(runs(fleet) == 1);
+    }
+    SECTION("At three daemons at once")
+    {
+        fleet.standins().fault({ { "latency_ms", 100 } }, Shop);
+        std::vector<std::future<http_reply>> replies;
+        for (std::size_t i = 0; i < fleet.size(); ++i)
+            replies.push_back(std::async(std::launch::async, [&fleet, i] { return placeOrder(fleet, i); }));
+        for (std::future<http_reply>& reply : replies)
+            CHECK(reply.get().status != 0);
+        CHECK(runs(fleet) == 1);
+    }
+    SECTION("After the daemon died while it ran")
+    {
+        fleet.standins().fault({ { "latency_ms", 2000 } }, Shop);
+        std::future<http_reply> cut = std::async(std::launch::async, [&fleet] { return placeOrder(fleet, 0); });
+        REQUIRE(waitUntil([&fleet] { return runs(fleet) == 1; }));
+        fleet.daemon(0).killAndWait();
+        CHECK_FALSE(cut.get().isWhole);
+        placeOrder(fleet, 1);
+        placeOrder(fleet, 2);
+        CHECK(runs(fleet) == 1);
+    }
+}
--- a/tests/standins/enginestandin.cpp
+++ b/tests/standins/enginestandin.cpp
@@ -78,7 +78,7 @@
             else if (path == "/orders")
                 order(connection, body);
             else if (path == "/state")
-                connection->answer({ 200, { { "model", m_settings.at("model") }, { "weights", m_weights[0] }, { "loading", m_isLoading }, { "fencing", m_fencing }, { "role", m_role } } });
+                connection->answer({ 200, state() });
             else if (path == "/load")
                 connection->answer({ 200, load() });
             else if (path == "/cache_events")
@@ -299,6 +299,13 @@
             return newest;
         }
 
+        json state()
+        {
+            json state = load();
+            state.update({ { "model", m_settings.at("model") }, { "weights", m_weights[0] }, { "loading", m_isLoading }, { "fencing", m_fencing }, { "role", m_role } });
+            return state;
+        }
+
         json cacheEvents(std::uint64_t from)
         {
             const steady_clock::time_point visible = steady_clock::now() - controls().delay("/cache_lag_ms");
