Core: Keep the seed of a sample when its stream goes on elsewhere

A stream that was resumed drew from another seed, because the seed came from the attempt and each resumption is an attempt of its own. Engines whose draws follow the seed then go on with another sample in mid-text. The seed now stays with the tokens at hand; a fresh attempt still gets a new one.

--- a/src/libs/core/batchtracker.cpp
+++ b/src/libs/core/batchtracker.cpp
@@ -357,6 +357,12 @@
     return it == streams.end() ? nullptr : &*it;
 }
 
+std::uint64_t batch_tracker::streamSeed(std::uint32_t index, std::uint32_t attempt) const
+{
+    const std::array<std::uint64_t, 2> place { index, attempt };
+    return XXH3_64bits_withSeed(place.data(), sizeof(place), hashOf(m_spec.id, m_settings.seed));
+}
+
 void batch_tracker::startStream(std::uint32_t index, bool hedge)
 {
     slot_state& slot = m_slots[index];
@@ -367,6 +373,8 @@
     stream.draft.setStartedAt(hedge ? slot.streams.front().startedAt : m_now);
     stream.startedAt = m_now;
     stream.lastChunk = m_now;
+    if (stream.draft.tokens() == 0)
+        stream.draft.setSeed(streamSeed(index, stream.attempt));
 
     start_stream effect;
     effect.slot = index;
@@ -374,8 +382,7 @@
     effect.prompt = prompt;
     effect.resumeTokenIds = stream.draft.tokenIds();
     effect.maxTokens = m_spec.maxTokens - stream.draft.tokens();
-    const std::array<std::uint64_t, 2> place { index, stream.attempt };
-    effect.seed = XXH3_64bits_withSeed(place.data(), sizeof(place), hashOf(m_spec.id, m_settings.seed));
+    effect.seed = stream.draft.seed();
     effect.groupKey = hashOf(prompt, hashOf(m_spec.entry, 0));
     effect.hedge = hedge;
     m_effects.emplace_back(std::move(effect));
--- a/src/libs/core/batchtracker.h
+++ b/src/libs/core/batchtracker.h
@@ -77,6 +77,7 @@
     void noteVersion(const weight_version& version);
 
     stream_state* findStream(std::uint32_t slot, std::uint32_t attempt);
+    std::uint64_t streamSeed(std::uint32_t index, std::uint32_t attempt) const;
     void startStream(std::uint32_t index, bool hedge);
     void startStreams();
     void startStreams(bool suspended);
--- a/src/libs/core/sampledraft.h
+++ b/src/libs/core/sampledraft.h
@@ -34,6 +34,10 @@
 
     /// Start of the first stream that added to the draft.
     const std::optional<instant>& startedAt() const { return m_startedAt; }
+    /// Seed of the engine's draws. A stream that goes on with the tokens at hand keeps it.
+    std::uint64_t seed() const { return m_seed; }
+    void setSeed(std::uint64_t seed) { m_seed = seed; }
+
     void setStartedAt(instant startedAt);
 
 private:
@@ -47,6 +51,7 @@
     std::vector<chunk_end> m_chunkEnds;
     sample_label m_label;
     std::optional<instant> m_startedAt;
+    std::uint64_t m_seed = 0;
 };
 
 }
--- a/tests/bench/callbench.cpp
+++ b/tests/bench/callbench.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <exception>
 #include <string>
 #include <vector>
 
@@ -99,11 +100,8 @@
     std::vector<double> m_latencies;
 };
 
-}
-
-int main(int argc, char** argv)
+void runBench()
 {
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
     boost::asio::io_context context(1);
     call_path direct(context, FLAGS_direct, FLAGS_upstream_target);
     call_path through(context, FLAGS_through, FLAGS_target);
@@ -116,5 +114,18 @@
     direct.report("direct");
     through.report("through");
     std::printf("added    p50 %.3f ms  p99 %.3f ms\n", through.quantile(0.5) - direct.quantile(0.5), through.quantile(0.99) - direct.quantile(0.99));
-    return 0;
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    try {
+        gflags::ParseCommandLineFlags(&argc, &argv, true);
+        runBench();
+        return 0;
+    } catch (const std::exception& error) {
+        std::fprintf(stderr, "callbench: %s\n", error.what());
+        return 1;
+    }
 }
