--- a/src/libs/core/catalogueentry.cpp
+++ b/src/libs/core/catalogueentry.cpp
@@ -6,8 +6,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
-
 namespace ragwortreach {
 
 namespace {
@@ -31,6 +29,23 @@
         limits.queue = json.value("queue", limits.queue);
     }
 
+    staleness_bound readStaleness(const nlohmann::json& json)
+    {
+        staleness_bound bound;
+        bound.versions = json.at("versions");
+        if (json.contains("age_ms"))
+            bound.age = milliseconds(json.at("age_ms"));
+        return bound;
+    }
+
+    nlohmann::json stalenessToJson(const staleness_bound& bound)
+    {
+        nlohmann::json json { { "versions", bound.versions } };
+        if (bound.age)
+            json["age_ms"] = toMilliseconds(*bound.age);
+        return json;
+    }
+
     catalogue_entry readEntry(const nlohmann::json& json)
     {
         catalogue_entry entry;
@@ -44,10 +59,8 @@
             entry.due = milliseconds(json.at("due_ms"));
         if (json.contains("limits"))
             readLimits(json.at("limits"), entry.limits);
-        if (json.contains("staleness")) {
-            entry.staleness.versions = json.at("staleness").at("versions");
-            entry.staleness.age = milliseconds(json.at("staleness").at("age_ms"));
-        }
+        if (json.contains("staleness"))
+            entry.staleness = readStaleness(json.at("staleness"));
         entry.lookAhead = json.value("look_ahead", "fresh") == "busy" ? look_ahead::Busy : look_ahead::Fresh;
         entry.logOutage = json.value("log_outage", "refuse") == "run_once" ? log_outage::RunOnce : log_outage::Refuse;
         return entry;
@@ -60,7 +73,7 @@
         if (json.at("kind") != "model")
             return "kind is \"service\", expected \"model\" because class is \"training\"";
         if (!json.contains("staleness"))
-            return "staleness is missing, expected {\"versions\", \"age_ms\"} because class is \"training\"";
+            return "staleness is missing, expected an object with the key versions because class is \"training\"";
         return {};
     }
 
@@ -95,7 +108,7 @@
         { "due_ms", toMilliseconds(entry.due) },
         { "idempotent", entry.idempotent },
         { "limits", { { "requests_per_second", entry.limits.requestsPerSecond }, { "in_flight", entry.limits.inFlight }, { "queue", entry.limits.queue } } },
-        { "staleness", { { "versions", entry.staleness.versions }, { "age_ms", std::max<std::int64_t>(1, toMilliseconds(entry.staleness.age.value_or(duration::zero()))) } } },
+        { "staleness", stalenessToJson(entry.staleness) },
         { "look_ahead", entry.lookAhead == look_ahead::Busy ? "busy" : "fresh" },
         { "log_outage", entry.logOutage == log_outage::RunOnce ? "run_once" : "refuse" },
     };
--- a/src/libs/core/catalogueentry.h
+++ b/src/libs/core/catalogueentry.h
@@ -78,7 +78,7 @@
 /// Fails with EditInvalid; \a detail then names the key, its value and what was expected.
 std::error_code parseEntry(std::string_view text, catalogue_entry& entry, std::string& detail);
 
-/// Canonical JSON text of \a entry: every key is present, keys are sorted.
+/// Canonical JSON text of \a entry: keys are sorted, and only an unlimited staleness age is left out.
 std::string toJson(const catalogue_entry& entry);
 
 /// Whether \a name can name an entry: 1 to 64 letters, digits, '.', '_' and '-'.
--- a/src/libs/core/catalogueschema.cpp
+++ b/src/libs/core/catalogueschema.cpp
@@ -30,7 +30,7 @@
         "staleness": {
             "type": "object",
             "additionalProperties": false,
-            "required": ["versions", "age_ms"],
+            "required": ["versions"],
             "properties": {
                 "versions": { "type": "integer", "minimum": 0, "maximum": 1000000 },
                 "age_ms": { "type": "integer", "minimum": 1, "maximum": 86400000 }
--- a/src/libs/core/cataloguesnapshot.cpp
+++ b/src/libs/core/cataloguesnapshot.cpp
@@ -4,6 +4,7 @@
 #include "cataloguestatecodec.h"
 
 #include <nlohmann/json.hpp>
+#include <xxhash.h>
 
 #include <algorithm>
 #include <charconv>
@@ -32,6 +33,11 @@
         return result.ec == std::errc() && result.ptr == end;
     }
 
+    std::uint64_t hashOf(const std::string& state)
+    {
+        return XXH3_64bits(state.data(), state.size());
+    }
+
     bool coversMore(const catalogue_snapshot& left, const catalogue_snapshot& right)
     {
         return left.covered > right.covered;
@@ -41,7 +47,9 @@
 
 catalogue_snapshot makeSnapshot(const catalogue_fold& fold)
 {
-    return { fold.position(), fold.hash(), catalogue_state_codec::encode(fold) };
+    catalogue_snapshot snapshot { fold.position(), 0, catalogue_state_codec::encode(fold) };
+    snapshot.hash = hashOf(snapshot.state);
+    return snapshot;
 }
 
 std::string encodeSnapshot(const catalogue_snapshot& snapshot)
@@ -76,10 +84,10 @@
 {
     if (snapshot.covered <= fold.position())
         return restore_result::Behind;
-    catalogue_fold restored;
-    if (!catalogue_state_codec::decode(snapshot.state, restored))
+    if (hashOf(snapshot.state) != snapshot.hash)
         return restore_result::Corrupt;
-    if (restored.position() != snapshot.covered || restored.hash() != snapshot.hash)
+    catalogue_fold restored;
+    if (!catalogue_state_codec::decode(snapshot.state, restored) || restored.position() != snapshot.covered)
         return restore_result::Corrupt;
     fold = std::move(restored);
     return restore_result::Restored;
--- a/src/libs/core/cataloguesnapshot.h
+++ b/src/libs/core/cataloguesnapshot.h
@@ -16,9 +16,9 @@
 struct catalogue_snapshot {
     /// All records below this offset are part of the state.
     std::uint64_t covered = 0;
-    /// catalogue_fold::hash() of the state.
+    /// XXH3 of the text of the state.
     std::uint64_t hash = 0;
-    /// JSON text of the state.
+    /// JSON text of the state, with sorted keys and without blanks.
     std::string state;
 
     bool operator==(const catalogue_snapshot&) const = default;
--- a/src/libs/core/cataloguestatecodec.cpp
+++ b/src/libs/core/cataloguestatecodec.cpp
@@ -176,12 +176,12 @@
 
 std::string catalogue_state_codec::encode(const catalogue_fold& fold)
 {
-    return parts::encode(fold, detail_level::Whole).dump();
+    return parts::encode(fold, detail_level::Whole).dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 std::string catalogue_state_codec::canonical(const catalogue_fold& fold)
 {
-    return parts::encode(fold, detail_level::Canonical).dump();
+    return parts::encode(fold, detail_level::Canonical).dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 bool catalogue_state_codec::decode(std::string_view text, catalogue_fold& fold)
--- a/src/libs/core/claimrecord.cpp
+++ b/src/libs/core/claimrecord.cpp
@@ -29,7 +29,7 @@
 
     std::string textOf(const json& source, const char* key, std::size_t maxLength)
     {
-        const std::string text = source.at(key);
+        std::string text = source.at(key);
         if (text.size() > maxLength)
             throw std::length_error(key);
         return text;
--- a/src/libs/core/schemacheck.cpp
+++ b/src/libs/core/schemacheck.cpp
@@ -7,6 +7,8 @@
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
 
+#include <optional>
+
 namespace ragwortreach {
 
 namespace {
@@ -23,15 +25,25 @@
         return key;
     }
 
+    bool isContinuationByte(char byte)
+    {
+        constexpr unsigned char mask = 0xc0;
+        constexpr unsigned char continuation = 0x80;
+        return (static_cast<unsigned char>(byte) & mask) == continuation;
+    }
+
     std::string shown(const rapidjson::Value& value)
     {
         rapidjson::StringBuffer buffer;
         rapidjson::Writer<rapidjson::StringBuffer> writer(buffer);
         value.Accept(writer);
         std::string text(buffer.GetString(), buffer.GetSize());
-        if (text.size() > maxShownValueLength)
-            text = text.substr(0, maxShownValueLength) + "...";
-        return text;
+        if (text.size() <= maxShownValueLength)
+            return text;
+        std::size_t length = maxShownValueLength;
+        while (length > 0 && isContinuationByte(text[length]))
+            --length;
+        return text.substr(0, length) + "...";
     }
 
     std::string memberKey(const std::string& parent, const rapidjson::Value& name)
@@ -45,11 +57,7 @@
         std::string known;
         for (rapidjson::Value::ConstMemberIterator it = properties.MemberBegin(); it != properties.MemberEnd(); ++it)
             known += (known.empty() ? "" : ", ") + std::string(it->name.GetString());
-        for (rapidjson::Value::ConstMemberIterator it = value.MemberBegin(); it != value.MemberEnd(); ++it) {
-            if (!properties.HasMember(it->name))
-                return memberKey(key, it->name) + " is " + shown(it->value) + ", but this key is not known; expected one of: " + known;
-        }
-        return key + " has an unknown key; expected one of: " + known;
+        return key + " is " + shown(value) + ", but this key is not known; expected one of: " + known;
     }
 
     std::string describeMissingKey(const std::string& key, const rapidjson::Value& value, const rapidjson::Value& schema)
@@ -81,20 +89,13 @@
 
 struct schema_check::compiled_schema {
     explicit compiled_schema(std::string_view text)
-        : source(parse(text))
-        , document(source)
-    {
-    }
-
-    static rapidjson::Document parse(std::string_view text)
     {
-        rapidjson::Document source;
         source.Parse(text.data(), text.size());
-        return source;
+        document.emplace(source);
     }
 
     rapidjson::Document source;
-    rapidjson::SchemaDocument document;
+    std::optional<rapidjson::SchemaDocument> document;
 };
 
 schema_check::schema_check(std::string_view schema)
@@ -112,7 +113,7 @@
         return "the text is not JSON at byte " + std::to_string(document.GetErrorOffset()) + ": "
             + rapidjson::GetParseError_En(document.GetParseError());
     }
-    rapidjson::SchemaValidator validator(m_schema->document);
+    rapidjson::SchemaValidator validator(*m_schema->document);
     if (document.Accept(validator))
         return {};
     return describe(m_schema->source, document, validator);
--- /dev/null
+++ b/tests/auto/core/catalogueworkload.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "pick.h"
+
+#include <core/catalogueedit.h>
+#include <core/logrecord.h>
+
+#include <rapidcheck.h>
+
+#include <string>
+#include <vector>
+
+namespace ragwortreach {
+
+inline catalogue_entry sampleEntry(const std::string& upstream)
+{
+    catalogue_entry entry;
+    entry.owner = "pitsinurk";
+    entry.upstream = upstream;
+    return entry;
+}
+
+inline log_record editRecord(std::uint64_t offset, const std::string& id, const std::string& entry, std::uint64_t replaces, bool isDeletion = false)
+{
+    catalogue_edit edit { entry, replaces, "mart", std::nullopt };
+    if (!isDeletion)
+        edit.body = sampleEntry(id);
+    return { offset, id, toJson(edit) };
+}
+
+/// Record at the end of \a log: mostly an edit that may win, now and then a repetition or a malformed one.
+inline log_record arbitraryRecord(const std::vector<log_record>& log)
+{
+    const std::uint64_t offset = log.size();
+    const int kind = pick(12);
+    if (kind == 0)
+        return { offset, "r" + std::to_string(offset), *rc::gen::element<std::string>("", "{}", "nonsense", R"({"schema":2,"entry":"a"})") };
+    if (kind <= 2 && !log.empty()) {
+        log_record repeated = log[pick(log.size())];
+        repeated.offset = offset;
+        return repeated;
+    }
+    const std::string entry = *rc::gen::element<std::string>("a", "b");
+    return editRecord(offset, "r" + std::to_string(offset), entry, pick<std::uint64_t>(4), kind > 8);
+}
+
+}
--- /dev/null
+++ b/tests/auto/core/tst_cataloguereader.cpp
@@ -0,0 +1,215 @@
+#include "catalogueworkload.h"
+
+#include <core/cataloguereader.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <span>
+
+using namespace ragwortreach;
+
+namespace {
+
+constexpr std::size_t readBatch = 5;
+
+/// Log service with outages, retention and lost replies, and daemons that read it.
+class fake_fleet {
+public:
+    explicit fake_fleet(std::size_t size)
+        : m_readers(size)
+        , m_pending(size)
+        , m_lastPositions(size)
+    {
+        for (std::size_t i = 0; i < size; ++i)
+            m_readers[i].setWriter(true);
+    }
+
+    void append()
+    {
+        m_log.push_back(arbitraryRecord(m_log));
+        m_prefix.apply(m_log.back());
+        m_hashes.push_back(m_prefix.hash());
+    }
+
+    void setDown(bool isDown) { m_isDown = isDown; }
+    void setCutOff(std::size_t reader, bool isCutOff) { m_cutOff = isCutOff ? reader : m_readers.size(); }
+
+    /// Retention only drops what some snapshot in the log covers.
+    void expire()
+    {
+        m_firstRetained = std::max(m_firstRetained, m_covered);
+    }
+
+    void restart(std::size_t reader)
+    {
+        m_readers[reader] = catalogue_reader();
+        m_readers[reader].setWriter(pick(2) == 0);
+        m_pending[reader].clear();
+        m_lastPositions[reader] = 0;
+    }
+
+    void tick(std::size_t reader, duration elapsed)
+    {
+        m_now += elapsed;
+        handle(reader, catalogue_events::tick {});
+    }
+
+    void loseReply(std::size_t reader)
+    {
+        if (!m_pending[reader].empty())
+            m_pending[reader].erase(m_pending[reader].begin());
+    }
+
+    void deliver(std::size_t reader)
+    {
+        if (m_pending[reader].empty())
+            return;
+        const std::vector<catalogue_effect>::iterator it = m_pending[reader].begin() + pick(std::ssize(m_pending[reader]));
+        const catalogue_effect effect = *it;
+        m_pending[reader].erase(it);
+        perform(reader, effect);
+    }
+
+    bool isCurrent(std::size_t reader) const { return m_readers[reader].isReady() && m_readers[reader].fold().position() == m_log.size(); }
+    std::size_t size() const { return m_readers.size(); }
+
+private:
+    void handle(std::size_t reader, const catalogue_event& event)
+    {
+        for (const catalogue_effect& effect : m_readers[reader].handle(event, m_now))
+            m_pending[reader].push_back(effect);
+        const catalogue_fold& fold = m_readers[reader].fold();
+        RC_ASSERT(fold.gaps() == 0U);
+        RC_ASSERT(fold.position() >= m_lastPositions[reader]);
+        if (fold.position() != m_lastPositions[reader])
+            RC_ASSERT(fold.hash() == m_hashes[fold.position()]);
+        m_lastPositions[reader] = fold.position();
+    }
+
+    void perform(std::size_t reader, const catalogue_effect& effect)
+    {
+        const bool isReachable = !m_isDown && reader != m_cutOff;
+        if (const catalogue_effects::read_log* read = std::get_if<catalogue_effects::read_log>(&effect))
+            return isReachable ? readLog(reader, read->from) : handle(reader, catalogue_events::log_unavailable {});
+        if (std::holds_alternative<catalogue_effects::read_snapshots>(effect)) {
+            if (!isReachable)
+                return handle(reader, catalogue_events::log_unavailable {});
+            return handle(reader, catalogue_events::snapshots_received { m_snapshots });
+        }
+        if (const catalogue_effects::ask_peer* ask = std::get_if<catalogue_effects::ask_peer>(&effect))
+            return askPeer(reader, ask->from);
+        const catalogue_effects::write_snapshot* write = std::get_if<catalogue_effects::write_snapshot>(&effect);
+        if (write == nullptr || !isReachable)
+            return;
+        m_snapshots.push_back(write->text);
+        m_covered = std::max(m_covered, write->covered);
+    }
+
+    void readLog(std::size_t reader, std::uint64_t from)
+    {
+        if (from < m_firstRetained)
+            return handle(reader, catalogue_events::log_truncated { m_firstRetained, m_log.size() });
+        catalogue_events::log_records_received answer;
+        answer.end = m_log.size();
+        answer.next = std::min<std::uint64_t>(from + readBatch, answer.end);
+        answer.records = slice(from, answer.next);
+        handle(reader, answer);
+    }
+
+    std::vector<log_record> slice(std::uint64_t begin, std::uint64_t end) const
+    {
+        const std::span<const log_record> records = std::span(m_log).subspan(begin, end - begin);
+        return { records.begin(), records.end() };
+    }
+
+    void askPeer(std::size_t reader, std::uint64_t from)
+    {
+        const std::size_t peer = pick(m_readers.size());
+        const std::uint64_t end = m_readers[peer].fold().position();
+        if (pick(2) == 0) {
+            const std::optional<std::string> text = m_readers[peer].snapshotFor(from);
+            return handle(reader, catalogue_events::snapshots_received { text ? std::vector<std::string> { *text } : std::vector<std::string>(), true });
+        }
+        catalogue_events::peer_records_received answer;
+        const std::uint64_t begin = std::min(end, from + pick<std::uint64_t>(2));
+        answer.records = slice(begin, end);
+        handle(reader, answer);
+    }
+
+    std::vector<log_record> m_log;
+    catalogue_fold m_prefix;
+    std::vector<std::uint64_t> m_hashes { catalogue_fold().hash() };
+    std::vector<catalogue_reader> m_readers;
+    std::vector<std::vector<catalogue_effect>> m_pending;
+    std::vector<std::uint64_t> m_lastPositions;
+    std::vector<std::string> m_snapshots;
+    std::uint64_t m_covered = 0;
+    std::uint64_t m_firstRetained = 0;
+    std::size_t m_cutOff = 1000;
+    bool m_isDown = false;
+    instant m_now;
+};
+
+void step(fake_fleet& fleet)
+{
+    const std::size_t reader = pick(fleet.size());
+    const int kind = pick(20);
+    if (kind == 0)
+        return fleet.setDown(pick(2) == 0);
+    if (kind == 1)
+        return fleet.restart(reader);
+    if (kind == 2)
+        return fleet.expire();
+    if (kind == 3)
+        return fleet.setCutOff(reader, pick(2) == 0);
+    if (kind == 4)
+        return fleet.loseReply(reader);
+    if (kind <= 8)
+        return fleet.append();
+    if (kind <= 11)
+        return fleet.tick(reader, *rc::gen::element<duration>(std::chrono::milliseconds(50), std::chrono::seconds(3), std::chrono::minutes(11)));
+    fleet.deliver(reader);
+}
+
+}
+
+TEST_CASE("Readers agree under outages, restarts, retention, lost replies and stale snapshots")
+{
+    REQUIRE(rc::check([] {
+        fake_fleet fleet(3);
+        for (int i = 0; i < 300; ++i)
+            step(fleet);
+        fleet.setDown(false);
+        fleet.setCutOff(0, false);
+        for (int round = 0; round < 100; ++round) {
+            for (std::size_t reader = 0; reader < fleet.size(); ++reader) {
+                fleet.tick(reader, catalogue_reader::retryPeriod);
+                fleet.deliver(reader);
+                fleet.deliver(reader);
+            }
+        }
+        for (std::size_t reader = 0; reader < fleet.size(); ++reader)
+            RC_ASSERT(fleet.isCurrent(reader));
+    }));
+}
+
+TEST_CASE("A gap that neither snapshots nor peers can fill is passed and counted")
+{
+    catalogue_reader reader;
+    instant now;
+    reader.handle(catalogue_events::snapshots_received {}, now);
+    reader.handle(catalogue_events::log_truncated { 40, 90 }, now);
+    reader.handle(catalogue_events::snapshots_received {}, now);
+    now += catalogue_reader::gapPatience - duration(1);
+    reader.handle(catalogue_events::tick {}, now);
+    CHECK(reader.fold().position() == 0);
+    reader.handle(catalogue_events::snapshots_received {}, now);
+    const std::vector<catalogue_effect> effects = reader.handle(catalogue_events::tick {}, now + duration(1));
+    CHECK(reader.fold().position() == 40);
+    CHECK(reader.fold().gaps() == 1);
+    CHECK_FALSE(reader.isReady());
+    REQUIRE(effects.size() == 1);
+    CHECK(effects.front() == catalogue_effect(catalogue_effects::read_log { 40 }));
+}
