Core: Let lost claims block a key, and prove claims and orders

Lost claims stand until they are withdrawn or old, where only the winner of a key stood before, its age renewed by each record of the key. The property test of readers that begin at different offsets found two claims of one key that both won 12 records apart at most (94 cases): one reader still held an older claim that was withdrawn later, another had begun after it. A call that lost now withdraws its claim.

Orders are driven at three daemons with one log and an upstream that counts, under outages, lost replies, late appends, restarts and keys that are used twice.

--- a/src/libs/core/claimfold.cpp
+++ b/src/libs/core/claimfold.cpp
@@ -1,5 +1,6 @@
 #include "claimfold.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace ragwortreach {
@@ -14,6 +15,18 @@
         return joined;
     }
 
+    claim_refusal refusalBy(const standing_claim& holder, const key_claim& claim)
+    {
+        if (holder.claim.bodyHash != claim.bodyHash)
+            return { result_code::KeyConflict, {} };
+        if (!holder.finish)
+            return { result_code::KeyInUse, {} };
+        if (holder.finish->code != result_code::Ok)
+            return { result_code::OutcomeUnknown, {} };
+        const recorded_answer& answer = holder.finish->answer;
+        return { answer.isBodyKept ? result_code::Ok : result_code::AlreadyRan, answer };
+    }
+
 }
 
 struct claim_fold::record_applier {
@@ -68,28 +81,25 @@
 
 void claim_fold::applyClaim(const log_record& record, const key_claim& claim)
 {
-    const std::string key = keyOf(claim.entry, claim.key);
-    touch(key, record.id, record.offset);
     claim_note& note = m_notes[record.id];
     note.offset = record.offset;
-    if (note.state != claim_state::Unseen)
+    note.key = keyOf(claim.entry, claim.key);
+    m_aging.push_back({ record.offset, note.key, record.id });
+    if (note.state == claim_state::Voided)
         return;
-    const standing_claim candidate { record.id, claim, record.offset, std::nullopt };
-    const bool isFree = m_standing.try_emplace(key, candidate).second;
-    note.state = isFree ? claim_state::Won : claim_state::Lost;
-    if (isFree)
-        note.key = key;
+    if (note.state == claim_state::Unseen)
+        note.state = m_standing.contains(note.key) ? claim_state::Lost : claim_state::Won;
+    stand(note.key, record.id, claim, record.offset);
 }
 
 void claim_fold::applyFinish(const log_record& record, const claim_finish& finish)
 {
     const std::string key = keyOf(finish.claim.entry, finish.claim.key);
-    touch(key, finish.claimId, record.offset);
-    const standing_claim candidate { finish.claimId, finish.claim, record.offset, std::nullopt };
-    standing_claim& standing = m_standing.try_emplace(key, candidate).first->second;
-    if (standing.claimId != finish.claimId || standing.finish)
+    m_aging.push_back({ record.offset, key, finish.claimId });
+    standing_claim& claim = stand(key, finish.claimId, finish.claim, record.offset);
+    if (claim.finish)
         return;
-    standing.finish = finish;
+    claim.finish = finish;
     m_answerBytes += finish.answer.body.size();
     m_answers.push_back({ record.offset, key, finish.claimId });
     limitAnswers();
@@ -99,31 +109,51 @@
 {
     claim_note& note = m_notes[withdrawal.claimId];
     note.offset = record.offset;
-    m_aging.push_back({ record.offset, {}, withdrawal.claimId });
-    const std::unordered_map<std::string, standing_claim>::const_iterator it = m_standing.find(note.key);
-    const bool isStanding = it != m_standing.end() && it->second.claimId == withdrawal.claimId;
-    if (isStanding && it->second.finish)
+    m_aging.push_back({ record.offset, note.key, withdrawal.claimId });
+    const standing_claim* claim = find(note.key, withdrawal.claimId);
+    if (claim != nullptr && claim->finish)
         return;
-    if (isStanding)
-        m_standing.erase(it);
     note.state = claim_state::Voided;
-    note.key.clear();
+    erase(note.key, withdrawal.claimId);
+}
+
+standing_claim& claim_fold::stand(const std::string& key, const std::string& claimId, const key_claim& claim, std::uint64_t offset)
+{
+    standing_claim* known = find(key, claimId);
+    if (known == nullptr)
+        known = &m_standing[key].emplace_back(standing_claim { claimId, claim, offset, std::nullopt });
+    known->lastOffset = offset;
+    return *known;
 }
 
-void claim_fold::touch(const std::string& key, const std::string& claimId, std::uint64_t offset)
+standing_claim* claim_fold::find(const std::string& key, const std::string& claimId)
 {
-    m_aging.push_back({ offset, key, claimId });
-    const std::unordered_map<std::string, standing_claim>::iterator it = m_standing.find(key);
-    if (it != m_standing.end())
-        it->second.lastOffset = offset;
+    const std::unordered_map<std::string, std::vector<standing_claim>>::iterator it = m_standing.find(key);
+    if (it == m_standing.end())
+        return nullptr;
+    const std::vector<standing_claim>::iterator claim = std::find_if(it->second.begin(), it->second.end(),
+        [&claimId](const standing_claim& candidate) { return candidate.claimId == claimId; });
+    return claim == it->second.end() ? nullptr : &*claim;
+}
+
+void claim_fold::erase(const std::string& key, const std::string& claimId)
+{
+    standing_claim* claim = find(key, claimId);
+    if (claim == nullptr)
+        return;
+    dropAnswer(*claim);
+    std::vector<standing_claim>& claims = m_standing.at(key);
+    std::erase_if(claims, [&claimId](const standing_claim& candidate) { return candidate.claimId == claimId; });
+    if (claims.empty())
+        m_standing.erase(key);
 }
 
 void claim_fold::limitAnswers()
 {
     while (m_answerBytes > m_maxBytes && !m_answers.empty()) {
-        const std::unordered_map<std::string, standing_claim>::iterator it = m_standing.find(m_answers.front().key);
-        if (it != m_standing.end() && it->second.claimId == m_answers.front().claimId)
-            dropAnswer(it->second);
+        standing_claim* claim = find(m_answers.front().key, m_answers.front().claimId);
+        if (claim != nullptr)
+            dropAnswer(*claim);
         m_answers.pop_front();
     }
 }
@@ -137,21 +167,14 @@
     claim.finish->answer.isBodyKept = false;
 }
 
-void claim_fold::erase(const std::string& key)
-{
-    const std::unordered_map<std::string, standing_claim>::iterator it = m_standing.find(key);
-    dropAnswer(it->second);
-    m_standing.erase(it);
-}
-
 void claim_fold::forgetOld()
 {
     while (!m_aging.empty() && m_aging.front().offset + m_maxAge < m_position) {
         const aging_item item = std::move(m_aging.front());
         m_aging.pop_front();
-        const std::unordered_map<std::string, standing_claim>::const_iterator it = m_standing.find(item.key);
-        if (it != m_standing.end() && it->second.lastOffset == item.offset)
-            erase(item.key);
+        const standing_claim* claim = find(item.key, item.claimId);
+        if (claim != nullptr && claim->lastOffset == item.offset)
+            erase(item.key, item.claimId);
         const std::unordered_map<std::string, claim_note>::const_iterator note = m_notes.find(item.claimId);
         if (note != m_notes.end() && note->second.offset == item.offset)
             m_notes.erase(note);
@@ -168,23 +191,24 @@
 
 const standing_claim* claim_fold::standing(std::string_view entry, std::string_view key) const
 {
-    const std::unordered_map<std::string, standing_claim>::const_iterator it = m_standing.find(keyOf(entry, key));
-    return it == m_standing.end() ? nullptr : &it->second;
+    const std::unordered_map<std::string, std::vector<standing_claim>>::const_iterator it = m_standing.find(keyOf(entry, key));
+    return it == m_standing.end() ? nullptr : &it->second.front();
 }
 
 std::optional<claim_refusal> claim_fold::refusal(const key_claim& claim, std::string_view claimId) const
 {
-    const standing_claim* holder = standing(claim.entry, claim.key);
-    if (holder == nullptr || holder->claimId == claimId)
+    const std::unordered_map<std::string, std::vector<standing_claim>>::const_iterator it = m_standing.find(keyOf(claim.entry, claim.key));
+    if (it == m_standing.end() || state(claimId) == claim_state::Won)
+        return std::nullopt;
+    const standing_claim* holder = nullptr;
+    for (const standing_claim& candidate : it->second) {
+        const bool isOther = candidate.claimId != claimId;
+        if (isOther && (holder == nullptr || (candidate.finish && !holder->finish)))
+            holder = &candidate;
+    }
+    if (holder == nullptr)
         return std::nullopt;
-    if (holder->claim.bodyHash != claim.bodyHash)
-        return claim_refusal { result_code::KeyConflict, {} };
-    if (!holder->finish)
-        return claim_refusal { result_code::KeyInUse, {} };
-    if (holder->finish->code != result_code::Ok)
-        return claim_refusal { result_code::OutcomeUnknown, {} };
-    const recorded_answer& answer = holder->finish->answer;
-    return claim_refusal { answer.isBodyKept ? result_code::Ok : result_code::AlreadyRan, answer };
+    return refusalBy(*holder, claim);
 }
 
 }
--- a/src/libs/core/claimfold.h
+++ b/src/libs/core/claimfold.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace ragwortreach {
 
@@ -24,11 +25,11 @@
     Voided,
 };
 
-/// Claim that holds its key.
+/// Claim that holds its key, or would hold it if it had come earlier.
 struct standing_claim {
     std::string claimId;
     key_claim claim;
-    /// Offset of the last record that named the key.
+    /// Offset of the last record of this claim.
     std::uint64_t lastOffset = 0;
     /// Outcome, once it is in the log.
     std::optional<claim_finish> finish;
@@ -41,15 +42,16 @@
     recorded_answer answer;
 };
 
-/// Deterministic fold of the stream `claims`: the first claim of a key of an entry, in log order, holds it.
+/// Fold of the stream `claims`: a claim wins when no other claim of the same key of an entry stands.
 ///
-/// A claim is lost when another one of the same key stands. A void record of its own writer releases a claim,
-/// also one that only comes later in the log.
+/// A claim stands, won or lost, until its writer withdraws it or until it is \c maxClaimAge records old.
+/// Lost claims have to stand as well: a reader that began later may have seen one of them win. The withdrawal
+/// also counts for a claim that only comes later in the log.
 ///
-/// The fold forgets a key after \c maxClaimAge records that do not name it. Two calls with one key both run
-/// only when there are so many records between them, or when the retention of the log is shorter than that.
-/// A reader may therefore act on its own claims only when it has read the last \c maxClaimAge records,
-/// see isComplete().
+/// Two calls with one key both run only when there are \c maxClaimAge records between them, or when the
+/// retention of the log is shorter than that. A reader may act on the claims that it appends once it has read
+/// as many records, see isComplete(). Readers that began at different offsets may disagree on a claim, but
+/// never so that two claims within that distance win.
 class claim_fold {
 public:
     static constexpr std::uint64_t maxClaimAge = 262144;
@@ -72,7 +74,7 @@
     void apply(const log_record& record);
 
     claim_state state(std::string_view claimId) const;
-    /// Claim that holds \a key of \a entry; nullptr when it is free.
+    /// Oldest claim of \a key of \a entry that stands; nullptr when it is free.
     const standing_claim* standing(std::string_view entry, std::string_view key) const;
     /// Why \a claim, written under \a claimId, may not run; none when its key is free or its own.
     std::optional<claim_refusal> refusal(const key_claim& claim, std::string_view claimId) const;
@@ -83,7 +85,7 @@
     bool isComplete() const;
     std::uint64_t gaps() const { return m_gaps; }
     std::uint64_t skippedRecords() const { return m_skippedRecords; }
-    /// Keys that are held.
+    /// Keys with claims that stand.
     std::size_t size() const { return m_standing.size(); }
 
 private:
@@ -92,10 +94,10 @@
     struct claim_note {
         claim_state state = claim_state::Unseen;
         std::uint64_t offset = 0;
-        /// Key that the claim won; empty otherwise.
+        /// Key of the claim; empty while only its withdrawal is known.
         std::string key;
     };
-    /// Key and claim id that a record named, to be forgotten if no later record does.
+    /// Claim that a record named, to be forgotten if no later record does.
     struct aging_item {
         std::uint64_t offset = 0;
         std::string key;
@@ -105,10 +107,11 @@
     void applyClaim(const log_record& record, const key_claim& claim);
     void applyFinish(const log_record& record, const claim_finish& finish);
     void applyVoid(const log_record& record, const claim_void& withdrawal);
-    void touch(const std::string& key, const std::string& claimId, std::uint64_t offset);
+    standing_claim& stand(const std::string& key, const std::string& claimId, const key_claim& claim, std::uint64_t offset);
+    standing_claim* find(const std::string& key, const std::string& claimId);
+    void erase(const std::string& key, const std::string& claimId);
     void limitAnswers();
     void dropAnswer(standing_claim& claim);
-    void erase(const std::string& key);
     void forgetOld();
 
     std::uint64_t m_maxAge;
@@ -119,7 +122,7 @@
     std::uint64_t m_gaps = 0;
     std::uint64_t m_skippedRecords = 0;
     std::size_t m_answerBytes = 0;
-    std::unordered_map<std::string, standing_claim> m_standing;
+    std::unordered_map<std::string, std::vector<standing_claim>> m_standing;
     std::unordered_map<std::string, claim_note> m_notes;
     std::deque<aging_item> m_aging;
     std::deque<aging_item> m_answers;
--- a/src/libs/core/ordercall.cpp
+++ b/src/libs/core/ordercall.cpp
@@ -151,8 +151,7 @@
 
 void order_call::recordVoid()
 {
-    const claim_state state = m_fold.state(m_settings.claimId);
-    if (!mayBeAppended() || state == claim_state::Lost || state == claim_state::Voided)
+    if (!mayBeAppended() || m_fold.state(m_settings.claimId) == claim_state::Voided)
         return finish();
     startRecording("-void", claim_void { m_settings.claimId });
 }
--- /dev/null
+++ b/tests/auto/core/tst_claimfold.cpp
@@ -0,0 +1,186 @@
+#include "pick.h"
+
+#include <core/claimfold.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <vector>
+
+using namespace ragwortreach;
+
+namespace {
+
+constexpr std::uint64_t shortAge = 12;
+
+key_claim claimOf(const std::string& key, const std::string& bodyHash = "h")
+{
+    return { "bobbin-shop", key, bodyHash, "entry-a1", 1 };
+}
+
+log_record recordOf(std::uint64_t offset, const std::string& id, const claim_record& record)
+{
+    return { offset, id, toJson(record) };
+}
+
+struct logged_claim {
+    std::string id;
+    std::string key;
+    std::uint64_t offset = 0;
+};
+
+log_record arbitraryRecord(std::uint64_t offset, std::vector<logged_claim>& claims)
+{
+    const int kind = pick(10);
+    const std::string id = "r" + std::to_string(offset);
+    if (kind == 0)
+        return { offset, id, "nonsense" };
+    if (kind >= 4 || claims.empty()) {
+        const logged_claim* repeated = kind == 4 && !claims.empty() ? &claims[pick(claims.size())] : nullptr;
+        const logged_claim claim = repeated != nullptr ? *repeated : logged_claim { "c" + std::to_string(offset), pick(2) == 0 ? "a" : "b" };
+        claims.push_back({ claim.id, claim.key, offset });
+        return recordOf(offset, claim.id, claimOf(claim.key));
+    }
+    const logged_claim& target = claims[pick(claims.size())];
+    if (kind == 1)
+        return recordOf(offset, id, claim_void { target.id });
+    return recordOf(offset, id, claim_finish { target.id, claimOf(target.key), result_code::Ok, { 200, "text/plain", target.id, true } });
+}
+
+/// Claims of \a key that stand, found by scanning the whole log, in log order.
+std::vector<std::string> naiveClaims(const std::vector<log_record>& log, const std::string& key)
+{
+    std::vector<std::string> claims;
+    std::set<std::string> finished;
+    std::set<std::string> voided;
+    for (const log_record& record : log) {
+        const std::optional<claim_record> parsed = parseClaimRecord(record.data);
+        const claim_void* withdrawal = parsed ? std::get_if<claim_void>(&*parsed) : nullptr;
+        const key_claim* claim = parsed ? std::get_if<key_claim>(&*parsed) : nullptr;
+        const claim_finish* finish = parsed ? std::get_if<claim_finish>(&*parsed) : nullptr;
+        if (withdrawal != nullptr && !finished.contains(withdrawal->claimId)) {
+            voided.insert(withdrawal->claimId);
+            std::erase(claims, withdrawal->claimId);
+        }
+        if (claim != nullptr && claim->key == key && !voided.contains(record.id) && std::count(claims.begin(), claims.end(), record.id) == 0)
+            claims.push_back(record.id);
+        if (finish == nullptr || finish->claim.key != key)
+            continue;
+        finished.insert(finish->claimId);
+        if (std::count(claims.begin(), claims.end(), finish->claimId) == 0)
+            claims.push_back(finish->claimId);
+    }
+    return claims;
+}
+
+}
+
+TEST_CASE("A claim wins when a scan of the whole log finds no other one that stands")
+{
+    REQUIRE(rc::check([] {
+        claim_fold fold;
+        std::vector<log_record> log;
+        std::vector<logged_claim> claims;
+        while (log.size() < 40) {
+            const log_record record = arbitraryRecord(log.size(), claims);
+            const bool isNew = fold.state(record.id) == claim_state::Unseen;
+            const std::optional<claim_record> parsed = parseClaimRecord(record.data);
+            const key_claim* claim = parsed ? std::get_if<key_claim>(&*parsed) : nullptr;
+            const bool isFree = claim != nullptr && naiveClaims(log, claim->key).empty();
+            fold.apply(record);
+            log.push_back(record);
+            if (claim != nullptr && isNew)
+                RC_ASSERT((fold.state(record.id) == claim_state::Won) == isFree);
+            for (const char* key : { "a", "b" }) {
+                const std::vector<std::string> standing = naiveClaims(log, key);
+                const standing_claim* oldest = fold.standing("bobbin-shop", key);
+                RC_ASSERT((oldest == nullptr ? "" : oldest->claimId) == (standing.empty() ? "" : standing.front()));
+            }
+        }
+    }));
+}
+
+TEST_CASE("Readers that begin late never let two near claims of a key win")
+{
+    REQUIRE(rc::check([] {
+        std::vector<log_record> log;
+        std::vector<logged_claim> claims;
+        while (log.size() < 60)
+            log.push_back(arbitraryRecord(log.size(), claims));
+        std::map<std::string, std::map<std::uint64_t, std::string>> winners;
+        std::map<std::string, std::uint64_t> voidedAt;
+        for (const log_record& record : log) {
+            const std::optional<claim_record> parsed = parseClaimRecord(record.data);
+            if (parsed && std::holds_alternative<claim_void>(*parsed))
+                voidedAt.try_emplace(std::get<claim_void>(*parsed).claimId, record.offset);
+        }
+        for (std::uint64_t begin = 0; begin < 40; ++begin) {
+            claim_fold fold(shortAge);
+            fold.startAt(begin, false);
+            for (std::uint64_t offset = begin; offset < log.size(); ++offset) {
+                const bool isNew = fold.state(log[offset].id) == claim_state::Unseen;
+                const bool isComplete = fold.isComplete();
+                fold.apply(log[offset]);
+                if (isNew && isComplete && fold.state(log[offset].id) == claim_state::Won)
+                    winners[std::get<key_claim>(*parseClaimRecord(log[offset].data)).key][offset] = log[offset].id;
+            }
+        }
+        for (const std::pair<const std::string, std::map<std::uint64_t, std::string>>& key : winners) {
+            for (const std::pair<const std::uint64_t, std::string>& first : key.second) {
+                for (const std::pair<const std::uint64_t, std::string>& second : key.second) {
+                    const bool isNear = first.first < second.first && second.first - first.first < shortAge;
+                    const bool isReleased = voidedAt.contains(first.second) && voidedAt.at(first.second) < second.first;
+                    RC_ASSERT((!isNear || first.second == second.second || isReleased));
+                }
+            }
+        }
+    }));
+}
+
+TEST_CASE("A refusal tells conflict, use, unknown outcome and the recorded answer apart")
+{
+    claim_fold fold(100, 10);
+    fold.apply(recordOf(0, "c1", claimOf("k")));
+    CHECK_FALSE(fold.refusal(claimOf("k"), "c1"));
+    CHECK(fold.refusal(claimOf("k", "other"), "c2")->code == result_code::KeyConflict);
+    CHECK(fold.refusal(claimOf("k"), "c2")->code == result_code::KeyInUse);
+    fold.apply(recordOf(1, "f1", claim_finish { "c1", claimOf("k"), result_code::Ok, { 201, "text/plain", "parcel", true } }));
+    CHECK(fold.refusal(claimOf("k"), "c2")->code == result_code::Ok);
+    CHECK(fold.refusal(claimOf("k"), "c2")->answer.body == "parcel");
+    fold.apply(recordOf(2, "f2", claim_finish { "c9", claimOf("l"), result_code::Ok, { 201, "", "thread", true } }));
+    CHECK(fold.refusal(claimOf("k"), "c2")->code == result_code::AlreadyRan);
+    CHECK(fold.refusal(claimOf("l"), "c2")->answer.body == "thread");
+    fold.apply(recordOf(3, "f3", claim_finish { "c4", claimOf("m"), result_code::OutcomeUnknown, {} }));
+    CHECK(fold.refusal(claimOf("m"), "c2")->code == result_code::OutcomeUnknown);
+}
+
+TEST_CASE("A claim that comes after its withdrawal holds nothing")
+{
+    claim_fold fold;
+    fold.apply(recordOf(0, "c1-void", claim_void { "c1" }));
+    fold.apply(recordOf(1, "c1", claimOf("k")));
+    CHECK(fold.state("c1") == claim_state::Voided);
+    fold.apply(recordOf(2, "c2", claimOf("k")));
+    CHECK(fold.state("c2") == claim_state::Won);
+}
+
+TEST_CASE("The fold forgets what is older than its age")
+{
+    claim_fold fold(shortAge, 100);
+    for (std::uint64_t offset = 0; offset < 1000; ++offset)
+        fold.apply(recordOf(offset, "c" + std::to_string(offset), claimOf("k" + std::to_string(offset))));
+    CHECK(fold.size() <= shortAge + 1);
+    CHECK(fold.state("c900") == claim_state::Unseen);
+}
+
+TEST_CASE("A body that is long or not UTF-8 is left out of the record")
+{
+    for (const std::string& body : { std::string(maxRecordedBodyBytes + 1, 'x'), std::string("\xff") }) {
+        const std::optional<claim_record> parsed = parseClaimRecord(toJson(claim_finish { "c", claimOf("k"), result_code::Ok, { 200, "text/plain", body, true } }));
+        REQUIRE(parsed);
+        CHECK_FALSE(std::get<claim_finish>(*parsed).answer.isBodyKept);
+    }
+}
--- /dev/null
+++ b/tests/auto/core/tst_ordercall.cpp
@@ -0,0 +1,267 @@
+#include "pick.h"
+
+#include <core/claimfold.h>
+#include <core/ordercall.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+using namespace ragwortreach;
+
+namespace {
+
+constexpr std::size_t daemonCount = 3;
+
+struct daemon_state {
+    std::unique_ptr<claim_fold> fold = std::make_unique<claim_fold>();
+    std::list<order_call> calls;
+};
+
+/// Append or upstream call on its way. Its sender may be dead or may have given up the reply.
+struct message {
+    std::string claimId;
+    key_claim claim;
+    std::string recordId;
+    std::string data;
+    bool isRun = false;
+    bool isReplyLost = false;
+};
+
+/// Daemons with one log and one upstream that counts its executions.
+class fake_shop {
+public:
+    explicit fake_shop(log_outage logOutage)
+        : m_logOutage(logOutage)
+    {
+    }
+
+    void setDown(bool isDown) { m_isDown = isDown; }
+    void pass(duration elapsed) { m_now += elapsed; }
+
+    void call(std::size_t daemon, const std::string& key, const std::string& bodyHash)
+    {
+        const std::string id = "c" + std::to_string(m_nextId++);
+        const order_settings settings { id, { "bobbin-shop", key, bodyHash, "entry", daemon }, m_logOutage, m_now + std::chrono::seconds(2) };
+        daemon_state& state = m_daemons[daemon];
+        state.calls.emplace_back(*state.fold, settings);
+        handle(state.calls.back(), order_events::started { m_isDown && pick(2) == 0 });
+    }
+
+    void restart(std::size_t daemon)
+    {
+        m_daemons[daemon].calls.clear();
+        m_daemons[daemon].fold = std::make_unique<claim_fold>();
+    }
+
+    void read(std::size_t daemon, std::size_t count)
+    {
+        claim_fold& fold = *m_daemons[daemon].fold;
+        while (!m_isDown && count-- > 0 && fold.position() < m_log.size())
+            fold.apply(m_log[fold.position()]);
+        tick(daemon);
+    }
+
+    void tick(std::size_t daemon)
+    {
+        for (order_call& call : m_daemons[daemon].calls)
+            handle(call, order_events::tick {});
+    }
+
+    /// Delivers one message, or gives up its reply and leaves it on its way.
+    void deliver(bool isFaulty)
+    {
+        if (m_messages.empty())
+            return;
+        const std::vector<message>::iterator it = m_messages.begin() + pick(std::ssize(m_messages));
+        const int fate = isFaulty ? pick(4) : 3;
+        if (fate == 0) {
+            const message lost = *it;
+            it->isReplyLost = true;
+            return replyUnknown(lost);
+        }
+        const message delivered = *it;
+        m_messages.erase(it);
+        if (delivered.isRun)
+            return run(delivered, fate);
+        append(delivered, fate);
+    }
+
+    bool isQuiet() const { return m_messages.empty(); }
+    const std::map<std::string, int>& executions() const { return m_executions; }
+    int answered(result_code code) const { return m_answers.contains(code) ? m_answers.at(code) : 0; }
+
+    void check() const
+    {
+        for (const std::pair<const std::string, int>& execution : m_executions)
+            RC_ASSERT(execution.second <= 1);
+        checkNotRun();
+    }
+
+    void checkNotRun() const
+    {
+        for (const std::string& claimId : m_notRun)
+            RC_ASSERT(!m_ranClaims.contains(claimId));
+    }
+
+private:
+    void handle(order_call& call, const order_event& event)
+    {
+        const order_settings settings = call.settings();
+        for (const order_effect& effect : call.handle(event, m_now)) {
+            if (const order_effects::append_record* append = std::get_if<order_effects::append_record>(&effect))
+                m_messages.push_back({ settings.claimId, settings.claim, append->recordId, append->data });
+            if (std::holds_alternative<order_effects::run_upstream>(effect))
+                m_messages.push_back({ settings.claimId, settings.claim, {}, {}, true });
+            if (const order_effects::answer_caller* answer = std::get_if<order_effects::answer_caller>(&effect))
+                noteAnswer(settings, *answer);
+        }
+    }
+
+    void noteAnswer(const order_settings& settings, const order_effects::answer_caller& answer)
+    {
+        ++m_answers[answer.code];
+        if (resultCodeInfo(answer.code).run == run_state::No)
+            m_notRun.insert(settings.claimId);
+        if (answer.code == result_code::Ok)
+            RC_ASSERT(answer.answer.body == settings.claim.key + settings.claim.bodyHash);
+    }
+
+    void reply(const message& to, const order_event& event)
+    {
+        for (order_call& call : m_daemons[to.claim.incarnation].calls) {
+            if (call.settings().claimId == to.claimId && !to.isReplyLost)
+                handle(call, event);
+        }
+    }
+
+    void replyUnknown(const message& lost)
+    {
+        if (lost.isRun)
+            return reply(lost, order_events::upstream_unknown { result_code::UpstreamTimeout });
+        reply(lost, order_events::append_finished { lost.recordId, append_outcome::Unknown });
+    }
+
+    void append(const message& request, int fate)
+    {
+        if (m_isDown)
+            return reply(request, order_events::append_finished { request.recordId, fate == 1 ? append_outcome::Unknown : append_outcome::Failed });
+        m_log.push_back({ m_log.size(), request.recordId, request.data });
+        reply(request, order_events::append_finished { request.recordId, fate == 1 ? append_outcome::Unknown : append_outcome::Appended });
+    }
+
+    void run(const message& request, int fate)
+    {
+        if (fate == 2)
+            return reply(request, order_events::upstream_not_run { result_code::UpstreamUnreachable });
+        ++m_executions[request.claim.key];
+        m_ranClaims.insert(request.claimId);
+        if (fate == 1)
+            return replyUnknown(request);
+        reply(request, order_events::upstream_answered { { 200, "text/plain", request.claim.key + request.claim.bodyHash, true } });
+    }
+
+    log_outage m_logOutage;
+    std::vector<daemon_state> m_daemons { daemonCount };
+    std::vector<log_record> m_log;
+    std::vector<message> m_messages;
+    std::map<std::string, int> m_executions;
+    std::set<std::string> m_ranClaims;
+    std::set<std::string> m_notRun;
+    std::map<result_code, int> m_answers;
+    int m_nextId = 0;
+    bool m_isDown = false;
+    instant m_now;
+};
+
+void step(fake_shop& shop)
+{
+    const std::size_t daemon = pick(daemonCount);
+    const int kind = pick(24);
+    if (kind == 0)
+        return shop.setDown(pick(2) == 0);
+    if (kind == 1)
+        return shop.restart(daemon);
+    if (kind <= 4)
+        return shop.call(daemon, pick(2) == 0 ? "a" : "b", pick(5) == 0 ? "other" : "same");
+    if (kind <= 7)
+        return shop.pass(std::chrono::milliseconds(pick(600)));
+    if (kind <= 13)
+        return shop.read(daemon, pick<std::size_t>(6));
+    shop.deliver(true);
+}
+
+/// Sends 10 orders, one after the other, while the log is down.
+fake_shop runOutage(log_outage logOutage)
+{
+    fake_shop shop(logOutage);
+    shop.setDown(true);
+    for (int i = 0; i < 10; ++i) {
+        shop.call(0, "k" + std::to_string(i), "same");
+        for (int round = 0; round < 40; ++round) {
+            for (int message = 0; message < 20; ++message)
+                shop.deliver(false);
+            shop.pass(std::chrono::milliseconds(50));
+            shop.tick(0);
+        }
+    }
+    return shop;
+}
+
+}
+
+TEST_CASE("A key runs at most once, and what was refused as not run did not run")
+{
+    REQUIRE(rc::check([] {
+        fake_shop shop(log_outage::Refuse);
+        for (int i = 0; i < 300; ++i) {
+            step(shop);
+            shop.check();
+        }
+    }));
+}
+
+TEST_CASE("With RunOnce each call runs at most once, and what was refused as not run did not run")
+{
+    REQUIRE(rc::check([] {
+        fake_shop shop(log_outage::RunOnce);
+        for (int i = 0; i < 300; ++i) {
+            step(shop);
+            shop.checkNotRun();
+        }
+    }));
+}
+
+TEST_CASE("Without faults an order runs and a repetition gets the recorded answer")
+{
+    REQUIRE(rc::check([] {
+        fake_shop shop(log_outage::Refuse);
+        for (std::size_t daemon : { 0, 1 }) {
+            shop.call(daemon, "a", "same");
+            while (!shop.isQuiet()) {
+                shop.deliver(false);
+                for (std::size_t reader = 0; reader < daemonCount; ++reader)
+                    shop.read(reader, 10);
+            }
+        }
+        RC_ASSERT(shop.executions().at("a") == 1);
+        RC_ASSERT(shop.answered(result_code::Ok) == 2);
+    }));
+}
+
+TEST_CASE("While the log is down Refuse runs nothing and RunOnce runs each call once")
+{
+    REQUIRE(rc::check([] {
+        const fake_shop refusing = runOutage(log_outage::Refuse);
+        RC_ASSERT(refusing.executions().empty());
+        RC_ASSERT(refusing.answered(result_code::ClaimUnavailable) == 10);
+        const fake_shop running = runOutage(log_outage::RunOnce);
+        RC_ASSERT(running.executions().size() == 10U);
+        RC_ASSERT(running.answered(result_code::Ok) == 10);
+    }));
+}
