Core: Answer KeyInUse with an unknown run state

KeyInUse said run: no. The call that hears it does not run, but the one that holds the key may run or have run, and a caller that reads "no" and orders again under a new key gets two parcels.

--- a/src/libs/core/resultcode.cpp
+++ b/src/libs/core/resultcode.cpp
@@ -36,7 +36,7 @@
         result_code_info { result_code::UpstreamRefused, run_state::No, 502, "UpstreamRefused", "The upstream refused the call and says that it did not run." },
         result_code_info { result_code::CallerGone, run_state::Unknown, 499, "CallerGone", "The caller closed its connection before the answer was whole." },
         result_code_info { result_code::KeyConflict, run_state::No, 409, "KeyConflict", "The idempotency key was used with another body; use a new key for a new order." },
-        result_code_info { result_code::KeyInUse, run_state::No, 409, "KeyInUse", "A call with this idempotency key is under way; retry later with the same key." },
+        result_code_info { result_code::KeyInUse, run_state::Unknown, 409, "KeyInUse", "A call with this idempotency key is under way; retry later with the same key." },
         result_code_info { result_code::BatchConflict, run_state::No, 409, "BatchConflict", "The batch exists with other content; open a batch under a new id." },
         result_code_info { result_code::UnknownBatch, run_state::No, 404, "UnknownBatch", "No batch of this id is open; open it again under the same id." },
         result_code_info { result_code::BatchCancelled, run_state::No, 410, "BatchCancelled", "The batch was cancelled; open another one." },
