--- /dev/null
+++ b/tests/auto/core/tst_holderlease.cpp
@@ -0,0 +1,295 @@
+#include "pick.h"
+
+#include <core/holderlease.h>
+#include <core/weightrollout.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <memory>
+#include <vector>
+
+using namespace ragwortreach;
+
+namespace {
+
+constexpr std::size_t daemonCount = 3;
+constexpr std::size_t engineCount = 4;
+constexpr duration loadTime = std::chrono::seconds(5);
+constexpr duration reportPeriod = std::chrono::seconds(1);
+
+struct fake_engine {
+    std::string name;
+    bool ignoresFencing = false;
+    weight_version weights { 1, 0 };
+    std::optional<weight_version> loading;
+    instant loadedAt;
+    std::uint64_t fencing = 0;
+};
+
+struct fake_daemon {
+    holder_identity identity;
+    std::unique_ptr<holder_fold> fold = std::make_unique<holder_fold>();
+    std::unique_ptr<holder_lease> lease;
+    weight_rollout rollout { rollout_settings {} };
+    bool isPaused = false;
+    bool isEligible = true;
+};
+
+struct order_in_flight {
+    std::size_t daemon = 0;
+    order_load order;
+};
+
+/// Daemons of one data centre that may be paused in the middle of a write, and engines that may ignore fencing.
+class fake_data_centre {
+public:
+    fake_data_centre()
+        : m_daemons(daemonCount)
+        , m_engines(engineCount)
+    {
+        for (std::size_t i = 0; i < engineCount; ++i) {
+            m_engines[i].name = "llm-" + std::to_string(i);
+            m_engines[i].ignoresFencing = i % 2 == 0;
+        }
+        for (std::size_t i = 0; i < daemonCount; ++i)
+            restart(i);
+    }
+
+    void restart(std::size_t index)
+    {
+        fake_daemon& daemon = m_daemons[index];
+        daemon.identity = { "entry-" + std::to_string(index), 1 };
+        daemon.fold = std::make_unique<holder_fold>();
+        const std::string prefix = "run-" + std::to_string(m_runs++) + "-";
+        daemon.lease = std::make_unique<holder_lease>(*daemon.fold, lease_settings { "ee-north-a", "pattern-llm", daemon.identity, prefix });
+        daemon.rollout = weight_rollout(rollout_settings {});
+        daemon.rollout.handle(rollout_events::wanted_changed { m_wanted }, m_now);
+        daemon.isPaused = false;
+        shareView();
+    }
+
+    void setDown(bool isDown) { m_isDown = isDown; }
+    void setPaused(std::size_t index, bool isPaused) { m_daemons[index].isPaused = isPaused; }
+    void setEligible(std::size_t index, bool isEligible)
+    {
+        m_daemons[index].isEligible = isEligible;
+        shareView();
+    }
+
+    void publish()
+    {
+        ++m_wanted.adapter;
+        for (fake_daemon& daemon : m_daemons)
+            daemon.rollout.handle(rollout_events::wanted_changed { m_wanted }, m_now);
+    }
+
+    void pass(duration elapsed, bool mayFail)
+    {
+        m_now += elapsed;
+        for (fake_engine& engine : m_engines)
+            finishLoad(engine, mayFail);
+        for (std::size_t i = 0; i < daemonCount; ++i) {
+            if (!m_daemons[i].isPaused)
+                wake(i);
+        }
+    }
+
+    void deliverOrder()
+    {
+        if (m_orders.empty())
+            return;
+        const std::vector<order_in_flight>::iterator it = m_orders.begin() + pick(std::ssize(m_orders));
+        const order_in_flight sent = *it;
+        m_orders.erase(it);
+        fake_engine& engine = *std::find_if(m_engines.begin(), m_engines.end(),
+            [&sent](const fake_engine& candidate) { return candidate.name == sent.order.replica; });
+        const bool isFenced = !engine.ignoresFencing && sent.order.fencing < engine.fencing;
+        if (!isFenced) {
+            engine.fencing = std::max(engine.fencing, sent.order.fencing);
+            engine.loading = sent.order.version;
+            engine.loadedAt = m_now + loadTime;
+        }
+        const rollout_events::order_result result = isFenced ? rollout_events::order_result::Fenced : rollout_events::order_result::Accepted;
+        perform(sent.daemon, m_daemons[sent.daemon].rollout.handle(rollout_events::order_answered { sent.order.replica, result }, m_now));
+    }
+
+    void heal()
+    {
+        m_isDown = false;
+        for (std::size_t i = 0; i < daemonCount; ++i) {
+            setPaused(i, false);
+            setEligible(i, true);
+        }
+        for (int second = 0; second < 400; ++second) {
+            pass(reportPeriod, false);
+            while (!m_orders.empty())
+                deliverOrder();
+        }
+    }
+
+    int holders() const
+    {
+        return std::count_if(m_daemons.begin(), m_daemons.end(), [this](const fake_daemon& daemon) { return daemon.lease->mayOrder(m_now); });
+    }
+
+    bool isConverged() const
+    {
+        return std::all_of(m_engines.begin(), m_engines.end(), [this](const fake_engine& engine) { return engine.weights == m_wanted && !engine.loading; });
+    }
+
+private:
+    void shareView()
+    {
+        lease_events::members_changed view;
+        for (const fake_daemon& daemon : m_daemons) {
+            if (daemon.isEligible)
+                view.eligible.push_back(daemon.identity);
+        }
+        for (fake_daemon& daemon : m_daemons) {
+            if (!daemon.lease)
+                continue;
+            view.isFirst = !view.eligible.empty() && view.eligible.front() == daemon.identity;
+            handle(daemon, view);
+        }
+    }
+
+    void handle(fake_daemon& daemon, const lease_event& event)
+    {
+        for (const lease_effect& effect : daemon.lease->handle(event, m_now)) {
+            if (const lease_effects::append_record* append = std::get_if<lease_effects::append_record>(&effect))
+                noteAppend(*append);
+            if (const lease_effects::holding_changed* holding = std::get_if<lease_effects::holding_changed>(&effect))
+                perform(&daemon - m_daemons.data(), daemon.rollout.handle(rollout_events::holding_changed { holding->isHolding, holding->fencing }, m_now));
+        }
+    }
+
+    void noteAppend(const lease_effects::append_record& append)
+    {
+        if (!m_isDown)
+            m_log.push_back({ m_log.size(), append.recordId, append.data });
+    }
+
+    void finishLoad(fake_engine& engine, bool mayFail)
+    {
+        if (!engine.loading || m_now < engine.loadedAt)
+            return;
+        engine.weights = mayFail && pick(3) == 0 ? weight_version { 1, 0 } : *engine.loading;
+        engine.loading.reset();
+    }
+
+    void wake(std::size_t index)
+    {
+        fake_daemon& daemon = m_daemons[index];
+        while (!m_isDown && daemon.fold->position() < m_log.size())
+            daemon.fold->apply(m_log[daemon.fold->position()]);
+        handle(daemon, lease_events::tick {});
+        for (const fake_engine& engine : m_engines)
+            perform(index, daemon.rollout.handle(rollout_events::replica_reported { engine.name, engine.weights, engine.loading.has_value() }, m_now));
+    }
+
+    void perform(std::size_t index, const std::vector<rollout_effect>& effects)
+    {
+        for (const rollout_effect& effect : effects) {
+            if (m_daemons[index].lease->mayOrder(m_now))
+                m_orders.push_back({ index, std::get<order_load>(effect) });
+        }
+    }
+
+    std::vector<fake_daemon> m_daemons;
+    std::vector<fake_engine> m_engines;
+    std::vector<log_record> m_log;
+    std::vector<order_in_flight> m_orders;
+    weight_version m_wanted { 1, 1 };
+    int m_runs = 0;
+    bool m_isDown = false;
+    instant m_now;
+};
+
+void step(fake_data_centre& centre)
+{
+    const std::size_t daemon = pick(daemonCount);
+    const int kind = pick(20);
+    if (kind == 0)
+        return centre.setDown(pick(2) == 0);
+    if (kind <= 2)
+        return centre.setPaused(daemon, pick(2) == 0);
+    if (kind == 3)
+        return centre.setEligible(daemon, pick(2) == 0);
+    if (kind == 4)
+        return centre.publish();
+    if (kind == 5)
+        return centre.restart(daemon);
+    if (kind <= 8)
+        return centre.deliverOrder();
+    centre.pass(std::chrono::seconds(pick(20)), true);
+}
+
+struct lease_fixture {
+    holder_fold fold;
+    holder_lease lease { fold, { "a", "m", { "self", 1 }, "self-" } };
+    instant now;
+
+    /// Applies the records that the lease wants to append, after those of others.
+    std::size_t append(const std::vector<lease_effect>& effects)
+    {
+        std::size_t count = 0;
+        for (const lease_effect& effect : effects) {
+            if (const lease_effects::append_record* record = std::get_if<lease_effects::append_record>(&effect)) {
+                fold.apply({ fold.position(), record->recordId, record->data });
+                ++count;
+            }
+        }
+        return count;
+    }
+
+    void appendOther() { fold.apply({ fold.position(), "other", toJson(holder_record { "a", "m", { "other", 1 } }) }); }
+};
+
+}
+
+TEST_CASE("All engines come to the wanted version whatever paused holders and lost swaps do")
+{
+    REQUIRE(rc::check([] {
+        fake_data_centre centre;
+        for (int i = 0; i < 150; ++i)
+            step(centre);
+        centre.heal();
+        RC_ASSERT(centre.holders() == 1);
+        RC_ASSERT(centre.isConverged());
+    }));
+}
+
+TEST_CASE("The deadline runs from the time of sending and is checked at the order")
+{
+    lease_fixture fixture;
+    CHECK(fixture.append(fixture.lease.handle(lease_events::members_changed { true, { { "self", 1 } } }, fixture.now)) == 1);
+    fixture.lease.handle(lease_events::tick {}, fixture.now + std::chrono::seconds(5));
+    CHECK(fixture.lease.mayOrder(fixture.now + std::chrono::seconds(5)));
+    CHECK(fixture.lease.mayOrder(fixture.now + holder_lease::leaseDuration - duration(1)));
+    CHECK_FALSE(fixture.lease.mayOrder(fixture.now + holder_lease::leaseDuration));
+}
+
+TEST_CASE("A live holder is left alone until it is silent for long")
+{
+    lease_fixture fixture;
+    fixture.appendOther();
+    const lease_events::members_changed both { true, { { "self", 1 }, { "other", 1 } } };
+    CHECK(fixture.append(fixture.lease.handle(both, fixture.now)) == 0);
+    CHECK(fixture.append(fixture.lease.handle(lease_events::tick {}, fixture.now + holder_lease::holderSilence - duration(1))) == 0);
+    CHECK(fixture.append(fixture.lease.handle(lease_events::tick {}, fixture.now + holder_lease::holderSilence)) == 1);
+}
+
+TEST_CASE("A holder that is not eligible is replaced, and a leaving process stops")
+{
+    lease_fixture fixture;
+    fixture.appendOther();
+    CHECK(fixture.append(fixture.lease.handle(lease_events::members_changed { true, { { "self", 1 } } }, fixture.now)) == 1);
+    fixture.lease.handle(lease_events::tick {}, fixture.now);
+    CHECK(fixture.lease.mayOrder(fixture.now));
+    CHECK(fixture.lease.fencing() == 1);
+    fixture.lease.handle(lease_events::leaving {}, fixture.now);
+    CHECK_FALSE(fixture.lease.mayOrder(fixture.now));
+    CHECK(fixture.append(fixture.lease.handle(lease_events::tick {}, fixture.now + holder_lease::renewPeriod)) == 0);
+}
