Command line: Ask all daemons for their time lines at once

With some hundred VMs of which a data centre is cut off, reading one ring after the other waits for each timeout in turn; now they pass together. History says so when there is no edit, and an operator's name that is not UTF-8 no longer ends the program.

--- a/src/libs/commandline/adminclient.cpp
+++ b/src/libs/commandline/adminclient.cpp
@@ -56,6 +56,16 @@
         return { isServerError ? exit_code::Unreachable : exit_code::Rejected, sentence };
     }
 
+    /// Body of a successful answer.
+    admin_result<std::string> bodyOf(const std::string& address, const http_reply& reply)
+    {
+        if (reply.outcome.code != result_code::Ok)
+            return unreachable(address, reply);
+        if (reply.response.status >= firstErrorStatus)
+            return refused(address, reply);
+        return reply.response.body;
+    }
+
     /// Parses \a text with \a reader; malformed answers become failures.
     template <typename message, typename reader_function>
     admin_result<message> parse(const std::string& address, const admin_result<std::string>& text, reader_function reader)
@@ -82,7 +92,7 @@
         };
         if (!submission.body.empty())
             document["body"] = json::parse(submission.body);
-        return document.dump();
+        return document.dump(-1, ' ', false, json::error_handler_t::replace);
     }
 
     /// Escapes everything but the unreserved characters of RFC 3986.
@@ -120,12 +130,7 @@
 {
     http_request request;
     request.target = target;
-    const http_reply reply = m_environment.exchange(address, request);
-    if (reply.outcome.code != result_code::Ok)
-        return unreachable(address, reply);
-    if (reply.response.status >= firstErrorStatus)
-        return refused(address, reply);
-    return reply.response.body;
+    return bodyOf(address, m_environment.exchange(address, request));
 }
 
 admin_result<catalogue_listing> admin_client::catalogue() const
@@ -195,13 +200,21 @@
     return parse<daemon_status>(m_environment.server, read(m_environment.server, "/status"), Internal::readStatus);
 }
 
-admin_result<std::vector<shown_event>> admin_client::timeline(
-    const std::string& address, std::string_view subject, hybrid_time since) const
+std::vector<admin_result<std::vector<shown_event>>> admin_client::timelines(
+    std::span<const std::string> addresses, std::string_view subject, hybrid_time since) const
 {
-    std::string target = "/timeline?since=" + std::to_string(since.packed);
+    http_request request;
+    request.target = "/timeline?since=" + std::to_string(since.packed);
     if (!subject.empty())
-        target += "&subject=" + encodeQueryValue(subject);
-    return parse<std::vector<shown_event>>(address, read(address, target), Internal::readTimeline);
+        request.target += "&subject=" + encodeQueryValue(subject);
+    std::vector<addressed_request> requests;
+    for (const std::string& address : addresses)
+        requests.push_back({ address, request });
+    const std::vector<http_reply> replies = m_environment.exchangeAll(requests);
+    std::vector<admin_result<std::vector<shown_event>>> results;
+    for (std::size_t i = 0; i < replies.size(); ++i)
+        results.push_back(parse<std::vector<shown_event>>(addresses[i], bodyOf(addresses[i], replies[i]), Internal::readTimeline));
+    return results;
 }
 
 }
--- a/src/libs/commandline/adminclient.h
+++ b/src/libs/commandline/adminclient.h
@@ -3,9 +3,11 @@
 #include "adminmessage.h"
 #include "commandenvironment.h"
 
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace ragwortreach {
 
@@ -26,8 +28,9 @@
     /// How far the VMs are in applying the edit at \a offset.
     admin_result<edit_confirmations> confirmations(std::uint64_t offset) const;
     admin_result<daemon_status> status() const;
-    /// Events that the daemon at the admin address \a address holds about \a subject, all when it is empty.
-    admin_result<std::vector<shown_event>> timeline(const std::string& address, std::string_view subject, hybrid_time since) const;
+    /// Events that the daemons at the admin addresses \a addresses hold about \a subject, all when it is empty. The
+    /// results come in the order of the addresses.
+    std::vector<admin_result<std::vector<shown_event>>> timelines(std::span<const std::string> addresses, std::string_view subject, hybrid_time since) const;
 
 private:
     /// Body of a successful answer to GET.
--- a/src/libs/commandline/cataloguecommand.cpp
+++ b/src/libs/commandline/cataloguecommand.cpp
@@ -176,6 +176,8 @@
     if (const command_failure* failure = std::get_if<command_failure>(&result))
         return report(environment, *failure);
     const std::vector<catalogue_history_item>& edits = std::get<std::vector<catalogue_history_item>>(result);
+    if (edits.empty())
+        return report(environment, { exit_code::Rejected, "The log holds no edit of an entry '" + entry + "'; list all entries with 'ragwortreach catalogue get'." });
     if (environment.format == output_format::Text) {
         writeHistory(environment.output, edits);
         return exit_code::Ok;
--- a/src/libs/commandline/commandenvironment.h
+++ b/src/libs/commandline/commandenvironment.h
@@ -9,7 +9,9 @@
 #include <cstdint>
 #include <functional>
 #include <iosfwd>
+#include <span>
 #include <string>
+#include <vector>
 
 namespace ragwortreach {
 
@@ -24,10 +26,17 @@
     http_response response;
 };
 
+/// Request to the admin interface of one daemon.
+struct addressed_request {
+    /// "ip:port".
+    std::string address;
+    http_request request;
+};
+
 /// What a command may use: HTTP, time, random ids and streams. Tests hand in scripted functions.
 struct command_environment {
-    /// Sends a request to the address "ip:port" and waits for the answer.
-    std::function<http_reply(const std::string& address, const http_request& request)> exchange;
+    /// Sends all requests at once and waits for the answers, which come in the order of the requests.
+    std::function<std::vector<http_reply>(std::span<const addressed_request> requests)> exchangeAll;
     std::function<void(std::chrono::milliseconds)> pause;
     /// Wall-clock time in milliseconds since 1970.
     std::function<std::uint64_t()> wallMilliseconds;
@@ -42,6 +51,9 @@
     /// Time to wait for confirmations, and for the record of an edit whose reply was lost.
     std::chrono::milliseconds confirmTimeout { 30000 };
     std::chrono::milliseconds pollPeriod { 500 };
+
+    /// Sends one request and waits for the answer.
+    http_reply exchange(const std::string& address, const http_request& request) const;
 };
 
 /// Why a command could not go on.
--- a/src/libs/commandline/commandline.cpp
+++ b/src/libs/commandline/commandline.cpp
@@ -157,7 +157,7 @@
     if (FLAGS_timeout_ms <= 0 || FLAGS_confirm_timeout_ms < 0)
         return usageError(errors, "The flags '--timeout_ms' and '--confirm_timeout_ms' expect times above 0.");
     command_environment environment {
-        [](const std::string& address, const http_request& request) { return exchangeNow(address, request, std::chrono::milliseconds(FLAGS_timeout_ms)); },
+        [](std::span<const addressed_request> requests) { return exchangeNow(requests, std::chrono::milliseconds(FLAGS_timeout_ms)); },
         [](std::chrono::milliseconds time) { std::this_thread::sleep_for(time); },
         wallMilliseconds,
         newRecordId,
--- a/src/libs/commandline/syncexchange.cpp
+++ b/src/libs/commandline/syncexchange.cpp
@@ -6,25 +6,28 @@
 
 namespace ragwortreach {
 
-http_reply exchangeNow(const std::string& address, const http_request& request, std::chrono::milliseconds timeout)
+std::vector<http_reply> exchangeNow(std::span<const addressed_request> requests, std::chrono::milliseconds timeout)
 {
-    http_reply reply;
-    const std::optional<endpoint> server = parseEndpoint(address);
-    if (!server) {
-        reply.outcome = { result_code::UpstreamUnreachable, "'" + address + "' is no address; expected an IP number and a port." };
-        return reply;
-    }
     boost::asio::io_context context;
     http_client client(context);
     http_call_options options;
     options.timeout = timeout;
     options.mayReuseConnection = false;
-    client.callWhole(*server, request, options, [&reply](const http_outcome& outcome, const http_response& response) {
-        reply.outcome = outcome;
-        reply.response = response;
-    });
+    std::vector<http_reply> replies(requests.size());
+    for (std::size_t i = 0; i < requests.size(); ++i) {
+        http_reply& reply = replies[i];
+        const std::optional<endpoint> server = parseEndpoint(requests[i].address);
+        if (!server) {
+            reply.outcome = { result_code::UpstreamUnreachable, "'" + requests[i].address + "' is no address; expected an IP number and a port." };
+            continue;
+        }
+        client.callWhole(*server, requests[i].request, options, [&reply](const http_outcome& outcome, const http_response& response) {
+            reply.outcome = outcome;
+            reply.response = response;
+        });
+    }
     context.run();
-    return reply;
+    return replies;
 }
 
 }
--- a/src/libs/commandline/syncexchange.h
+++ b/src/libs/commandline/syncexchange.h
@@ -3,11 +3,14 @@
 #include "commandenvironment.h"
 
 #include <chrono>
-#include <string>
+#include <span>
+#include <vector>
 
 namespace ragwortreach {
 
-/// Sends \a request to \a address ("ip:port") and waits until the answer is whole, broken or \a timeout has passed.
-http_reply exchangeNow(const std::string& address, const http_request& request, std::chrono::milliseconds timeout);
+/// Sends all requests at once and waits until each answer is whole, broken or \a timeout has passed.
+///
+/// The replies come in the order of the requests.
+std::vector<http_reply> exchangeNow(std::span<const addressed_request> requests, std::chrono::milliseconds timeout);
 
 }
--- a/src/libs/commandline/timelinecommand.cpp
+++ b/src/libs/commandline/timelinecommand.cpp
@@ -131,18 +131,23 @@
     if (const command_failure* failure = std::get_if<command_failure>(&result))
         return *failure;
     const daemon_status& status = std::get<daemon_status>(result);
-    std::vector<member_row> members { { status.vm, status.dataCentre, "", 0, 0, environment.server } };
-    std::copy_if(status.members.begin(), status.members.end(), std::back_inserter(members),
-        [&status](const member_row& member) { return member.vm != status.vm && !member.admin.empty(); });
+    std::vector<std::string> names { status.vm };
+    std::vector<std::string> addresses { environment.server };
+    for (const member_row& member : status.members) {
+        if (member.vm == status.vm || member.admin.empty())
+            continue;
+        names.push_back(member.vm);
+        addresses.push_back(member.admin);
+    }
+    const std::vector<admin_result<std::vector<shown_event>>> results = client.timelines(addresses, subject, since);
     merged_timeline timeline;
-    for (const member_row& member : members) {
-        const admin_result<std::vector<shown_event>> events = client.timeline(member.admin, subject, since);
-        const std::vector<shown_event>* shown = std::get_if<std::vector<shown_event>>(&events);
+    for (std::size_t i = 0; i < results.size(); ++i) {
+        const std::vector<shown_event>* shown = std::get_if<std::vector<shown_event>>(&results[i]);
         if (shown == nullptr) {
-            timeline.missing.push_back(member.vm + " (" + member.admin + ')');
+            timeline.missing.push_back(names[i] + " (" + addresses[i] + ')');
             continue;
         }
-        timeline.answered.push_back(member.vm);
+        timeline.answered.push_back(names[i]);
         timeline.events.insert(timeline.events.end(), shown->begin(), shown->end());
     }
     std::stable_sort(timeline.events.begin(), timeline.events.end(),
--- a/tests/auto/commandline/scriptedenvironment.cpp
+++ b/tests/auto/commandline/scriptedenvironment.cpp
@@ -5,7 +5,12 @@
 namespace ragwortreach {
 
 scripted_environment::scripted_environment()
-    : environment { [this](const std::string& address, const http_request& request) { return exchange(address, request); },
+    : environment { [this](std::span<const addressed_request> calls) {
+                       std::vector<http_reply> replies;
+                       for (const addressed_request& call : calls)
+                           replies.push_back(exchange(call.address, call.request));
+                       return replies;
+                   },
         [](std::chrono::milliseconds) {}, [] { return std::uint64_t(10000000); }, [] { return std::string("record-1"); },
         output, errors, output_format::Text, "a", "mart" }
 {
--- a/tests/auto/commandline/tst_commandline.cpp
+++ b/tests/auto/commandline/tst_commandline.cpp
@@ -32,6 +32,7 @@
     { "daemon unreachable", { "catalogue", "history", "desk" }, exit_code::Unreachable, "", "The daemon at a did not answer: nothing listens." },
     { "history", { "catalogue", "history", "shop" }, exit_code::Ok, "offset 4: mart made revision 1 (record r1)\n  + class: \"customer\"\n", "" },
     { "history with a rejection", { "catalogue", "history", "shop" }, exit_code::Ok, "offset 6: mari was rejected on revision 0 (record r2): It exists.\n  - limits.queue: 5\n  + limits.queue: 6\n", "" },
+    { "history of no entry", { "catalogue", "history", "none" }, exit_code::Rejected, "", "The log holds no edit of an entry 'none'" },
     { "status", { "status" }, exit_code::Ok, "v1 in d, incarnation 2, draining, catalogue at position 7\n\nVM  DATA CENTRE  STATE", "" },
     { "upstreams", { "status" }, exit_code::Ok, "pattern-llm  llm-a1  d            ready  3          1.8\n", "" },
 };
@@ -43,6 +44,7 @@
     script.answer("GET a /v1/catalogue/shop", 200, item);
     script.answer("GET a /v1/catalogue/desk", 404, R"({"title":"UnknownEntry","code":101,"detail":"d","run":"no"})");
     script.answer("GET a /v1/catalogue/shop/history", 200, R"({"edits":[{"offset":4,"record":"r1","operator":"mart","replaces":0,"revision":1,"code":0,"detail":"","body":)" + entryBody(5) + R"(},{"offset":6,"record":"r2","operator":"mari","replaces":0,"revision":0,"code":405,"detail":"It exists.","body":)" + entryBody(6) + "}]}");
+    script.answer("GET a /v1/catalogue/none/history", 200, R"({"edits":[]})");
     script.answer("GET a /status", 200, R"({"vm":"v1","data_centre":"d","incarnation":2,"draining":true,"catalogue_position":7,"members":[{"vm":"v2","state":"live"}],
         "upstreams":[{"upstream":"pattern-llm","vm":"llm-a1","data_centre":"d","state":"ready","in_flight":3,"weights":{"base":1,"adapter":8}}],"batches":[{"batch":"b1","owner_vm":"v2","remaining":4}]})");
 }
--- a/tests/auto/commandline/tst_syncexchange.cpp
+++ b/tests/auto/commandline/tst_syncexchange.cpp
@@ -17,7 +17,7 @@
 
 }
 
-TEST_CASE("An exchange brings the whole answer of a daemon")
+TEST_CASE("Exchanges bring whole answers in the order of the requests")
 {
     boost::asio::io_context context;
     http_server server(
@@ -29,13 +29,16 @@
     request.method = "POST";
     request.target = "/x";
     request.body = "body";
-    const http_reply reply = exchangeNow("127.0.0.1:" + std::to_string(server.port()), request, longTime);
+    const std::string address = "127.0.0.1:" + std::to_string(server.port());
+    const addressed_request requests[] = { { address, request }, { address, { "GET", "/y", {}, "" } } };
+    const std::vector<http_reply> replies = exchangeNow(requests, longTime);
     context.stop();
     thread.join();
-    CAPTURE(reply.outcome.detail);
-    CHECK(reply.outcome.code == result_code::Ok);
-    CHECK(reply.response.status == 201);
-    CHECK(reply.response.body == "POST/xbody");
+    REQUIRE(replies.size() == 2);
+    CHECK(replies[0].outcome.code == result_code::Ok);
+    CHECK(replies[0].response.status == 201);
+    CHECK(replies[0].response.body == "POST/xbody");
+    CHECK(replies[1].response.body == "GET/y");
 }
 
 TEST_CASE("A daemon that is not there was not sent anything")
@@ -44,6 +47,7 @@
     boost::asio::ip::tcp::acceptor closed(context, { boost::asio::ip::make_address("127.0.0.1"), 0 });
     const std::string address = "127.0.0.1:" + std::to_string(closed.local_endpoint().port());
     closed.close();
-    CHECK(exchangeNow(address, {}, longTime).outcome.code == result_code::UpstreamUnreachable);
-    CHECK(exchangeNow("nowhere", {}, longTime).outcome.code == result_code::UpstreamUnreachable);
+    const addressed_request requests[] = { { address, {} }, { "nowhere", {} } };
+    for (const http_reply& reply : exchangeNow(requests, longTime))
+        CHECK(reply.outcome.code == result_code::UpstreamUnreachable);
 }
