--- a/tests/auto/system/tst_batches.cpp
+++ b/tests/auto/system/tst_batches.cpp
@@ -141,7 +141,7 @@
     CHECK(trainer.isComplete(survivor));
 }
 
-TEST_CASE("A batch goes on while engines die under its streams and one comes back with other weights")
+TEST_CASE("A stream that broke goes on with the tokens that follow the kept ones")
 {
     const test_fleet fleet(2, 20);
     fleet.putEntry("rollouts", rolloutsEntry());
@@ -153,3 +153,44 @@
     CHECK(fleet.standins().counters(EngineOne)["events"].value("resume_mismatches", 0) == 0);
     CHECK(fleet.standins().counters(EngineTwo)["events"].value("resume_mismatches", 0) == 0);
 }
+
+TEST_CASE("An engine that returns from a crash with its base weights is ordered to load the wanted ones")
+{
+    const test_fleet fleet(2, 20);
+    fleet.putEntry("rollouts", rolloutsEntry());
+    fleet.standins().fault({ { "crash", true }, { "crash_ms", 100 } }, EngineOne);
+    REQUIRE(waitUntil([&fleet] { return fleet.standins().get("/state", EngineOne).status == 200; }));
+    CHECK(waitUntil([&fleet] { return fleet.standins().get("/state", EngineOne).json()["weights"] == weights; }));
+    REQUIRE(openBatch(fleet, 0).status == 201);
+    test_trainer trainer(fleet);
+    CHECK(trainer.fetchAll(1));
+}
+
+TEST_CASE("A batch that is under way finishes while the log is down")
+{
+    const test_fleet fleet(3, 20);
+    fleet.putEntry("rollouts", rolloutsEntry());
+    REQUIRE(openBatch(fleet, 0).status == 201);
+    REQUIRE(waitUntil([&fleet] { return fleet.standins().counters(EngineOne)["executions"] > 0 || fleet.standins().counters(EngineTwo)["executions"] > 0; }));
+    fleet.standins().fault({ { "log", { { "outage", true } } } });
+    test_trainer trainer(fleet);
+    CHECK(trainer.fetchAll(1));
+}
+
+TEST_CASE("A chunk without versions never becomes a sample")
+{
+    const test_fleet fleet(1, 5);
+    fleet.putEntry("rollouts", rolloutsEntry());
+    fleet.standins().fault({ { "omit_weights", true } }, EngineOne);
+    fleet.standins().fault({ { "omit_weights", true } }, EngineTwo);
+    REQUIRE(openBatch(fleet, 0).status == 201);
+    test_trainer trainer(fleet);
+    REQUIRE(waitUntil([&] {
+        trainer.fetch(0);
+        return fleet.standins().counters(EngineOne)["executions"].get<std::size_t>() + fleet.standins().counters(EngineTwo)["executions"].get<std::size_t>() > samples;
+    }));
+    CHECK(trainer.held() == 0);
+    fleet.standins().fault({ { "omit_weights", false } }, EngineOne);
+    fleet.standins().fault({ { "omit_weights", false } }, EngineTwo);
+    CHECK(trainer.fetchAll(0));
+}
--- a/tests/auto/system/tst_calls.cpp
+++ b/tests/auto/system/tst_calls.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <csignal>
 #include <future>
 
 using namespace ragwortreach::Tests;
@@ -96,6 +97,28 @@
         CHECK(waitUntil([&fleet] { return placeOrder(fleet, 1).status == 200; }));
         CHECK(runs(fleet) == 1);
     }
+    SECTION("With another body under the same key it is a conflict")
+    {
+        CHECK(placeOrder(fleet, 0).status == 200);
+        const http_reply other = fleet.call(1, "POST", "/v1/services/orders/thread", { { "parcels", 2 } }, orderHeaders);
+        CHECK(other.json().value("title", "") == "KeyConflict");
+        CHECK(runs(fleet) == 1);
+    }
+    SECTION("While the log is down it is refused as not run")
+    {
+        fleet.standins().fault({ { "log", { { "outage", true } } } });
+        const http_reply refused = placeOrder(fleet, 0);
+        CAPTURE(refused.body);
+        CHECK(refused.json()["run"] == "no");
+        CHECK(runs(fleet) == 0);
+    }
+    SECTION("When the reply to its claim is lost")
+    {
+        fleet.standins().fault({ { "log", { { "lose_reply_after_write", 1 } } } });
+        placeOrder(fleet, 0);
+        placeOrder(fleet, 1);
+        CHECK(runs(fleet) == 1);
+    }
     SECTION("At three daemons at once")
     {
         fleet.standins().fault({ { "latency_ms", 100 } }, Shop);
@@ -118,3 +141,22 @@
         CHECK(runs(fleet) == 1);
     }
 }
+
+TEST_CASE("A planned stop cuts off no call in flight")
+{
+    const test_fleet fleet(2);
+    fleet.putEntry("shop", shopEntry(true));
+    fleet.standins().fault({ { "latency_ms", 1500 } }, Shop);
+    std::future<http_reply> page = std::async(std::launch::async, [&fleet] { return fleet.call(0, "GET", "/v1/services/shop/slow", nullptr, callerHeaders); });
+    REQUIRE(waitUntil([&fleet] { return runs(fleet) == 1; }));
+    fleet.daemon(0).signal(SIGTERM);
+    fleet.daemon(0).signal(SIGTERM);
+    CHECK(waitUntil([&fleet] { return fleet.admin(0, "GET", "/readyz").status != 200; }));
+    const http_reply reply = page.get();
+    CAPTURE(reply.body);
+    CHECK(reply.status == 200);
+    CHECK(reply.isWhole);
+    CHECK(fleet.daemon(0).wait() == 0);
+    fleet.standins().fault({ { "latency_ms", 0 } }, Shop);
+    CHECK(fleet.call(1, "GET", "/v1/services/shop/next", nullptr, callerHeaders).status == 200);
+}
--- a/tests/auto/system/tst_catalogue.cpp
+++ b/tests/auto/system/tst_catalogue.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace ragwortreach::Tests;
 using nlohmann::json;
 
