Core: Order weights from the daemon that holds the lease

The weights controller runs one lease and one roll-out for each model and data centre over the stream holders, the states of the engines and the weight store. Only the holder reads the store and all replicas, so that nothing grows with daemons times replicas. A test with three daemons publishes a version, kills the daemon that orders it and sees the next version reach both replicas through another daemon.

--- a/src/libs/core/daemoncore.cpp
+++ b/src/libs/core/daemoncore.cpp
@@ -6,6 +6,7 @@
 #include "daemoncontext.h"
 #include "overloaded.h"
 #include "platformcontroller.h"
+#include "weightscontroller.h"
 
 #include <nlohmann/json.hpp>
 
@@ -48,6 +49,7 @@
         , catalogue(context)
         , calls(context)
         , batches(context)
+        , weights(context)
     {
     }
 
@@ -57,10 +59,11 @@
         catalogue.tick();
         calls.tick();
         batches.tick();
+        weights.tick();
     }
     void on(const log_read_ended& event)
     {
-        if (!catalogue.handle(event) && !calls.handle(event))
+        if (!catalogue.handle(event) && !calls.handle(event) && !weights.handle(event))
             batches.handle(event);
         platform.announce();
     }
@@ -95,9 +98,17 @@
     void on(const engine_chunk_received& event) { batches.handle(event); }
     void on(const engine_stream_ended& event) { batches.handle(event); }
     void on(const score_ended& event) { batches.handle(event); }
-    void on(const engine_state_read& event) { platform.handle(event); }
-    void on(const versions_read& event) { batches.handle(event); }
-    void on(const order_ended&) { }
+    void on(const engine_state_read& event)
+    {
+        platform.handle(event);
+        weights.handle(event);
+    }
+    void on(const versions_read& event)
+    {
+        batches.handle(event);
+        weights.handle(event);
+    }
+    void on(const order_ended& event) { weights.handle(event); }
     void on(const drain_requested&)
     {
         if (context.isDraining)
@@ -112,6 +123,7 @@
     Internal::catalogue_controller catalogue;
     Internal::call_controller calls;
     Internal::batch_controller batches;
+    Internal::weights_controller weights;
 };
 
 daemon_core::daemon_core(const daemon_identity& identity)
--- a/tests/auto/core/daemonworld.cpp
+++ b/tests/auto/core/daemonworld.cpp
@@ -79,6 +79,12 @@
     return ask(daemon, [&](request_number number) { return edit_submitted { number, recordId, data.dump() }; });
 }
 
+weight_version daemon_world::weightsOf(const std::string& vm) const
+{
+    const auto it = m_loaded.find(vm);
+    return it == m_loaded.end() ? weights : std::max(weights, it->second);
+}
+
 void daemon_world::kill(std::size_t daemon)
 {
     ++m_nodes[daemon]->life;
@@ -188,9 +194,13 @@
                        },
                        [&](const close_engine_stream& typed) { receiver.streams.erase(typed.stream); },
                        [&](const ask_scorer& typed) { later(daemon, hop, score_ended { typed.score, 0.5 }); },
-                       [&](const read_engine_state& typed) { later(daemon, hop, engine_state_read { typed.vm, engine_state { weights, false, 0, 0, 0 } }); },
-                       [&](const read_versions& typed) { later(daemon, hop, versions_read { typed.model, std::vector { weights } }); },
-                       [&](const send_order&) {},
+                       [&](const read_engine_state& typed) { later(daemon, hop, engine_state_read { typed.vm, engine_state { weightsOf(typed.vm), false, 0, 0, 0 } }); },
+                       [&](const read_versions& typed) { later(daemon, hop, versions_read { typed.model, std::vector { std::max(weights, published) } }); },
+                       [&](const send_order& typed) {
+                           orderedBy.insert(daemon);
+                           at(std::chrono::seconds(1), [this, typed] { m_loaded[typed.vm] = typed.weights; });
+                           later(daemon, hop, order_ended { typed.vm, {} });
+                       },
                        [&](const note_event&) {},
                    },
             effect);
--- a/tests/auto/core/daemonworld.h
+++ b/tests/auto/core/daemonworld.h
@@ -42,6 +42,8 @@
     /// Answer to request \a number; nullptr while there is none.
     const received_answer* answer(request_number number) const;
     /// Submits an edit that puts an entry.
+    /// Version that the replica on \a vm serves.
+    weight_version weightsOf(const std::string& vm) const;
     request_number edit(std::size_t daemon, const std::string& recordId, const std::string& entry, std::uint64_t replaces, const std::string& body);
 
     void kill(std::size_t daemon);
@@ -58,7 +60,12 @@
     std::size_t lostReplies = 0;
     service_behaviour service = service_behaviour::Answers;
     duration serviceTime = std::chrono::milliseconds(2);
+    /// Version that the engines start with.
     weight_version weights { 1, 7 };
+    /// Version that the weight store lists; the one above while it has none.
+    weight_version published;
+    /// Daemons that ordered a replica to load weights.
+    std::set<std::size_t> orderedBy;
     duration tokenTime = std::chrono::milliseconds(5);
     /// Links between daemons that are cut, as "from>to" numbers.
     std::set<std::pair<std::size_t, std::size_t>> cutLinks;
@@ -95,6 +102,7 @@
     std::map<request_number, std::string> m_keys;
     std::map<request_number, std::pair<std::size_t, request_number>> m_peerRequests;
     std::map<request_number, recorded_answer> m_serviceAnswers;
+    std::map<std::string, weight_version> m_loaded;
     instant m_now { std::chrono::seconds(1000) };
     std::uint64_t m_order = 0;
     request_number m_lastNumber = 0;
--- a/tests/auto/core/tst_daemoncore.cpp
+++ b/tests/auto/core/tst_daemoncore.cpp
@@ -411,3 +411,21 @@
     CHECK(world.runUntil([&] { return world.core(owner).isIdle(); }, std::chrono::seconds(5)));
     CHECK_FALSE(world.core(owner).isReady());
 }
+
+TEST_CASE("A new version reaches all replicas, also when the daemon that orders it dies")
+{
+    daemon_world world(daemonCount);
+    world.run(std::chrono::seconds(1));
+    putEntries(world);
+    world.run(std::chrono::seconds(8));
+    world.published = { 1, 8 };
+    REQUIRE(world.runUntil([&] { return !world.orderedBy.empty(); }, std::chrono::seconds(20)));
+    const std::size_t holder = *world.orderedBy.begin();
+    CHECK(world.orderedBy.size() == 1);
+    world.kill(holder);
+    world.published = { 1, 9 };
+    const bool isDone = world.runUntil([&] { return world.weightsOf("llm-1") == world.published && world.weightsOf("llm-2") == world.published; },
+        std::chrono::seconds(120));
+    CHECK(isDone);
+    CHECK(world.orderedBy.size() == 2);
+}
