--- a/tests/auto/core/tst_holderlease.cpp
+++ b/tests/auto/core/tst_holderlease.cpp
@@ -129,7 +129,7 @@
         }
     }
 
-    int holders() const
+    std::ptrdiff_t holders() const
     {
         return std::count_if(m_daemons.begin(), m_daemons.end(), [this](const fake_daemon& daemon) { return daemon.lease->mayOrder(m_now); });
     }
--- a/tests/bench/rolloutbench.cpp
+++ b/tests/bench/rolloutbench.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <exception>
 #include <random>
 #include <string>
 #include <vector>
@@ -190,9 +191,7 @@
     { order_policy::OneByOne, 10, 60, 0 },
 };
 
-}
-
-int main()
+void printTable()
 {
     std::printf("| policy | store, loads/s | load, s | share kept | whole roll-out, s | lowest share serving | replica-seconds not serving | loads refused |\n");
     std::printf("| --- | --- | --- | --- | --- | --- | --- | --- |\n");
@@ -201,5 +200,17 @@
         std::printf("| %s | %.0f | %d | %.2f | %.0f | %.2f | %.0f | %d |\n", nameOf(parameters.policy), parameters.storeRate,
             parameters.loadSeconds, parameters.servingShare, result.seconds, result.lowestServingShare, result.replicaSecondsLost, result.refusedLoads);
     }
+}
+
+}
+
+int main()
+{
+    try {
+        printTable();
+    } catch (const std::exception& error) {
+        std::fprintf(stderr, "%s\n", error.what());
+        return 1;
+    }
     return 0;
 }
