--- a/src/libs/core/broadcastqueue.cpp
+++ b/src/libs/core/broadcastqueue.cpp
@@ -11,7 +11,7 @@
     constexpr std::size_t ridingTransmissions = 4;
     constexpr std::size_t valuesTransmissions = 6;
     /// Most bytes of values in one probe.
-    constexpr std::size_t maxValuesSize = 400;
+    constexpr std::size_t maxValuesSize = 900;
 
     std::size_t roomOf(const gossip_message& message)
     {
@@ -51,7 +51,7 @@
     delta_list riding;
     while (!deltas.empty()) {
         member_entry& entry = deltas.front();
-        member_delta delta = toDelta(entry, entry.isNewLife);
+        member_delta delta = toDelta(entry, entry.isDetailed);
         const std::size_t size = encodedSizeBound(delta);
         if (size > room)
             break;
@@ -64,7 +64,7 @@
         else if (entry.deltaTransmissions > 0)
             riding.push_back(entry);
         else
-            entry.isNewLife = false;
+            entry.isDetailed = false;
     }
     m_pushed.splice(m_pushed.end(), pushed);
     m_riding.splice(m_riding.end(), riding);
@@ -76,9 +76,11 @@
     takeDeltas(m_pushed, message, roomOf(message));
 }
 
-void broadcast_queue::fillProbe(gossip_message& message)
+void broadcast_queue::fillProbe(gossip_message& message, bool carriesValues)
 {
     std::size_t room = takeDeltas(m_riding, message, roomOf(message));
+    if (!carriesValues)
+        return;
     room = std::min(room, maxValuesSize);
     values_list taken;
     while (!m_values.empty()) {
--- a/src/libs/core/broadcastqueue.h
+++ b/src/libs/core/broadcastqueue.h
@@ -21,8 +21,8 @@
     bool hasPush() const;
     /// Fills \a message with deltas that wait for a push.
     void fillPush(gossip_message& message);
-    /// Fills \a message with deltas and values that ride along.
-    void fillProbe(gossip_message& message);
+    /// Fills \a message with deltas, and with values if \a carriesValues, that ride along.
+    void fillProbe(gossip_message& message, bool carriesValues);
 
 private:
     using delta_list = boost::intrusive::list<member_entry, boost::intrusive::base_hook<queue_hook<delta_queue_tag>>,
--- a/src/libs/core/failuredetector.cpp
+++ b/src/libs/core/failuredetector.cpp
@@ -12,6 +12,11 @@
     constexpr std::size_t extraProbesPerFailure = 2;
     constexpr std::size_t maxRelayedProbes = 128;
 
+    std::optional<probe_target> toTarget(const member_entry* entry, bool isRandom)
+    {
+        return entry ? std::optional(probe_target { entry, isRandom }) : std::nullopt;
+    }
+
 }
 
 failure_detector::failure_detector(std::string_view localVm, probe_times times, std::uint64_t seed)
@@ -21,23 +26,23 @@
 {
 }
 
-const member_entry* failure_detector::next(const member_table& table, instant now)
+std::optional<probe_target> failure_detector::next(const member_table& table, instant now)
 {
     if (!m_nextProbe)
         m_nextProbe = now + duration(static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(m_times.period.count())));
     if (m_probes.size() >= maxProbes)
-        return nullptr;
+        return std::nullopt;
     if (now < *m_nextProbe) {
         if (m_extraProbes == 0)
-            return nullptr;
+            return std::nullopt;
         --m_extraProbes;
-        return randomMember(table);
+        return toTarget(randomMember(table), true);
     }
     *m_nextProbe += m_times.period;
     if (*m_nextProbe <= now)
         m_nextProbe = now + m_times.period;
     m_isRingTurn = !m_isRingTurn;
-    return m_isRingTurn ? ringSuccessor(table) : randomMember(table);
+    return m_isRingTurn ? toTarget(ringSuccessor(table), false) : toTarget(randomMember(table), true);
 }
 
 const member_entry* failure_detector::ringSuccessor(const member_table& table) const
--- a/src/libs/core/failuredetector.h
+++ b/src/libs/core/failuredetector.h
@@ -21,6 +21,12 @@
     duration probeTimeout {};
 };
 
+/// Member to probe.
+struct probe_target {
+    const member_entry* entry = nullptr;
+    bool isRandom = false;
+};
+
 /// Probe under way.
 struct probe {
     std::uint64_t sequence = 0;
@@ -47,8 +53,8 @@
 public:
     failure_detector(std::string_view localVm, probe_times times, std::uint64_t seed);
 
-    /// Member to probe now, or nullptr when none is due. The caller then calls begin().
-    const member_entry* next(const member_table& table, instant now);
+    /// Member to probe now; empty when none is due. The caller then calls begin().
+    std::optional<probe_target> next(const member_table& table, instant now);
     /// Begins a probe and returns its sequence number.
     std::uint64_t begin(const member_entry& target, instant now);
     /// Begins a probe for the daemon at \a requesterAddress and returns its sequence number.
--- a/src/libs/core/gossipmessage.cpp
+++ b/src/libs/core/gossipmessage.cpp
@@ -16,7 +16,7 @@
     }
 
     struct body_size {
-        std::size_t operator()(const ping_body& body) const { return numberSize + textSize(body.target); }
+        std::size_t operator()(const ping_body& body) const { return numberSize + textSize(body.target) + 2; }
         std::size_t operator()(const ack_body& body) const { return numberSize + textSize(body.target); }
         std::size_t operator()(const indirect_ping_body& body) const
         {
@@ -63,6 +63,8 @@
         size += encodedSizeBound(delta);
     for (const values_delta& delta : message.values)
         size += encodedSizeBound(delta);
+    if (!message.reached.members.empty())
+        size += numberSize + 2 * fieldOverhead + 4 * message.reached.members.size();
     return size;
 }
 
--- a/src/libs/core/gossipmessage.h
+++ b/src/libs/core/gossipmessage.h
@@ -18,6 +18,8 @@
 constexpr std::size_t maxGossipNameLength = 64;
 /// Most demands that one member spreads.
 constexpr std::size_t maxDemandsPerMember = 8;
+/// Most members of one position_report.
+constexpr std::size_t maxReportedMembers = 200;
 /// Number of buckets of a digest.
 constexpr std::size_t digestBucketCount = 64;
 
@@ -61,10 +63,20 @@
     bool operator==(const values_delta&) const = default;
 };
 
+/// Members known to have reached a catalogue position, each by the hash of its name and life.
+struct position_report {
+    std::uint64_t position = 0;
+    std::vector<std::uint32_t> members;
+
+    bool operator==(const position_report&) const = default;
+};
+
 /// Asks the target whether it is alive.
 struct ping_body {
     std::uint64_t sequence = 0;
     std::string target;
+    /// The ping carries values and asks for some with the answer; probes of a fixed neighbour do not.
+    bool carriesValues = false;
     bool operator==(const ping_body&) const = default;
 };
 
@@ -117,6 +129,7 @@
     gossip_body body;
     std::vector<member_delta> deltas;
     std::vector<values_delta> values;
+    position_report reached;
 
     bool operator==(const gossip_message&) const = default;
 };
--- a/src/libs/core/member.h
+++ b/src/libs/core/member.h
@@ -35,7 +35,12 @@
     /// Wall-clock time of the start of the process in milliseconds; 0 when only the VM list named it.
     std::uint64_t run = 0;
 
-    std::strong_ordering operator<=>(const member_life&) const = default;
+    bool operator==(const member_life&) const = default;
+    std::strong_ordering operator<=>(const member_life& other) const
+    {
+        const std::strong_ordering byIncarnation = incarnation <=> other.incarnation;
+        return std::is_neq(byIncarnation) ? byIncarnation : run <=> other.run;
+    }
 };
 
 /// Demand of one owner at one daemon, in thousandths of a request per second.
@@ -48,8 +53,9 @@
 
 /// Values that a member spreads about itself besides its state.
 struct member_values {
-    /// Grows by one with each change; the higher revision of one life wins.
+    /// Grows by one with each change of the demands; the higher revision of one life wins.
     std::uint64_t revision = 0;
+    /// Never goes back within a life.
     std::uint64_t cataloguePosition = 0;
     std::vector<owner_demand> demands;
 
--- a/src/libs/core/membership.cpp
+++ b/src/libs/core/membership.cpp
@@ -21,9 +21,17 @@
     constexpr duration demandPeriod = std::chrono::seconds(5);
     /// Demands are spread again when one changed by more than a fifth.
     constexpr std::uint64_t demandChangeDivisor = 5;
-    constexpr std::size_t maxSyncMessages = 4;
+    /// Time for which probes report positions after a new catalogue position was heard of.
+    constexpr duration headReportTime = std::chrono::seconds(10);
+    /// Time for which probes report positions after something new was reported.
+    constexpr duration learntReportTime = std::chrono::seconds(5);
+    /// Shortest time between two messages that tell a member that it is doubted.
+    constexpr duration tellPeriod = std::chrono::seconds(1);
+    constexpr std::size_t maxSyncMessages = 12;
     constexpr std::size_t maxMissingDetails = 256;
     constexpr std::size_t firstDigests = 3;
+    /// Digests that all members together send to each failed one, in one digest period.
+    constexpr std::size_t failedDigestShare = 4;
 
     bool isClose(std::uint64_t left, std::uint64_t right)
     {
@@ -42,6 +50,8 @@
 }
 
 class membership::state {
+    friend class membership;
+
 public:
     explicit state(membership_settings settings);
 
@@ -59,13 +69,6 @@
     void onBody(const digest_body& body, const message_received& event);
     void onBody(const details_request_body& body, const message_received& event);
 
-    membership_settings m_settings;
-    member_entry m_local;
-    member_table m_table;
-    broadcast_queue m_queue;
-    membership_counters m_counters;
-    std::uint64_t m_catalogueHead = 0;
-
 private:
     void noticePause();
     void applyDelta(const member_delta& delta, bool isSync, const std::string& source);
@@ -85,12 +88,20 @@
     void pushChanges();
     void exchangeDigests();
     void requestDetails(const std::string& address);
+    void addReport(gossip_message& message);
     void sendDeltas(const std::string& address, const std::vector<member_delta>& deltas, bool isSync);
-    void send(const std::string& address, gossip_message message);
+    void send(const std::string& address, gossip_message message, bool carriesValues = false);
+    bool isFailedTurn();
     gossip_message makeMessage(gossip_body body) const;
     digest_body makeDigest(bool isReply) const;
     std::vector<const member_entry*> randomMembers(std::size_t count, bool isFailed, std::string_view except = {});
 
+    membership_settings m_settings;
+    member_entry m_local;
+    member_table m_table;
+    broadcast_queue m_queue;
+    membership_counters m_counters;
+    std::uint64_t m_catalogueHead = 0;
     std::mt19937_64 m_random;
     failure_detector m_detector;
     instant m_now;
@@ -101,6 +112,7 @@
     std::vector<owner_demand> m_demands;
     std::uint64_t m_listRevision = 0;
     std::size_t m_headPushes = 0;
+    instant m_reportUntil;
     std::set<std::string> m_missingDetails;
     std::vector<membership_effect> m_effects;
 };
@@ -116,7 +128,7 @@
     m_local.view = m_settings.local;
     m_local.view.state = member_state::Alive;
     m_local.hash = nameHash(m_local.view.vm);
-    m_local.isNewLife = true;
+    m_local.isDetailed = true;
     m_catalogueHead = m_local.view.values.cataloguePosition;
     m_queue.addDelta(m_local);
 }
@@ -150,6 +162,8 @@
     for (const values_delta& values : event.message.values)
         applyValues(values);
     raiseHead(event.message.catalogueHead);
+    if (m_table.applyReport(event.message.reached))
+        m_reportUntil = std::max(m_reportUntil, m_now + learntReportTime);
     std::visit([this, &event](const auto& body) { onBody(body, event); }, event.message.body);
     answerEvidence(event);
     requestDetails(event.address);
@@ -158,7 +172,7 @@
 void membership::state::onBody(const ping_body& body, const message_received& event)
 {
     if (body.target == m_local.view.vm)
-        send(event.address, makeMessage(ack_body { body.sequence, body.target }));
+        send(event.address, makeMessage(ack_body { body.sequence, body.target }), body.carriesValues);
 }
 
 void membership::state::onBody(const ack_body& body, const message_received&)
@@ -171,7 +185,7 @@
 void membership::state::onBody(const indirect_ping_body& body, const message_received& event)
 {
     const std::uint64_t sequence = m_detector.relay(event.address, body.sequence, m_now);
-    send(body.targetAddress, makeMessage(ping_body { sequence, body.target }));
+    send(body.targetAddress, makeMessage(ping_body { sequence, body.target, false }));
 }
 
 void membership::state::onBody(const push_body&, const message_received&)
@@ -214,14 +228,18 @@
 void membership::state::answerEvidence(const message_received& event)
 {
     const gossip_message& message = event.message;
-    const member_entry* entry = m_table.find(message.sender);
+    member_entry* entry = m_table.find(message.sender);
     if (!entry || entry->view.life < message.senderLife) {
-        m_missingDetails.insert(message.sender);
+        // Of a VM that the list named all is known but its process.
+        applyDelta({ message.sender, message.senderLife, 0, member_health::Alive, false, std::nullopt }, true, event.address);
         return;
     }
     const bool isOutdated = message.senderLife < entry->view.life;
-    if (isOutdated || entry->health != member_health::Alive)
-        sendDeltas(event.address, { toDelta(*entry, isOutdated) }, false);
+    const bool isTold = entry->toldAt && m_now - *entry->toldAt < tellPeriod;
+    if (isTold || (!isOutdated && entry->health == member_health::Alive))
+        return;
+    entry->toldAt = m_now;
+    sendDeltas(event.address, { toDelta(*entry, isOutdated) }, false);
 }
 
 void membership::state::requestDetails(const std::string& address)
@@ -255,7 +273,9 @@
             m_missingDetails.insert(delta.vm);
         return;
     case apply_outcome::Changed:
-        m_queue.addDelta(*result.entry);
+        // What a daemon catches up on is no news to the others.
+        if (!isSync || !result.wasListed)
+            m_queue.addDelta(*result.entry);
         report(*result.entry, result.previous, result.isNewLife);
         return;
     }
@@ -285,7 +305,7 @@
 {
     const member_state previous = m_local.view.state;
     m_local.view.life = life;
-    m_local.isNewLife = true;
+    m_local.isDetailed = true;
     m_queue.addDelta(m_local);
     report(m_local, previous, true);
 }
@@ -346,7 +366,13 @@
         delta.life = known->view.life;
         delta.refutation = known->refutation;
     }
-    applyDelta(delta, false, {});
+    const apply_result result = m_table.apply(delta, false, m_now);
+    if (result.outcome != apply_outcome::Changed)
+        return;
+    // All daemons read the list, so only a change of a known life is worth spreading.
+    if (!result.isNewLife)
+        m_queue.addDelta(*result.entry);
+    report(*result.entry, result.previous, result.isNewLife);
 }
 
 void membership::state::applyValues(const values_delta& values)
@@ -362,6 +388,7 @@
         return;
     m_catalogueHead = position;
     m_headPushes = m_settings.pushTransmissions;
+    m_reportUntil = m_now + headReportTime;
     m_effects.emplace_back(catalogue_head_changed { position });
 }
 
@@ -375,7 +402,7 @@
     if (event.cataloguePosition > m_local.view.values.cataloguePosition) {
         m_local.view.values.cataloguePosition = event.cataloguePosition;
         raiseHead(event.cataloguePosition);
-        publishValues();
+        m_reportUntil = std::max(m_reportUntil, m_now + learntReportTime);
     }
     publishDemands();
 }
@@ -439,10 +466,11 @@
         delta.health = member_health::Suspect;
         applyDelta(delta, false, {});
     }
-    while (const member_entry* target = m_detector.next(m_table, m_now)) {
+    while (const std::optional<probe_target> target = m_detector.next(m_table, m_now)) {
         ++m_counters.probes;
-        const std::uint64_t sequence = m_detector.begin(*target, m_now);
-        send(target->view.addresses.gossip, makeMessage(ping_body { sequence, target->view.vm }));
+        const member& view = target->entry->view;
+        const std::uint64_t sequence = m_detector.begin(*target->entry, m_now);
+        send(view.addresses.gossip, makeMessage(ping_body { sequence, view.vm, target->isRandom }), target->isRandom);
     }
 }
 
@@ -472,13 +500,20 @@
         return;
     m_nextDigest = m_now + m_settings.digestPeriod;
     m_table.forgetFailedBefore(m_now - m_settings.failedRetention);
-    std::vector<const member_entry*> targets = randomMembers(1, m_random() % 2 == 0);
+    std::vector<const member_entry*> targets = randomMembers(1, isFailedTurn());
     if (targets.empty())
         targets = randomMembers(1, false);
     for (const member_entry* target : targets)
         send(target->view.addresses.gossip, makeMessage(makeDigest(false)));
 }
 
+bool membership::state::isFailedTurn()
+{
+    const std::size_t size = m_table.ring().size() + 1;
+    const std::size_t share = std::min(size / 2, failedDigestShare * m_table.failedCount());
+    return m_random() % size < share;
+}
+
 void membership::state::sendDeltas(const std::string& address, const std::vector<member_delta>& deltas, bool isSync)
 {
     std::size_t messages = 0;
@@ -495,15 +530,36 @@
     }
 }
 
-void membership::state::send(const std::string& address, gossip_message message)
+void membership::state::send(const std::string& address, gossip_message message, bool carriesValues)
 {
-    m_queue.fillProbe(message);
+    if (carriesValues) {
+        message.values.push_back({ m_local.view.vm, m_local.view.life, m_local.view.values });
+        addReport(message);
+    }
+    m_queue.fillProbe(message, carriesValues);
     m_effects.emplace_back(send_message { address, std::move(message) });
 }
 
+void membership::state::addReport(gossip_message& message)
+{
+    if (m_now > m_reportUntil)
+        return;
+    std::vector<std::uint32_t> reached;
+    for (const member_entry* entry : m_table.ring()) {
+        if (entry->health != member_health::Failed && entry->view.values.cataloguePosition >= m_catalogueHead)
+            reached.push_back(lifeHash(entry->view));
+    }
+    if (!reached.empty())
+        std::rotate(reached.begin(), reached.begin() + static_cast<std::ptrdiff_t>(m_random() % reached.size()), reached.end());
+    if (m_local.view.values.cataloguePosition >= m_catalogueHead)
+        reached.insert(reached.begin(), lifeHash(m_local.view));
+    reached.resize(std::min(reached.size(), maxReportedMembers));
+    message.reached = { m_catalogueHead, std::move(reached) };
+}
+
 gossip_message membership::state::makeMessage(gossip_body body) const
 {
-    return { 0, m_local.view.vm, m_local.view.life, m_catalogueHead, std::move(body), {}, {} };
+    return { 0, m_local.view.vm, m_local.view.life, m_catalogueHead, std::move(body), {}, {}, {} };
 }
 
 digest_body membership::state::makeDigest(bool isReply) const
--- a/src/libs/core/membertable.cpp
+++ b/src/libs/core/membertable.cpp
@@ -42,6 +42,12 @@
     return static_cast<std::uint32_t>(XXH3_64bits(facts.data(), sizeof(facts)));
 }
 
+std::uint32_t lifeHash(const member& view)
+{
+    const std::array<std::uint64_t, 3> facts { nameHash(view.vm), view.life.incarnation, view.life.run };
+    return static_cast<std::uint32_t>(XXH3_64bits(facts.data(), sizeof(facts)));
+}
+
 member_delta toDelta(const member_entry& entry, bool isDetailed)
 {
     member_delta delta { entry.view.vm, entry.view.life, entry.refutation, entry.health, entry.leaving, std::nullopt };
@@ -93,7 +99,7 @@
     if (delta.health == member_health::Failed)
         return {};
     if (!delta.details)
-        return { apply_outcome::DetailsMissing, nullptr, std::nullopt, false };
+        return { apply_outcome::DetailsMissing, nullptr, std::nullopt };
     if (!makeRoom())
         return {};
     member_entry& entry = m_entries[delta.vm];
@@ -103,23 +109,24 @@
         [](const member_entry* left, std::uint64_t hash) { return left->hash < hash; });
     m_ring.insert(place, &entry);
     const apply_result result = applyNewLife(entry, delta, now);
-    return { result.outcome, result.entry, std::nullopt, true };
+    return { result.outcome, result.entry, std::nullopt, true, false };
 }
 
 apply_result member_table::applyNewLife(member_entry& entry, const member_delta& delta, instant now)
 {
-    if (!delta.details && delta.health != member_health::Failed)
-        return { apply_outcome::DetailsMissing, &entry, std::nullopt, false };
+    const bool wasListed = entry.view.life.run == 0 && entry.view.life.incarnation == delta.life.incarnation;
+    if (!delta.details && !wasListed && delta.health != member_health::Failed)
+        return { apply_outcome::DetailsMissing, &entry, std::nullopt };
     const member_state previous = entry.view.state;
     if (delta.details)
         setDetails(entry.view, *delta.details);
     entry.view.life = delta.life;
     entry.view.values = {};
     entry.refutation = delta.refutation;
-    entry.leaving = delta.leaving;
-    entry.isNewLife = true;
+    entry.leaving = delta.leaving || (wasListed && entry.leaving);
+    entry.isDetailed = delta.details.has_value();
     setHealth(entry, delta.health, now);
-    return { apply_outcome::Changed, &entry, previous, true };
+    return { apply_outcome::Changed, &entry, previous, true, wasListed };
 }
 
 apply_result member_table::applySameLife(member_entry& entry, const member_delta& delta, bool isSync, instant now)
@@ -136,17 +143,28 @@
     if (becomesNewer)
         entry.refutation = effective.refutation;
     setHealth(entry, becomesNewer ? effective.health : entry.health, now);
-    return { apply_outcome::Changed, &entry, previous, false };
+    return { apply_outcome::Changed, &entry, previous };
+}
+
+void member_table::count(member_health health, bool isAdded)
+{
+    const std::size_t change = isAdded ? 1 : static_cast<std::size_t>(-1);
+    switch (health) {
+    case member_health::Alive:
+        return;
+    case member_health::Suspect:
+        m_suspectCount += change;
+        return;
+    case member_health::Failed:
+        m_failedCount += change;
+        return;
+    }
 }
 
 void member_table::setHealth(member_entry& entry, member_health health, instant now)
 {
-    const bool wasSuspect = entry.health == member_health::Suspect;
-    const bool isSuspect = health == member_health::Suspect;
-    if (wasSuspect && !isSuspect)
-        --m_suspectCount;
-    if (isSuspect && !wasSuspect)
-        ++m_suspectCount;
+    count(entry.health, false);
+    count(health, true);
     entry.health = health;
     entry.since = now;
     entry.view.state = stateOf(health, entry.leaving);
@@ -155,10 +173,32 @@
 bool member_table::applyValues(const values_delta& values)
 {
     member_entry* entry = find(values.vm);
-    if (!entry || entry->view.life != values.life || entry->view.values.revision >= values.values.revision)
+    if (!entry || entry->view.life != values.life)
         return false;
-    entry->view.values = values.values;
-    return true;
+    member_values& known = entry->view.values;
+    const std::uint64_t position = std::max(known.cataloguePosition, values.values.cataloguePosition);
+    const bool isNewer = values.values.revision > known.revision;
+    if (isNewer)
+        known = values.values;
+    known.cataloguePosition = position;
+    return isNewer;
+}
+
+bool member_table::applyReport(const position_report& report)
+{
+    if (report.members.empty())
+        return false;
+    std::vector<std::uint32_t> hashes = report.members;
+    std::sort(hashes.begin(), hashes.end());
+    bool isNew = false;
+    for (member_entry* entry : m_ring) {
+        std::uint64_t& position = entry->view.values.cataloguePosition;
+        if (position >= report.position || !std::binary_search(hashes.begin(), hashes.end(), lifeHash(entry->view)))
+            continue;
+        position = report.position;
+        isNew = true;
+    }
+    return isNew;
 }
 
 void member_table::forgetFailedBefore(instant limit)
@@ -199,6 +239,7 @@
 void member_table::erase(std::string_view vm)
 {
     const auto it = m_entries.find(vm);
+    count(it->second.health, false);
     m_ring.erase(std::remove(m_ring.begin(), m_ring.end(), &it->second), m_ring.end());
     m_entries.erase(it);
     ++m_erasures;
--- a/src/libs/core/membertable.h
+++ b/src/libs/core/membertable.h
@@ -35,8 +35,11 @@
     /// Time of the last change of the health.
     instant since;
     std::size_t deltaTransmissions = 0;
-    bool isNewLife = false;
+    /// Deltas carry the details, since others may not know them.
+    bool isDetailed = false;
     std::size_t valuesTransmissions = 0;
+    /// Time at which the member was last told that it is doubted.
+    std::optional<instant> toldAt;
 };
 
 /// What apply() did.
@@ -53,6 +56,8 @@
     member_entry* entry = nullptr;
     std::optional<member_state> previous;
     bool isNewLife = false;
+    /// The new life is the process of a VM that only the VM list had named.
+    bool wasListed = false;
 };
 
 /// All members but the local one.
@@ -67,6 +72,8 @@
     apply_result apply(const member_delta& delta, bool isSync, instant now);
     /// Merges \a values. Returns true when they are newer.
     bool applyValues(const values_delta& values);
+    /// Merges \a report. Returns true when it says something new.
+    bool applyReport(const position_report& report);
     /// Forgets members that failed before \a limit.
     void forgetFailedBefore(instant limit);
     /// Moves the start of each suspicion by \a gap.
@@ -80,11 +87,13 @@
     /// Grows by one whenever an entry is erased.
     std::uint64_t erasures() const { return m_erasures; }
     std::size_t suspectCount() const { return m_suspectCount; }
+    std::size_t failedCount() const { return m_failedCount; }
 
 private:
     apply_result applyUnknown(const member_delta& delta, instant now);
     apply_result applyNewLife(member_entry& entry, const member_delta& delta, instant now);
     apply_result applySameLife(member_entry& entry, const member_delta& delta, bool isSync, instant now);
+    void count(member_health health, bool isAdded);
     void setHealth(member_entry& entry, member_health health, instant now);
     bool makeRoom();
     void erase(std::string_view vm);
@@ -94,6 +103,7 @@
     std::vector<member_entry*> m_ring;
     std::uint64_t m_erasures = 0;
     std::size_t m_suspectCount = 0;
+    std::size_t m_failedCount = 0;
 };
 
 /// Hash of a VM's name that orders the ring and chooses the bucket.
@@ -105,6 +115,9 @@
 /// Share of a member in the hash of its bucket; 0 for a failed one.
 std::uint32_t digestHash(const member_delta& delta);
 
+/// Hash of one life of a member in a position_report.
+std::uint32_t lifeHash(const member& view);
+
 /// Delta that spreads the state of \a entry.
 member_delta toDelta(const member_entry& entry, bool isDetailed);
 
--- a/src/libs/wire/gossipcodec.cpp
+++ b/src/libs/wire/gossipcodec.cpp
@@ -1,10 +1,10 @@
 #include "gossipcodec.h"
 
-#include "generated/gossip.pb.h"
-
 #include <core/gossipmessage.h>
 #include <core/resultcode.h>
 
+#include <gossip.pb.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -123,6 +123,7 @@
         {
             out.mutable_ping()->set_sequence(body.sequence);
             out.mutable_ping()->set_target(body.target);
+            out.mutable_ping()->set_carries_values(body.carriesValues);
         }
         void operator()(const ack_body& body) const
         {
@@ -169,7 +170,7 @@
     {
         switch (in.body_case()) {
         case wire::GossipMessage::kPing:
-            body = ping_body { in.ping().sequence(), in.ping().target() };
+            body = ping_body { in.ping().sequence(), in.ping().target(), in.ping().carries_values() };
             return isName(in.ping().target());
         case wire::GossipMessage::kAck:
             body = ack_body { in.ack().sequence(), in.ack().target() };
@@ -190,6 +191,13 @@
         return false;
     }
 
+    bool read(const wire::PositionReport& in, position_report& report)
+    {
+        report.position = in.position();
+        report.members.assign(in.members().begin(), in.members().end());
+        return report.members.size() <= maxReportedMembers;
+    }
+
     bool read(const wire::GossipMessage& in, gossip_message& message)
     {
         message.hybridTime = in.hybrid_time();
@@ -206,7 +214,7 @@
             if (!read(item, message.values.emplace_back()))
                 return false;
         }
-        return true;
+        return read(in.reached(), message.reached);
     }
 
 }
@@ -223,6 +231,10 @@
         write(delta, *out.add_deltas());
     for (const values_delta& delta : message.values)
         write(delta, *out.add_values());
+    if (!message.reached.members.empty()) {
+        out.mutable_reached()->set_position(message.reached.position);
+        out.mutable_reached()->mutable_members()->Assign(message.reached.members.begin(), message.reached.members.end());
+    }
     return out.SerializeAsString();
 }
 
--- a/src/libs/wire/gossipsocket.cpp
+++ b/src/libs/wire/gossipsocket.cpp
@@ -17,6 +17,8 @@
 using boost::asio::ip::udp;
 
 class gossip_socket::state : public std::enable_shared_from_this<gossip_socket::state> {
+    friend class gossip_socket;
+
 public:
     explicit state(boost::asio::io_context& context)
         : m_socket(context)
@@ -29,14 +31,13 @@
     void send(std::string_view address, gossip_message message);
     void close();
 
+private:
+    void deliver(std::size_t size);
+
     udp::socket m_socket;
     handler m_handler;
     message_clock m_clock;
     gossip_socket_counters m_counters;
-
-private:
-    void deliver(std::size_t size);
-
     std::array<char, maxGossipMessageSize + 1> m_buffer {};
     udp::endpoint m_sender;
 };
--- a/src/libs/wire/peerchannel.cpp
+++ b/src/libs/wire/peerchannel.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <chrono>
 #include <deque>
+#include <exception>
 #include <map>
 #include <utility>
 
@@ -66,6 +67,8 @@
 }
 
 class peer_channel::state : public std::enable_shared_from_this<peer_channel::state> {
+    friend class peer_channel;
+
 public:
     state(boost::asio::io_context& context, const std::string& bindAddress);
 
@@ -74,10 +77,6 @@
     void close();
     std::string address() const;
 
-    request_handler m_handler;
-    message_clock m_clock;
-    peer_channel_counters m_counters;
-
 private:
     struct pending_request {
         std::string address;
@@ -109,6 +108,9 @@
     std::uint64_t hybridTime() const { return m_clock.read ? m_clock.read() : 0; }
     void observe(std::uint64_t time) const;
 
+    request_handler m_handler;
+    message_clock m_clock;
+    peer_channel_counters m_counters;
     boost::asio::io_context& m_context;
     zmq::context_t m_library;
     boost::asio::steady_timer m_timer;
@@ -370,7 +372,7 @@
     m_router->close();
 }
 
-peer_channel::peer_channel(boost::asio::io_context& context, std::string bindAddress)
+peer_channel::peer_channel(boost::asio::io_context& context, const std::string& bindAddress)
     : m_state(std::make_shared<state>(context, bindAddress))
 {
     m_state->start();
@@ -378,7 +380,11 @@
 
 peer_channel::~peer_channel()
 {
-    close();
+    try {
+        close();
+    } catch (const std::exception&) {
+        // Nothing is left to release: the sockets are closed by their own destructors.
+    }
 }
 
 std::string peer_channel::address() const
--- a/src/libs/wire/peerchannel.h
+++ b/src/libs/wire/peerchannel.h
@@ -45,7 +45,7 @@
     /// Binds to \a bindAddress ("ip:port"; port 0 takes a free one).
     ///
     /// Throws std::system_error with AddressInUse when the address is taken.
-    peer_channel(boost::asio::io_context& context, std::string bindAddress);
+    peer_channel(boost::asio::io_context& context, const std::string& bindAddress);
     ~peer_channel();
     peer_channel(const peer_channel&) = delete;
     peer_channel& operator=(const peer_channel&) = delete;
--- a/src/libs/wire/peercodec.cpp
+++ b/src/libs/wire/peercodec.cpp
@@ -1,6 +1,6 @@
 #include "peercodec.h"
 
-#include "generated/peer.pb.h"
+#include <peer.pb.h>
 
 #include <algorithm>
 #include <span>
