--- a/src/apps/ragwortreachd/main.cpp
+++ b/src/apps/ragwortreachd/main.cpp
@@ -16,6 +16,7 @@
 #include <span>
 #include <sstream>
 
+DECLARE_bool(help);
 DEFINE_string(settings, "", "JSON file with the settings of the daemon");
 
 namespace {
@@ -64,6 +65,11 @@
     std::string detail;
     if (parseFlags(arguments, words, detail))
         return fail(exitUsage, detail);
+    if (FLAGS_help) {
+        std::cout << "Usage: ragwortreachd --settings FILE [FLAGS]\n\nThe flags override the settings of the file:\n"
+                  << flagsText();
+        return 0;
+    }
     if (!words.empty())
         return fail(exitUsage, "The word " + words.front() + " is not a flag; write flags as --name=value.");
     std::ifstream file(FLAGS_settings);
--- a/src/libs/commandline/commandline.cpp
+++ b/src/libs/commandline/commandline.cpp
@@ -19,7 +19,6 @@
 #include <thread>
 
 DECLARE_bool(help);
-DECLARE_bool(version);
 DEFINE_string(server, "127.0.0.1:8081", "Admin address of the daemon to ask");
 DEFINE_string(output, "text", "Format of the output: text or json");
 DEFINE_string(operator_name, "", "Operator named in edits; the environment variable USER when empty");
@@ -109,18 +108,6 @@
         return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
     }
 
-    /// Lists the flags of this program's own units.
-    void writeHelp(std::ostream& output)
-    {
-        output << usage;
-        std::vector<gflags::CommandLineFlagInfo> flags;
-        gflags::GetAllFlags(&flags);
-        for (const gflags::CommandLineFlagInfo& flag : flags) {
-            if (flag.filename.find("commandline/") != std::string::npos)
-                output << "  --" << flag.name << "  " << flag.description << " (" << flag.type << ", default '" << flag.default_value << "')\n";
-        }
-    }
-
     exit_code usageError(std::ostream& errors, const std::string& sentence)
     {
         errors << sentence << "\n'ragwortreach --help' lists all commands and flags.\n";
@@ -149,7 +136,7 @@
     if (parseFlags(arguments, words, detail))
         return usageError(errors, detail);
     if (FLAGS_help) {
-        writeHelp(output);
+        output << usage << flagsText();
         return exit_code::Ok;
     }
     if (FLAGS_output != "text" && FLAGS_output != "json")
--- a/src/libs/commandline/exitcode.h
+++ b/src/libs/commandline/exitcode.h
@@ -14,6 +14,8 @@
     Unreachable = 3,
     /// The edit was accepted, but some VM did not confirm it in time.
     Unconfirmed = 4,
+    /// The command line met an error of its own.
+    Internal = 5,
 };
 
 }
--- a/src/libs/support/flagparser.cpp
+++ b/src/libs/support/flagparser.cpp
@@ -89,4 +89,21 @@
     return {};
 }
 
+std::string flagsText()
+{
+    std::vector<gflags::CommandLineFlagInfo> flags;
+    gflags::GetAllFlags(&flags);
+    std::string text;
+    for (const gflags::CommandLineFlagInfo& flag : flags) {
+        if (flag.filename.find("/gflags") != std::string::npos)
+            continue;
+        text += "  --" + flag.name;
+        text += "  " + flag.description;
+        text += " (" + flag.type;
+        text += ", default '" + flag.default_value;
+        text += "')\n";
+    }
+    return text;
+}
+
 }
--- a/src/libs/support/flagparser.h
+++ b/src/libs/support/flagparser.h
@@ -13,4 +13,7 @@
 /// sentence that names the flag, what was expected and the remedy. All words after "--" are collected.
 std::error_code parseFlags(std::span<const char* const> arguments, std::vector<std::string>& words, std::string& detail);
 
+/// Lists the program's flags with their meanings, types and defaults, one a line; those of gflags itself are left out.
+std::string flagsText();
+
 }
--- a/tests/auto/commandline/tst_commandline.cpp
+++ b/tests/auto/commandline/tst_commandline.cpp
@@ -95,6 +95,16 @@
     }
 }
 
+TEST_CASE("Help lists the commands and the flags")
+{
+    const gflags::FlagSaver saver;
+    const char* const arguments[] = { "r", "--help" };
+    std::ostringstream output;
+    std::ostringstream errors;
+    CHECK(runCommandLine(arguments, output, errors) == exit_code::Ok);
+    CHECK_THAT(output.str(), Catch::Contains("catalogue history ENTRY") && Catch::Contains("--server  Admin address of the daemon to ask (string, default '127.0.0.1:8081')") && !Catch::Contains("--flagfile"));
+}
+
 TEST_CASE("Listings as JSON can be parsed")
 {
     const std::vector<std::vector<std::string>> lines { { "catalogue", "get" }, { "catalogue", "get", "shop" }, { "catalogue", "history", "shop" }, { "status" } };
