Stand-ins: Keep the port of a crashed engine

The port was free between the crash and the return. Daemons started by a test also inherited the listening sockets, which kept the port in use.

--- a/tests/auto/client/testclient.cpp
+++ b/tests/auto/client/testclient.cpp
@@ -34,6 +34,12 @@
 
 }
 
+nlohmann::json http_reply::json() const
+{
+    nlohmann::json parsed = nlohmann::json::parse(body, nullptr, false);
+    return parsed.is_discarded() ? nlohmann::json::object() : parsed;
+}
+
 std::vector<nlohmann::json> http_reply::events() const
 {
     const std::string mark = "data: ";
--- a/tests/auto/client/testclient.h
+++ b/tests/auto/client/testclient.h
@@ -22,8 +22,8 @@
     /// Bytes after the end of the answer.
     std::string surplus;
 
-    /// Body as JSON; null when it is not JSON.
-    nlohmann::json json() const { return nlohmann::json::parse(body, nullptr, false); }
+    /// Body as JSON; an empty object when it is not JSON.
+    nlohmann::json json() const;
     /// Data of the server-sent events but the closing "[DONE]".
     std::vector<nlohmann::json> events() const;
     bool isDone() const { return body.find("data: [DONE]") != std::string::npos; }
--- a/tests/auto/system/daemonprocess.cpp
+++ b/tests/auto/system/daemonprocess.cpp
@@ -6,12 +6,19 @@
 #include <fstream>
 #include <stdexcept>
 
-#include <spawn.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 namespace ragwortreach::Tests {
 
+namespace {
+
+    constexpr int exitNotFound = 127;
+    constexpr unsigned int firstInheritedDescriptor = 3;
+
+}
+
 daemon_process::daemon_process(const std::string& folder, const nlohmann::json& settings)
     : m_settings(settings)
 {
@@ -21,8 +28,16 @@
     std::string program = std::string(buildDir ? buildDir : ".") + "/src/apps/ragwortreachd/ragwortreachd";
     std::string flag = "--settings=" + path;
     std::array<char*, 3> arguments { program.data(), flag.data(), nullptr };
-    if (posix_spawn(&m_pid, program.c_str(), nullptr, nullptr, arguments.data(), environ) != 0)
+    m_pid = fork();
+    if (m_pid < 0)
         throw std::runtime_error("cannot start " + program);
+    if (m_pid == 0) {
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
+        // The ports of the stand-ins in this process must not live on in the daemon.
+        close_range(firstInheritedDescriptor, ~0U, 0);
+        execv(program.c_str(), arguments.data());
+        _exit(exitNotFound);
+    }
 }
 
 daemon_process::~daemon_process()
--- a/tests/auto/system/tst_batches.cpp
+++ b/tests/auto/system/tst_batches.cpp
@@ -158,9 +158,12 @@
 {
     const test_fleet fleet(2, 20);
     fleet.putEntry("rollouts", rolloutsEntry());
+    CHECK(fleet.standins().counters(EngineOne)["paths"].value("/orders", 0) == 0);
     fleet.standins().fault({ { "crash", true }, { "crash_ms", 100 } }, EngineOne);
-    REQUIRE(waitUntil([&fleet] { return fleet.standins().get("/state", EngineOne).status == 200; }));
-    CHECK(waitUntil([&fleet] { return fleet.standins().get("/state", EngineOne).json()["weights"] == weights; }));
+    CHECK(waitUntil([&fleet] {
+        const bool isOrdered = fleet.standins().counters(EngineOne)["paths"].value("/orders", 0) > 0;
+        return isOrdered && fleet.standins().get("/state", EngineOne).json()["weights"] == weights;
+    }));
     REQUIRE(openBatch(fleet, 0).status == 201);
     test_trainer trainer(fleet);
     CHECK(trainer.fetchAll(1));
--- a/tests/standins/standinserver.cpp
+++ b/tests/standins/standinserver.cpp
@@ -53,6 +53,7 @@
     , m_handler(std::move(handler))
     , m_onFaults(std::move(onFaults))
 {
+    bind();
     listen();
 }
 
@@ -96,17 +97,24 @@
 
 void standin_server::crash(std::chrono::milliseconds span)
 {
-    error_code ignored;
-    m_acceptor.close(ignored);
+    bind();
     for (http_connection& connection : m_connections)
         connection.close();
     after(span, [this] { listen(); });
 }
 
-void standin_server::listen()
+void standin_server::bind()
 {
-    m_acceptor = tcp::acceptor(m_context, m_endpoint);
+    m_acceptor = tcp::acceptor(m_context);
+    m_acceptor.open(m_endpoint.protocol());
+    m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+    m_acceptor.bind(m_endpoint);
     m_endpoint = m_acceptor.local_endpoint();
+}
+
+void standin_server::listen()
+{
+    m_acceptor.listen();
     accept();
 }
 
--- a/tests/standins/standinserver.h
+++ b/tests/standins/standinserver.h
@@ -34,6 +34,8 @@
     void crash(std::chrono::milliseconds span);
 
 private:
+    /// Takes the port without accepting, so that connections are refused and nobody else gets the port.
+    void bind();
     void listen();
     void accept();
     void handle(const http_connection_ptr& connection);
