--- a/tests/auto/system/tst_batches.cpp
+++ b/tests/auto/system/tst_batches.cpp
@@ -161,7 +161,7 @@
     CHECK(fleet.standins().counters(EngineOne)["paths"].value("/orders", 0) == 0);
     fleet.standins().fault({ { "crash", true }, { "crash_ms", 100 } }, EngineOne);
     CHECK(waitUntil([&fleet] {
-        const bool isOrdered = fleet.standins().counters(EngineOne)["paths"].value("/orders", 0) > 0;
+        const bool isOrdered = fleet.standins().counters(EngineOne).value("/paths/~1orders"_json_pointer, 0) > 0;
         return isOrdered && fleet.standins().get("/state", EngineOne).json()["weights"] == weights;
     }));
     REQUIRE(openBatch(fleet, 0).status == 201);
