--- a/tests/auto/system/tst_batches.cpp
+++ b/tests/auto/system/tst_batches.cpp
@@ -11,7 +11,7 @@
 
 constexpr int groups = 4;
 constexpr int samplesPerGroup = 4;
-constexpr std::size_t samples = groups * samplesPerGroup;
+constexpr std::size_t samples = std::size_t { groups } * samplesPerGroup;
 
 const json weights = { { "base", 1 }, { "adapter", 1 } };
 
@@ -77,6 +77,12 @@
         CHECK(sample["group"] == sample["slot"].get<int>() / samplesPerGroup);
         CHECK(sample["reward"].is_number());
         REQUIRE(sample["token_ids"].size() == 12);
+        checkLabels(sample);
+    }
+
+    /// The spans cover the tokens without a gap, and each names the weights of the engines.
+    static void checkLabels(const json& sample)
+    {
         std::size_t position = 0;
         for (const json& span : sample["spans"]) {
             CHECK(span["begin"] == position);
