Core, Platform: Mend what the linter found

Three lay in rapidjson, met on paths through temporaries and operator[] in schemacheck; members found by FindMember and a named pointer have no such path. Switching the checks off was ruled out.

--- a/src/libs/core/schemacheck.cpp
+++ b/src/libs/core/schemacheck.cpp
@@ -7,14 +7,19 @@
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
 
-#include <optional>
-
 namespace ragwortreach {
 
 namespace {
 
     constexpr std::size_t maxShownValueLength = 80;
 
+    rapidjson::Document parsed(std::string_view text)
+    {
+        rapidjson::Document document;
+        document.Parse(text.data(), text.size());
+        return document;
+    }
+
     std::string keyOf(const rapidjson::Pointer& pointer)
     {
         std::string key;
@@ -53,7 +58,7 @@
 
     std::string describeUnknownKey(const std::string& key, const rapidjson::Value& value, const rapidjson::Value& schema)
     {
-        const rapidjson::Value& properties = schema["properties"];
+        const rapidjson::Value& properties = schema.FindMember("properties")->value;
         std::string known;
         for (rapidjson::Value::ConstMemberIterator it = properties.MemberBegin(); it != properties.MemberEnd(); ++it)
             known += (known.empty() ? "" : ", ") + std::string(it->name.GetString());
@@ -62,7 +67,7 @@
 
     std::string describeMissingKey(const std::string& key, const rapidjson::Value& value, const rapidjson::Value& schema)
     {
-        const rapidjson::Value& required = schema["required"];
+        const rapidjson::Value& required = schema.FindMember("required")->value;
         for (const rapidjson::Value& name : required.GetArray()) {
             if (!value.HasMember(name))
                 return memberKey(key, name) + " is missing, expected a value";
@@ -70,32 +75,39 @@
         return key + " lacks a required key";
     }
 
-    std::string describe(const rapidjson::Document& schema, const rapidjson::Document& document, const rapidjson::SchemaValidator& validator)
+    /// First rule of a schema that a document breaks.
+    struct schema_violation {
+        std::string key;
+        std::string keyword;
+        const rapidjson::Value* value = nullptr;
+        const rapidjson::Value* rule = nullptr;
+    };
+
+    std::string describe(const schema_violation& violation)
     {
-        const std::string key = keyOf(validator.GetInvalidDocumentPointer());
-        const std::string keyword = validator.GetInvalidSchemaKeyword();
-        const rapidjson::Value* value = validator.GetInvalidDocumentPointer().Get(document);
-        const rapidjson::Value* rule = validator.GetInvalidSchemaPointer().Get(schema);
-        if (value == nullptr || rule == nullptr || !rule->IsObject() || !rule->HasMember(keyword.c_str()))
-            return (key.empty() ? "the text" : key) + " does not fit the schema";
-        if (keyword == "additionalProperties")
-            return describeUnknownKey(key, *value, *rule);
-        if (keyword == "required")
-            return describeMissingKey(key, *value, *rule);
-        return (key.empty() ? "the text" : key) + " is " + shown(*value) + ", expected " + keyword + " " + shown((*rule)[keyword.c_str()]);
+        const std::string subject = violation.key.empty() ? "the text" : violation.key;
+        const bool isKnown = violation.value && violation.rule && violation.rule->IsObject();
+        if (!isKnown || !violation.rule->HasMember(violation.keyword.c_str()))
+            return subject + " does not fit the schema";
+        if (violation.keyword == "additionalProperties")
+            return describeUnknownKey(violation.key, *violation.value, *violation.rule);
+        if (violation.keyword == "required")
+            return describeMissingKey(violation.key, *violation.value, *violation.rule);
+        const rapidjson::Value& expected = violation.rule->FindMember(violation.keyword.c_str())->value;
+        return subject + " is " + shown(*violation.value) + ", expected " + violation.keyword + " " + shown(expected);
     }
 
 }
 
 struct schema_check::compiled_schema {
     explicit compiled_schema(std::string_view text)
+        : source(parsed(text))
+        , document(source)
     {
-        source.Parse(text.data(), text.size());
-        document.emplace(source);
     }
 
     rapidjson::Document source;
-    std::optional<rapidjson::SchemaDocument> document;
+    rapidjson::SchemaDocument document;
 };
 
 schema_check::schema_check(std::string_view schema)
@@ -113,10 +125,16 @@
         return "the text is not JSON at byte " + std::to_string(document.GetErrorOffset()) + ": "
             + rapidjson::GetParseError_En(document.GetParseError());
     }
-    rapidjson::SchemaValidator validator(*m_schema->document);
+    rapidjson::SchemaValidator validator(m_schema->document);
     if (document.Accept(validator))
         return {};
-    return describe(m_schema->source, document, validator);
+    schema_violation violation;
+    violation.rule = validator.GetInvalidSchemaPointer().Get(m_schema->source);
+    const rapidjson::Pointer place = validator.GetInvalidDocumentPointer();
+    violation.value = place.Get(document);
+    violation.key = keyOf(place);
+    violation.keyword = validator.GetInvalidSchemaKeyword();
+    return describe(violation);
 }
 
 }
--- a/src/libs/platform/httpcall.cpp
+++ b/src/libs/platform/httpcall.cpp
@@ -185,7 +185,7 @@
 {
     m_isHeadRead = true;
     http_response_head head;
-    head.status = m_parser->get().result_int();
+    head.status = static_cast<int>(m_parser->get().result_int());
     if (m_parser->content_length())
         head.contentLength = *m_parser->content_length();
     for (auto it = m_parser->get().begin(); it != m_parser->get().end(); ++it)
@@ -245,7 +245,7 @@
     finish({ code, "The connection broke before the answer was whole, " + where });
 }
 
-void http_call::finish(http_outcome outcome)
+void http_call::finish(const http_outcome& outcome)
 {
     m_isDone = true;
     const bool isReusable = outcome.code == result_code::Ok && m_parser->keep_alive() && m_buffer.size() == 0;
--- a/src/libs/platform/httpcall.h
+++ b/src/libs/platform/httpcall.h
@@ -55,7 +55,7 @@
     void readBody();
     void onBodyRead(const boost::system::error_code& error);
     void fail(const boost::system::error_code& error);
-    void finish(http_outcome outcome);
+    void finish(const http_outcome& outcome);
     void release();
 
     std::shared_ptr<http_client_state> m_state;
