Platform: Take a cancelled stream for broken, not whole

The client took any finish reason for a whole answer, so a stream that somebody else cancelled at the engine could pass for a whole sample. Only 'stop' and 'length' end a sample now; everything else resumes it. Found by reading; the stand-in engine ends cancelled streams with 'cancelled'. A test with a cancel from outside is still to be written.

--- a/src/libs/platform/engineclient.cpp
+++ b/src/libs/platform/engineclient.cpp
@@ -44,6 +44,13 @@
         return versions;
     }
 
+    /// Whether the engine ended the sample itself; a stream that somebody cancelled has another reason.
+    bool isWholeFinish(const json& choice)
+    {
+        const json reason = choice.value("finish_reason", json());
+        return reason == "stop" || reason == "length";
+    }
+
     completion_chunk parseChunk(const json& event)
     {
         completion_chunk chunk;
@@ -51,7 +58,7 @@
         chunk.tokens = choice.at("token_ids").get<std::vector<std::uint32_t>>();
         chunk.text = choice.value("text", std::string());
         chunk.versions = parseVersions(event);
-        chunk.isFinished = choice.contains("finish_reason") && !choice.at("finish_reason").is_null();
+        chunk.isFinished = isWholeFinish(choice);
         return chunk;
     }
 
