Core: Let the last daemons go when all are drained at once

Batches are released after the delay of a hand-over when no owner is left: the log has their samples. Batches whose trainer holds all samples no longer show in the status as open. The new test fails without the change.

--- a/src/libs/core/batchcontroller.cpp
+++ b/src/libs/core/batchcontroller.cpp
@@ -305,7 +305,8 @@
     const std::vector<std::string> running = m_owner.batches();
     for (const std::string& batch : running) {
         const std::string owner = ownerOf(batch);
-        if (owner == m_context.vm() || owner.empty()) {
+        const bool isLast = owner.empty() && m_context.isDraining;
+        if (owner == m_context.vm() || (owner.empty() && !isLast)) {
             m_foreignSince.erase(batch);
             continue;
         }
@@ -313,7 +314,7 @@
         if (m_context.now - since < handOverDelay)
             continue;
         m_foreignSince.erase(batch);
-        m_owner.release(batch, "The daemon " + owner + " goes on with the batch.");
+        m_owner.release(batch, isLast ? "No daemon is left to go on with the batch; the log keeps its samples." : "The daemon " + owner + " goes on with the batch.");
     }
 }
 
--- a/src/libs/core/daemoncore.cpp
+++ b/src/libs/core/daemoncore.cpp
@@ -185,7 +185,10 @@
     json batches = json::array();
     const std::vector<std::string> owned = m_state->batches.owner().batches();
     for (const std::string& batch : owned) {
-        const batch_progress progress = m_state->batches.owner().tracker(batch)->progress();
+        const batch_tracker* const tracker = m_state->batches.owner().tracker(batch);
+        if (tracker->isFinished())
+            continue;
+        const batch_progress progress = tracker->progress();
         batches.push_back({ { "batch", batch }, { "owner_vm", context.vm() }, { "remaining", progress.slots - progress.held } });
     }
     const member& local = context.members.local();
--- a/tests/auto/core/tst_daemoncore.cpp
+++ b/tests/auto/core/tst_daemoncore.cpp
@@ -398,6 +398,21 @@
     }
 }
 
+TEST_CASE("All daemons become idle when all are drained at once, also with a batch that is not whole")
+{
+    daemon_world world(daemonCount);
+    world.run(std::chrono::seconds(1));
+    putEntries(world);
+    trainer user(world);
+    user.open();
+    REQUIRE(user.isOpened);
+    for (std::size_t daemon = 0; daemon < daemonCount; ++daemon)
+        world.drain(daemon);
+    world.run(std::chrono::seconds(5));
+    for (std::size_t daemon = 0; daemon < daemonCount; ++daemon)
+        CHECK(world.core(daemon).isIdle());
+}
+
 TEST_CASE("A drained daemon becomes idle and gets nothing new")
 {
     daemon_world world(daemonCount);
