Platform: Read on until the caller closes after the last answer

An answer that refuses a body in mid-transfer could be lost: the connection was closed with data unread, which resets it at the caller. The session now shuts its sending side, discards what still comes for at most 2 s, and closes.

--- a/src/libs/platform/httpsession.cpp
+++ b/src/libs/platform/httpsession.cpp
@@ -17,6 +17,10 @@
     using boost::asio::ip::tcp;
     using boost::system::error_code;
 
+    /// Time that a caller has to read the last answer of a connection.
+    constexpr std::chrono::seconds closeTimeout { 2 };
+    constexpr std::size_t discardBytes = std::size_t { 64 } * 1024;
+
     std::string headText(const http_response_head& head, bool isKeepAlive)
     {
         std::string text = "HTTP/1.1 " + std::to_string(head.status) + ' ';
@@ -254,14 +258,37 @@
     m_onGone = nullptr;
     m_onDrained = nullptr;
     if (!m_isKeepAlive || m_server->isDraining) {
-        error_code ignored;
-        m_socket.shutdown(tcp::socket::shutdown_send, ignored);
-        close();
+        closeAfterCaller();
         return;
     }
     readRequest();
 }
 
+/// Reads on until the caller closes: data that is left unread would reset the connection, and the
+/// caller could lose the answer.
+void http_session::closeAfterCaller()
+{
+    error_code ignored;
+    m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+    m_readTimer.expires_after(closeTimeout);
+    m_readTimer.async_wait([self = self_pointer(this)](const error_code& error) {
+        if (!error)
+            self->close();
+    });
+    discardRest();
+}
+
+void http_session::discardRest()
+{
+    m_buffer.clear();
+    m_socket.async_read_some(m_buffer.prepare(discardBytes), [self = self_pointer(this)](const error_code& error, std::size_t) {
+        if (error)
+            self->close();
+        else
+            self->discardRest();
+    });
+}
+
 void http_session::lose()
 {
     if (m_isExchangeOpen) {
--- a/src/libs/platform/httpsession.h
+++ b/src/libs/platform/httpsession.h
@@ -50,6 +50,8 @@
     void flush();
     void onFlushed(const boost::system::error_code& error);
     void completeExchange();
+    void closeAfterCaller();
+    void discardRest();
     void lose();
     void close();
 
--- /dev/null
+++ b/tests/auto/platform/tst_httpserver.cpp
@@ -0,0 +1,117 @@
+#include <core/resultcode.h>
+#include <platform/httpclient.h>
+#include <platform/httpserver.h>
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+using namespace ragwortreach;
+
+namespace {
+
+struct request_case {
+    const char* name;
+    std::size_t headerBytes;
+    std::size_t bodyBytes;
+    int status;
+};
+
+constexpr std::size_t headerLimit = 4096;
+constexpr std::size_t bodyLimit = 1000;
+
+const request_case requestCases[] = {
+    { "within the limits", 100, bodyLimit, 200 },
+    { "header too large", 2 * headerLimit, 0, 431 },
+    { "body one byte too large", 100, bodyLimit + 1, 413 },
+    { "body far too large", 100, 3000000, 413 },
+};
+
+http_response answerError(std::error_code error)
+{
+    return { resultCodeInfo(static_cast<result_code>(error.value())).httpStatus, {}, {} };
+}
+
+http_server_limits smallLimits()
+{
+    http_server_limits limits;
+    limits.headerBytes = headerLimit;
+    limits.bodyBytes = bodyLimit;
+    return limits;
+}
+
+}
+
+TEST_CASE("A request over a limit gets its own status, and the server goes on")
+{
+    for (const request_case& row : requestCases) {
+        DYNAMIC_SECTION(row.name)
+        {
+            boost::asio::io_context context;
+            http_server server(
+                context, smallLimits(), [](const http_exchange& exchange) { exchange.respond({ 200, {}, "ok" }); }, answerError);
+            REQUIRE_FALSE(server.listen({ "127.0.0.1", 0 }));
+            http_client client(context);
+            const endpoint address { "127.0.0.1", server.port() };
+            http_request request { "POST", "/", { { "X-Long", std::string(row.headerBytes, 'h') } }, std::string(row.bodyBytes, 'b') };
+            http_call_options options;
+            options.timeout = std::chrono::seconds(20);
+            int status = 0;
+            int nextStatus = 0;
+            client.callWhole(address, request, options, [&](const http_outcome&, const http_response& response) {
+                status = response.status;
+                client.callWhole(address, { "GET", "/", {}, {} }, options, [&](const http_outcome&, const http_response& next) {
+                    nextStatus = next.status;
+                    context.stop();
+                });
+            });
+            context.run();
+            CHECK(status == row.status);
+            CHECK(nextStatus == 200);
+        }
+    }
+}
+
+TEST_CASE("A taken port is an error that names itself")
+{
+    boost::asio::io_context context;
+    http_server first(
+        context, {}, [](const http_exchange&) {}, answerError);
+    REQUIRE_FALSE(first.listen({ "127.0.0.1", 0 }));
+    http_server second(
+        context, {}, [](const http_exchange&) {}, answerError);
+    CHECK(second.listen({ "127.0.0.1", first.port() }) == result_code::AddressInUse);
+}
+
+TEST_CASE("A connection that carried a broken answer is not used again")
+{
+    boost::asio::io_context context;
+    std::size_t calls = 0;
+    http_server server(
+        context, {}, [&calls](const http_exchange& exchange) {
+            ++calls;
+            exchange.beginStream({ 200, {}, 10 });
+            exchange.write(calls == 1 ? "late" : "0123456789");
+            if (calls == 1)
+                exchange.setDrainedHandler([exchange] { exchange.abort(); });
+            else
+                exchange.endStream();
+        },
+        answerError);
+    REQUIRE_FALSE(server.listen({ "127.0.0.1", 0 }));
+    http_client client(context);
+    const endpoint address { "127.0.0.1", server.port() };
+    http_call_options options;
+    options.timeout = std::chrono::seconds(20);
+    result_code firstCode = result_code::Ok;
+    std::string body;
+    client.callWhole(address, {}, options, [&](const http_outcome& outcome, const http_response&) {
+        firstCode = outcome.code;
+        client.callWhole(address, {}, options, [&](const http_outcome&, const http_response& response) {
+            body = response.body;
+            context.stop();
+        });
+    });
+    context.run();
+    CHECK(std::error_code(firstCode) == result_code::UpstreamTruncated);
+    CHECK(body == "0123456789");
+}
