Core: Collect the models of a daemon's batches in one place

Reading the versions and offering capacity each built the same sorted list of models. One function makes it now; behaviour is the same. The linter passes the file and tst_core passes (102 cases).

--- a/src/libs/core/batchowner.cpp
+++ b/src/libs/core/batchowner.cpp
@@ -127,6 +127,16 @@
     return names;
 }
 
+std::vector<std::string> batch_owner::models() const
+{
+    std::vector<std::string> names;
+    for (auto it = m_owned.begin(); it != m_owned.end(); ++it)
+        names.push_back(it->second->entry.upstream);
+    std::sort(names.begin(), names.end());
+    names.erase(std::unique(names.begin(), names.end()), names.end());
+    return names;
+}
+
 void batch_owner::start(const batch_spec& spec, std::optional<instant> openedAfter)
 {
     if (add(spec, openedAfter))
@@ -268,12 +278,8 @@
     if (m_context.now < m_nextVersionRead)
         return;
     m_nextVersionRead = m_context.now + versionPeriod;
-    std::vector<std::string> models;
-    for (auto it = m_owned.begin(); it != m_owned.end(); ++it)
-        models.push_back(it->second->entry.upstream);
-    std::sort(models.begin(), models.end());
-    models.erase(std::unique(models.begin(), models.end()), models.end());
-    for (const std::string& model : models)
+    const std::vector<std::string> served = models();
+    for (const std::string& model : served)
         m_context.emit(read_versions { model });
 }
 
@@ -282,12 +288,8 @@
     if (m_context.now < m_nextCapacity)
         return;
     m_nextCapacity = m_context.now + capacityPeriod;
-    std::vector<std::string> models;
-    for (auto it = m_owned.begin(); it != m_owned.end(); ++it)
-        models.push_back(it->second->entry.upstream);
-    std::sort(models.begin(), models.end());
-    models.erase(std::unique(models.begin(), models.end()), models.end());
-    for (const std::string& model : models)
+    const std::vector<std::string> served = models();
+    for (const std::string& model : served)
         offerCapacity(model);
 }
 
--- a/src/libs/core/batchowner.h
+++ b/src/libs/core/batchowner.h
@@ -66,6 +66,8 @@
         std::size_t records = 0;
     };
 
+    /// Models that the batches here use, each once.
+    std::vector<std::string> models() const;
     owned_batch* add(const batch_spec& spec, std::optional<instant> openedAfter);
     void endRestores();
     void endRestore(const std::string& batch, pending_restore& done);
