--- a/src/apps/ragwortreachd/main.cpp
+++ b/src/apps/ragwortreachd/main.cpp
@@ -1,6 +1,9 @@
+#include <gateway/gatewayhost.h>
+#include <gateway/gatewaysettings.h>
 #include <service/daemonhost.h>
 #include <support/flagparser.h>
 #include <support/log.h>
+#include <support/logline.h>
 #include <support/settings.h>
 #include <support/settingsflags.h>
 
@@ -12,7 +15,9 @@
 #include <cstdio>
 #include <exception>
 #include <fstream>
+#include <functional>
 #include <iostream>
+#include <optional>
 #include <span>
 #include <sstream>
 
@@ -33,13 +38,27 @@
     return exitCode;
 }
 
-void awaitSignal(boost::asio::signal_set& signals, daemon_host& host)
+std::optional<std::string> readFile(const std::string& path)
 {
-    signals.async_wait([&signals, &host](const boost::system::error_code& error, int) {
+    std::ifstream file(path);
+    if (!file)
+        return std::nullopt;
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+/// Calls \a onStop for SIGTERM and SIGINT, and \a onReload for SIGHUP, as often as they come.
+void awaitSignal(boost::asio::signal_set& signals, const std::function<void()>& onStop, const std::function<void()>& onReload)
+{
+    signals.async_wait([&signals, onStop, onReload](const boost::system::error_code& error, int signal) {
         if (error)
             return;
-        host.drain();
-        awaitSignal(signals, host);
+        if (signal == SIGHUP)
+            onReload();
+        else
+            onStop();
+        awaitSignal(signals, onStop, onReload);
     });
 }
 
@@ -53,8 +72,37 @@
     std::string detail;
     if (host.open(detail))
         return fail(exitListen, detail);
-    boost::asio::signal_set signals(context, SIGTERM, SIGINT);
-    awaitSignal(signals, host);
+    boost::asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
+    awaitSignal(signals, [&host] { host.drain(); }, [&daemonLog] { daemonLog.write(log_line(log_level::Info, "reload_ignored")); });
+    context.run();
+    return 0;
+}
+
+void reload(gateway_host& host, log& gatewayLog)
+{
+    gateway_settings settings;
+    std::string detail;
+    const std::optional<std::string> text = readFile(FLAGS_settings);
+    if (!text || loadGatewaySettings(*text, settings, detail)) {
+        gatewayLog.write(log_line(log_level::Error, "reload_failed").with("file", FLAGS_settings).with("reason", detail));
+        return;
+    }
+    host.reload(settings);
+}
+
+int runGateway(const std::string& text)
+{
+    gateway_settings settings;
+    std::string detail;
+    if (loadGatewaySettings(text, settings, detail))
+        return fail(exitUsage, detail);
+    log gatewayLog(settings.log, settings.vm);
+    boost::asio::io_context context(1);
+    gateway_host host(context, settings, gatewayLog);
+    if (host.open(detail))
+        return fail(exitListen, detail);
+    boost::asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
+    awaitSignal(signals, [&host] { host.drain(); }, [&host, &gatewayLog] { reload(host, gatewayLog); });
     context.run();
     return 0;
 }
@@ -72,13 +120,13 @@
     }
     if (!words.empty())
         return fail(exitUsage, "The word " + words.front() + " is not a flag; write flags as --name=value.");
-    std::ifstream file(FLAGS_settings);
-    if (!file)
+    const std::optional<std::string> text = readFile(FLAGS_settings);
+    if (!text)
         return fail(exitUsage, "The settings file '" + FLAGS_settings + "' cannot be read; name it with --settings.");
-    std::stringstream text;
-    text << file.rdbuf();
+    if (isGatewaySettings(*text))
+        return runGateway(*text);
     daemon_settings settings;
-    if (loadSettings(text.str(), settingsFlagsAsJson(), settings, detail))
+    if (loadSettings(*text, settingsFlagsAsJson(), settings, detail))
         return fail(exitUsage, detail);
     return run(settings);
 }
--- a/src/libs/commandline/callerrotation.h
+++ b/src/libs/commandline/callerrotation.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <platform/endpoint.h>
+#include <net/endpoint.h>
 
 #include <cstddef>
 #include <utility>
--- a/src/libs/commandline/commandenvironment.h
+++ b/src/libs/commandline/commandenvironment.h
@@ -2,8 +2,8 @@
 
 #include "exitcode.h"
 
-#include <platform/httpclient.h>
-#include <platform/httpmessage.h>
+#include <net/httpclient.h>
+#include <net/httpmessage.h>
 
 #include <chrono>
 #include <cstdint>
--- a/src/libs/commandline/customerload.h
+++ b/src/libs/commandline/customerload.h
@@ -4,7 +4,7 @@
 #include "loadplan.h"
 #include "loadreport.h"
 
-#include <platform/httpclient.h>
+#include <net/httpclient.h>
 
 #include <boost/asio/steady_timer.hpp>
 
--- a/src/libs/commandline/loadanswer.h
+++ b/src/libs/commandline/loadanswer.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <platform/httpclient.h>
-#include <platform/httpmessage.h>
+#include <net/httpclient.h>
+#include <net/httpmessage.h>
 
 #include <chrono>
 
--- a/src/libs/commandline/loaddriver.h
+++ b/src/libs/commandline/loaddriver.h
@@ -5,7 +5,7 @@
 #include "loadreport.h"
 #include "trainerload.h"
 
-#include <platform/httpclient.h>
+#include <net/httpclient.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/src/libs/commandline/loadplan.h
+++ b/src/libs/commandline/loadplan.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <core/catalogueentry.h>
-#include <platform/endpoint.h>
+#include <net/endpoint.h>
 
 #include <chrono>
 #include <cstdint>
--- a/src/libs/commandline/syncexchange.cpp
+++ b/src/libs/commandline/syncexchange.cpp
@@ -1,6 +1,6 @@
 #include "syncexchange.h"
 
-#include <platform/endpoint.h>
+#include <net/endpoint.h>
 
 #include <boost/asio/io_context.hpp>
 
--- a/src/libs/commandline/trainerload.h
+++ b/src/libs/commandline/trainerload.h
@@ -5,7 +5,7 @@
 #include "loadreport.h"
 
 #include <core/weightversion.h>
-#include <platform/httpclient.h>
+#include <net/httpclient.h>
 
 #include <boost/asio/steady_timer.hpp>
 
--- /dev/null
+++ b/src/libs/gateway/callrelay.cpp
@@ -0,0 +1,333 @@
+#include "callrelay.h"
+
+#include "answers.h"
+#include "bootclock.h"
+
+#include <support/log.h>
+#include <support/logline.h>
+
+#include <boost/asio/io_context.hpp>
+
+namespace ragwortreach {
+
+namespace {
+
+    /// Answers up to this size are held until they are whole, so that a broken one can be replaced.
+    constexpr std::size_t heldBodyBytes = std::size_t { 256 } * 1024;
+    constexpr std::size_t callerQueueBytes = std::size_t { 1024 } * 1024;
+    constexpr duration connectTimeout = std::chrono::milliseconds(300);
+    constexpr int serverErrors = 500;
+
+    bool isSuccess(int status)
+    {
+        return status >= 200 && status < 300;
+    }
+
+}
+
+struct call_relay::relayed_call {
+    relayed_call(boost::asio::io_context& context, const http_exchange& callerExchange)
+        : exchange(callerExchange)
+        , timer(context)
+        , reader(platform::weightVersionField())
+    {
+    }
+
+    http_exchange exchange;
+    platform::caller_request caller;
+    std::string routeName;
+    std::string service;
+    duration comeBackAfter {};
+    bool isResumable = false;
+    call_progress progress;
+    std::vector<std::string> tried;
+    std::string replica;
+    instant arrivedAt {};
+    instant attemptAt {};
+    bool isAttemptOpen = false;
+    http_call_handle handle;
+    boost::asio::steady_timer timer;
+    platform::replica_answer answer;
+    http_response held;
+    std::optional<std::uint64_t> length;
+    bool isAnswerBegun = false;
+    event_stream_reader reader;
+    std::uint64_t lastEvent = 0;
+};
+
+call_relay::call_relay(boost::asio::io_context& context, http_client& client, replica_pool& pool, const route_table& routes, log& log)
+    : m_context(context)
+    , m_client(client)
+    , m_pool(pool)
+    , m_routes(routes)
+    , m_log(log)
+{
+}
+
+call_relay::~call_relay() = default;
+
+call_relay::relayed_call* call_relay::find(std::uint64_t number)
+{
+    const auto found = m_calls.find(number);
+    return found == m_calls.end() ? nullptr : found->second.get();
+}
+
+void call_relay::serve(const http_exchange& exchange, const route& route, const platform::caller_request& caller)
+{
+    ++m_counters.arrived;
+    const std::uint64_t number = ++m_lastNumber;
+    std::unique_ptr<relayed_call> call = std::make_unique<relayed_call>(m_context, exchange);
+    const route_target* const target = chooseTarget(route, std::hash<std::string> {}(caller.id));
+    call->caller = caller;
+    call->routeName = route.name;
+    call->service = target ? target->service : std::string();
+    call->comeBackAfter = retryAfter(route);
+    call->isResumable = route.isResumable;
+    call->lastEvent = caller.lastEvent;
+    call->arrivedAt = bootNow();
+    call->progress.kind = route.kind;
+    call->progress.maxAttempts = route.maxAttempts;
+    call->progress.due = call->arrivedAt + std::min(caller.patience.value_or(route.timeout), route.timeout);
+    exchange.setGoneHandler([this, number] { loseCaller(number); });
+    call->timer.expires_after(call->progress.due - call->arrivedAt);
+    call->timer.async_wait([this, number](const boost::system::error_code& error) {
+        if (!error)
+            expire(number);
+    });
+    m_calls.emplace(number, std::move(call));
+    startAttempt(number);
+}
+
+void call_relay::startAttempt(std::uint64_t number)
+{
+    relayed_call& call = *find(number);
+    const instant now = bootNow();
+    const replica_pool::replica* replica = m_pool.pick({ call.service, call.tried }, now);
+    if (!replica && call.progress.kind == route_kind::Idempotent && !call.tried.empty())
+        replica = m_pool.pick({ call.service, {} }, now);
+    if (!replica) {
+        if (call.progress.mayHaveRun)
+            fail(number, 502, "no other replica");
+        else
+            refuse(number, "no replica is free");
+        return;
+    }
+    call.replica = replica->entry.id;
+    call.tried.push_back(call.replica);
+    const bool hasOther = m_pool.pick({ call.service, call.tried }, now) != nullptr;
+    call.attemptAt = now;
+    call.isAttemptOpen = true;
+    call.answer = {};
+    call.held = {};
+    call.reader = event_stream_reader(platform::weightVersionField());
+    ++m_counters.attempts;
+    platform::replica_request_options sent { call.replica, call.progress.due - now, call.lastEvent };
+    http_call_options options;
+    options.timeout = call.progress.kind == route_kind::Streaming ? call.progress.due - now : attemptTime(call.progress, hasOther, now);
+    options.connectTimeout = std::min(connectTimeout, options.timeout);
+    options.mayReuseConnection = call.progress.kind == route_kind::Idempotent;
+    http_call_handlers handlers;
+    handlers.onHead = [this, number](const http_response_head& head) { readHead(number, head); };
+    handlers.onBody = [this, number](std::string_view piece) { readBody(number, piece); };
+    handlers.onDone = [this, number](const http_outcome& outcome) { endAttempt(number, outcome); };
+    m_pool.started(call.replica);
+    const endpoint address = parseEndpoint(replica->entry.address).value_or(endpoint {});
+    call.handle = m_client.call(address, platform::encodeReplicaRequest(call.exchange.request(), sent), options, std::move(handlers));
+}
+
+void call_relay::readHead(std::uint64_t number, const http_response_head& head)
+{
+    relayed_call* const call = find(number);
+    if (!call)
+        return;
+    call->answer = platform::decodeReplicaAnswer(head);
+    call->held.status = head.status;
+    call->held.headers = platform::forwardedAnswerHeaders(head.headers);
+    call->length = head.contentLength;
+}
+
+void call_relay::readBody(std::uint64_t number, std::string_view piece)
+{
+    relayed_call* const call = find(number);
+    if (!call)
+        return;
+    const bool isForwardable = call->answer.isStamped && call->answer.requestId == call->caller.id && isSuccess(call->answer.status);
+    if (call->progress.kind == route_kind::Streaming && isForwardable) {
+        passEvents(*call, piece);
+        return;
+    }
+    if (!call->isAnswerBegun && isForwardable && call->held.body.size() + piece.size() > heldBodyBytes)
+        beginAnswer(*call);
+    if (!call->isAnswerBegun) {
+        call->held.body += piece;
+        return;
+    }
+    call->exchange.write(piece);
+    if (call->exchange.queuedBytes() < callerQueueBytes)
+        return;
+    call->handle.setPaused(true);
+    call->exchange.setDrainedHandler([this, number] {
+        relayed_call* const drained = find(number);
+        if (drained)
+            drained->handle.setPaused(false);
+    });
+}
+
+void call_relay::beginAnswer(relayed_call& call)
+{
+    call.isAnswerBegun = true;
+    const bool isStream = call.progress.kind == route_kind::Streaming;
+    call.exchange.beginStream({ call.held.status, call.held.headers, isStream ? std::nullopt : call.length });
+    call.exchange.write(call.held.body);
+    call.held.body.clear();
+}
+
+/// Passes whole events on only, so that a stream that goes on elsewhere has no seam.
+void call_relay::passEvents(relayed_call& call, std::string_view piece)
+{
+    for (const stream_event& event : call.reader.read(piece)) {
+        if (event.id <= call.lastEvent)
+            continue;
+        if (!call.isAnswerBegun)
+            beginAnswer(call);
+        call.lastEvent = event.id;
+        call.exchange.write(event.bytes);
+    }
+}
+
+void call_relay::endAttempt(std::uint64_t number, const http_outcome& outcome)
+{
+    relayed_call* const call = find(number);
+    if (!call)
+        return;
+    attempt_end end = attempt_end::Broken;
+    if (outcome.code == result_code::UpstreamUnreachable)
+        end = attempt_end::NotSent;
+    else if (outcome.code == result_code::Ok && call->answer.isOtherReplica)
+        end = attempt_end::OtherReplica;
+    else if (outcome.code == result_code::Ok && call->answer.isNotRun)
+        end = attempt_end::NotRun;
+    else if (outcome.code == result_code::Ok && call->answer.requestId == call->caller.id && call->answer.isStamped)
+        end = call->answer.status >= serverErrors ? attempt_end::AnsweredFailure : attempt_end::Answered;
+    if (end == attempt_end::Answered && call->progress.kind == route_kind::Streaming && !call->reader.isBetweenEvents())
+        end = attempt_end::Broken;
+    concludeAttempt(number, end, outcome.detail);
+}
+
+void call_relay::concludeAttempt(std::uint64_t number, attempt_end end, std::string_view detail)
+{
+    relayed_call& call = *find(number);
+    const instant now = bootNow();
+    call.isAttemptOpen = false;
+    m_pool.finished(call.replica, replicaOutcome(end), now - call.attemptAt, now);
+    ++call.progress.tries;
+    const bool hasRun = end == attempt_end::Broken || end == attempt_end::AnsweredFailure || end == attempt_end::Answered;
+    if (hasRun) {
+        ++call.progress.attempts;
+        call.progress.mayHaveRun = true;
+    }
+    call_step step = decideAfterAttempt(call.progress, end, now);
+    const bool mayResume = call.progress.kind == route_kind::Streaming && call.isResumable && end != attempt_end::Answered
+        && call.progress.attempts < call.progress.maxAttempts && now < call.progress.due;
+    if (mayResume)
+        step = call_step::Retry;
+    else if (call.isAnswerBegun && step != call_step::Forward)
+        step = call_step::Fail;
+    switch (step) {
+    case call_step::Forward:
+        forward(number);
+        return;
+    case call_step::Retry:
+        ++m_counters.retries;
+        startAttempt(number);
+        return;
+    case call_step::Refuse:
+        refuse(number, detail.empty() ? "all replicas are full" : detail);
+        return;
+    case call_step::Fail:
+        fail(number, 502, detail);
+        return;
+    }
+}
+
+void call_relay::forward(std::uint64_t number)
+{
+    relayed_call& call = *find(number);
+    ++m_counters.answered;
+    if (call.isAnswerBegun)
+        call.exchange.endStream();
+    else
+        call.exchange.respond(std::move(call.held));
+    remove(number);
+}
+
+void call_relay::refuse(std::uint64_t number, std::string_view reason)
+{
+    relayed_call& call = *find(number);
+    ++m_counters.refused;
+    writeLine(call, "refused", reason);
+    call.exchange.respond(refusal(result_code::NoUpstream, reason, call.comeBackAfter));
+    remove(number);
+}
+
+void call_relay::fail(std::uint64_t number, int status, std::string_view reason)
+{
+    relayed_call& call = *find(number);
+    writeLine(call, "failed", reason);
+    if (call.isAnswerBegun) {
+        ++m_counters.broken;
+        call.exchange.abort();
+    } else {
+        ++m_counters.failed;
+        call.exchange.respond(failure(status, result_code::OutcomeUnknown, reason));
+    }
+    remove(number);
+}
+
+void call_relay::expire(std::uint64_t number)
+{
+    relayed_call* const call = find(number);
+    if (!call)
+        return;
+    fail(number, 504, "the time of the call is over");
+}
+
+void call_relay::loseCaller(std::uint64_t number)
+{
+    relayed_call* const call = find(number);
+    if (!call)
+        return;
+    ++m_counters.callerGone;
+    remove(number);
+}
+
+void call_relay::writeLine(const relayed_call& call, std::string_view outcome, std::string_view reason)
+{
+    const duration age = bootNow() - call.arrivedAt;
+    m_log.write(log_line(log_level::Warning, "call_ended")
+                    .with("request", call.caller.id)
+                    .with("route", call.routeName)
+                    .with("service", call.service)
+                    .with("replica", call.replica)
+                    .with("outcome", outcome)
+                    .with("reason", reason)
+                    .with("attempts", call.progress.attempts)
+                    .with("tries", call.progress.tries)
+                    .with("may_have_run", call.progress.mayHaveRun)
+                    .with("age_us", age.count())
+                    .with("configuration", m_routes.version()));
+}
+
+void call_relay::remove(std::uint64_t number)
+{
+    const auto found = m_calls.find(number);
+    if (found == m_calls.end())
+        return;
+    const std::unique_ptr<relayed_call> call = std::move(found->second);
+    m_calls.erase(found);
+    call->handle.cancel();
+    if (call->isAttemptOpen)
+        m_pool.finished(call->replica, replica_outcome::Cancelled, {}, bootNow());
+}
+
+}
--- /dev/null
+++ b/src/libs/gateway/gatewayhost.cpp
@@ -0,0 +1,289 @@
+#include "gatewayhost.h"
+
+#include "answers.h"
+#include "batchdesk.h"
+#include "bootclock.h"
+#include "callrelay.h"
+#include "gatewaymetrics.h"
+#include "gatewaysettings.h"
+#include "groupmember.h"
+#include "itemrunner.h"
+#include "journal.h"
+#include "platformview.h"
+#include "weightorderer.h"
+
+#include <net/httpclient.h>
+#include <net/httpserver.h>
+#include <platform/requestcodec.h>
+#include <platform/storeclient.h>
+#include <rollout/workassignment.h>
+#include <support/log.h>
+#include <support/logline.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <random>
+
+namespace ragwortreach {
+
+namespace {
+
+    constexpr std::chrono::milliseconds tickInterval { 25 };
+    /// Time in which the platform's balancer notices that the daemon is not ready.
+    constexpr duration noticeTime = std::chrono::milliseconds(3200);
+    /// Kept before the end of the time to stop.
+    constexpr duration stopMargin = std::chrono::milliseconds(700);
+    /// Time after which a batch that ended is forgotten; trainers may read it for two minutes.
+    constexpr duration batchMemory = std::chrono::minutes(4);
+    constexpr duration comeBackAfter = std::chrono::milliseconds(200);
+    /// Bounds before any configuration is in force. They only guard the memory.
+    constexpr std::size_t headerBytes = std::size_t { 64 } * 1024;
+    constexpr std::size_t bodyBytes = std::size_t { 40 } * 1024 * 1024;
+    constexpr int okStatus = 200;
+    constexpr int notFoundStatus = 404;
+
+    std::string newLifeName(const std::string& vm)
+    {
+        std::random_device device;
+        const std::uint64_t number = static_cast<std::uint64_t>(device()) << 32 | device();
+        return vm + "-" + std::to_string(number);
+    }
+
+    http_server_limits callerLimits()
+    {
+        http_server_limits limits;
+        limits.headerBytes = headerBytes;
+        limits.bodyBytes = bodyBytes;
+        return limits;
+    }
+
+    http_response malformed(std::error_code code)
+    {
+        const result_code result = static_cast<result_code>(code.value());
+        return failure(resultCodeInfo(result).httpStatus, result, "The request cannot be read.");
+    }
+
+}
+
+struct gateway_host::state {
+    state(boost::asio::io_context& ioContext, const gateway_settings& daemonSettings, log& daemonLog)
+        : context(ioContext)
+        , settings(daemonSettings)
+        , lines(daemonLog)
+        , life(newLifeName(daemonSettings.vm))
+        , client(ioContext)
+        , store(client, parseEndpoint(daemonSettings.storeAddress).value_or(endpoint {}))
+        , pool(daemonSettings.dataCentre)
+        , view(ioContext, store, routes, pool, daemonLog,
+              { [this] { assignWork(); }, [this](const std::string& model, std::uint64_t version) { nameVersion(model, version); } })
+        , batches(ioContext, store, daemonSettings.journalPartitions, life, [this](const ledger_batch& batch) { desk.onChanged(batch); })
+        , member(ioContext, store, { "ragwortreach", life, "ragwortreach.work" }, [this] { assignWork(); })
+        , scheduler(batches.ledger(), pool, routes)
+        , runner(ioContext, client, batches, scheduler, pool, daemonLog)
+        , orderer(client, member, pool, routes, daemonSettings.vm, daemonSettings.orderLease, daemonLog)
+        , relay(ioContext, client, pool, routes, daemonLog)
+        , desk(ioContext, batches, routes, daemonLog)
+        , callers(ioContext, callerLimits(), [this](const http_exchange& exchange) { serve(exchange); }, malformed)
+        , readiness(ioContext, {}, [this](const http_exchange& exchange) { answerReadiness(exchange); }, malformed)
+        , metricsServer(ioContext, {}, [this](const http_exchange& exchange) { answerMetrics(exchange); }, malformed)
+        , timer(ioContext)
+    {
+    }
+
+    std::error_code listen(http_server& server, const std::string& address, std::string& detail) const;
+    void assignWork();
+    void nameVersion(const std::string& model, std::uint64_t version);
+    void serve(const http_exchange& exchange);
+    void answerReadiness(const http_exchange& exchange);
+    void answerMetrics(const http_exchange& exchange);
+    bool isReady() const;
+    void noteReadiness();
+    void tick();
+    void checkStop();
+
+    boost::asio::io_context& context;
+    gateway_settings settings;
+    log& lines;
+    std::string life;
+    http_client client;
+    platform::store_client store;
+    route_table routes;
+    replica_pool pool;
+    platform_view view;
+    journal batches;
+    group_member member;
+    item_scheduler scheduler;
+    item_runner runner;
+    weight_orderer orderer;
+    call_relay relay;
+    batch_desk desk;
+    http_server callers;
+    http_server readiness;
+    http_server metricsServer;
+    boost::asio::steady_timer timer;
+    std::optional<instant> drainingSince;
+    bool wasReady = false;
+    bool hasLeft = false;
+};
+
+std::error_code gateway_host::state::listen(http_server& server, const std::string& address, std::string& detail) const
+{
+    const std::error_code error = server.listen(parseEndpoint(address).value_or(endpoint {}));
+    if (error)
+        detail = "The address " + address + " cannot be listened on; check that it belongs to this VM and that no other process uses the port.";
+    return error;
+}
+
+void gateway_host::state::assignWork()
+{
+    if (drainingSince)
+        return;
+    const std::vector<std::string> models = routes.models();
+    const std::set<std::string, std::less<>> owned = ownedModels(models, member.partitions(), settings.topicPartitions);
+    scheduler.setOwnedModels(owned, bootNow());
+    orderer.setHolder(member.partitions().contains(ordersPartition));
+    std::string names;
+    for (const std::string& model : owned)
+        names += (names.empty() ? "" : " ") + model;
+    lines.write(log_line(log_level::Info, "work_assigned").with("models", names).with("generation", member.generation()));
+}
+
+void gateway_host::state::nameVersion(const std::string& model, std::uint64_t version)
+{
+    if (version <= orderer.plan().target(model))
+        return;
+    orderer.plan().setTarget(model, version, bootNow());
+    lines.write(log_line(log_level::Info, "version_named").with("model", model).with("version", version));
+}
+
+void gateway_host::state::serve(const http_exchange& exchange)
+{
+    const http_request& request = exchange.request();
+    const platform::caller_request caller = platform::decodeCallerRequest(request);
+    if (!routes.isReady()) {
+        exchange.respond(refusal(result_code::NoUpstream, "No configuration is known yet.", comeBackAfter));
+        return;
+    }
+    const platform::batch_call call = platform::decodeBatchCall(request);
+    if (!std::holds_alternative<std::monostate>(call)) {
+        desk.answer(exchange, caller, call);
+        return;
+    }
+    const route* const found = routes.find(caller.host, targetPath(request.target));
+    if (!found) {
+        exchange.respond(failure(notFoundStatus, result_code::UnknownRoute, "No route fits the host and the path."));
+        return;
+    }
+    if (found->kind == route_kind::Rollout)
+        desk.submit(exchange, caller);
+    else
+        relay.serve(exchange, *found, caller);
+}
+
+bool gateway_host::state::isReady() const
+{
+    return view.isReady() && batches.isReady() && !drainingSince;
+}
+
+void gateway_host::state::answerReadiness(const http_exchange& exchange)
+{
+    if (!platform::isReadinessCheck(exchange.request()))
+        exchange.respond(failure(notFoundStatus, result_code::UnknownRoute, "No such page."));
+    else if (isReady())
+        exchange.respond({ okStatus, {}, "ready\n" });
+    else
+        exchange.respond(refusal(result_code::Draining, "The daemon is not ready.", comeBackAfter));
+}
+
+void gateway_host::state::answerMetrics(const http_exchange& exchange)
+{
+    const gateway_readings readings { relay.counters(), desk.counters(), scheduler.counters(), orderer.counters(), view.counters(),
+        batches.counters(), routes.version(), relay.openCalls(), scheduler.runs(), batches.waiting(), isReady() };
+    exchange.respond({ okStatus, { { "Content-Type", "text/plain; version=0.0.4" } }, metricsText(readings) });
+}
+
+void gateway_host::state::noteReadiness()
+{
+    const bool isReadyNow = isReady();
+    if (isReadyNow != std::exchange(wasReady, isReadyNow))
+        lines.write(log_line(log_level::Info, "readiness_changed").with("ready", isReadyNow).with("configuration", routes.version()));
+}
+
+void gateway_host::state::tick()
+{
+    timer.expires_after(tickInterval);
+    timer.async_wait([this](const boost::system::error_code& error) {
+        if (error)
+            return;
+        noteReadiness();
+        view.tick();
+        desk.tick();
+        runner.run();
+        if (!drainingSince)
+            orderer.tick();
+        batches.forgetBefore(bootNow() - batchMemory);
+        checkStop();
+        tick();
+    });
+}
+
+void gateway_host::state::checkStop()
+{
+    if (!drainingSince)
+        return;
+    if (!hasLeft && batches.waiting() == 0) {
+        hasLeft = true;
+        member.leave([] { });
+    }
+    const duration age = bootNow() - *drainingSince;
+    const bool isIdle = callers.openExchanges() == 0 && batches.waiting() == 0;
+    if ((age > noticeTime && isIdle) || age > settings.stopTime - stopMargin) {
+        lines.write(log_line(log_level::Info, "stopped").with("open_calls", callers.openExchanges()).with("records_waiting", batches.waiting()));
+        context.stop();
+    }
+}
+
+gateway_host::gateway_host(boost::asio::io_context& context, const gateway_settings& settings, log& log)
+    : m_state(std::make_unique<state>(context, settings, log))
+{
+}
+
+gateway_host::~gateway_host() = default;
+
+std::error_code gateway_host::open(std::string& detail)
+{
+    state& daemon = *m_state;
+    std::error_code error = daemon.listen(daemon.callers, daemon.settings.callerAddress, detail);
+    if (!error)
+        error = daemon.listen(daemon.readiness, daemon.settings.readinessAddress, detail);
+    if (!error)
+        error = daemon.listen(daemon.metricsServer, daemon.settings.metricsAddress, detail);
+    if (error)
+        return error;
+    daemon.lines.write(log_line(log_level::Info, "started").with("life", daemon.life).with("store", daemon.settings.storeAddress));
+    daemon.view.start();
+    daemon.batches.start();
+    daemon.member.start();
+    daemon.tick();
+    return {};
+}
+
+void gateway_host::drain()
+{
+    state& daemon = *m_state;
+    if (daemon.drainingSince)
+        return;
+    daemon.drainingSince = bootNow();
+    daemon.lines.write(log_line(log_level::Info, "stopping").with("open_calls", daemon.callers.openExchanges()));
+    daemon.callers.setDraining(true);
+    daemon.orderer.setHolder(false);
+    daemon.runner.handOver();
+}
+
+void gateway_host::reload(const gateway_settings& settings)
+{
+    m_state->lines.write(log_line(log_level::Info, "settings_reloaded").with("vm", settings.vm));
+}
+
+}
--- /dev/null
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -0,0 +1,78 @@
+#include "gatewaymetrics.h"
+
+#include <support/metrics.h>
+
+namespace ragwortreach {
+
+namespace {
+
+    struct reading {
+        metric_family family;
+        std::uint64_t value = 0;
+    };
+
+    constexpr metric_family counter(std::string_view name, std::string_view help)
+    {
+        return { metric_kind::Counter, name, help };
+    }
+
+    constexpr metric_family gauge(std::string_view name, std::string_view help)
+    {
+        return { metric_kind::Gauge, name, help };
+    }
+
+}
+
+std::string metricsText(const gateway_readings& from)
+{
+    const reading readings[] = {
+        { counter("ragwortreach_calls_arrived_total", "Calls of customers that arrived"), from.calls.arrived },
+        { counter("ragwortreach_calls_answered_total", "Calls with a replica's whole answer"), from.calls.answered },
+        { counter("ragwortreach_calls_refused_total", "Calls that were refused and have not run"), from.calls.refused },
+        { counter("ragwortreach_calls_failed_total", "Calls whose outcome is not known"), from.calls.failed },
+        { counter("ragwortreach_calls_broken_total", "Answers that broke after their begin"), from.calls.broken },
+        { counter("ragwortreach_calls_caller_gone_total", "Calls whose caller left"), from.calls.callerGone },
+        { counter("ragwortreach_call_attempts_total", "Attempts of calls at replicas"), from.calls.attempts },
+        { counter("ragwortreach_call_retries_total", "Attempts after the first one"), from.calls.retries },
+        { counter("ragwortreach_batches_accepted_total", "Batches that were accepted here"), from.batches.accepted },
+        { counter("ragwortreach_batches_repeated_total", "Submissions of batches that were accepted before"), from.batches.repeated },
+        { counter("ragwortreach_batches_refused_total", "Batches that were refused"), from.batches.refused },
+        { counter("ragwortreach_batches_unknown_total", "Batches whose record got no answer"), from.batches.unknownOutcome },
+        { counter("ragwortreach_batches_ended_total", "Batches that were ended here"), from.batches.ended },
+        { counter("ragwortreach_result_reads_total", "Reads of results"), from.batches.reads },
+        { counter("ragwortreach_result_reads_unsure_total", "Reads that were refused since the ledger was behind"), from.batches.readsUnsure },
+        { counter("ragwortreach_item_runs_total", "Runs of items at replicas"), from.items.runsStarted },
+        { counter("ragwortreach_item_runs_resumed_total", "Runs that went on after an event"), from.items.runsResumed },
+        { counter("ragwortreach_item_runs_stalled_total", "Runs that were moved since no event came"), from.items.runsStalled },
+        { counter("ragwortreach_item_runs_not_run_total", "Runs that the replica did not start"), from.items.runsNotRun },
+        { counter("ragwortreach_item_runs_broken_total", "Runs whose stream broke"), from.items.runsBroken },
+        { counter("ragwortreach_items_completed_total", "Items with a whole text"), from.items.itemsCompleted },
+        { counter("ragwortreach_items_abandoned_total", "Items that were given up"), from.items.itemsAbandoned },
+        { counter("ragwortreach_item_texts_dropped_total", "Texts that did not fit the versions of their batch"), from.items.textsDropped },
+        { counter("ragwortreach_items_handed_over_total", "Items whose text was left to another daemon"), from.items.handedOver },
+        { counter("ragwortreach_weight_orders_total", "Orders of weights that were sent"), from.weights.ordersSent },
+        { counter("ragwortreach_weight_orders_accepted_total", "Orders of weights that were accepted"), from.weights.ordersAccepted },
+        { counter("ragwortreach_weight_orders_unknown_total", "Orders of weights without an answer"), from.weights.ordersUnknown },
+        { counter("ragwortreach_weight_orders_refused_total", "Orders of weights that were refused"), from.weights.ordersRefused },
+        { counter("ragwortreach_configurations_total", "Configurations that came in force"), from.view.configurations },
+        { counter("ragwortreach_replica_entries_total", "Entries of replicas that were read"), from.view.replicaEntries },
+        { counter("ragwortreach_platform_records_unreadable_total", "Records of the platform that were skipped"), from.view.unreadable },
+        { counter("ragwortreach_journal_records_total", "Records of the journal that were applied"), from.journal.recordsApplied },
+        { counter("ragwortreach_journal_records_unreadable_total", "Records of the journal that were skipped"), from.journal.recordsUnreadable },
+        { gauge("ragwortreach_configuration_version", "Version of the configuration in force"), from.configuration },
+        { gauge("ragwortreach_calls_open", "Calls under way"), from.openCalls },
+        { gauge("ragwortreach_item_runs_open", "Runs of items under way"), from.runs },
+        { gauge("ragwortreach_journal_records_waiting", "Records that are not in the journal yet"), from.recordsWaiting },
+        { gauge("ragwortreach_ready", "1 when the daemon is ready"), from.isReady ? 1U : 0U },
+    };
+    metrics all;
+    for (const reading& item : readings) {
+        if (item.family.kind == metric_kind::Gauge)
+            all.set(item.family, {}, static_cast<double>(item.value));
+        else
+            all.add(item.family, {}, static_cast<double>(item.value));
+    }
+    return all.prometheusText();
+}
+
+}
--- /dev/null
+++ b/src/libs/gateway/gatewaymetrics.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "batchdesk.h"
+#include "callrelay.h"
+#include "journal.h"
+#include "platformview.h"
+#include "weightorderer.h"
+
+#include <rollout/itemscheduler.h>
+
+#include <string>
+
+namespace ragwortreach {
+
+/// Counters and gauges of one daemon.
+struct gateway_readings {
+    const call_counters& calls;
+    const batch_counters& batches;
+    const scheduler_counters& items;
+    const weight_counters& weights;
+    const view_counters& view;
+    const journal_counters& journal;
+    std::uint64_t configuration = 0;
+    std::size_t openCalls = 0;
+    std::size_t runs = 0;
+    std::size_t recordsWaiting = 0;
+    bool isReady = false;
+};
+
+/// \a readings in the text format of Prometheus 0.0.4.
+std::string metricsText(const gateway_readings& readings);
+
+}
--- /dev/null
+++ b/src/libs/gateway/gatewaysettings.cpp
@@ -0,0 +1,108 @@
+#include "gatewaysettings.h"
+
+#include <core/resultcode.h>
+#include <net/endpoint.h>
+#include <support/schemavalidator.h>
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+
+namespace ragwortreach {
+
+using nlohmann::json;
+
+namespace {
+
+    constexpr std::string_view schemaText = R"json({
+  "$schema": "http://json-schema.org/draft-04/schema#",
+  "type": "object",
+  "description": "a JSON object with the settings of one daemon on the users' platform",
+  "additionalProperties": false,
+  "required": ["vm", "data_centre", "region", "gateway"],
+  "properties": {
+    "vm": { "type": "string", "minLength": 1, "description": "the name of the VM" },
+    "data_centre": { "type": "string", "minLength": 1, "description": "the name of the data centre" },
+    "region": { "type": "string", "description": "the name of the region" },
+    "log_level": { "enum": ["debug", "info", "warning", "error"], "description": "one of debug, info, warning and error" },
+    "gateway": {
+      "type": "object",
+      "description": "an object with the addresses and bounds of the daemon",
+      "additionalProperties": false,
+      "required": ["caller", "readiness", "metrics", "store"],
+      "properties": {
+        "caller": { "type": "string", "description": "an IP number and a port, such as 127.0.0.1:8080" },
+        "readiness": { "type": "string", "description": "an IP number and a port, such as 127.0.0.1:8080" },
+        "metrics": { "type": "string", "description": "an IP number and a port, such as 127.0.0.1:8080" },
+        "store": { "type": "string", "description": "an IP number and a port, such as 127.0.0.1:8080" },
+        "topic_partitions": { "type": "integer", "minimum": 1, "maximum": 1024, "description": "a whole number from 1 to 1024" },
+        "journal_partitions": { "type": "integer", "minimum": 1, "maximum": 64, "description": "a whole number from 1 to 64" },
+        "order_lease_ms": { "type": "integer", "minimum": 0, "maximum": 600000, "description": "milliseconds, from 0 to 600000" },
+        "stop_s": { "type": "number", "minimum": 0.1, "maximum": 3600, "description": "seconds, from 0.1 to 3600" }
+      }
+    }
+  }
+})json";
+
+    constexpr std::array levels { log_level::Debug, log_level::Info, log_level::Warning, log_level::Error };
+
+    bool readAddress(const json& object, const char* key, std::string& address, std::string& detail)
+    {
+        address = object.at(key).get<std::string>();
+        if (parseEndpoint(address))
+            return true;
+        detail = std::string("The key 'gateway.") + key + "' has the value \"" + address
+            + "\"; expected an IP number and a port, such as 127.0.0.1:8080. Correct the value.";
+        return false;
+    }
+
+    duration readMilliseconds(const json& object, const char* key, duration missing)
+    {
+        const std::int64_t value = object.value(key, std::chrono::duration_cast<std::chrono::milliseconds>(missing).count());
+        return std::chrono::milliseconds(value);
+    }
+
+}
+
+std::string_view gatewaySettingsSchema()
+{
+    return schemaText;
+}
+
+bool isGatewaySettings(std::string_view text)
+{
+    const json document = json::parse(text, nullptr, false);
+    return document.is_object() && document.contains("gateway");
+}
+
+std::error_code loadGatewaySettings(std::string_view text, gateway_settings& settings, std::string& detail)
+{
+    const std::error_code error = Internal::validateJson(schemaText, text, detail);
+    if (error)
+        return error;
+    const json document = json::parse(text);
+    const json& gateway = document["gateway"];
+    gateway_settings read;
+    read.vm = document["vm"].get<std::string>();
+    read.dataCentre = document["data_centre"].get<std::string>();
+    read.region = document["region"].get<std::string>();
+    const bool areAddresses = readAddress(gateway, "caller", read.callerAddress, detail)
+        && readAddress(gateway, "readiness", read.readinessAddress, detail)
+        && readAddress(gateway, "metrics", read.metricsAddress, detail) && readAddress(gateway, "store", read.storeAddress, detail);
+    if (!areAddresses)
+        return result_code::SettingsOutOfRange;
+    read.topicPartitions = gateway.value("topic_partitions", read.topicPartitions);
+    read.journalPartitions = gateway.value("journal_partitions", read.journalPartitions);
+    read.orderLease = readMilliseconds(gateway, "order_lease_ms", read.orderLease);
+    const double stopSeconds = gateway.value("stop_s", std::chrono::duration<double>(read.stopTime).count());
+    read.stopTime = std::chrono::duration_cast<duration>(std::chrono::duration<double>(stopSeconds));
+    const std::string levelName = document.value("log_level", std::string("info"));
+    for (const log_level level : levels) {
+        if (toString(level) == levelName)
+            read.log.level = level;
+    }
+    settings = read;
+    return {};
+}
+
+}
--- /dev/null
+++ b/src/libs/gateway/itemrunner.cpp
@@ -0,0 +1,203 @@
+#include "itemrunner.h"
+
+#include "bootclock.h"
+
+#include <support/log.h>
+#include <support/logline.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+namespace ragwortreach {
+
+namespace {
+
+    /// Longest time of one stream; the scheduler ends those that stall much earlier.
+    constexpr duration streamTimeout = std::chrono::minutes(15);
+    constexpr duration connectTimeout = std::chrono::milliseconds(500);
+    constexpr int okStatus = 200;
+    constexpr int impossibleStatus = 422;
+
+}
+
+struct item_runner::stream {
+    stream()
+        : reader(platform::weightVersionField())
+    {
+    }
+
+    std::string item;
+    std::string replica;
+    std::string model;
+    http_call_handle handle;
+    platform::replica_answer answer;
+    event_stream_reader reader;
+};
+
+class item_runner::effect_visitor {
+public:
+    explicit effect_visitor(item_runner& runner)
+        : m_runner(runner)
+    {
+    }
+
+    void operator()(const start_run& effect) const { m_runner.start(effect); }
+    void operator()(const cancel_run& effect) const { m_runner.cancel(effect); }
+    void operator()(const write_record& effect) const { m_runner.m_journal.write(effect.record, write_mode::Persistent, {}); }
+
+private:
+    item_runner& m_runner;
+};
+
+item_runner::item_runner(boost::asio::io_context& context, http_client& client, journal& journal, item_scheduler& scheduler,
+    replica_pool& pool, log& log)
+    : m_context(context)
+    , m_client(client)
+    , m_journal(journal)
+    , m_scheduler(scheduler)
+    , m_pool(pool)
+    , m_log(log)
+{
+}
+
+item_runner::~item_runner() = default;
+
+void item_runner::run()
+{
+    if (m_isStopped)
+        return;
+    m_scheduler.schedule(bootNow());
+    carryOut();
+}
+
+void item_runner::handOver()
+{
+    m_isStopped = true;
+    m_scheduler.handOverAll();
+    carryOut();
+}
+
+void item_runner::runSoon()
+{
+    if (std::exchange(m_isRunDue, true))
+        return;
+    boost::asio::post(m_context, [this] {
+        m_isRunDue = false;
+        run();
+    });
+}
+
+void item_runner::carryOut()
+{
+    for (const scheduler_effect& effect : m_scheduler.takeEffects())
+        std::visit(effect_visitor(*this), effect);
+}
+
+void item_runner::start(const start_run& effect)
+{
+    const ledger_batch* const batch = m_journal.ledger().find(effect.batch);
+    if (!batch)
+        return;
+    const batch_item& item = batch->submission.items[effect.item];
+    std::unique_ptr<stream> added = std::make_unique<stream>();
+    added->item = item.id;
+    added->replica = effect.replica;
+    added->model = batch->submission.model;
+    stream& opened = *added;
+    const run_number run = effect.run;
+    m_streams.emplace(run, std::move(added));
+    http_call_options options;
+    options.timeout = streamTimeout;
+    options.connectTimeout = connectTimeout;
+    http_call_handlers handlers;
+    handlers.onHead = [this, run](const http_response_head& head) { readHead(run, head); };
+    handlers.onBody = [this, run](std::string_view piece) { readBody(run, piece); };
+    handlers.onDone = [this, run](const http_outcome& outcome) { readEnd(run, outcome); };
+    const platform::replica_request_options sent { effect.replica, std::nullopt, effect.afterEvent };
+    opened.handle = m_client.call(parseEndpoint(effect.address).value_or(endpoint {}),
+        platform::encodeItemRequest(batch->submission, item, sent), options, std::move(handlers));
+}
+
+void item_runner::cancel(const cancel_run& effect)
+{
+    const auto found = m_streams.find(effect.run);
+    if (found == m_streams.end())
+        return;
+    m_log.write(log_line(log_level::Info, "run_cancelled")
+                    .with("item", found->second->item)
+                    .with("replica", found->second->replica)
+                    .with("reason", effect.reason));
+    found->second->handle.cancel();
+    m_streams.erase(found);
+}
+
+void item_runner::readHead(run_number run, const http_response_head& head)
+{
+    const auto found = m_streams.find(run);
+    if (found == m_streams.end())
+        return;
+    stream& stream = *found->second;
+    stream.answer = platform::decodeReplicaAnswer(head);
+    if (stream.answer.status != okStatus)
+        return;
+    m_scheduler.onHead(run, stream.answer.weightVersion);
+    if (stream.answer.weightVersion)
+        m_pool.noteVersion(stream.replica, stream.model, *stream.answer.weightVersion);
+}
+
+void item_runner::readBody(run_number run, std::string_view piece)
+{
+    const auto found = m_streams.find(run);
+    if (found == m_streams.end())
+        return;
+    stream& stream = *found->second;
+    const bool isOwnAnswer = stream.answer.status == okStatus && stream.answer.isStamped && stream.answer.requestId == stream.item;
+    if (!isOwnAnswer)
+        return;
+    for (const stream_event& event : stream.reader.read(piece)) {
+        if (event.weightVersion)
+            m_pool.noteVersion(stream.replica, stream.model, *event.weightVersion);
+        m_scheduler.onEvent(run, event, bootNow());
+        if (m_scheduler.hasEffects())
+            break;
+    }
+    if (m_scheduler.hasEffects())
+        runSoon();
+}
+
+run_end item_runner::endOf(const stream& stream, const http_outcome& outcome) const
+{
+    if (outcome.code == result_code::UpstreamUnreachable)
+        return run_end::Unreachable;
+    if (outcome.code != result_code::Ok)
+        return run_end::Broken;
+    if (stream.answer.isNotRun)
+        return run_end::NotRun;
+    if (stream.answer.requestId != stream.item)
+        return run_end::Broken;
+    if (stream.answer.status == impossibleStatus)
+        return run_end::Impossible;
+    if (stream.answer.status == okStatus && stream.answer.isStamped)
+        return stream.reader.isBetweenEvents() && stream.reader.isSound() ? run_end::Whole : run_end::Broken;
+    return run_end::Failed;
+}
+
+void item_runner::readEnd(run_number run, const http_outcome& outcome)
+{
+    const auto found = m_streams.find(run);
+    if (found == m_streams.end())
+        return;
+    const run_end end = endOf(*found->second, outcome);
+    if (end != run_end::Whole && end != run_end::NotRun)
+        m_log.write(log_line(log_level::Info, "run_ended")
+                        .with("item", found->second->item)
+                        .with("replica", found->second->replica)
+                        .with("status", found->second->answer.status)
+                        .with("outcome", toString(end))
+                        .with("reason", outcome.detail));
+    m_streams.erase(found);
+    m_scheduler.onEnd(run, end, bootNow());
+    runSoon();
+}
+
+}
--- /dev/null
+++ b/src/libs/gateway/journal.cpp
@@ -0,0 +1,127 @@
+#include "journal.h"
+
+#include "bootclock.h"
+
+#include <wire/journalcodec.h>
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace ragwortreach {
+
+namespace {
+
+    constexpr std::string_view topicName = "keyed.ragwortreach.batches";
+    /// The log takes records of 256 KiB; the key takes its part.
+    constexpr std::size_t maxChunkBytes = std::size_t { 200 } * 1024;
+    /// A read that waits no longer confirms often enough that an answer can say there is nothing yet.
+    constexpr duration readWait = std::chrono::milliseconds(400);
+    constexpr duration readSpacing = std::chrono::milliseconds(60);
+    constexpr char moreFollows = '+';
+    constexpr char isLast = '.';
+
+    std::string_view batchOf(const journal_record& record)
+    {
+        class visitor {
+        public:
+            std::string_view operator()(const batch_accepted& accepted) const { return accepted.submission.id; }
+            std::string_view operator()(const item_finished& finished) const { return finished.batch; }
+            std::string_view operator()(const item_progressed& progressed) const { return progressed.batch; }
+            std::string_view operator()(const batch_ended& ended) const { return ended.batch; }
+        };
+        return std::visit(visitor(), record);
+    }
+
+}
+
+journal::journal(boost::asio::io_context& context, shared_log& log, std::uint32_t partitions, std::string writer,
+    std::function<void(const ledger_batch&)> onChanged)
+    : m_writerName(std::move(writer))
+    , m_onChanged(std::move(onChanged))
+{
+    for (std::uint32_t number = 0; number < partitions; ++number) {
+        const topic_partition where { std::string(topicName), number };
+        topic_follower::handlers handlers;
+        handlers.onSnapshot = [this](std::span<const keyed_record>, std::span<const keyed_record> fresh) { apply(fresh); };
+        handlers.onRecords = [this](std::span<const keyed_record> records) { apply(records); };
+        const topic_follower_options options { where, readWait, readSpacing };
+        partition& added = m_partitions.emplace_back();
+        added.follower = std::make_unique<topic_follower>(context, log, options, std::move(handlers));
+        added.writer = std::make_unique<journal_writer>(context, log, where, m_writerName + "-" + std::to_string(number));
+    }
+}
+
+void journal::start()
+{
+    for (partition& item : m_partitions)
+        item.follower->start();
+}
+
+std::size_t journal::partitionOf(std::string_view batch) const
+{
+    return XXH3_64bits(batch.data(), batch.size()) % m_partitions.size();
+}
+
+void journal::write(const journal_record& record, write_mode mode, journal_writer::done_handler onDone)
+{
+    const std::string bytes = encodeJournalRecord(record);
+    const std::string keyBegin = m_writerName + "/" + std::to_string(++m_lastRecord);
+    std::vector<keyed_record> records;
+    std::string_view rest = bytes;
+    do {
+        const std::string_view chunk = rest.substr(0, maxChunkBytes);
+        rest.remove_prefix(chunk.size());
+        std::string value(1, rest.empty() ? isLast : moreFollows);
+        value += chunk;
+        records.push_back({ keyBegin + "/" + std::to_string(records.size()), std::move(value), 0 });
+    } while (!rest.empty());
+    m_partitions[partitionOf(batchOf(record))].writer->write(std::move(records), mode, std::move(onDone));
+}
+
+void journal::apply(std::span<const keyed_record> records)
+{
+    for (const keyed_record& record : records) {
+        if (record.value && !record.value->empty())
+            applyChunk(record);
+    }
+}
+
+void journal::applyChunk(const keyed_record& record)
+{
+    const std::string name = record.key.substr(0, record.key.rfind('/'));
+    std::string& bytes = m_chunks[name];
+    bytes += std::string_view(*record.value).substr(1);
+    if (record.value->front() == moreFollows)
+        return;
+    const std::optional<journal_record> decoded = decodeJournalRecord(bytes);
+    m_chunks.erase(name);
+    if (!decoded) {
+        ++m_counters.recordsUnreadable;
+        return;
+    }
+    ++m_counters.recordsApplied;
+    const ledger_batch* const changed = m_ledger.apply(*decoded, bootNow());
+    if (changed)
+        m_onChanged(*changed);
+}
+
+bool journal::isReady() const
+{
+    return std::all_of(m_partitions.begin(), m_partitions.end(), [](const partition& item) { return item.follower->isReady(); });
+}
+
+instant journal::confirmedAt(std::string_view batch) const
+{
+    return m_partitions[partitionOf(batch)].follower->confirmedAt();
+}
+
+std::size_t journal::waiting() const
+{
+    std::size_t waiting = 0;
+    for (const partition& item : m_partitions)
+        waiting += item.writer->waiting();
+    return waiting;
+}
+
+}
--- /dev/null
+++ b/src/libs/gateway/journal.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "journalwriter.h"
+#include "topicfollower.h"
+
+#include <rollout/batchledger.h>
+#include <rollout/sharedlog.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace ragwortreach {
+
+struct journal_counters {
+    std::uint64_t recordsApplied = 0;
+    std::uint64_t recordsUnreadable = 0;
+};
+
+/// The journal of batches: writes records and folds what all daemons wrote into a ledger.
+///
+/// A batch and all that is said of it stand in one partition, so their records have one order. Records have keys that
+/// are never written twice, so the log keeps them all.
+class journal {
+public:
+    /// \a writer names this life of the process; no other process ever has the same name.
+    journal(boost::asio::io_context& context, shared_log& log, std::uint32_t partitions, std::string writer,
+        std::function<void(const ledger_batch&)> onChanged);
+
+    void start();
+    void write(const journal_record& record, write_mode mode, journal_writer::done_handler onDone);
+
+    const batch_ledger& ledger() const { return m_ledger; }
+    /// Forgets batches that ended before \a limit, here and in the log.
+    void forgetBefore(instant limit) { m_ledger.forgetBefore(limit); }
+    bool isReady() const;
+    /// All that was written on \a batch until then is in the ledger.
+    instant confirmedAt(std::string_view batch) const;
+    std::size_t waiting() const;
+    const journal_counters& counters() const { return m_counters; }
+
+private:
+    struct partition {
+        std::unique_ptr<topic_follower> follower;
+        std::unique_ptr<journal_writer> writer;
+    };
+
+    std::size_t partitionOf(std::string_view batch) const;
+    void apply(std::span<const keyed_record> records);
+    void applyChunk(const keyed_record& record);
+
+    std::string m_writerName;
+    std::uint64_t m_lastRecord = 0;
+    std::function<void(const ledger_batch&)> m_onChanged;
+    std::vector<partition> m_partitions;
+    batch_ledger m_ledger;
+    /// Records that were cut into several, by writer and number, until the last part comes.
+    std::map<std::string, std::string> m_chunks;
+    journal_counters m_counters;
+};
+
+}
--- /dev/null
+++ b/src/libs/gateway/journalwriter.cpp
@@ -0,0 +1,151 @@
+#include "journalwriter.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <algorithm>
+
+namespace ragwortreach {
+
+namespace {
+
+    constexpr std::chrono::milliseconds retryPause { 150 };
+    /// Records of one append; larger appends keep the partition from others for long.
+    constexpr std::size_t maxAppendBytes = std::size_t { 1024 } * 1024;
+
+    std::size_t bytesOf(const std::vector<keyed_record>& records)
+    {
+        std::size_t bytes = 0;
+        for (const keyed_record& record : records)
+            bytes += record.key.size() + (record.value ? record.value->size() : 0);
+        return bytes;
+    }
+
+}
+
+journal_writer::journal_writer(boost::asio::io_context& context, shared_log& log, topic_partition where, std::string producer)
+    : m_log(log)
+    , m_where(std::move(where))
+    , m_identity { std::move(producer), 1, 0 }
+    , m_timer(context)
+{
+}
+
+void journal_writer::write(std::vector<keyed_record> records, write_mode mode, done_handler onDone)
+{
+    m_queue.push_back({ std::move(records), mode, std::move(onDone), false });
+    if (!m_isBusy)
+        sendNext();
+}
+
+std::size_t journal_writer::waiting() const
+{
+    return m_queue.size() + m_sending.size();
+}
+
+void journal_writer::sendNext()
+{
+    std::size_t bytes = 0;
+    while (!m_queue.empty()) {
+        bytes += bytesOf(m_queue.front().records);
+        if (!m_sending.empty() && bytes > maxAppendBytes)
+            break;
+        m_sending.push_back(std::move(m_queue.front()));
+        m_queue.pop_front();
+    }
+    m_isBusy = !m_sending.empty();
+    if (!m_isBusy)
+        return;
+    m_mayBeAppended = false;
+    send();
+}
+
+void journal_writer::send()
+{
+    m_records.clear();
+    for (const entry& item : m_sending)
+        m_records.insert(m_records.end(), item.records.begin(), item.records.end());
+    ++m_appends;
+    m_log.append(m_where, m_identity, m_records, [this](const append_outcome& outcome) { take(outcome); });
+}
+
+void journal_writer::take(const append_outcome& outcome)
+{
+    switch (outcome.status) {
+    case append_status::Done:
+        complete();
+        return;
+    case append_status::Refused:
+        ++m_failures;
+        if (!m_mayBeAppended)
+            refuse();
+        retryLater();
+        return;
+    case append_status::Unknown:
+        ++m_failures;
+        m_mayBeAppended = true;
+        reportUnknown();
+        retryLater();
+        return;
+    case append_status::WrongSequence:
+        if (outcome.expectedSequence > m_identity.sequence) {
+            complete();
+            return;
+        }
+        [[fallthrough]];
+    case append_status::Fenced:
+        ++m_failures;
+        ++m_identity.epoch;
+        retryLater();
+        return;
+    }
+}
+
+void journal_writer::complete()
+{
+    ++m_identity.sequence;
+    std::vector<entry> done = std::exchange(m_sending, {});
+    sendNext();
+    for (entry& item : done) {
+        if (!item.isReported && item.onDone)
+            item.onDone(append_status::Done);
+    }
+}
+
+/// Gives up the records of one try: nothing of them was appended.
+void journal_writer::refuse()
+{
+    std::vector<entry> refused;
+    std::erase_if(m_sending, [&refused](entry& item) {
+        if (item.mode != write_mode::OneTry)
+            return false;
+        refused.push_back(std::move(item));
+        return true;
+    });
+    for (entry& item : refused)
+        item.onDone(append_status::Refused);
+}
+
+void journal_writer::reportUnknown()
+{
+    for (entry& item : m_sending) {
+        if (item.mode != write_mode::OneTry || item.isReported)
+            continue;
+        item.isReported = true;
+        item.onDone(append_status::Unknown);
+    }
+}
+
+void journal_writer::retryLater()
+{
+    m_timer.expires_after(retryPause);
+    m_timer.async_wait([this](const boost::system::error_code& error) {
+        if (error)
+            return;
+        if (m_sending.empty())
+            sendNext();
+        else
+            send();
+    });
+}
+
+}
--- /dev/null
+++ b/src/libs/gateway/journalwriter.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <rollout/sharedlog.h>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <deque>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace ragwortreach {
+
+/// Whether the writer goes on with records that the log refused.
+enum class write_mode {
+    /// Until they are appended.
+    Persistent,
+    /// One try; the handler learns of its outcome at once.
+    OneTry,
+};
+
+/// Appends records to one partition of the journal, each exactly once.
+///
+/// One append is under way at a time; the records that wait go together in the next one. An append without an answer
+/// is repeated under its numbers, which the log carries out once.
+class journal_writer {
+public:
+    using done_handler = std::function<void(append_status)>;
+
+    journal_writer(boost::asio::io_context& context, shared_log& log, topic_partition where, std::string producer);
+
+    void write(std::vector<keyed_record> records, write_mode mode, done_handler onDone);
+    /// Records that are not appended yet.
+    std::size_t waiting() const;
+    std::uint64_t appends() const { return m_appends; }
+    std::uint64_t failures() const { return m_failures; }
+
+private:
+    struct entry {
+        std::vector<keyed_record> records;
+        write_mode mode = write_mode::Persistent;
+        done_handler onDone;
+        bool isReported = false;
+    };
+
+    void sendNext();
+    void send();
+    void take(const append_outcome& outcome);
+    void complete();
+    void refuse();
+    void reportUnknown();
+    void retryLater();
+
+    shared_log& m_log;
+    topic_partition m_where;
+    append_identity m_identity;
+    boost::asio::steady_timer m_timer;
+    std::deque<entry> m_queue;
+    std::vector<entry> m_sending;
+    std::vector<keyed_record> m_records;
+    /// An append is under way or waits to be repeated.
+    bool m_isBusy = false;
+    bool m_mayBeAppended = false;
+    std::uint64_t m_appends = 0;
+    std::uint64_t m_failures = 0;
+};
+
+}
--- /dev/null
+++ b/src/libs/gateway/platformview.cpp
@@ -0,0 +1,156 @@
+#include "platformview.h"
+
+#include "bootclock.h"
+
+#include <core/resultcode.h>
+#include <platform/listcodec.h>
+#include <support/log.h>
+#include <support/logline.h>
+
+#include <set>
+
+namespace ragwortreach {
+
+namespace {
+
+    constexpr duration readWait = std::chrono::milliseconds(1000);
+    constexpr duration readSpacing = std::chrono::milliseconds(30);
+    /// Entries that lapsed while the list was away are back within this time of its return, if they come back.
+    constexpr duration returnTime = std::chrono::milliseconds(2300);
+
+    topic_follower_options optionsFor(const topic_partition& where)
+    {
+        return { where, readWait, readSpacing };
+    }
+
+}
+
+class platform_view::operator_visitor {
+public:
+    operator_visitor(platform_view& view, const keyed_record& record)
+        : m_view(view)
+        , m_record(record)
+    {
+    }
+
+    void operator()(const std::monostate&) const { m_view.noteUnreadable(m_record); }
+
+    void operator()(const platform::named_version& named) const { m_view.m_handlers.onVersionNamed(named.model, named.version); }
+
+    void operator()(const route_configuration& configuration) const
+    {
+        if (!m_view.m_routes.setConfiguration(configuration))
+            return;
+        ++m_view.m_counters.configurations;
+        m_view.m_lines.write(log_line(log_level::Info, "configuration_in_force")
+                                 .with("configuration", configuration.version)
+                                 .with("routes", configuration.routes.size())
+                                 .with("offset", m_record.offset));
+        m_view.m_handlers.onConfiguration();
+    }
+
+private:
+    platform_view& m_view;
+    const keyed_record& m_record;
+};
+
+platform_view::platform_view(boost::asio::io_context& context, shared_log& log, route_table& routes, replica_pool& pool,
+    ragwortreach::log& lines, handlers handlers)
+    : m_routes(routes)
+    , m_pool(pool)
+    , m_lines(lines)
+    , m_handlers(std::move(handlers))
+    , m_operators(context, log, optionsFor(platform::operatorTopic()),
+          { [this](std::span<const keyed_record> all, std::span<const keyed_record>) { takeOperatorRecords(all); },
+              [this](std::span<const keyed_record> records) { takeOperatorRecords(records); } })
+    , m_replicas(context, log, optionsFor(platform::replicaTopic()),
+          { [this](std::span<const keyed_record> all, std::span<const keyed_record>) { takeReplicaSnapshot(all); },
+              [this](std::span<const keyed_record> records) { takeReplicaRecords(records); } })
+{
+}
+
+void platform_view::start()
+{
+    m_operators.start();
+    m_replicas.start();
+}
+
+void platform_view::takeOperatorRecords(std::span<const keyed_record> records)
+{
+    for (const keyed_record& record : records)
+        std::visit(operator_visitor(*this, record), platform::decodeOperatorRecord(record));
+}
+
+void platform_view::takeReplicaSnapshot(std::span<const keyed_record> all)
+{
+    std::set<std::string, std::less<>> listed;
+    for (const keyed_record& record : all) {
+        listed.insert(record.key);
+        takeReplica(record);
+    }
+    std::vector<std::string> missing;
+    for (const std::pair<const std::string, replica_pool::replica>& known : m_pool.replicas()) {
+        if (!listed.contains(known.first))
+            missing.push_back(known.first);
+    }
+    for (const std::string& id : missing)
+        removeReplica(id);
+}
+
+void platform_view::takeReplicaRecords(std::span<const keyed_record> records)
+{
+    for (const keyed_record& record : records)
+        takeReplica(record);
+}
+
+void platform_view::takeReplica(const keyed_record& record)
+{
+    if (!record.value) {
+        removeReplica(record.key);
+        return;
+    }
+    const std::optional<replica_entry> entry = platform::decodeReplicaEntry(record.key, *record.value);
+    if (!entry) {
+        noteUnreadable(record);
+        return;
+    }
+    ++m_counters.replicaEntries;
+    const replica_pool::replica* const known = m_pool.find(record.key);
+    const bool isNews = !known || known->entry.isDraining != entry->isDraining || known->entry.startedAt != entry->startedAt;
+    m_pool.update(*entry);
+    if (isNews)
+        m_lines.write(log_line(log_level::Info, "replica_listed")
+                          .with("replica", record.key)
+                          .with("service", entry->service)
+                          .with("address", entry->address)
+                          .with("draining", entry->isDraining)
+                          .with("offset", record.offset));
+}
+
+void platform_view::removeReplica(const std::string& id)
+{
+    if (!m_pool.find(id))
+        return;
+    const bool isAfterOutage = m_replicas.regainedAt() != instant {} && bootNow() - m_replicas.regainedAt() < returnTime;
+    m_lines.write(log_line(log_level::Info, "replica_removed").with("replica", id).with("after_outage", isAfterOutage));
+    if (isAfterOutage)
+        m_pool.markVanished(id, bootNow());
+    else
+        m_pool.remove(id);
+}
+
+void platform_view::noteUnreadable(const keyed_record& record)
+{
+    ++m_counters.unreadable;
+    m_lines.write(log_line(log_level::Warning, "record_skipped")
+                      .with("code", static_cast<int>(result_code::MalformedMessage))
+                      .with("key", record.key)
+                      .with("offset", record.offset));
+}
+
+void platform_view::tick()
+{
+    m_pool.removeVanishedBefore(bootNow() - returnTime);
+}
+
+}
--- /dev/null
+++ b/src/libs/gateway/platformview.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "topicfollower.h"
+
+#include <rollout/replicapool.h>
+#include <rollout/routetable.h>
+
+#include <functional>
+#include <string>
+
+namespace ragwortreach {
+
+class log;
+
+struct view_counters {
+    std::uint64_t configurations = 0;
+    std::uint64_t replicaEntries = 0;
+    std::uint64_t unreadable = 0;
+};
+
+/// What the platform says: the operators' configuration, the versions that trainers named, the list of replicas.
+class platform_view {
+public:
+    struct handlers {
+        std::function<void()> onConfiguration;
+        std::function<void(const std::string& model, std::uint64_t version)> onVersionNamed;
+    };
+
+    platform_view(boost::asio::io_context& context, shared_log& log, route_table& routes, replica_pool& pool, ragwortreach::log& lines,
+        handlers handlers);
+
+    void start();
+    /// Whether a configuration is in force and the list of replicas was read.
+    bool isReady() const { return m_routes.isReady() && m_replicas.isReady(); }
+    /// Forgets replicas that did not come back after an outage of the list.
+    void tick();
+    const view_counters& counters() const { return m_counters; }
+
+private:
+    class operator_visitor;
+
+    void takeOperatorRecords(std::span<const keyed_record> records);
+    void takeReplicaSnapshot(std::span<const keyed_record> all);
+    void takeReplicaRecords(std::span<const keyed_record> records);
+    void takeReplica(const keyed_record& record);
+    void removeReplica(const std::string& id);
+    void noteUnreadable(const keyed_record& record);
+
+    route_table& m_routes;
+    replica_pool& m_pool;
+    ragwortreach::log& m_lines;
+    handlers m_handlers;
+    topic_follower m_operators;
+    topic_follower m_replicas;
+    view_counters m_counters;
+};
+
+}
--- /dev/null
+++ b/src/libs/gateway/topicfollower.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <rollout/sharedlog.h>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <span>
+
+namespace ragwortreach {
+
+struct topic_follower_options {
+    topic_partition where;
+    /// Time that a read waits at the log for a record.
+    duration wait = std::chrono::milliseconds(1000);
+    /// Least time between two reads, so that bursts of records come in few answers.
+    duration spacing = std::chrono::milliseconds(20);
+};
+
+/// Follows a partition of a topic that keeps the newest record of each key.
+///
+/// It begins with the pages of newest records, goes on with the records after them in order, and begins again when
+/// the log has dropped records that were not read.
+class topic_follower {
+public:
+    struct handlers {
+        /// All keys that there are, by offset. Records that were delivered before are left out of \a fresh.
+        std::function<void(std::span<const keyed_record> all, std::span<const keyed_record> fresh)> onSnapshot;
+        std::function<void(std::span<const keyed_record>)> onRecords;
+    };
+
+    topic_follower(boost::asio::io_context& context, shared_log& log, topic_follower_options options, handlers handlers);
+
+    void start();
+    /// Whether a snapshot was read.
+    bool isReady() const { return m_isReady; }
+    /// Everything that stood in the partition at this time was delivered; the epoch while nothing was read.
+    instant confirmedAt() const { return m_confirmedAt; }
+    /// Last time at which the log answered after having failed.
+    instant regainedAt() const { return m_regainedAt; }
+    std::uint64_t readFailures() const { return m_readFailures; }
+
+private:
+    void readPage(const std::string& afterKey);
+    void takePage(const newest_outcome& page);
+    void completeSnapshot();
+    void readTail();
+    void takeTail(const read_outcome& outcome);
+    void noteAnswer(bool isDone);
+    void retryLater(void (topic_follower::*step)());
+    void restart();
+
+    shared_log& m_log;
+    topic_follower_options m_options;
+    handlers m_handlers;
+    boost::asio::steady_timer m_timer;
+    std::map<std::string, keyed_record> m_pages;
+    std::uint64_t m_snapshotEnd = 0;
+    bool m_hasSnapshotEnd = false;
+    std::uint64_t m_next = 0;
+    bool m_isReady = false;
+    bool m_isFailing = false;
+    instant m_sentAt {};
+    instant m_confirmedAt {};
+    instant m_regainedAt {};
+    std::uint64_t m_readFailures = 0;
+};
+
+}
--- a/src/libs/platform/httpcall.cpp
+++ b/src/libs/net/httpcall.cpp
@@ -63,6 +63,11 @@
         connections.pop_front();
 }
 
+void http_client_state::dropIdle(const std::string& address)
+{
+    idle.erase(address);
+}
+
 http_call::http_call(std::shared_ptr<http_client_state> state, endpoint address, http_call_options options,
     http_call_handlers handlers)
     : m_state(std::move(state))
@@ -76,13 +81,16 @@
 void http_call::start(http_request request)
 {
     buildRequest(std::move(request));
-    startTimer();
+    m_startedAt = std::chrono::steady_clock::now();
     if (m_options.mayReuseConnection)
         m_stream = m_state->takeIdle(toString(m_address));
     if (m_stream) {
+        m_isReused = true;
+        startTimer(m_options.timeout);
         write();
         return;
     }
+    startTimer(m_options.connectTimeout > duration::zero() ? m_options.connectTimeout : m_options.timeout);
     connect();
 }
 
@@ -102,9 +110,9 @@
         readBody();
 }
 
-void http_call::startTimer()
+void http_call::startTimer(duration timeout)
 {
-    m_timer.expires_after(m_options.timeout);
+    m_timer.expires_at(m_startedAt + timeout);
     m_timer.async_wait([self = self_pointer(this)](const error_code& error) {
         if (error || self->m_isDone)
             return;
@@ -146,6 +154,7 @@
         }
         error_code ignored;
         self->m_stream->socket().set_option(tcp::no_delay(true), ignored);
+        self->startTimer(self->m_options.timeout);
         self->write();
     });
 }
@@ -238,6 +247,9 @@
     }
     const std::string where = toString(m_address) + ": " + error.message() + ".";
     if (m_isTimedOut) {
+        // A path that went silent is silent for the connections kept beside this one, too.
+        if (m_isReused)
+            m_state->dropIdle(toString(m_address));
         finish({ result_code::UpstreamTimeout, "No whole answer in time from " + where });
         return;
     }
--- a/src/libs/platform/httpcall.h
+++ b/src/libs/net/httpcall.h
@@ -28,6 +28,8 @@
 
     std::unique_ptr<boost::beast::tcp_stream> takeIdle(const std::string& address);
     void putIdle(const std::string& address, std::unique_ptr<boost::beast::tcp_stream> stream);
+    /// Closes the kept connections to \a address.
+    void dropIdle(const std::string& address);
 
     boost::asio::io_context& context;
     std::map<std::string, std::deque<pooled_connection>> idle;
@@ -46,7 +48,7 @@
 private:
     using self_pointer = boost::intrusive_ptr<http_call>;
 
-    void startTimer();
+    void startTimer(duration timeout);
     void buildRequest(http_request request);
     void connect();
     void write();
@@ -67,7 +69,9 @@
     boost::beast::flat_buffer m_buffer;
     boost::beast::http::request<boost::beast::http::string_body> m_request;
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> m_parser;
+    std::chrono::steady_clock::time_point m_startedAt;
     bool m_isWritten = false;
+    bool m_isReused = false;
     bool m_isHeadRead = false;
     bool m_isPaused = false;
     bool m_isReading = false;
--- a/src/libs/platform/httpclient.h
+++ b/src/libs/net/httpclient.h
@@ -26,6 +26,8 @@
 struct http_call_options {
     /// Time until the whole answer has to be there.
     duration timeout {};
+    /// Time until a new connection has to stand; the whole timeout when it is zero.
+    duration connectTimeout {};
     /// Whether a pooled connection may carry the call. A call that must not run twice takes a new
     /// connection, since a pooled one may close under the write and leave its outcome unknown.
     bool mayReuseConnection = true;
--- /dev/null
+++ b/src/libs/rollout/batchledger.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "journalrecord.h"
+
+#include <core/instant.h>
+
+#include <map>
+#include <optional>
+#include <span>
+#include <string_view>
+
+namespace ragwortreach {
+
+/// State of one item of a batch.
+struct ledger_item {
+    /// Position of its result; empty while there is none.
+    std::optional<std::size_t> position;
+    /// Text that another daemon left behind.
+    item_text progress;
+};
+
+/// Result at a position of a batch.
+struct ledger_result {
+    /// Index of the item in the submission.
+    std::size_t item = 0;
+    bool isCompleted = true;
+    item_text output;
+};
+
+/// Batch with what the journal says of it.
+struct ledger_batch {
+    batch_submission submission;
+    /// When this process learned of the batch; never before it was accepted.
+    instant learnedAt {};
+    bool isEnded = false;
+    std::vector<ledger_item> items;
+    /// In the order of the journal; a result keeps its position for good.
+    std::vector<ledger_result> results;
+    std::map<std::string, std::size_t, std::less<>> itemIndex;
+
+    std::optional<std::size_t> indexOf(std::string_view item) const;
+    bool isOpen() const { return !isEnded && results.size() < items.size(); }
+};
+
+/// State of all batches: a fold of the journal.
+///
+/// The first acceptance of a batch and the first result of an item count, so all daemons reach the same state,
+/// whichever daemons wrote the records and how often.
+class batch_ledger {
+public:
+    /// Applies the next record; returns the batch that changed, or null.
+    const ledger_batch* apply(const journal_record& record, instant now);
+
+    const ledger_batch* find(std::string_view id) const;
+    /// All batches, oldest first.
+    std::span<const std::string> order() const { return m_order; }
+    /// Forgets the batches that this process learned of before \a limit and that are not open.
+    void forgetBefore(instant limit);
+
+private:
+    friend class ledger_visitor;
+
+    std::map<std::string, ledger_batch, std::less<>> m_batches;
+    std::vector<std::string> m_order;
+};
+
+}
--- /dev/null
+++ b/src/libs/rollout/itemscheduler.cpp
@@ -0,0 +1,325 @@
+#include "itemscheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ragwortreach {
+
+namespace {
+
+    /// A run without an event for so long is moved. Loads of weights pause a run for about a second.
+    constexpr duration stallTimeout = std::chrono::milliseconds(2500);
+    /// Time in which the owner before hands over its texts.
+    constexpr duration handoverPause = std::chrono::milliseconds(300);
+    constexpr duration retryPause = std::chrono::milliseconds(50);
+    constexpr duration failurePause = std::chrono::milliseconds(200);
+
+}
+
+std::string_view toString(run_end end)
+{
+    switch (end) {
+    case run_end::Whole:
+        return "whole";
+    case run_end::Broken:
+        return "broken";
+    case run_end::NotRun:
+        return "not_run";
+    case run_end::Failed:
+        return "failed";
+    case run_end::Impossible:
+        return "impossible";
+    case run_end::Unreachable:
+        return "unreachable";
+    }
+    return "unknown";
+}
+
+item_scheduler::item_scheduler(const batch_ledger& ledger, replica_pool& pool, const route_table& routes)
+    : m_ledger(ledger)
+    , m_pool(pool)
+    , m_routes(routes)
+{
+}
+
+void item_scheduler::setOwnedModels(const std::set<std::string, std::less<>>& models, instant now)
+{
+    std::erase_if(m_ownedSince, [&models](const std::pair<const std::string, instant>& owned) { return !models.contains(owned.first); });
+    for (const std::string& model : models)
+        m_ownedSince.try_emplace(model, now);
+}
+
+const route* item_scheduler::routeOf(const ledger_batch& batch, std::size_t item) const
+{
+    return m_routes.find(batch.submission.host, batch.submission.items[item].path);
+}
+
+void item_scheduler::schedule(instant now)
+{
+    checkRuns(now);
+    for (const std::string& id : m_ledger.order()) {
+        const ledger_batch* const batch = m_ledger.find(id);
+        if (batch->isOpen())
+            scheduleBatch(*batch, now);
+    }
+    forgetItems();
+}
+
+void item_scheduler::scheduleBatch(const ledger_batch& batch, instant now)
+{
+    const auto owned = m_ownedSince.find(batch.submission.model);
+    if (owned == m_ownedSince.end() || now - owned->second < handoverPause)
+        return;
+    for (std::size_t item = 0; item < batch.items.size(); ++item) {
+        if (batch.items[item].position)
+            continue;
+        item_state& state = m_items[{ batch.submission.id, item }];
+        if (state.isRecorded || state.run != 0 || state.notBefore > now)
+            continue;
+        const route* const itemRoute = routeOf(batch, item);
+        if (!itemRoute || now - batch.learnedAt > itemRoute->retention) {
+            finish({ batch.submission.id, item }, state, false);
+            continue;
+        }
+        if (!startItem(batch, item, *itemRoute, now))
+            return;
+    }
+}
+
+/// False when no replica has room for the model of the batch.
+bool item_scheduler::startItem(const ledger_batch& batch, std::size_t item, const route& route, instant now)
+{
+    const route_target* const target = chooseTarget(route, m_lastRun + 1);
+    const service_definition* const service = target ? m_routes.service(target->service) : nullptr;
+    if (!service)
+        return false;
+    const item_key key { batch.submission.id, item };
+    item_state& state = m_items[key];
+    if (batch.items[item].progress.lastEvent > state.output.lastEvent)
+        state.output = batch.items[item].progress;
+    std::string& groupReplica = m_groupReplicas[{ key.batch, batch.submission.items[item].group }];
+    replica_criteria criteria;
+    criteria.service = service->name;
+    criteria.excluded = state.excluded;
+    criteria.model = batch.submission.model;
+    criteria.minVersion = batch.submission.minVersion;
+    criteria.maxInFlight = service->engine ? service->engine->slots : 1;
+    criteria.preferred = groupReplica;
+    const replica_pool::replica* const replica = m_pool.pick(criteria, now);
+    if (!replica) {
+        const bool wasExcluded = !state.excluded.empty();
+        state.excluded.clear();
+        return wasExcluded;
+    }
+    groupReplica = replica->entry.id;
+    state.run = ++m_lastRun;
+    run_state run;
+    run.key = key;
+    run.replica = replica->entry.id;
+    run.startedAt = now;
+    run.lastEventAt = now;
+    run.minVersion = batch.submission.minVersion;
+    run.isSingleVersion = route.isSingleVersion;
+    m_effects.emplace_back(start_run { state.run, key.batch, item, run.replica, replica->entry.address, state.output.lastEvent });
+    m_runs.emplace(state.run, run);
+    m_pool.started(run.replica);
+    ++m_counters.runsStarted;
+    if (state.output.lastEvent != 0)
+        ++m_counters.runsResumed;
+    return true;
+}
+
+void item_scheduler::checkRuns(instant now)
+{
+    std::vector<run_number> stalled;
+    std::vector<run_number> unneeded;
+    std::vector<run_number> disowned;
+    for (const std::pair<const run_number, run_state>& item : m_runs) {
+        const run_state& run = item.second;
+        const ledger_batch* const batch = m_ledger.find(run.key.batch);
+        if (!batch || batch->isEnded || batch->items[run.key.item].position)
+            unneeded.push_back(item.first);
+        else if (!m_ownedSince.contains(batch->submission.model))
+            disowned.push_back(item.first);
+        else if (now - run.lastEventAt > stallTimeout)
+            stalled.push_back(item.first);
+    }
+    for (const run_number run : unneeded)
+        cancel(run, "not needed", now);
+    for (const run_number run : disowned)
+        handOver(run, now);
+    for (const run_number run : stalled) {
+        ++m_counters.runsStalled;
+        m_effects.emplace_back(cancel_run { run, "stalled" });
+        onEnd(run, run_end::Broken, now);
+    }
+}
+
+void item_scheduler::onHead(run_number run, std::optional<std::uint64_t> weightVersion)
+{
+    const auto found = m_runs.find(run);
+    if (found != m_runs.end())
+        found->second.version = weightVersion;
+}
+
+void item_scheduler::onEvent(run_number run, const stream_event& event, instant now)
+{
+    const auto found = m_runs.find(run);
+    if (found == m_runs.end())
+        return;
+    run_state& state = found->second;
+    item_state& item = m_items[state.key];
+    if (event.weightVersion)
+        state.version = event.weightVersion;
+    const bool isInOrder = event.id == item.output.lastEvent + 1;
+    if (!isInOrder || !state.version) {
+        m_effects.emplace_back(cancel_run { run, "event out of order or without a version" });
+        onEnd(run, run_end::Broken, now);
+        return;
+    }
+    if (!addVersion(item, state, *state.version)) {
+        dropText(item);
+        m_effects.emplace_back(cancel_run { run, "weights do not fit the batch" });
+        endRun(run, replica_outcome::Cancelled, now);
+        return;
+    }
+    if (item.output.lastEvent != 0)
+        item.output.text += '\n';
+    item.output.text += event.data;
+    item.output.lastEvent = event.id;
+    state.lastEventAt = now;
+    state.hasEvents = true;
+}
+
+/// False when text of this version may not join the text so far.
+bool item_scheduler::addVersion(item_state& state, run_state& run, std::uint64_t version)
+{
+    if (version < run.minVersion)
+        return false;
+    std::vector<std::uint64_t>& versions = state.output.versions;
+    if (std::find(versions.begin(), versions.end(), version) != versions.end())
+        return true;
+    if (run.isSingleVersion && !versions.empty())
+        return false;
+    versions.push_back(version);
+    return true;
+}
+
+void item_scheduler::dropText(item_state& state)
+{
+    state.output = {};
+    ++m_counters.textsDropped;
+}
+
+void item_scheduler::onEnd(run_number run, run_end end, instant now)
+{
+    const auto found = m_runs.find(run);
+    if (found == m_runs.end())
+        return;
+    const run_state ended = found->second;
+    item_state& item = m_items[ended.key];
+    const ledger_batch* const batch = m_ledger.find(ended.key.batch);
+    const route* const itemRoute = batch ? routeOf(*batch, ended.key.item) : nullptr;
+    switch (end) {
+    case run_end::Whole:
+        endRun(run, replica_outcome::Answered, now);
+        if (item.output.lastEvent != 0)
+            finish(ended.key, item, true);
+        return;
+    case run_end::Broken:
+        ++m_counters.runsBroken;
+        endRun(run, ended.hasEvents ? replica_outcome::Cancelled : replica_outcome::Failed, now);
+        item.excluded.push_back(ended.replica);
+        return;
+    case run_end::NotRun:
+        ++m_counters.runsNotRun;
+        endRun(run, replica_outcome::Full, now);
+        item.notBefore = now + retryPause;
+        return;
+    case run_end::Unreachable:
+        endRun(run, replica_outcome::Failed, now);
+        item.excluded.push_back(ended.replica);
+        return;
+    case run_end::Failed:
+        endRun(run, replica_outcome::Answered, now);
+        item.notBefore = now + failurePause;
+        if (++item.failures >= (itemRoute ? itemRoute->maxAttempts : 1))
+            finish(ended.key, item, false);
+        return;
+    case run_end::Impossible:
+        endRun(run, replica_outcome::Answered, now);
+        finish(ended.key, item, false);
+        return;
+    }
+}
+
+void item_scheduler::endRun(run_number run, replica_outcome outcome, instant now)
+{
+    const auto found = m_runs.find(run);
+    if (found == m_runs.end())
+        return;
+    m_items[found->second.key].run = 0;
+    m_pool.finished(found->second.replica, outcome, now - found->second.startedAt, now);
+    m_runs.erase(found);
+}
+
+void item_scheduler::cancel(run_number run, std::string_view reason, instant now)
+{
+    m_effects.emplace_back(cancel_run { run, std::string(reason) });
+    endRun(run, replica_outcome::Cancelled, now);
+}
+
+void item_scheduler::finish(const item_key& key, item_state& state, bool isCompleted)
+{
+    const ledger_batch* const batch = m_ledger.find(key.batch);
+    if (!batch || state.isRecorded)
+        return;
+    state.isRecorded = true;
+    ++(isCompleted ? m_counters.itemsCompleted : m_counters.itemsAbandoned);
+    item_finished record { key.batch, batch->submission.items[key.item].id, isCompleted, {} };
+    if (isCompleted)
+        record.output = std::move(state.output);
+    state.output = {};
+    m_effects.emplace_back(write_record { std::move(record) });
+}
+
+void item_scheduler::handOver(run_number run, instant now)
+{
+    const auto found = m_runs.find(run);
+    if (found == m_runs.end())
+        return;
+    const item_key key = found->second.key;
+    item_state& item = m_items[key];
+    cancel(run, "handed over", now);
+    const ledger_batch* const batch = m_ledger.find(key.batch);
+    if (!batch || item.output.lastEvent == 0)
+        return;
+    ++m_counters.handedOver;
+    m_effects.emplace_back(write_record { item_progressed { key.batch, batch->submission.items[key.item].id, item.output } });
+}
+
+void item_scheduler::handOverAll()
+{
+    m_ownedSince.clear();
+    while (!m_runs.empty())
+        handOver(m_runs.begin()->first, {});
+}
+
+void item_scheduler::forgetItems()
+{
+    std::erase_if(m_items, [this](const std::pair<const item_key, item_state>& entry) {
+        const ledger_batch* const batch = m_ledger.find(entry.first.batch);
+        return entry.second.run == 0 && (!batch || !batch->isOpen());
+    });
+    std::erase_if(m_groupReplicas, [this](const std::pair<const std::pair<std::string, std::string>, std::string>& entry) {
+        const ledger_batch* const batch = m_ledger.find(entry.first.first);
+        return !batch || !batch->isOpen();
+    });
+}
+
+std::vector<scheduler_effect> item_scheduler::takeEffects()
+{
+    return std::exchange(m_effects, {});
+}
+
+}
--- /dev/null
+++ b/src/libs/rollout/itemscheduler.h
@@ -0,0 +1,150 @@
+#pragma once
+
+#include "batchledger.h"
+#include "eventstreamreader.h"
+#include "replicapool.h"
+#include "routetable.h"
+
+#include <core/instant.h>
+
+#include <map>
+#include <set>
+#include <variant>
+#include <vector>
+
+namespace ragwortreach {
+
+using run_number = std::uint64_t;
+
+/// Send an item to a replica.
+struct start_run {
+    run_number run = 0;
+    std::string batch;
+    std::size_t item = 0;
+    std::string replica;
+    std::string address;
+    /// Event after which the replica goes on; 0 for the whole item.
+    std::uint64_t afterEvent = 0;
+};
+
+/// Close the connection of a run.
+struct cancel_run {
+    run_number run = 0;
+    std::string reason;
+};
+
+/// Append the record to the journal.
+struct write_record {
+    journal_record record;
+};
+
+using scheduler_effect = std::variant<start_run, cancel_run, write_record>;
+
+/// How a run ended.
+enum class run_end {
+    /// The stream arrived whole.
+    Whole,
+    /// The stream broke; the item goes on after its last event.
+    Broken,
+    /// The replica was full, is leaving, or another one has its address; it did not run the item.
+    NotRun,
+    /// The replica failed on the item.
+    Failed,
+    /// The item can never be completed.
+    Impossible,
+    /// No connection; nothing was sent.
+    Unreachable,
+};
+
+/// Name of \a end in log lines.
+std::string_view toString(run_end end);
+
+/// Sums since the start of the process.
+struct scheduler_counters {
+    std::uint64_t runsStarted = 0;
+    std::uint64_t runsResumed = 0;
+    std::uint64_t runsStalled = 0;
+    std::uint64_t runsNotRun = 0;
+    std::uint64_t runsBroken = 0;
+    std::uint64_t itemsCompleted = 0;
+    std::uint64_t itemsAbandoned = 0;
+    std::uint64_t textsDropped = 0;
+    std::uint64_t handedOver = 0;
+};
+
+/// Runs the items of the batches whose models this daemon owns.
+///
+/// Load pattern: bursts of groups from several trainers, each of which needs most groups whole. Groups go in the
+/// order of the submission, items of a group to one replica while it has room, so that their prompt is read once.
+class item_scheduler {
+public:
+    item_scheduler(const batch_ledger& ledger, replica_pool& pool, const route_table& routes);
+
+    /// Models whose batches this daemon runs. Items of a model that is new wait for the handover of the owner before.
+    void setOwnedModels(const std::set<std::string, std::less<>>& models, instant now);
+
+    void onHead(run_number run, std::optional<std::uint64_t> weightVersion);
+    void onEvent(run_number run, const stream_event& event, instant now);
+    void onEnd(run_number run, run_end end, instant now);
+
+    /// Starts, cancels and gives up what is due.
+    void schedule(instant now);
+    /// Journals the text so far of all runs and ends them, for a graceful shutdown.
+    void handOverAll();
+    std::vector<scheduler_effect> takeEffects();
+    bool hasEffects() const { return !m_effects.empty(); }
+
+    const scheduler_counters& counters() const { return m_counters; }
+    std::size_t runs() const { return m_runs.size(); }
+
+private:
+    struct item_key {
+        std::string batch;
+        std::size_t item = 0;
+
+        auto operator<=>(const item_key&) const = default;
+    };
+    struct item_state {
+        item_text output;
+        std::uint32_t failures = 0;
+        instant notBefore {};
+        std::vector<std::string> excluded;
+        run_number run = 0;
+        bool isRecorded = false;
+    };
+    struct run_state {
+        item_key key;
+        std::string replica;
+        instant startedAt {};
+        instant lastEventAt {};
+        std::optional<std::uint64_t> version;
+        std::uint64_t minVersion = 0;
+        bool isSingleVersion = false;
+        bool hasEvents = false;
+    };
+
+    void scheduleBatch(const ledger_batch& batch, instant now);
+    bool startItem(const ledger_batch& batch, std::size_t item, const route& route, instant now);
+    void checkRuns(instant now);
+    void endRun(run_number run, replica_outcome outcome, instant now);
+    void cancel(run_number run, std::string_view reason, instant now);
+    bool addVersion(item_state& state, run_state& run, std::uint64_t version);
+    void dropText(item_state& state);
+    void finish(const item_key& key, item_state& state, bool isCompleted);
+    void handOver(run_number run, instant now);
+    const route* routeOf(const ledger_batch& batch, std::size_t item) const;
+    void forgetItems();
+
+    const batch_ledger& m_ledger;
+    replica_pool& m_pool;
+    const route_table& m_routes;
+    std::map<std::string, instant, std::less<>> m_ownedSince;
+    std::map<item_key, item_state> m_items;
+    std::map<run_number, run_state> m_runs;
+    std::map<std::pair<std::string, std::string>, std::string> m_groupReplicas;
+    std::vector<scheduler_effect> m_effects;
+    run_number m_lastRun = 0;
+    scheduler_counters m_counters;
+};
+
+}
--- /dev/null
+++ b/src/libs/rollout/journalrecord.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace ragwortreach {
+
+/// Header of the request that runs an item.
+struct item_header {
+    std::string name;
+    std::string value;
+};
+
+/// Item of a batch: one prompt that is to be completed.
+struct batch_item {
+    std::string id;
+    /// Path of the request that runs the item.
+    std::string path;
+    std::vector<item_header> headers;
+    std::string body;
+    /// Prompt tokens and the largest number of generated ones together.
+    std::uint64_t tokens = 0;
+    /// Items of one group share their prompt.
+    std::string group;
+};
+
+/// Batch as a trainer submitted it.
+struct batch_submission {
+    std::string id;
+    std::string host;
+    std::string model;
+    std::uint64_t trainStep = 0;
+    /// Oldest version of the weights that may generate text.
+    std::uint64_t minVersion = 0;
+    /// Complete groups that the trainer waits for.
+    std::uint32_t wantedGroups = 0;
+    std::vector<batch_item> items;
+};
+
+/// A batch was accepted. Batches that are accepted again are ignored.
+struct batch_accepted {
+    batch_submission submission;
+};
+
+/// Text of an item, with the versions of the weights that generated it.
+struct item_text {
+    /// Data of the events in order, separated by line feeds.
+    std::string text;
+    /// Number of the last event in \a text; 0 before the first one.
+    std::uint64_t lastEvent = 0;
+    /// In the order in which they were first seen, each once.
+    std::vector<std::uint64_t> versions;
+};
+
+/// An item has its final result. The first record of an item counts.
+struct item_finished {
+    std::string batch;
+    std::string item;
+    /// False for an item that was given up.
+    bool isCompleted = true;
+    item_text output;
+};
+
+/// Text of an item that another daemon is to go on with.
+struct item_progressed {
+    std::string batch;
+    std::string item;
+    item_text output;
+};
+
+/// The trainer ended a batch.
+struct batch_ended {
+    std::string batch;
+};
+
+/// Record of the journal. All daemons apply the records in the order of the log.
+using journal_record = std::variant<batch_accepted, item_finished, item_progressed, batch_ended>;
+
+}
--- /dev/null
+++ b/src/libs/rollout/routetable.cpp
@@ -0,0 +1,85 @@
+#include "routetable.h"
+
+#include <algorithm>
+#include <set>
+
+namespace ragwortreach {
+
+bool route_table::setConfiguration(route_configuration configuration)
+{
+    if (configuration.version <= m_configuration.version)
+        return false;
+    m_configuration = std::move(configuration);
+    index();
+    return true;
+}
+
+void route_table::index()
+{
+    m_byHost.clear();
+    m_byName.clear();
+    for (const route& entry : m_configuration.routes) {
+        m_byHost[entry.host][entry.pathPrefix] = &entry;
+        m_byName[entry.name] = &entry;
+    }
+}
+
+const route* route_table::find(std::string_view host, std::string_view path) const
+{
+    const auto prefixes = m_byHost.find(host);
+    if (prefixes == m_byHost.end())
+        return nullptr;
+    std::size_t slash = path.rfind('/');
+    while (slash != std::string_view::npos) {
+        const auto found = prefixes->second.find(path.substr(0, slash + 1));
+        if (found != prefixes->second.end())
+            return found->second;
+        if (slash == 0)
+            return nullptr;
+        slash = path.rfind('/', slash - 1);
+    }
+    return nullptr;
+}
+
+const route* route_table::findByName(std::string_view name) const
+{
+    const auto found = m_byName.find(name);
+    return found == m_byName.end() ? nullptr : found->second;
+}
+
+const service_definition* route_table::service(std::string_view name) const
+{
+    for (const service_definition& service : m_configuration.services) {
+        if (service.name == name)
+            return &service;
+    }
+    return nullptr;
+}
+
+std::vector<std::string> route_table::models() const
+{
+    std::set<std::string> names;
+    for (const service_definition& service : m_configuration.services) {
+        if (service.engine)
+            names.insert(service.engine->models.begin(), service.engine->models.end());
+    }
+    return { names.begin(), names.end() };
+}
+
+const route_target* chooseTarget(const route& route, std::uint64_t draw)
+{
+    std::uint64_t total = 0;
+    for (const route_target& target : route.targets)
+        total += target.weight;
+    if (total == 0)
+        return nullptr;
+    std::uint64_t rest = draw % total;
+    for (const route_target& target : route.targets) {
+        if (rest < target.weight)
+            return &target;
+        rest -= target.weight;
+    }
+    return nullptr;
+}
+
+}
--- /dev/null
+++ b/src/libs/rollout/weightplan.cpp
@@ -0,0 +1,148 @@
+#include "weightplan.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace ragwortreach {
+
+namespace {
+
+    /// More loads at once slow each other down.
+    constexpr std::size_t maxLoads = 2;
+    /// Usual time of a load, with a margin for the way of the order.
+    constexpr duration loadTime = std::chrono::milliseconds(920);
+    /// An order without an answer may be carried out so much later.
+    constexpr duration unknownOrderTime = std::chrono::milliseconds(2500);
+    constexpr duration conflictPause = std::chrono::milliseconds(100);
+
+    std::uint64_t versionOf(const replica_pool::replica& replica, std::string_view model)
+    {
+        const auto found = replica.entry.weights.find(model);
+        return found == replica.entry.weights.end() ? 0 : found->second;
+    }
+
+}
+
+void weight_plan::setTarget(std::string_view model, std::uint64_t version, instant now)
+{
+    target_version& target = m_targets[std::string(model)];
+    if (version > target.version)
+        target = { version, now };
+}
+
+std::uint64_t weight_plan::target(std::string_view model) const
+{
+    const auto found = m_targets.find(model);
+    return found == m_targets.end() ? 0 : found->second.version;
+}
+
+std::vector<weight_order> weight_plan::plan(replica_pool& pool, const route_table& routes, instant now)
+{
+    forgetDone(pool, now);
+    std::vector<std::pair<instant, weight_order>> due;
+    for (const service_definition& service : routes.configuration().services) {
+        if (!service.engine)
+            continue;
+        for (const std::pair<const std::string, replica_list>& part : share(pool, service, now)) {
+            const auto wanted = m_targets.find(part.first);
+            if (wanted == m_targets.end())
+                continue;
+            for (const replica_pool::replica* replica : part.second) {
+                if (versionOf(*replica, part.first) >= wanted->second.version || m_loads.contains(replica->entry.id))
+                    continue;
+                weight_order order { replica->entry.id, replica->entry.address, part.first, wanted->second.version };
+                order.mode = isSingleVersion(part.first, routes) ? load_mode::Wait : load_mode::Retain;
+                due.emplace_back(wanted->second.namedAt, std::move(order));
+            }
+        }
+    }
+    std::stable_sort(due.begin(), due.end(), [](const std::pair<instant, weight_order>& left, const std::pair<instant, weight_order>& right) { return left.first < right.first; });
+    std::vector<weight_order> orders;
+    for (std::pair<instant, weight_order>& item : due) {
+        if (m_loads.size() >= maxLoads)
+            break;
+        m_loads[item.second.replica] = { item.second.model, item.second.version, now + unknownOrderTime };
+        orders.push_back(std::move(item.second));
+    }
+    return orders;
+}
+
+void weight_plan::onOutcome(const weight_order& order, order_outcome outcome, instant now)
+{
+    const auto found = m_loads.find(order.replica);
+    if (found == m_loads.end())
+        return;
+    switch (outcome) {
+    case order_outcome::Accepted:
+        found->second.until = now + loadTime;
+        return;
+    case order_outcome::Loaded:
+        m_loads.erase(found);
+        return;
+    case order_outcome::Unknown:
+        found->second.until = now + unknownOrderTime;
+        return;
+    case order_outcome::Conflict:
+    case order_outcome::Rejected:
+        found->second.until = now + conflictPause;
+        return;
+    }
+}
+
+void weight_plan::forgetDone(const replica_pool& pool, instant now)
+{
+    std::erase_if(m_loads, [&pool, now](const std::pair<const std::string, load>& item) {
+        const replica_pool::replica* const replica = pool.find(item.first);
+        if (!replica)
+            return true;
+        return versionOf(*replica, item.second.model) >= item.second.version || item.second.until <= now;
+    });
+}
+
+bool weight_plan::isSingleVersion(std::string_view model, const route_table& routes) const
+{
+    const std::vector<route>& all = routes.configuration().routes;
+    return std::any_of(all.begin(), all.end(), [&routes, model](const route& candidate) {
+        if (!candidate.isSingleVersion)
+            return false;
+        return std::any_of(candidate.targets.begin(), candidate.targets.end(), [&routes, model](const route_target& target) {
+            const service_definition* const service = routes.service(target.service);
+            return service && service->engine
+                && std::find(service->engine->models.begin(), service->engine->models.end(), model) != service->engine->models.end();
+        });
+    });
+}
+
+/// Deals the replicas out in rounds, to each model the one that is nearest to its newest version.
+std::map<std::string, weight_plan::replica_list> weight_plan::share(const replica_pool& pool, const service_definition& service, instant now) const
+{
+    replica_list free;
+    for (const std::pair<const std::string, replica_pool::replica>& item : pool.replicas()) {
+        if (item.second.entry.service == service.name && !item.second.entry.isDraining && !item.second.vanishedAt)
+            free.push_back(&item.second);
+    }
+    std::map<std::string, replica_list> parts;
+    const std::vector<std::string>& models = service.engine->models;
+    while (!free.empty() && !models.empty()) {
+        for (const std::string& model : models) {
+            const replica_pool::replica* const best = bestFor(model, free, now);
+            if (!best)
+                break;
+            parts[model].push_back(best);
+            std::erase(free, best);
+        }
+    }
+    return parts;
+}
+
+const replica_pool::replica* weight_plan::bestFor(std::string_view model, const replica_list& free, instant now)
+{
+    const auto best = std::max_element(free.begin(), free.end(), [model, now](const replica_pool::replica* left, const replica_pool::replica* right) {
+        const bool leftSound = left->suspectUntil <= now;
+        const bool rightSound = right->suspectUntil <= now;
+        return std::make_tuple(versionOf(*left, model), leftSound) < std::make_tuple(versionOf(*right, model), rightSound);
+    });
+    return best == free.end() ? nullptr : *best;
+}
+
+}
--- /dev/null
+++ b/src/libs/rollout/weightplan.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "replicapool.h"
+#include "routetable.h"
+
+#include <core/instant.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace ragwortreach {
+
+/// What happens to the runs of a model while a replica loads its weights.
+enum class load_mode {
+    /// The runs finish first.
+    Wait,
+    /// The runs go on under the new weights.
+    Retain,
+};
+
+/// Order to a replica to load a version of a model's weights.
+struct weight_order {
+    std::string replica;
+    std::string address;
+    std::string model;
+    std::uint64_t version = 0;
+    load_mode mode = load_mode::Retain;
+};
+
+/// What a replica says of itself when it is asked.
+struct replica_report {
+    /// An order is being carried out.
+    bool isBusy = false;
+    /// Orders that the replica has accepted since its start. It refuses an order that was sent for another count.
+    std::uint64_t ordersAccepted = 0;
+    std::map<std::string, std::uint64_t, std::less<>> weights;
+};
+
+/// How a replica answered an order.
+enum class order_outcome {
+    /// The replica loads the version.
+    Accepted,
+    /// The replica has the version.
+    Loaded,
+    /// The order may still be carried out.
+    Unknown,
+    /// Another order is under way, or the count of orders was wrong.
+    Conflict,
+    /// The order came from a holder that has been replaced, or was never valid.
+    Rejected,
+};
+
+/// Decides which replicas load which version.
+///
+/// Load pattern: each trainer names a version every few seconds. Loading it everywhere takes more loads than the
+/// replicas can serve beside, so the replicas of a service are split among its models, and each version is loaded
+/// on the share of its model only. Replicas that hold the newest version stay with their model.
+class weight_plan {
+public:
+    /// Notes a version that a trainer named.
+    void setTarget(std::string_view model, std::uint64_t version, instant now);
+    std::uint64_t target(std::string_view model) const;
+
+    /// Orders that are due now.
+    std::vector<weight_order> plan(replica_pool& pool, const route_table& routes, instant now);
+    void onOutcome(const weight_order& order, order_outcome outcome, instant now);
+    /// Forgets the orders under way, for a new holder.
+    void clear() { m_loads.clear(); }
+    /// Loads that are taken to be under way.
+    std::size_t loads() const { return m_loads.size(); }
+
+private:
+    struct target_version {
+        std::uint64_t version = 0;
+        instant namedAt {};
+    };
+    struct load {
+        std::string model;
+        std::uint64_t version = 0;
+        instant until {};
+    };
+    using replica_list = std::vector<const replica_pool::replica*>;
+
+    void forgetDone(const replica_pool& pool, instant now);
+    std::map<std::string, replica_list> share(const replica_pool& pool, const service_definition& service, instant now) const;
+    static const replica_pool::replica* bestFor(std::string_view model, const replica_list& free, instant now);
+    bool isSingleVersion(std::string_view model, const route_table& routes) const;
+
+    std::map<std::string, target_version, std::less<>> m_targets;
+    std::map<std::string, load, std::less<>> m_loads;
+};
+
+}
--- a/src/libs/service/adminroutes.h
+++ b/src/libs/service/adminroutes.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <platform/httpserver.h>
+#include <net/httpserver.h>
 
 #include <functional>
 #include <string>
--- a/src/libs/service/callerroutes.h
+++ b/src/libs/service/callerroutes.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <core/daemonevent.h>
-#include <platform/httpserver.h>
+#include <net/httpserver.h>
 
 #include <cstdint>
 #include <functional>
--- a/src/libs/service/callproxy.h
+++ b/src/libs/service/callproxy.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <core/daemonevent.h>
-#include <platform/httpclient.h>
-#include <platform/httpserver.h>
+#include <net/httpclient.h>
+#include <net/httpserver.h>
 
 #include <cstddef>
 #include <cstdint>
--- a/src/libs/service/daemonhost.cpp
+++ b/src/libs/service/daemonhost.cpp
@@ -11,8 +11,8 @@
 #include <core/cataloguereader.h>
 #include <core/daemoncontext.h>
 #include <core/daemoncore.h>
-#include <platform/httpclient.h>
-#include <platform/httpserver.h>
+#include <net/httpclient.h>
+#include <net/httpserver.h>
 #include <support/log.h>
 #include <support/settings.h>
 #include <wire/gossipsocket.h>
--- a/src/libs/service/effectexecutor.h
+++ b/src/libs/service/effectexecutor.h
@@ -4,10 +4,10 @@
 
 #include <core/daemoneffect.h>
 #include <core/daemonevent.h>
-#include <platform/engineclient.h>
-#include <platform/logclient.h>
-#include <platform/platformclient.h>
-#include <platform/scorerclient.h>
+#include <net/engineclient.h>
+#include <net/logclient.h>
+#include <net/platformclient.h>
+#include <net/scorerclient.h>
 
 #include <functional>
 #include <map>
--- a/src/libs/service/problem.h
+++ b/src/libs/service/problem.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <core/resultcode.h>
-#include <platform/httpmessage.h>
+#include <net/httpmessage.h>
 
 #include <chrono>
 #include <string>
--- /dev/null
+++ b/src/libs/wire/journalcodec.cpp
@@ -0,0 +1,134 @@
+#include "journalcodec.h"
+
+#include "journal.pb.h"
+
+namespace ragwortreach {
+
+namespace {
+
+    void writeText(const item_text& from, wire::JournalItemText& to)
+    {
+        to.set_text(from.text);
+        to.set_last_event(from.lastEvent);
+        for (const std::uint64_t version : from.versions)
+            to.add_versions(version);
+    }
+
+    item_text readText(const wire::JournalItemText& from)
+    {
+        return { from.text(), from.last_event(), { from.versions().begin(), from.versions().end() } };
+    }
+
+    void writeItem(const batch_item& from, wire::JournalItem& to)
+    {
+        to.set_id(from.id);
+        to.set_path(from.path);
+        to.set_body(from.body);
+        to.set_tokens(from.tokens);
+        to.set_group(from.group);
+        for (const item_header& header : from.headers) {
+            wire::JournalHeader& written = *to.add_headers();
+            written.set_name(header.name);
+            written.set_value(header.value);
+        }
+    }
+
+    batch_item readItem(const wire::JournalItem& from)
+    {
+        batch_item item { from.id(), from.path(), {}, from.body(), from.tokens(), from.group() };
+        for (const wire::JournalHeader& header : from.headers())
+            item.headers.push_back({ header.name(), header.value() });
+        return item;
+    }
+
+    class record_writer {
+    public:
+        explicit record_writer(wire::JournalRecord& message)
+            : m_message(message)
+        {
+        }
+
+        void operator()(const batch_accepted& record) const
+        {
+            wire::JournalBatchAccepted& accepted = *m_message.mutable_accepted();
+            accepted.set_id(record.submission.id);
+            accepted.set_host(record.submission.host);
+            accepted.set_model(record.submission.model);
+            accepted.set_train_step(record.submission.trainStep);
+            accepted.set_min_version(record.submission.minVersion);
+            accepted.set_wanted_groups(record.submission.wantedGroups);
+            for (const batch_item& item : record.submission.items)
+                writeItem(item, *accepted.add_items());
+        }
+
+        void operator()(const item_finished& record) const
+        {
+            wire::JournalItemFinished& finished = *m_message.mutable_finished();
+            finished.set_batch(record.batch);
+            finished.set_item(record.item);
+            finished.set_completed(record.isCompleted);
+            writeText(record.output, *finished.mutable_output());
+        }
+
+        void operator()(const item_progressed& record) const
+        {
+            wire::JournalItemProgressed& progressed = *m_message.mutable_progressed();
+            progressed.set_batch(record.batch);
+            progressed.set_item(record.item);
+            writeText(record.output, *progressed.mutable_output());
+        }
+
+        void operator()(const batch_ended& record) const { m_message.mutable_ended()->set_batch(record.batch); }
+
+    private:
+        wire::JournalRecord& m_message;
+    };
+
+    batch_accepted readAccepted(const wire::JournalBatchAccepted& from)
+    {
+        batch_accepted record;
+        record.submission.id = from.id();
+        record.submission.host = from.host();
+        record.submission.model = from.model();
+        record.submission.trainStep = from.train_step();
+        record.submission.minVersion = from.min_version();
+        record.submission.wantedGroups = from.wanted_groups();
+        for (const wire::JournalItem& item : from.items())
+            record.submission.items.push_back(readItem(item));
+        return record;
+    }
+
+}
+
+std::string encodeJournalRecord(const journal_record& record)
+{
+    wire::JournalRecord message;
+    std::visit(record_writer(message), record);
+    return message.SerializeAsString();
+}
+
+std::optional<journal_record> decodeJournalRecord(std::string_view bytes)
+{
+    wire::JournalRecord message;
+    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return std::nullopt;
+    switch (message.record_case()) {
+    case wire::JournalRecord::kAccepted:
+        return readAccepted(message.accepted());
+    case wire::JournalRecord::kFinished: {
+        const wire::JournalItemFinished& finished = message.finished();
+        return item_finished { finished.batch(), finished.item(), finished.completed(), readText(finished.output()) };
+    }
+    case wire::JournalRecord::kProgressed: {
+        const wire::JournalItemProgressed& progressed = message.progressed();
+        return item_progressed { progressed.batch(), progressed.item(), readText(progressed.output()) };
+    }
+    case wire::JournalRecord::kEnded:
+        return batch_ended { message.ended().batch() };
+    case wire::JournalRecord::RECORD_NOT_SET:
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+}
--- a/tests/auto/commandline/tst_loaddriver.cpp
+++ b/tests/auto/commandline/tst_loaddriver.cpp
@@ -1,6 +1,6 @@
 #include <commandline/loaddriver.h>
 
-#include <platform/httpserver.h>
+#include <net/httpserver.h>
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
--- a/tests/auto/commandline/tst_syncexchange.cpp
+++ b/tests/auto/commandline/tst_syncexchange.cpp
@@ -1,6 +1,6 @@
 #include <commandline/syncexchange.h>
 
-#include <platform/httpserver.h>
+#include <net/httpserver.h>
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
--- a/tests/auto/platform/tst_engineclient.cpp
+++ b/tests/auto/net/tst_engineclient.cpp
@@ -1,5 +1,5 @@
-#include <platform/engineclient.h>
-#include <platform/httpserver.h>
+#include <net/engineclient.h>
+#include <net/httpserver.h>
 
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
--- a/tests/auto/platform/tst_httpserver.cpp
+++ b/tests/auto/net/tst_httpserver.cpp
@@ -1,6 +1,6 @@
 #include <core/resultcode.h>
-#include <platform/httpclient.h>
-#include <platform/httpserver.h>
+#include <net/httpclient.h>
+#include <net/httpserver.h>
 
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
--- a/tests/bench/callbench.cpp
+++ b/tests/bench/callbench.cpp
@@ -1,4 +1,4 @@
-#include <platform/httpclient.h>
+#include <net/httpclient.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
