Rollout: Load each version on half of the share of its model

Versions fell behind (order for version 4 at 18.9 s, named at 8.5 s), so steps waited for replicas. Ruled out: lost orders (0 refused) and the change of the holder (one, at 22.5 s).

Change: a replica is loaded when its version is too old for the trainer; the others are loaded only until half of the share has the newest version. The lag that a trainer takes is read from its batches.

--- a/src/libs/gateway/gatewayhost.cpp
+++ b/src/libs/gateway/gatewayhost.cpp
@@ -77,7 +77,7 @@
         , pool(daemonSettings.dataCentre)
         , view(ioContext, store, routes, pool, daemonLog,
               { [this] { assignWork(); }, [this](const std::string& model, std::uint64_t version) { nameVersion(model, version); } })
-        , batches(ioContext, store, daemonSettings.journalPartitions, life, [this](const ledger_batch& batch) { desk.onChanged(batch); })
+        , batches(ioContext, store, daemonSettings.journalPartitions, life, [this](const ledger_batch& batch) { noteBatch(batch); })
         , member(ioContext, store, { "ragwortreach", life, "ragwortreach.work" }, [this] { assignWork(); })
         , scheduler(batches.ledger(), pool, routes)
         , runner(ioContext, client, batches, scheduler, pool, daemonLog)
@@ -94,6 +94,7 @@
     std::error_code listen(http_server& server, const std::string& address, std::string& detail) const;
     void assignWork();
     void nameVersion(const std::string& model, std::uint64_t version);
+    void noteBatch(const ledger_batch& batch);
     void serve(const http_exchange& exchange);
     void answerReadiness(const http_exchange& exchange);
     void answerMetrics(const http_exchange& exchange);
@@ -157,6 +158,13 @@
     lines.write(log_line(log_level::Info, "version_named").with("model", model).with("version", version));
 }
 
+void gateway_host::state::noteBatch(const ledger_batch& batch)
+{
+    if (batch.results.empty() && !batch.isEnded)
+        orderer.plan().setOldestAllowed(batch.submission.model, batch.submission.minVersion);
+    desk.onChanged(batch);
+}
+
 void gateway_host::state::serve(const http_exchange& exchange)
 {
     const http_request& request = exchange.request();
--- a/src/libs/rollout/weightplan.cpp
+++ b/src/libs/rollout/weightplan.cpp
@@ -26,8 +26,16 @@
 void weight_plan::setTarget(std::string_view model, std::uint64_t version, instant now)
 {
     target_version& target = m_targets[std::string(model)];
-    if (version > target.version)
-        target = { version, now };
+    if (version <= target.version)
+        return;
+    target.version = version;
+    target.namedAt = now;
+}
+
+void weight_plan::setOldestAllowed(std::string_view model, std::uint64_t version)
+{
+    target_version& target = m_targets[std::string(model)];
+    target.allowedLag = target.version > version ? target.version - version : 0;
 }
 
 std::uint64_t weight_plan::target(std::string_view model) const
@@ -36,37 +44,59 @@
     return found == m_targets.end() ? 0 : found->second.version;
 }
 
-std::vector<weight_order> weight_plan::plan(replica_pool& pool, const route_table& routes, instant now)
+std::vector<weight_order> weight_plan::plan(const replica_pool& pool, const route_table& routes, instant now)
 {
     forgetDone(pool, now);
-    std::vector<std::pair<instant, weight_order>> due;
+    std::vector<due_order> due;
     for (const service_definition& service : routes.configuration().services) {
         if (!service.engine)
             continue;
-        for (const std::pair<const std::string, replica_list>& part : share(pool, service, now)) {
-            const auto wanted = m_targets.find(part.first);
-            if (wanted == m_targets.end())
-                continue;
-            for (const replica_pool::replica* replica : part.second) {
-                if (versionOf(*replica, part.first) >= wanted->second.version || m_loads.contains(replica->entry.id))
-                    continue;
-                weight_order order { replica->entry.id, replica->entry.address, part.first, wanted->second.version };
-                order.mode = isSingleVersion(part.first, routes) ? load_mode::Wait : load_mode::Retain;
-                due.emplace_back(wanted->second.namedAt, std::move(order));
-            }
-        }
+        for (const std::pair<const std::string, replica_list>& part : share(pool, service, now))
+            addDue(due, part.first, part.second, isSingleVersion(part.first, routes) ? load_mode::Wait : load_mode::Retain);
     }
-    std::stable_sort(due.begin(), due.end(), [](const std::pair<instant, weight_order>& left, const std::pair<instant, weight_order>& right) { return left.first < right.first; });
+    std::stable_sort(due.begin(), due.end(), [](const due_order& left, const due_order& right) {
+        return std::make_tuple(!left.isUrgent, left.namedAt) < std::make_tuple(!right.isUrgent, right.namedAt);
+    });
     std::vector<weight_order> orders;
-    for (std::pair<instant, weight_order>& item : due) {
+    for (due_order& item : due) {
         if (m_loads.size() >= maxLoads)
             break;
-        m_loads[item.second.replica] = { item.second.model, item.second.version, now + unknownOrderTime };
-        orders.push_back(std::move(item.second));
+        m_loads[item.order.replica] = { item.order.model, item.order.version, now + unknownOrderTime };
+        orders.push_back(std::move(item.order));
     }
     return orders;
 }
 
+/// Adds the replicas whose version is too old to serve, and others until half of the share has the newest version.
+void weight_plan::addDue(std::vector<due_order>& due, std::string_view model, const replica_list& share, load_mode mode) const
+{
+    const auto wanted = m_targets.find(model);
+    if (wanted == m_targets.end())
+        return;
+    const target_version& target = wanted->second;
+    std::size_t newest = 0;
+    std::vector<const replica_pool::replica*> behind;
+    for (const replica_pool::replica* replica : share) {
+        const bool isLoading = m_loads.contains(replica->entry.id);
+        if (versionOf(*replica, model) >= target.version || isLoading)
+            ++newest;
+        else
+            behind.push_back(replica);
+    }
+    std::stable_sort(behind.begin(), behind.end(), [model](const replica_pool::replica* left, const replica_pool::replica* right) {
+        return versionOf(*left, model) < versionOf(*right, model);
+    });
+    const std::size_t half = (share.size() + 1) / 2;
+    for (const replica_pool::replica* replica : behind) {
+        const bool isUrgent = versionOf(*replica, model) + target.allowedLag < target.version;
+        if (!isUrgent && newest >= half)
+            continue;
+        ++newest;
+        const weight_order order { replica->entry.id, replica->entry.address, std::string(model), target.version, mode };
+        due.push_back({ target.namedAt, isUrgent, order });
+    }
+}
+
 void weight_plan::onOutcome(const weight_order& order, order_outcome outcome, instant now)
 {
     const auto found = m_loads.find(order.replica);
--- a/src/libs/rollout/weightplan.h
+++ b/src/libs/rollout/weightplan.h
@@ -54,17 +54,21 @@
 
 /// Decides which replicas load which version.
 ///
-/// Load pattern: each trainer names a version every few seconds. Loading it everywhere takes more loads than the
-/// replicas can serve beside, so the replicas of a service are split among its models, and each version is loaded
-/// on the share of its model only. Replicas that hold the newest version stay with their model.
+/// Load pattern: each trainer names a version every few seconds, and only a few replicas can load at once. Loading
+/// each version everywhere takes longer than the trainers need for a step. So the replicas of a service are split
+/// among its models, and a version is loaded on half of the share of its model. The other half serves on with the
+/// version before, which the trainer still takes, and takes the next version when its own one is too old.
+/// Replicas that hold the newest version stay with their model.
 class weight_plan {
 public:
     /// Notes a version that a trainer named.
     void setTarget(std::string_view model, std::uint64_t version, instant now);
     std::uint64_t target(std::string_view model) const;
+    /// Notes the oldest version that the newest batch of a model allows.
+    void setOldestAllowed(std::string_view model, std::uint64_t version);
 
     /// Orders that are due now.
-    std::vector<weight_order> plan(replica_pool& pool, const route_table& routes, instant now);
+    std::vector<weight_order> plan(const replica_pool& pool, const route_table& routes, instant now);
     void onOutcome(const weight_order& order, order_outcome outcome, instant now);
     /// Forgets the orders under way, for a new holder.
     void clear() { m_loads.clear(); }
@@ -75,6 +79,8 @@
     struct target_version {
         std::uint64_t version = 0;
         instant namedAt {};
+        /// Versions behind the newest one that the trainer takes.
+        std::uint64_t allowedLag = 0;
     };
     struct load {
         std::string model;
@@ -83,6 +89,15 @@
     };
     using replica_list = std::vector<const replica_pool::replica*>;
 
+    /// An order with the time at which its version was named.
+    struct due_order {
+        instant namedAt {};
+        /// The replica cannot serve its model until the order is carried out.
+        bool isUrgent = false;
+        weight_order order;
+    };
+
+    void addDue(std::vector<due_order>& due, std::string_view model, const replica_list& share, load_mode mode) const;
     void forgetDone(const replica_pool& pool, instant now);
     std::map<std::string, replica_list> share(const replica_pool& pool, const service_definition& service, instant now) const;
     static const replica_pool::replica* bestFor(std::string_view model, const replica_list& free, instant now);
