Rollout, Gateway: Keep work with its holder by leases in the log

Ruled out: refused orders (none) and the store's outages alone (orders stayed away long after them).

Change: one lease for the orders and one for each model, as records of a keyed topic that all daemons fold. A holder keeps its lease while it renews; one that stops releases it and names its recent orders, so the next one waits only for those replicas. A claim names the claim that it replaces, so of several the first wins, also for a daemon that starts from compacted records. The group calls are removed from the store client.

--- a/src/libs/gateway/gatewayhost.cpp
+++ b/src/libs/gateway/gatewayhost.cpp
@@ -6,9 +6,9 @@
 #include "callrelay.h"
 #include "gatewaymetrics.h"
 #include "gatewaysettings.h"
-#include "groupmember.h"
 #include "itemrunner.h"
 #include "journal.h"
+#include "leasekeeper.h"
 #include "platformview.h"
 #include "weightorderer.h"
 
@@ -16,7 +16,6 @@
 #include <net/httpserver.h>
 #include <platform/requestcodec.h>
 #include <platform/storeclient.h>
-#include <rollout/workassignment.h>
 #include <support/log.h>
 #include <support/logline.h>
 
@@ -40,6 +39,7 @@
     /// Bounds before any configuration is in force. They only guard the memory.
     constexpr std::size_t headerBytes = std::size_t { 64 } * 1024;
     constexpr std::size_t bodyBytes = std::size_t { 40 } * 1024 * 1024;
+    constexpr std::string_view modelLeasePrefix = "model/";
     constexpr int okStatus = 200;
     constexpr int notFoundStatus = 404;
 
@@ -76,12 +76,12 @@
         , store(client, parseEndpoint(daemonSettings.storeAddress).value_or(endpoint {}))
         , pool(daemonSettings.dataCentre)
         , view(ioContext, store, routes, pool, daemonLog,
-              { [this] { assignWork(); }, [this](const std::string& model, std::uint64_t version) { nameVersion(model, version); } })
+              { [this] { nameLeases(); }, [this](const std::string& model, std::uint64_t version) { nameVersion(model, version); } })
         , batches(ioContext, store, daemonSettings.journalPartitions, life, [this](const ledger_batch& batch) { noteBatch(batch); })
-        , member(ioContext, store, { "ragwortreach", life, "ragwortreach.work" }, [this] { assignWork(); })
+        , leases(ioContext, store, { daemonSettings.vm, life }, daemonSettings.orderLease, daemonLog, [this] { assignWork(); })
         , scheduler(batches.ledger(), pool, routes)
         , runner(ioContext, client, batches, scheduler, pool, daemonLog)
-        , orderer(client, member, pool, routes, daemonSettings.vm, daemonSettings.orderLease, daemonLog)
+        , orderer(client, leases.agent(), pool, routes, daemonSettings.vm, daemonLog)
         , relay(ioContext, client, pool, routes, daemonLog)
         , desk(ioContext, batches, routes, daemonLog)
         , callers(ioContext, callerLimits(), [this](const http_exchange& exchange) { serve(exchange); }, malformed)
@@ -92,6 +92,7 @@
     }
 
     std::error_code listen(http_server& server, const std::string& address, std::string& detail) const;
+    void nameLeases();
     void assignWork();
     void nameVersion(const std::string& model, std::uint64_t version);
     void noteBatch(const ledger_batch& batch);
@@ -113,7 +114,7 @@
     replica_pool pool;
     platform_view view;
     journal batches;
-    group_member member;
+    lease_keeper leases;
     item_scheduler scheduler;
     item_runner runner;
     weight_orderer orderer;
@@ -124,6 +125,7 @@
     http_server metricsServer;
     boost::asio::steady_timer timer;
     std::optional<instant> drainingSince;
+    std::string ownedNames;
     bool wasReady = false;
     bool hasLeft = false;
 };
@@ -136,18 +138,34 @@
     return error;
 }
 
+/// There is one lease for the orders of weights, and one for the batches of each model. One holder orders for all
+/// replicas, since a replica serves several models and takes orders from one holder at a time.
+void gateway_host::state::nameLeases()
+{
+    std::vector<std::string> names { std::string(weight_orderer::leaseName) };
+    for (const std::string& model : routes.models())
+        names.push_back(std::string(modelLeasePrefix) + model);
+    leases.agent().setLeases(std::move(names));
+    assignWork();
+}
+
 void gateway_host::state::assignWork()
 {
     if (drainingSince)
         return;
-    const std::vector<std::string> models = routes.models();
-    const std::set<std::string, std::less<>> owned = ownedModels(models, member.partitions(), settings.topicPartitions);
-    scheduler.setOwnedModels(owned, bootNow());
-    orderer.setHolder(member.partitions().contains(ordersPartition));
+    std::set<std::string, std::less<>> owned;
     std::string names;
-    for (const std::string& model : owned)
+    for (const std::string& model : routes.models()) {
+        if (!leases.agent().isHeld(std::string(modelLeasePrefix) + model))
+            continue;
+        owned.insert(model);
         names += (names.empty() ? "" : " ") + model;
-    lines.write(log_line(log_level::Info, "work_assigned").with("models", names).with("generation", member.generation()));
+    }
+    orderer.noteHolder();
+    if (names == std::exchange(ownedNames, names))
+        return;
+    scheduler.setOwnedModels(owned, bootNow());
+    lines.write(log_line(log_level::Info, "work_assigned").with("models", names));
 }
 
 void gateway_host::state::nameVersion(const std::string& model, std::uint64_t version)
@@ -228,8 +246,10 @@
         view.tick();
         desk.tick();
         runner.run();
-        if (!drainingSince)
+        if (!drainingSince) {
+            leases.tick();
             orderer.tick();
+        }
         batches.forgetBefore(bootNow() - batchMemory);
         checkStop();
         tick();
@@ -242,7 +262,7 @@
         return;
     if (!hasLeft && batches.waiting() == 0) {
         hasLeft = true;
-        member.leave([] { });
+        leases.release([] { });
     }
     const duration age = bootNow() - *drainingSince;
     const bool isIdle = callers.openExchanges() == 0 && batches.waiting() == 0;
@@ -272,7 +292,7 @@
     daemon.lines.write(log_line(log_level::Info, "started").with("life", daemon.life).with("store", daemon.settings.storeAddress));
     daemon.view.start();
     daemon.batches.start();
-    daemon.member.start();
+    daemon.leases.start();
     daemon.tick();
     return {};
 }
@@ -285,7 +305,6 @@
     daemon.drainingSince = bootNow();
     daemon.lines.write(log_line(log_level::Info, "stopping").with("open_calls", daemon.callers.openExchanges()));
     daemon.callers.setDraining(true);
-    daemon.orderer.setHolder(false);
     daemon.runner.handOver();
 }
 
--- a/src/libs/gateway/gatewaysettings.cpp
+++ b/src/libs/gateway/gatewaysettings.cpp
@@ -35,7 +35,6 @@
         "readiness": { "type": "string", "description": "an IP number and a port, such as 127.0.0.1:8080" },
         "metrics": { "type": "string", "description": "an IP number and a port, such as 127.0.0.1:8080" },
         "store": { "type": "string", "description": "an IP number and a port, such as 127.0.0.1:8080" },
-        "topic_partitions": { "type": "integer", "minimum": 1, "maximum": 1024, "description": "a whole number from 1 to 1024" },
         "journal_partitions": { "type": "integer", "minimum": 1, "maximum": 64, "description": "a whole number from 1 to 64" },
         "order_lease_ms": { "type": "integer", "minimum": 0, "maximum": 600000, "description": "milliseconds, from 0 to 600000" },
         "stop_s": { "type": "number", "minimum": 0.1, "maximum": 3600, "description": "seconds, from 0.1 to 3600" }
@@ -91,7 +90,6 @@
         && readAddress(gateway, "metrics", read.metricsAddress, detail) && readAddress(gateway, "store", read.storeAddress, detail);
     if (!areAddresses)
         return result_code::SettingsOutOfRange;
-    read.topicPartitions = gateway.value("topic_partitions", read.topicPartitions);
     read.journalPartitions = gateway.value("journal_partitions", read.journalPartitions);
     read.orderLease = readMilliseconds(gateway, "order_lease_ms", read.orderLease);
     const double stopSeconds = gateway.value("stop_s", std::chrono::duration<double>(read.stopTime).count());
--- a/src/libs/gateway/gatewaysettings.h
+++ b/src/libs/gateway/gatewaysettings.h
@@ -23,8 +23,6 @@
     std::string metricsAddress;
     /// Address of the platform's log, "ip:port".
     std::string storeAddress;
-    /// Partitions of a topic in the platform's log.
-    std::uint32_t topicPartitions = 8;
     /// Partitions of the journal of batches.
     std::uint32_t journalPartitions = 1;
     /// Time between two holders of the right to order weights.
--- a/src/libs/gateway/journalwriter.cpp
+++ b/src/libs/gateway/journalwriter.cpp
@@ -1,5 +1,7 @@
 #include "journalwriter.h"
 
+#include "bootclock.h"
+
 #include <boost/asio/io_context.hpp>
 
 #include <algorithm>
@@ -9,6 +11,8 @@
 namespace {
 
     constexpr std::chrono::milliseconds retryPause { 150 };
+    /// Time until a caller hears that the outcome of its record is not known.
+    constexpr duration unknownAfter = std::chrono::milliseconds(2000);
     /// Records of one append; larger appends keep the partition from others for long.
     constexpr std::size_t maxAppendBytes = std::size_t { 1024 } * 1024;
 
@@ -32,7 +36,7 @@
 
 void journal_writer::write(std::vector<keyed_record> records, write_mode mode, done_handler onDone)
 {
-    m_queue.push_back({ std::move(records), mode, std::move(onDone), false });
+    m_queue.push_back({ std::move(records), mode, std::move(onDone), false, {} });
     if (!m_isBusy)
         sendNext();
 }
@@ -49,6 +53,7 @@
         bytes += bytesOf(m_queue.front().records);
         if (!m_sending.empty() && bytes > maxAppendBytes)
             break;
+        m_queue.front().firstSentAt = bootNow();
         m_sending.push_back(std::move(m_queue.front()));
         m_queue.pop_front();
     }
@@ -128,7 +133,8 @@
 void journal_writer::reportUnknown()
 {
     for (entry& item : m_sending) {
-        if (item.mode != write_mode::OneTry || item.isReported)
+        const bool isLong = bootNow() - item.firstSentAt >= unknownAfter;
+        if (item.mode != write_mode::OneTry || item.isReported || !isLong)
             continue;
         item.isReported = true;
         item.onDone(append_status::Unknown);
--- a/src/libs/gateway/journalwriter.h
+++ b/src/libs/gateway/journalwriter.h
@@ -15,7 +15,7 @@
 enum class write_mode {
     /// Until they are appended.
     Persistent,
-    /// One try; the handler learns of its outcome at once.
+    /// Until they are refused. The handler learns that the outcome is not known when it is not known for long.
     OneTry,
 };
 
@@ -41,6 +41,7 @@
         write_mode mode = write_mode::Persistent;
         done_handler onDone;
         bool isReported = false;
+        instant firstSentAt {};
     };
 
     void sendNext();
--- /dev/null
+++ b/src/libs/gateway/leasekeeper.cpp
@@ -0,0 +1,98 @@
+#include "leasekeeper.h"
+
+#include "bootclock.h"
+
+#include <support/log.h>
+#include <support/logline.h>
+#include <wire/leasecodec.h>
+
+namespace ragwortreach {
+
+namespace {
+
+    constexpr duration readWait = std::chrono::milliseconds(1000);
+    constexpr duration readSpacing = std::chrono::milliseconds(30);
+    /// Claims have keys of their own, so the log keeps them; of the renewals of a process it keeps the newest.
+    constexpr std::string_view renewalKey = "/renewal";
+
+    topic_partition leaseTopic()
+    {
+        return { "keyed.ragwortreach.leases", 0 };
+    }
+
+}
+
+lease_keeper::lease_keeper(boost::asio::io_context& context, shared_log& log, lease_party self, duration holderPause,
+    ragwortreach::log& lines, std::function<void()> onChanged)
+    : m_writerName(self.life)
+    , m_lines(lines)
+    , m_onChanged(std::move(onChanged))
+    , m_agent(m_fold, std::move(self), holderPause)
+    , m_follower(context, log, { leaseTopic(), readWait, readSpacing },
+          { [this](std::span<const keyed_record>, std::span<const keyed_record> fresh) { apply(fresh); },
+              [this](std::span<const keyed_record> records) { apply(records); } })
+    , m_writer(context, log, leaseTopic(), m_writerName + "-leases")
+{
+}
+
+void lease_keeper::apply(std::span<const keyed_record> records)
+{
+    for (const keyed_record& record : records) {
+        if (!record.value)
+            continue;
+        const std::optional<lease_record> decoded = decodeLeaseRecord(*record.value);
+        if (decoded)
+            m_fold.apply(*decoded, record.offset, bootNow());
+        else
+            ++m_unreadable;
+    }
+    if (!records.empty())
+        m_onChanged();
+}
+
+void lease_keeper::noteClaims(const std::vector<lease_record>& records)
+{
+    for (const lease_record& record : records) {
+        const lease_claim* const claim = std::get_if<lease_claim>(&record);
+        if (!claim)
+            continue;
+        const duration age = bootNow() - m_follower.confirmedAt();
+        m_lines.write(log_line(log_level::Info, "lease_claimed")
+                          .with("lease", claim->lease)
+                          .with("former_claim", claim->formerClaim ? static_cast<std::int64_t>(*claim->formerClaim) : -1)
+                          .with("view_age_us", age.count()));
+    }
+}
+
+void lease_keeper::tick()
+{
+    const instant now = bootNow();
+    const std::vector<lease_record> records = m_agent.tick({ m_follower.confirmedAt(), m_follower.regainedAt() }, now);
+    if (records.empty())
+        return;
+    noteClaims(records);
+    write(records, [this, now](append_status status) { m_agent.onWritten(status == append_status::Done, now); });
+}
+
+void lease_keeper::release(std::function<void()> onDone)
+{
+    write({ m_agent.release(bootNow()) }, [whenDone = std::move(onDone)](append_status) { whenDone(); });
+}
+
+void lease_keeper::write(const std::vector<lease_record>& records, std::function<void(append_status)> onDone)
+{
+    std::vector<keyed_record> encoded;
+    for (const lease_record& record : records) {
+        keyed_record added { m_writerName, encodeLeaseRecord(record), 0 };
+        if (std::holds_alternative<lease_renewal>(record)) {
+            added.key += renewalKey;
+        } else {
+            added.key += '/';
+            added.key += std::to_string(++m_lastRecord);
+        }
+        encoded.push_back(std::move(added));
+    }
+    m_writer.write(std::move(encoded), write_mode::OneTry, std::move(onDone));
+}
+
+}
--- a/src/libs/gateway/weightorderer.cpp
+++ b/src/libs/gateway/weightorderer.cpp
@@ -6,55 +6,45 @@
 #include <support/log.h>
 #include <support/logline.h>
 
+#include <utility>
+
 namespace ragwortreach {
 
 namespace {
 
     constexpr int okStatus = 200;
     constexpr duration orderTimeout = std::chrono::milliseconds(700);
-    /// Beyond the lease of the holder before; its last order may still be on its way.
-    constexpr duration takeoverMargin = std::chrono::milliseconds(300);
-    /// An order is on its way for less than this; it has to arrive while the partition is held.
-    constexpr duration validityMargin = std::chrono::milliseconds(400);
+    /// An order has to arrive while the lease is held.
+    constexpr duration transitMargin = std::chrono::milliseconds(300);
 
 }
 
-weight_orderer::weight_orderer(http_client& client, const group_member& member, replica_pool& pool, const route_table& routes,
-    std::string owner, duration leaseTime, log& log)
+weight_orderer::weight_orderer(http_client& client, lease_agent& leases, replica_pool& pool, const route_table& routes, std::string owner,
+    log& log)
     : m_client(client)
-    , m_member(member)
+    , m_leases(leases)
     , m_pool(pool)
     , m_routes(routes)
     , m_owner(std::move(owner))
-    , m_leaseTime(leaseTime)
     , m_log(log)
 {
 }
 
-void weight_orderer::setHolder(bool isHolder)
+void weight_orderer::noteHolder()
 {
-    if (isHolder == m_holderSince.has_value())
+    const bool isHolder = m_leases.isHeld(leaseName);
+    if (isHolder == std::exchange(m_isHolder, isHolder))
         return;
     m_plan.clear();
-    if (isHolder)
-        m_holderSince = bootNow();
-    else
-        m_holderSince.reset();
-    m_log.write(log_line(log_level::Info, "orders_holder").with("is_holder", isHolder).with("generation", m_member.generation()));
-}
-
-bool weight_orderer::mayOrder(instant now) const
-{
-    if (!m_holderSince || now - *m_holderSince < m_leaseTime + takeoverMargin)
-        return false;
-    return now + validityMargin < m_member.validUntil();
+    m_log.write(log_line(log_level::Info, "orders_holder").with("is_holder", isHolder).with("fencing", m_leases.fencingNumber(leaseName)));
 }
 
 void weight_orderer::tick()
 {
-    if (!mayOrder(bootNow()))
+    const instant now = bootNow();
+    if (!m_leases.mayAct(leaseName, now + transitMargin))
         return;
-    for (const weight_order& order : m_plan.plan(m_pool, m_routes, bootNow()))
+    for (const weight_order& order : m_plan.plan(m_pool, m_routes, m_leases.barredReplicas(leaseName, now), now))
         prepare(order);
 }
 
@@ -84,14 +74,15 @@
         return;
     }
     // The process may have been paused since the plan was made.
-    if (!mayOrder(bootNow())) {
+    if (!m_leases.mayAct(leaseName, bootNow() + transitMargin)) {
         m_plan.onOutcome(order, order_outcome::Conflict, bootNow());
         return;
     }
     ++m_counters.ordersSent;
+    m_leases.noteOrder(order.replica, bootNow());
     http_call_options options;
     options.timeout = orderTimeout;
-    const platform::order_authority authority { m_owner, m_member.generation() };
+    const platform::order_authority authority { m_owner, m_leases.fencingNumber(leaseName) };
     m_client.callWhole(parseEndpoint(order.address).value_or(endpoint {}),
         platform::encodeWeightOrder(order, report.ordersAccepted, authority), options,
         [this, order](const http_outcome& outcome, const http_response& response) { take(order, outcome, response); });
@@ -117,7 +108,7 @@
                     .with("replica", order.replica)
                     .with("model", order.model)
                     .with("version", order.version)
-                    .with("generation", m_member.generation())
+                    .with("fencing", m_leases.fencingNumber(leaseName))
                     .with("status", outcome.code == result_code::Ok ? response.status : 0)
                     .with("reason", outcome.detail));
     m_plan.onOutcome(order, result, bootNow());
--- /dev/null
+++ b/src/libs/rollout/leaseagent.cpp
@@ -0,0 +1,129 @@
+#include "leaseagent.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace ragwortreach {
+
+namespace {
+
+    /// A process whose view of the records is older does not claim.
+    constexpr duration maxViewAge = std::chrono::milliseconds(1500);
+    /// A process that holds leases leaves others the first chance.
+    constexpr duration delayPerLease = std::chrono::milliseconds(100);
+    constexpr std::uint64_t delaySpreadMs = 80;
+    /// An order may take so long to arrive.
+    constexpr duration orderTransit = std::chrono::milliseconds(300);
+    /// Distance from an earlier claim of this process that was in vain.
+    constexpr duration claimInterval = std::chrono::milliseconds(400);
+
+}
+
+lease_agent::lease_agent(const lease_fold& fold, lease_party self, duration holderPause)
+    : m_fold(fold)
+    , m_self(std::move(self))
+    , m_holderPause(holderPause)
+{
+}
+
+std::vector<lease_record> lease_agent::tick(const lease_view& view, instant now)
+{
+    std::vector<lease_record> records;
+    if (m_isReleased || m_isWriting)
+        return records;
+    if (m_fold.heldBy(m_self) > 0 && now - m_lastSentAt >= renewInterval)
+        records.emplace_back(lease_renewal { m_self });
+    for (const std::string& lease : m_leases) {
+        const lease_state* const state = m_fold.find(lease);
+        if (now - view.confirmedAt > maxViewAge || (state && !isClaimable(*state, view, now))) {
+            m_claimableSince.erase(lease);
+            continue;
+        }
+        const instant since = m_claimableSince.try_emplace(lease, now).first->second;
+        const bool isDue = now - since >= claimDelay(lease) && now - m_lastSentAt >= claimInterval;
+        if (!isDue)
+            continue;
+        lease_claim claim { lease, m_self, std::nullopt };
+        if (state)
+            claim.formerClaim = state->claimOffset;
+        records.emplace_back(std::move(claim));
+        // One at a time, so that the leases spread over the processes.
+        break;
+    }
+    if (!records.empty()) {
+        m_isWriting = true;
+        m_lastSentAt = now;
+    }
+    return records;
+}
+
+bool lease_agent::isClaimable(const lease_state& state, const lease_view& view, instant now) const
+{
+    if (state.holder == m_self && !state.isReleased)
+        return false;
+    if (state.isReleased)
+        return true;
+    // An earlier life of the daemon on this VM has ended.
+    if (state.holder.vm == m_self.vm)
+        return true;
+    return now - std::max(state.seenAt, view.regainedAt) > silence;
+}
+
+duration lease_agent::claimDelay(std::string_view lease) const
+{
+    const std::uint64_t mixed = std::hash<std::string> {}(m_self.life + std::string(lease));
+    return delayPerLease * m_fold.heldBy(m_self) + std::chrono::milliseconds(mixed % delaySpreadMs);
+}
+
+void lease_agent::onWritten(bool isDone, instant sentAt)
+{
+    m_isWriting = false;
+    if (isDone)
+        m_validUntil = std::max(m_validUntil, sentAt + validity);
+}
+
+lease_release lease_agent::release(instant now)
+{
+    m_isReleased = true;
+    lease_release record { m_self, {} };
+    for (const std::pair<const std::string, instant>& order : m_ordersAt) {
+        if (now - order.second < m_holderPause)
+            record.recentOrders.push_back({ order.first, now - order.second });
+    }
+    return record;
+}
+
+bool lease_agent::mayAct(std::string_view lease, instant now) const
+{
+    if (m_isReleased || now >= m_validUntil || !isHeld(lease))
+        return false;
+    const lease_state& state = *m_fold.find(lease);
+    const bool isSuccession = state.formerHolder && !state.wasReleased && state.formerHolder->vm != m_self.vm;
+    return !isSuccession || now >= state.formerSeenAt + validity + m_holderPause + orderTransit;
+}
+
+std::vector<std::string> lease_agent::barredReplicas(std::string_view lease, instant now) const
+{
+    std::vector<std::string> barred;
+    const lease_state* const state = m_fold.find(lease);
+    if (!state || !state->wasReleased || (state->formerHolder && state->formerHolder->vm == m_self.vm))
+        return barred;
+    for (const recent_order& order : state->recentOrders) {
+        if (now - state->formerSeenAt + order.age < m_holderPause + orderTransit)
+            barred.push_back(order.replica);
+    }
+    return barred;
+}
+
+void lease_agent::noteOrder(std::string_view replica, instant now)
+{
+    m_ordersAt[std::string(replica)] = now;
+}
+
+std::uint64_t lease_agent::fencingNumber(std::string_view lease) const
+{
+    const lease_state* const state = m_fold.find(lease);
+    return state ? state->claimOffset + 1 : 0;
+}
+
+}
--- /dev/null
+++ b/src/libs/rollout/leaseagent.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "leasefold.h"
+
+#include <core/instant.h>
+
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace ragwortreach {
+
+/// How far this process follows the records of leases.
+struct lease_view {
+    /// All records until then are applied.
+    instant confirmedAt {};
+    /// When the records could be read again after an outage.
+    instant regainedAt {};
+};
+
+/// Claims, keeps and gives up the leases of one process.
+///
+/// Load pattern: processes are stopped in turn, killed, frozen, and cut off from the log, often several shortly one
+/// after the other. A lease stays with its holder as long as that renews it, so that work does not move when other
+/// processes come and go; a holder that stops releases it, and another process goes on at once.
+class lease_agent {
+public:
+    static constexpr duration renewInterval = std::chrono::milliseconds(300);
+    /// From the sending of a renewal, the holder may act for so long.
+    static constexpr duration validity = std::chrono::milliseconds(1000);
+    /// A holder without a record for so long is taken to be gone.
+    static constexpr duration silence = std::chrono::milliseconds(1800);
+
+    /// \a holderPause separates the acts of two holders, where the former one did not release its lease.
+    lease_agent(const lease_fold& fold, lease_party self, duration holderPause);
+
+    /// Leases that there are.
+    void setLeases(std::vector<std::string> leases) { m_leases = std::move(leases); }
+    /// Records that are due now. onWritten() has to follow each time.
+    std::vector<lease_record> tick(const lease_view& view, instant now);
+    /// The records of a tick at \a sentAt stand in the log, or not.
+    void onWritten(bool isDone, instant sentAt);
+    /// Gives up all leases, for a graceful shutdown.
+    lease_release release(instant now);
+
+    bool isHeld(std::string_view lease) const { return m_fold.isHeldBy(lease, m_self); }
+    /// Whether the holder may act now, on anything but what barredReplicas() names. To be asked right before the act.
+    bool mayAct(std::string_view lease, instant now) const;
+    /// Replicas that took an order of the former holder a short while ago.
+    std::vector<std::string> barredReplicas(std::string_view lease, instant now) const;
+    /// Notes an order, so that the next holder learns of it.
+    void noteOrder(std::string_view replica, instant now);
+    /// Grows from holder to holder; sent with each order.
+    std::uint64_t fencingNumber(std::string_view lease) const;
+
+private:
+    bool isClaimable(const lease_state& state, const lease_view& view, instant now) const;
+    duration claimDelay(std::string_view lease) const;
+
+    const lease_fold& m_fold;
+    lease_party m_self;
+    duration m_holderPause;
+    std::vector<std::string> m_leases;
+    std::map<std::string, instant, std::less<>> m_claimableSince;
+    std::map<std::string, instant, std::less<>> m_ordersAt;
+    instant m_validUntil {};
+    instant m_lastSentAt {};
+    bool m_isWriting = false;
+    bool m_isReleased = false;
+};
+
+}
--- /dev/null
+++ b/src/libs/rollout/leasefold.cpp
@@ -0,0 +1,87 @@
+#include "leasefold.h"
+
+#include <algorithm>
+
+namespace ragwortreach {
+
+/// Applies one record to a fold.
+class lease_visitor {
+public:
+    lease_visitor(lease_fold& fold, std::uint64_t offset, instant now)
+        : m_fold(fold)
+        , m_offset(offset)
+        , m_now(now)
+    {
+    }
+
+    void operator()(const lease_claim& record) const
+    {
+        const auto found = m_fold.m_leases.find(record.lease);
+        const bool hasRecord = found != m_fold.m_leases.end();
+        if (hasRecord && record.formerClaim != found->second.claimOffset)
+            return;
+        lease_state next { record.party, m_offset, m_now, false, {}, {}, false, {} };
+        if (hasRecord) {
+            next.formerHolder = found->second.holder;
+            next.wasReleased = found->second.isReleased;
+            next.formerSeenAt = found->second.seenAt;
+            next.recentOrders = std::move(found->second.recentOrders);
+        }
+        m_fold.m_leases[record.lease] = std::move(next);
+    }
+
+    void operator()(const lease_renewal& record) const
+    {
+        forEachHeld(record.party, [](lease_state&) { });
+    }
+
+    void operator()(const lease_release& record) const
+    {
+        forEachHeld(record.party, [&record](lease_state& state) {
+            state.isReleased = true;
+            state.recentOrders = record.recentOrders;
+        });
+    }
+
+private:
+    template <typename function>
+    void forEachHeld(const lease_party& party, const function& change) const
+    {
+        for (std::pair<const std::string, lease_state>& item : m_fold.m_leases) {
+            lease_state& state = item.second;
+            if (state.holder != party || state.isReleased)
+                continue;
+            state.seenAt = m_now;
+            change(state);
+        }
+    }
+
+    lease_fold& m_fold;
+    std::uint64_t m_offset;
+    instant m_now;
+};
+
+void lease_fold::apply(const lease_record& record, std::uint64_t offset, instant now)
+{
+    std::visit(lease_visitor(*this, offset, now), record);
+}
+
+const lease_state* lease_fold::find(std::string_view lease) const
+{
+    const auto found = m_leases.find(lease);
+    return found == m_leases.end() ? nullptr : &found->second;
+}
+
+bool lease_fold::isHeldBy(std::string_view lease, const lease_party& party) const
+{
+    const lease_state* const state = find(lease);
+    return state && state->holder == party && !state->isReleased;
+}
+
+std::size_t lease_fold::heldBy(const lease_party& party) const
+{
+    return static_cast<std::size_t>(std::count_if(m_leases.begin(), m_leases.end(),
+        [&party](const std::pair<const std::string, lease_state>& item) { return item.second.holder == party && !item.second.isReleased; }));
+}
+
+}
--- /dev/null
+++ b/src/libs/rollout/leasefold.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <core/instant.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace ragwortreach {
+
+/// Process that may hold leases: one life of the daemon on a VM.
+struct lease_party {
+    std::string vm;
+    std::string life;
+
+    bool operator==(const lease_party&) const = default;
+};
+
+/// Order that the holder sent shortly before it released its lease.
+struct recent_order {
+    std::string replica;
+    /// Time from the order to the release.
+    duration age {};
+};
+
+/// A process takes a lease from the holder whose claim stands at \a formerClaim; empty when there is no holder.
+struct lease_claim {
+    std::string lease;
+    lease_party party;
+    std::optional<std::uint64_t> formerClaim;
+};
+
+/// A process keeps all leases that it holds.
+struct lease_renewal {
+    lease_party party;
+};
+
+/// A process gives all its leases up.
+struct lease_release {
+    lease_party party;
+    std::vector<recent_order> recentOrders;
+};
+
+using lease_record = std::variant<lease_claim, lease_renewal, lease_release>;
+
+/// Lease as the records say.
+struct lease_state {
+    lease_party holder;
+    /// Offset of the claim, which grows from holder to holder.
+    std::uint64_t claimOffset = 0;
+    /// When this process learned of the newest record of the holder.
+    instant seenAt {};
+    bool isReleased = false;
+    std::vector<recent_order> recentOrders;
+    /// State of the lease before the claim, as far as the new holder has to wait for it.
+    std::optional<lease_party> formerHolder;
+    bool wasReleased = false;
+    instant formerSeenAt {};
+};
+
+/// State of all leases: a fold of their records. All daemons reach the same state.
+///
+/// A claim counts only if the claim that it names is still the newest one, so of several claims the first one wins.
+/// Renewals decide nothing, since the log keeps only the newest one of each process: a daemon that starts late comes
+/// to the same holders. A claim that crosses a renewal takes the lease from a live holder, which does no harm: the
+/// new holder waits until the former one may no longer act.
+class lease_fold {
+public:
+    void apply(const lease_record& record, std::uint64_t offset, instant now);
+
+    const lease_state* find(std::string_view lease) const;
+    bool isHeldBy(std::string_view lease, const lease_party& party) const;
+    std::size_t heldBy(const lease_party& party) const;
+
+private:
+    friend class lease_visitor;
+
+    std::map<std::string, lease_state, std::less<>> m_leases;
+};
+
+}
--- a/src/libs/rollout/sharedlog.h
+++ b/src/libs/rollout/sharedlog.h
@@ -74,22 +74,6 @@
     std::uint64_t end = 0;
 };
 
-/// Member of a group, which shares out the partitions of a topic.
-struct membership_request {
-    std::string group;
-    std::string member;
-    std::string topic;
-    duration timeToLive {};
-    std::uint64_t generation = 0;
-};
-
-struct membership_outcome {
-    bool isDone = false;
-    std::uint64_t generation = 0;
-    /// Partitions that the member holds.
-    std::vector<std::uint32_t> partitions;
-};
-
 /// The platform's log, as the rest of the program uses it. Answers come from the event loop, never from the call.
 class shared_log {
 public:
@@ -102,8 +86,6 @@
     virtual void read(const topic_partition& where, std::uint64_t from, duration wait, std::function<void(const read_outcome&)> onDone) = 0;
     /// Newest records of the keys after \a afterKey.
     virtual void readNewest(const topic_partition& where, std::string_view afterKey, std::function<void(const newest_outcome&)> onDone) = 0;
-    virtual void join(const membership_request& request, std::function<void(const membership_outcome&)> onDone) = 0;
-    virtual void leave(const membership_request& request, std::function<void()> onDone) = 0;
 };
 
 }
--- a/src/libs/rollout/weightplan.cpp
+++ b/src/libs/rollout/weightplan.cpp
@@ -44,7 +44,7 @@
     return found == m_targets.end() ? 0 : found->second.version;
 }
 
-std::vector<weight_order> weight_plan::plan(const replica_pool& pool, const route_table& routes, instant now)
+std::vector<weight_order> weight_plan::plan(const replica_pool& pool, const route_table& routes, std::span<const std::string> barred, instant now)
 {
     forgetDone(pool, now);
     std::vector<due_order> due;
@@ -61,6 +61,8 @@
     for (due_order& item : due) {
         if (m_loads.size() >= maxLoads)
             break;
+        if (std::find(barred.begin(), barred.end(), item.order.replica) != barred.end())
+            continue;
         m_loads[item.order.replica] = { item.order.model, item.order.version, now + unknownOrderTime };
         orders.push_back(std::move(item.order));
     }
--- a/src/libs/rollout/weightplan.h
+++ b/src/libs/rollout/weightplan.h
@@ -67,8 +67,8 @@
     /// Notes the oldest version that the newest batch of a model allows.
     void setOldestAllowed(std::string_view model, std::uint64_t version);
 
-    /// Orders that are due now.
-    std::vector<weight_order> plan(const replica_pool& pool, const route_table& routes, instant now);
+    /// Orders that are due now, none of them to the replicas \a barred.
+    std::vector<weight_order> plan(const replica_pool& pool, const route_table& routes, std::span<const std::string> barred, instant now);
     void onOutcome(const weight_order& order, order_outcome outcome, instant now);
     /// Forgets the orders under way, for a new holder.
     void clear() { m_loads.clear(); }
