--- a/src/apps/ragwortreachd/main.cpp
+++ b/src/apps/ragwortreachd/main.cpp
@@ -73,7 +73,8 @@
     if (host.open(detail))
         return fail(exitListen, detail);
     boost::asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
-    awaitSignal(signals, [&host] { host.drain(); }, [&daemonLog] { daemonLog.write(log_line(log_level::Info, "reload_ignored")); });
+    awaitSignal(
+        signals, [&host] { host.drain(); }, [&daemonLog] { daemonLog.write(log_line(log_level::Info, "reload_ignored")); });
     context.run();
     return 0;
 }
@@ -102,7 +103,8 @@
     if (host.open(detail))
         return fail(exitListen, detail);
     boost::asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
-    awaitSignal(signals, [&host] { host.drain(); }, [&host, &gatewayLog] { reload(host, gatewayLog); });
+    awaitSignal(
+        signals, [&host] { host.drain(); }, [&host, &gatewayLog] { reload(host, gatewayLog); });
     context.run();
     return 0;
 }
--- a/src/libs/gateway/gatewayhost.cpp
+++ b/src/libs/gateway/gatewayhost.cpp
@@ -84,9 +84,12 @@
         , orderer(client, leases.agent(), pool, routes, daemonSettings.vm, daemonLog)
         , relay(ioContext, client, pool, routes, daemonLog)
         , desk(ioContext, batches, routes, daemonLog)
-        , callers(ioContext, callerLimits(), [this](const http_exchange& exchange) { serve(exchange); }, malformed)
-        , readiness(ioContext, {}, [this](const http_exchange& exchange) { answerReadiness(exchange); }, malformed)
-        , metricsServer(ioContext, {}, [this](const http_exchange& exchange) { answerMetrics(exchange); }, malformed)
+        , callers(
+              ioContext, callerLimits(), [this](const http_exchange& exchange) { serve(exchange); }, malformed)
+        , readiness(
+              ioContext, {}, [this](const http_exchange& exchange) { answerReadiness(exchange); }, malformed)
+        , metricsServer(
+              ioContext, {}, [this](const http_exchange& exchange) { answerMetrics(exchange); }, malformed)
         , timer(ioContext)
     {
     }
@@ -262,7 +265,7 @@
         return;
     if (!hasLeft && batches.waiting() == 0) {
         hasLeft = true;
-        leases.release([] { });
+        leases.release([] {});
     }
     const duration age = bootNow() - *drainingSince;
     const bool isIdle = callers.openExchanges() == 0 && batches.waiting() == 0;
--- a/src/libs/rollout/itemscheduler.cpp
+++ b/src/libs/rollout/itemscheduler.cpp
@@ -105,12 +105,14 @@
     criteria.minVersion = batch.submission.minVersion;
     criteria.maxInFlight = service->engine ? service->engine->slots : 1;
     criteria.preferred = groupReplica;
-    const replica_pool::replica* const replica = m_pool.pick(criteria, now);
-    if (!replica) {
-        const bool wasExcluded = !state.excluded.empty();
+    const replica_pool::replica* replica = m_pool.pick(criteria, now);
+    if (!replica && !state.excluded.empty()) {
         state.excluded.clear();
-        return wasExcluded;
+        criteria.excluded = {};
+        replica = m_pool.pick(criteria, now);
     }
+    if (!replica)
+        return false;
     groupReplica = replica->entry.id;
     state.run = ++m_lastRun;
     run_state run;
--- a/src/libs/rollout/leasefold.cpp
+++ b/src/libs/rollout/leasefold.cpp
@@ -32,7 +32,7 @@
 
     void operator()(const lease_renewal& record) const
     {
-        forEachHeld(record.party, [](lease_state&) { });
+        forEachHeld(record.party, [](lease_state&) {});
     }
 
     void operator()(const lease_release& record) const
--- a/src/libs/rollout/replicapool.h
+++ b/src/libs/rollout/replicapool.h
@@ -85,7 +85,6 @@
     /// The replica loads \a model and takes no request for it until \a until or until the version shows.
     void noteLoading(std::string_view id, std::string_view model, instant until);
 
-
     const replica* find(std::string_view id) const;
     const std::map<std::string, replica, std::less<>>& replicas() const { return m_replicas; }
 
--- /dev/null
+++ b/tests/auto/gateway/memorylog.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <rollout/sharedlog.h>
+
+#include <boost/asio/io_context.hpp>
+
+#include <deque>
+#include <map>
+#include <set>
+#include <vector>
+
+namespace ragwortreach {
+
+/// What becomes of one append.
+enum class append_fault {
+    None,
+    /// Nothing is appended, and the caller hears so.
+    Refuse,
+    /// The records are appended, and the answer is lost.
+    LoseAnswer,
+    /// The answer is lost, and the records are appended after the next append.
+    ApplyLate,
+    /// Nothing is appended, and no answer comes.
+    LoseCall,
+};
+
+/// One partition of a log in memory, with the faults of the platform's store.
+class memory_log : public shared_log {
+public:
+    explicit memory_log(boost::asio::io_context& context);
+
+    void append(const topic_partition& where, const append_identity& identity, std::span<const keyed_record> records,
+        std::function<void(const append_outcome&)> onDone) override;
+    void read(const topic_partition& where, std::uint64_t from, duration wait, std::function<void(const read_outcome&)> onDone) override;
+    void readNewest(const topic_partition& where, std::string_view afterKey, std::function<void(const newest_outcome&)> onDone) override;
+
+    /// Faults of the next appends, in order.
+    void setFaults(std::vector<append_fault> faults);
+    /// While down, nothing is answered with success.
+    void setDown(bool isDown) { m_isDown = isDown; }
+    /// Drops the history; the newest record of each key stays.
+    void compact() { m_firstRetained = m_records.size(); }
+    void put(const std::string& key, const std::string& value);
+    void erase(const std::string& key);
+
+    const std::vector<keyed_record>& records() const { return m_records; }
+    std::size_t reads() const { return m_reads; }
+
+private:
+    struct pending_append {
+        append_identity identity;
+        std::vector<keyed_record> records;
+    };
+
+    append_outcome apply(const append_identity& identity, std::span<const keyed_record> records);
+
+    boost::asio::io_context& m_context;
+    std::vector<keyed_record> m_records;
+    std::uint64_t m_firstRetained = 0;
+    std::deque<append_fault> m_faults;
+    std::deque<pending_append> m_late;
+    std::map<std::string, append_identity> m_producers;
+    std::size_t m_reads = 0;
+    bool m_isDown = false;
+};
+
+}
--- /dev/null
+++ b/tests/auto/gateway/tst_gatewaysettings.cpp
@@ -0,0 +1,53 @@
+#include <gateway/gatewaysettings.h>
+
+#include <catch2/catch.hpp>
+
+using namespace ragwortreach;
+
+namespace {
+
+constexpr const char* whole = R"({"vm":"vm1","data_centre":"north-a","region":"north","log_level":"warning","gateway":{
+    "caller":"127.0.0.1:1","readiness":"127.0.0.1:2","metrics":"127.0.0.1:3","store":"127.0.0.1:4","order_lease_ms":2500,"stop_s":7.5}})";
+
+struct settings_case {
+    const char* name;
+    const char* text;
+    const char* detail;
+};
+
+const settings_case badSettings[] = {
+    { "not JSON", "{", "" },
+    { "no store", R"({"vm":"v","data_centre":"d","region":"r","gateway":{"caller":"127.0.0.1:1","readiness":"127.0.0.1:2","metrics":"127.0.0.1:3"}})", "store" },
+    { "unknown key", R"({"vm":"v","data_centre":"d","region":"r","extra":1,"gateway":{"caller":"127.0.0.1:1","readiness":"127.0.0.1:2","metrics":"127.0.0.1:3","store":"127.0.0.1:4"}})", "extra" },
+    { "name in place of a number", R"({"vm":"v","data_centre":"d","region":"r","gateway":{"caller":"localhost:1","readiness":"127.0.0.1:2","metrics":"127.0.0.1:3","store":"127.0.0.1:4"}})", "localhost:1" },
+};
+
+}
+
+TEST_CASE("Settings of the gateway are read")
+{
+    gateway_settings settings;
+    std::string detail;
+    REQUIRE(isGatewaySettings(whole));
+    REQUIRE_FALSE(loadGatewaySettings(whole, settings, detail));
+    CHECK(settings.vm == "vm1");
+    CHECK(settings.storeAddress == "127.0.0.1:4");
+    CHECK(settings.orderLease == std::chrono::milliseconds(2500));
+    CHECK(settings.stopTime == std::chrono::milliseconds(7500));
+    CHECK(settings.log.level == log_level::Warning);
+}
+
+TEST_CASE("Bad settings are named and change nothing")
+{
+    for (const settings_case& row : badSettings) {
+        DYNAMIC_SECTION(row.name)
+        {
+            gateway_settings settings;
+            settings.vm = "before";
+            std::string detail;
+            CHECK(loadGatewaySettings(row.text, settings, detail));
+            CHECK_THAT(detail, Catch::Contains(row.detail));
+            CHECK(settings.vm == "before");
+        }
+    }
+}
--- /dev/null
+++ b/tests/auto/gateway/tst_journal.cpp
@@ -0,0 +1,65 @@
+#include "memorylog.h"
+
+#include <gateway/journal.h>
+
+#include <catch2/catch.hpp>
+
+using namespace ragwortreach;
+
+namespace {
+
+batch_submission largeBatch(std::size_t bodyBytes)
+{
+    batch_submission batch;
+    batch.id = "b";
+    batch.items.push_back({ "i", "/1", { { "Token-Usage", "1,2" } }, std::string(bodyBytes, 'p'), 3, "g" });
+    return batch;
+}
+
+void runUntil(boost::asio::io_context& context, const std::function<bool()>& isDone)
+{
+    while (!isDone())
+        context.run_one();
+}
+
+}
+
+TEST_CASE("A batch of any size comes back from the journal, also for a daemon that starts later")
+{
+    for (const std::size_t bytes : { 10U, 200U * 1024U, 900U * 1024U }) {
+        DYNAMIC_SECTION(bytes << " bytes")
+        {
+            boost::asio::io_context context;
+            memory_log log(context);
+            int changes = 0;
+            journal first(context, log, 1, "first", [&changes](const ledger_batch&) { ++changes; });
+            first.start();
+            first.write(batch_accepted { largeBatch(bytes) }, write_mode::OneTry, {});
+            first.write(item_finished { "b", "i", true, { "text", 1, { 4 } } }, write_mode::Persistent, {});
+            runUntil(context, [&changes] { return changes == 2; });
+            log.compact();
+            journal second(context, log, 1, "second", [](const ledger_batch&) {});
+            second.start();
+            runUntil(context, [&second] { return second.isReady(); });
+            const ledger_batch* const batch = second.ledger().find("b");
+            REQUIRE(batch);
+            CHECK(batch->submission.items[0].body.size() == bytes);
+            CHECK(batch->submission.items[0].headers.size() == 1);
+            REQUIRE(batch->results.size() == 1);
+            CHECK(batch->results[0].output.versions == std::vector<std::uint64_t> { 4 });
+        }
+    }
+}
+
+TEST_CASE("Records that cannot be read are counted and skipped")
+{
+    boost::asio::io_context context;
+    memory_log log(context);
+    log.put("stranger/1/0", ".\xff\xff\xff");
+    log.put("stranger/2/0", "");
+    journal reader(context, log, 1, "reader", [](const ledger_batch&) {});
+    reader.start();
+    runUntil(context, [&reader] { return reader.isReady(); });
+    CHECK(reader.counters().recordsUnreadable == 1);
+    CHECK(reader.counters().recordsApplied == 0);
+}
--- /dev/null
+++ b/tests/auto/gateway/tst_topicfollower.cpp
@@ -0,0 +1,109 @@
+#include "memorylog.h"
+
+#include <gateway/topicfollower.h>
+
+#include <catch2/catch.hpp>
+
+using namespace ragwortreach;
+
+namespace {
+
+/// Follows a log in memory and keeps the newest value of each key as the follower delivers it.
+struct follower_world {
+    follower_world()
+        : log(context)
+        , follower(context, log, { { "topic", 0 }, {}, std::chrono::milliseconds(1) },
+              { [this](std::span<const keyed_record> all, std::span<const keyed_record> fresh) { takeSnapshot(all, fresh); },
+                  [this](std::span<const keyed_record> records) { take(records); } })
+    {
+    }
+
+    void takeSnapshot(std::span<const keyed_record> all, std::span<const keyed_record> fresh)
+    {
+        values.clear();
+        for (const keyed_record& record : all)
+            values[record.key] = *record.value;
+        for (const keyed_record& record : fresh)
+            journal.push_back(record.offset);
+        ++snapshots;
+    }
+
+    void take(std::span<const keyed_record> records)
+    {
+        for (const keyed_record& record : records) {
+            journal.push_back(record.offset);
+            if (record.value)
+                values[record.key] = *record.value;
+            else
+                values.erase(record.key);
+        }
+    }
+
+    void runReads(std::size_t count)
+    {
+        const std::size_t end = log.reads() + count;
+        while (log.reads() < end)
+            context.run_one();
+    }
+
+    boost::asio::io_context context;
+    memory_log log;
+    topic_follower follower;
+    std::map<std::string, std::string> values;
+    std::vector<std::uint64_t> journal;
+    int snapshots = 0;
+};
+
+}
+
+TEST_CASE("A follower reads all pages and goes on with the tail")
+{
+    follower_world world;
+    for (int number = 0; number < 10; ++number)
+        world.log.put("key" + std::to_string(number), "v");
+    world.follower.start();
+    world.runReads(1);
+    CHECK(world.follower.isReady());
+    CHECK(world.values.size() == 10);
+    world.log.put("key3", "new");
+    world.log.erase("key4");
+    world.runReads(3);
+    CHECK(world.values.at("key3") == "new");
+    CHECK_FALSE(world.values.contains("key4"));
+    CHECK(world.journal == std::vector<std::uint64_t> { 0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11 });
+    CHECK(world.follower.confirmedAt() != instant {});
+}
+
+TEST_CASE("A follower begins again where the log has dropped records, and delivers none of them twice")
+{
+    follower_world world;
+    world.log.put("a", "1");
+    world.log.put("b", "1");
+    world.follower.start();
+    world.runReads(2);
+    world.log.put("a", "2");
+    world.log.erase("b");
+    world.log.put("c", "1");
+    world.log.compact();
+    world.runReads(3);
+    CHECK(world.snapshots == 2);
+    CHECK(world.values == std::map<std::string, std::string> { { "a", "2" }, { "c", "1" } });
+    CHECK(world.journal == std::vector<std::uint64_t> { 0, 1, 2, 4 });
+}
+
+TEST_CASE("A follower goes on after an outage and notes its end")
+{
+    follower_world world;
+    world.log.put("a", "1");
+    world.follower.start();
+    world.runReads(2);
+    CHECK(world.follower.regainedAt() == instant {});
+    world.log.setDown(true);
+    world.runReads(2);
+    CHECK(world.follower.readFailures() > 0);
+    world.log.setDown(false);
+    world.log.put("a", "2");
+    world.runReads(3);
+    CHECK(world.values.at("a") == "2");
+    CHECK(world.follower.regainedAt() != instant {});
+}
--- /dev/null
+++ b/tests/auto/platform/tst_listcodec.cpp
@@ -0,0 +1,92 @@
+#include <platform/listcodec.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace ragwortreach;
+using namespace ragwortreach::platform;
+
+namespace {
+
+constexpr const char* wholeEntry = R"({"service":"llm","address":"127.0.0.1:9","zone":"north-a","slots":12,"state":"ready","seq_no":31,"born":17,
+    "models":[{"name":"lace","version":4}]})";
+
+struct entry_case {
+    const char* name;
+    const char* bytes;
+};
+
+const entry_case badEntries[] = {
+    { "no bytes", "" },
+    { "not JSON", "\xff{" },
+    { "a list", "[1]" },
+    { "no service", R"({"address":"127.0.0.1:9","zone":"a","state":"ready"})" },
+    { "address of another type", R"({"service":"llm","address":9,"zone":"a","state":"ready"})" },
+    { "unknown state", R"({"service":"llm","address":"127.0.0.1:9","zone":"a","state":"resting"})" },
+    { "models of another type", R"({"service":"llm","address":"127.0.0.1:9","zone":"a","state":"ready","models":{"name":1}})" },
+};
+
+constexpr const char* wholeConfiguration = R"({"version":7,"routes":[
+    {"name":"r1","host":"h","path_prefix":"/a/","route_kind":"rollout","timeout_ms":10000,"full_value_ms":400,"priority":1,"service":"llm",
+     "max_attempts":3,"retention_s":40.5,"result_target_ms":7500,"single_version":true,"resumable":true},
+    {"name":"r2","host":"h","path_prefix":"/b/","route_kind":"surprise","timeout_ms":800,"split":[{"service":"llm","weight":90},{"service":"shop","weight":10}]}],
+    "services":[{"name":"llm","engine":{"slots":12,"kv_capacity":94839,"models":[{"name":"lace"}]}},{"name":"shop","max_conns":110}],
+    "limits":{"max_header_bytes":16384}})";
+
+}
+
+TEST_CASE("An entry of a replica is decoded")
+{
+    const std::optional<replica_entry> entry = decodeReplicaEntry("i-1", wholeEntry);
+    REQUIRE(entry);
+    CHECK(entry->id == "i-1");
+    CHECK(entry->dataCentre == "north-a");
+    CHECK(entry->slots == 12);
+    CHECK(entry->startedAt == 17);
+    CHECK(entry->weights.at("lace") == 4);
+    CHECK_FALSE(entry->isDraining);
+}
+
+TEST_CASE("Entries of other writers name no replica")
+{
+    for (const entry_case& row : badEntries) {
+        DYNAMIC_SECTION(row.name) { CHECK_FALSE(decodeReplicaEntry("i-1", row.bytes)); }
+    }
+}
+
+TEST_CASE("Any damage to an entry is survived")
+{
+    REQUIRE(rc::check([] {
+        std::string bytes = wholeEntry;
+        const std::size_t place = *rc::gen::inRange<std::size_t>(0, bytes.size());
+        bytes[place] = *rc::gen::arbitrary<char>();
+        decodeReplicaEntry("i-1", bytes);
+        decodeReplicaEntry("i-1", std::string_view(bytes).substr(0, place));
+    }));
+}
+
+TEST_CASE("A configuration is decoded, and a kind that is not known may run once at most")
+{
+    const operator_record record = decodeOperatorRecord({ "config", wholeConfiguration, 0 });
+    REQUIRE(std::holds_alternative<route_configuration>(record));
+    const route_configuration& configuration = std::get<route_configuration>(record);
+    CHECK(configuration.version == 7);
+    REQUIRE(configuration.routes.size() == 2);
+    CHECK(configuration.routes[0].kind == route_kind::Rollout);
+    CHECK(configuration.routes[0].retention == std::chrono::milliseconds(40500));
+    CHECK(configuration.routes[0].isSingleVersion);
+    CHECK(configuration.routes[1].kind == route_kind::NonIdempotent);
+    CHECK(configuration.routes[1].targets.size() == 2);
+    CHECK(configuration.services[0].engine->models == std::vector<std::string> { "lace" });
+    CHECK_FALSE(configuration.services[1].engine);
+}
+
+TEST_CASE("Records of the operators that cannot be read are known as such")
+{
+    const operator_record named = decodeOperatorRecord({ "version/lace", R"({"model_id":"lace","version":3})", 0 });
+    REQUIRE(std::holds_alternative<named_version>(named));
+    CHECK(std::get<named_version>(named).version == 3);
+    for (const keyed_record& record : { keyed_record { "config", "{", 0 }, keyed_record { "config", R"({"version":"x"})", 0 },
+             keyed_record { "config", std::nullopt, 0 }, keyed_record { "version/lace", R"({"model_id":3})", 0 }, keyed_record { "other", "{}", 0 } })
+        CHECK(std::holds_alternative<std::monostate>(decodeOperatorRecord(record)));
+}
--- /dev/null
+++ b/tests/auto/platform/tst_requestcodec.cpp
@@ -0,0 +1,110 @@
+#include <platform/requestcodec.h>
+
+#include <catch2/catch.hpp>
+
+using namespace ragwortreach;
+using namespace ragwortreach::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string header(const http_request& request, std::string_view name)
+{
+    return std::string(headerValue(request.headers, name).value_or("(none)"));
+}
+
+struct answer_case {
+    const char* name;
+    http_response_head head;
+    bool isStamped;
+    bool isNotRun;
+    bool isOtherReplica;
+};
+
+const answer_case answerCases[] = {
+    { "whole", { 200, { { "Server-Stamp", "s" } }, 3 }, true, false, false },
+    { "full", { 503, { { "Not-Executed", "1" } }, 0 }, false, true, false },
+    { "failed", { 500, { { "Server-Stamp", "s" } }, 0 }, true, false, false },
+    { "other replica", { 421, {}, 0 }, false, true, true },
+    { "bytes of somebody else", { 200, {}, 0 }, false, false, false },
+};
+
+struct call_case {
+    const char* method;
+    const char* target;
+    std::size_t kind;
+};
+
+const call_case callCases[] = {
+    { "GET", "/api/lots/ab?after=3", 1 },
+    { "GET", "/api/items/ab?id=x", 2 },
+    { "DELETE", "/api/lots/ab", 3 },
+    { "POST", "/api/lots/ab", 0 },
+    { "GET", "/lots/ab", 0 },
+};
+
+}
+
+TEST_CASE("A caller's request reaches the replica with its own headers set anew")
+{
+    const http_request request { "POST", "/shop/7?x=1",
+        { { "Host", "h" }, { "Request-Id", "r" }, { "Deadline-Ms", "800" }, { "Expect-Instance", "forged" }, { "Connection", "keep-alive" },
+            { "Model-Id", "lace" } },
+        "body" };
+    const http_request sent = encodeReplicaRequest(request, { "i-1", 420ms, 0 });
+    CHECK(sent.target == "/shop/7?x=1");
+    CHECK(sent.body == "body");
+    CHECK(header(sent, "Host") == "h");
+    CHECK(header(sent, "Request-Id") == "r");
+    CHECK(header(sent, "Model-Id") == "lace");
+    CHECK(header(sent, "Deadline-Ms") == "420");
+    CHECK(header(sent, "Expect-Instance") == "i-1");
+    CHECK(header(sent, "Connection") == "(none)");
+    CHECK(header(sent, "Last-Event-Id") == "(none)");
+}
+
+TEST_CASE("An item is sent as the trainer wrote it, and goes on after an event")
+{
+    batch_submission batch;
+    batch.host = "h";
+    const batch_item item { "item-1", "/lots/1", { { "Token-Usage", "5,6" } }, "prompt", 11, "g" };
+    const http_request sent = encodeItemRequest(batch, item, { "i-1", std::nullopt, 4 });
+    CHECK(sent.method == "POST");
+    CHECK(sent.target == "/lots/1");
+    CHECK(header(sent, "Request-Id") == "item-1");
+    CHECK(header(sent, "Token-Usage") == "5,6");
+    CHECK(header(sent, "Last-Event-Id") == "4");
+    CHECK(header(sent, "Deadline-Ms") == "(none)");
+}
+
+TEST_CASE("The head of an answer says whose it is and whether the request ran")
+{
+    for (const answer_case& row : answerCases) {
+        DYNAMIC_SECTION(row.name)
+        {
+            const replica_answer answer = decodeReplicaAnswer(row.head);
+            CHECK(answer.isStamped == row.isStamped);
+            CHECK(answer.isNotRun == row.isNotRun);
+            CHECK(answer.isOtherReplica == row.isOtherReplica);
+        }
+    }
+    CHECK(decodeReplicaAnswer({ 200, { { "Weight-Versions", "7" } }, 0 }).weightVersion == 7U);
+    CHECK_FALSE(decodeReplicaAnswer({ 200, { { "Weight-Versions", "new" } }, 0 }).weightVersion);
+}
+
+TEST_CASE("Calls on batches are known by method and path")
+{
+    for (const call_case& row : callCases) {
+        DYNAMIC_SECTION(row.method << ' ' << row.target) { CHECK(decodeBatchCall({ row.method, row.target, {}, {} }).index() == row.kind); }
+    }
+}
+
+TEST_CASE("A report names the count of orders and the weights, or is no report")
+{
+    const std::optional<replica_report> report = decodeReport(R"({"busy":false,"seq_no":2,"models":[{"name":"lace","version":5}]})");
+    REQUIRE(report);
+    CHECK(report->ordersAccepted == 2);
+    CHECK(report->weights.at("lace") == 5);
+    for (const char* broken : { "", "[]", R"({"busy":1,"seq_no":2,"models":[]})", R"({"busy":true})" })
+        CHECK_FALSE(decodeReport(broken));
+}
--- /dev/null
+++ b/tests/auto/rollout/tst_batchledger.cpp
@@ -0,0 +1,90 @@
+#include "rolloutfixture.h"
+
+#include <rollout/batchledger.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace ragwortreach;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Results of a batch as a reader sees them.
+std::vector<std::string> listing(const batch_ledger& ledger)
+{
+    std::vector<std::string> texts;
+    const ledger_batch* const batch = ledger.find("b");
+    if (!batch)
+        return texts;
+    for (const ledger_result& result : batch->results)
+        texts.push_back(batch->submission.items[result.item].id + "=" + result.output.text);
+    return texts;
+}
+
+}
+
+TEST_CASE("Owners that write the same item twice neither double nor move a result")
+{
+    REQUIRE(rc::check([] {
+        batch_ledger ledger;
+        ledger.apply(batch_accepted { makeBatch("b", 2, 2) }, at(0ms));
+        const std::vector<batch_item> items = makeBatch("b", 2, 2).items;
+        std::vector<std::string> expected;
+        std::vector<std::string> seen;
+        const int records = *rc::gen::inRange(0, 20);
+        for (int number = 0; number < records; ++number) {
+            const std::string item = items[*rc::gen::inRange<std::size_t>(0, items.size())].id;
+            const std::string text = "by owner " + std::to_string(number);
+            if (std::find(seen.begin(), seen.end(), item) == seen.end()) {
+                seen.push_back(item);
+                expected.push_back(item + "=" + text);
+            }
+            const std::vector<std::string> before = listing(ledger);
+            ledger.apply(item_finished { "b", item, true, { text, 1, { 1 } } }, at(0ms));
+            const std::vector<std::string> after = listing(ledger);
+            RC_ASSERT(std::equal(before.begin(), before.end(), after.begin()));
+        }
+        RC_ASSERT(listing(ledger) == expected);
+    }));
+}
+
+TEST_CASE("A batch is accepted once, and records of unknown batches and items are ignored")
+{
+    batch_ledger ledger;
+    CHECK(ledger.apply(item_finished { "b", "b-0-0", true, {} }, at(0ms)) == nullptr);
+    REQUIRE(ledger.apply(batch_accepted { makeBatch("b", 1, 2) }, at(0ms)));
+    CHECK(ledger.apply(batch_accepted { makeBatch("b", 3, 3) }, at(1ms)) == nullptr);
+    CHECK(ledger.find("b")->items.size() == 2);
+    CHECK(ledger.apply(item_finished { "b", "stranger", true, {} }, at(0ms)) == nullptr);
+    CHECK(ledger.find("b")->isOpen());
+    ledger.apply(batch_ended { "b" }, at(0ms));
+    CHECK_FALSE(ledger.find("b")->isOpen());
+}
+
+TEST_CASE("The longest text that was handed over is kept until the item has a result")
+{
+    batch_ledger ledger;
+    ledger.apply(batch_accepted { makeBatch("b", 1, 1) }, at(0ms));
+    ledger.apply(item_progressed { "b", "b-0-0", { "one\ntwo", 2, { 1 } } }, at(0ms));
+    ledger.apply(item_progressed { "b", "b-0-0", { "one", 1, { 1 } } }, at(0ms));
+    CHECK(ledger.find("b")->items[0].progress.lastEvent == 2);
+    ledger.apply(item_finished { "b", "b-0-0", false, {} }, at(0ms));
+    CHECK(ledger.find("b")->items[0].progress.lastEvent == 0);
+    CHECK(ledger.apply(item_progressed { "b", "b-0-0", { "x", 3, { 1 } } }, at(0ms)) == nullptr);
+}
+
+TEST_CASE("Only batches that are no longer open are forgotten")
+{
+    batch_ledger ledger;
+    ledger.apply(batch_accepted { makeBatch("open", 1, 1) }, at(0ms));
+    ledger.apply(batch_accepted { makeBatch("ended", 1, 1) }, at(0ms));
+    ledger.apply(batch_accepted { makeBatch("late", 1, 1) }, at(10ms));
+    ledger.apply(batch_ended { "ended" }, at(0ms));
+    ledger.apply(batch_ended { "late" }, at(10ms));
+    ledger.forgetBefore(at(5ms));
+    CHECK(ledger.find("open"));
+    CHECK_FALSE(ledger.find("ended"));
+    CHECK(ledger.find("late"));
+    CHECK(ledger.order().size() == 2);
+}
--- /dev/null
+++ b/tests/auto/rollout/tst_callpolicy.cpp
@@ -0,0 +1,58 @@
+#include "rolloutfixture.h"
+
+#include <rollout/callpolicy.h>
+
+#include <catch2/catch.hpp>
+
+using namespace ragwortreach;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct policy_case {
+    const char* name;
+    route_kind kind;
+    std::uint32_t attempts;
+    bool mayHaveRun;
+    std::chrono::milliseconds left;
+    attempt_end end;
+    call_step step;
+};
+
+const policy_case policyCases[] = {
+    { "whole answer", route_kind::NonIdempotent, 1, true, 500ms, attempt_end::Answered, call_step::Forward },
+    { "idempotent broke", route_kind::Idempotent, 1, true, 500ms, attempt_end::Broken, call_step::Retry },
+    { "idempotent broke at the last attempt", route_kind::Idempotent, 2, true, 500ms, attempt_end::Broken, call_step::Fail },
+    { "idempotent broke too late", route_kind::Idempotent, 1, true, 5ms, attempt_end::Broken, call_step::Fail },
+    { "order broke", route_kind::NonIdempotent, 1, true, 500ms, attempt_end::Broken, call_step::Fail },
+    { "order found a full replica", route_kind::NonIdempotent, 0, false, 500ms, attempt_end::NotRun, call_step::Retry },
+    { "order found a full replica too late", route_kind::NonIdempotent, 0, false, 5ms, attempt_end::NotRun, call_step::Refuse },
+    { "order found no connection", route_kind::NonIdempotent, 0, false, 500ms, attempt_end::NotSent, call_step::Retry },
+    { "order may have run before", route_kind::NonIdempotent, 1, true, 500ms, attempt_end::NotSent, call_step::Fail },
+    { "stream found another replica", route_kind::Streaming, 0, false, 500ms, attempt_end::OtherReplica, call_step::Retry },
+    { "idempotent failed at the replica", route_kind::Idempotent, 1, true, 500ms, attempt_end::AnsweredFailure, call_step::Retry },
+    { "order failed at the replica", route_kind::NonIdempotent, 1, true, 500ms, attempt_end::AnsweredFailure, call_step::Forward },
+    { "idempotent refused after it may have run", route_kind::Idempotent, 1, true, 5ms, attempt_end::NotRun, call_step::Fail },
+};
+
+}
+
+TEST_CASE("What follows an attempt depends on whether the call may repeat and may have run")
+{
+    for (const policy_case& row : policyCases) {
+        DYNAMIC_SECTION(row.name)
+        {
+            const call_progress call { row.kind, 2, row.attempts, row.attempts, row.mayHaveRun, at(row.left) };
+            CHECK(decideAfterAttempt(call, row.end, at(0ms)) == row.step);
+        }
+    }
+}
+
+TEST_CASE("A call that may repeat keeps time for another replica")
+{
+    const call_progress repeatable { route_kind::Idempotent, 2, 0, 0, false, at(800ms) };
+    CHECK(attemptTime(repeatable, true, at(0ms)) < 400ms);
+    CHECK(attemptTime(repeatable, false, at(0ms)) == 800ms);
+    const call_progress order { route_kind::NonIdempotent, 2, 0, 0, false, at(800ms) };
+    CHECK(attemptTime(order, true, at(0ms)) == 800ms);
+}
--- /dev/null
+++ b/tests/auto/rollout/tst_eventstreamreader.cpp
@@ -0,0 +1,61 @@
+#include <rollout/eventstreamreader.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace ragwortreach;
+
+namespace {
+
+constexpr const char* body = "id: 1\ndata: one\n\nversions: 7\nid: 2\ndata: two\r\n\r\nid:3\ndata:three\ndata: more\n\n: comment\n\n";
+
+std::string summary(const std::vector<stream_event>& events)
+{
+    std::string text;
+    for (const stream_event& event : events) {
+        text += std::to_string(event.id) + "=" + event.data;
+        if (event.weightVersion)
+            text += "@" + std::to_string(*event.weightVersion);
+        text += ";";
+    }
+    return text;
+}
+
+}
+
+TEST_CASE("Events are the same wherever the body is cut")
+{
+    REQUIRE(rc::check([] {
+        event_stream_reader reader("versions");
+        std::string_view rest = body;
+        std::vector<stream_event> events;
+        while (!rest.empty()) {
+            const std::size_t size = *rc::gen::inRange<std::size_t>(1, rest.size() + 1);
+            for (stream_event& event : reader.read(rest.substr(0, size)))
+                events.push_back(std::move(event));
+            rest.remove_prefix(size);
+        }
+        RC_ASSERT(summary(events) == "1=one;2=two@7;3=three\nmore;");
+        RC_ASSERT(reader.isSound());
+        RC_ASSERT(reader.isBetweenEvents());
+    }));
+}
+
+TEST_CASE("An event that is cut at the end is dropped and shows")
+{
+    event_stream_reader reader("versions");
+    CHECK(summary(reader.read("id: 1\ndata: one\n\nid: 2\ndata: tw")) == "1=one;");
+    CHECK_FALSE(reader.isBetweenEvents());
+}
+
+TEST_CASE("An event without a readable number or version shows")
+{
+    for (const char* broken : { "data: one\n\n", "id: x\ndata: one\n\n", "versions: new\nid: 1\ndata: one\n\n" }) {
+        DYNAMIC_SECTION(broken)
+        {
+            event_stream_reader reader("versions");
+            reader.read(broken);
+            CHECK_FALSE(reader.isSound());
+        }
+    }
+}
--- /dev/null
+++ b/tests/auto/rollout/tst_itemscheduler.cpp
@@ -0,0 +1,249 @@
+#include "rolloutfixture.h"
+
+#include <rollout/itemscheduler.h>
+
+#include <catch2/catch.hpp>
+
+using namespace ragwortreach;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A scheduler with two replicas of \a slots slots each, and its effects since the last look.
+struct scheduler_world {
+    explicit scheduler_world(std::uint32_t slots, bool isSingleVersion = false)
+        : pool("north-a")
+        , scheduler(ledger, pool, routes)
+    {
+        route_configuration configuration = makeConfiguration({ testModel }, slots);
+        configuration.routes[0].isSingleVersion = isSingleVersion;
+        routes.setConfiguration(configuration);
+        pool.update(makeReplica("r1", "north-a", 1));
+        pool.update(makeReplica("r2", "north-a", 1));
+        scheduler.setOwnedModels({ testModel }, at(-1s));
+    }
+
+    template <typename effect>
+    std::vector<effect> take(std::chrono::milliseconds time)
+    {
+        scheduler.schedule(at(time));
+        std::vector<effect> taken;
+        for (scheduler_effect& item : scheduler.takeEffects()) {
+            if (std::holds_alternative<effect>(item))
+                taken.push_back(std::get<effect>(item));
+        }
+        return taken;
+    }
+
+    start_run startOne(std::chrono::milliseconds time)
+    {
+        const std::vector<start_run> started = take<start_run>(time);
+        REQUIRE(started.size() == 1);
+        return started[0];
+    }
+
+    void feed(run_number run, std::uint64_t id, const std::string& data, std::chrono::milliseconds time = 0ms)
+    {
+        scheduler.onEvent(run, { id, data, std::nullopt, "" }, at(time));
+    }
+
+    batch_ledger ledger;
+    replica_pool pool;
+    route_table routes;
+    item_scheduler scheduler;
+};
+
+item_finished finishedOf(const write_record& effect)
+{
+    REQUIRE(std::holds_alternative<item_finished>(effect.record));
+    return std::get<item_finished>(effect.record);
+}
+
+struct end_case {
+    const char* name;
+    run_end end;
+    int times;
+    bool isAbandoned;
+};
+
+const end_case endCases[] = {
+    { "impossible at once", run_end::Impossible, 1, true },
+    { "failed twice", run_end::Failed, 2, false },
+    { "failed as often as the route allows", run_end::Failed, 3, true },
+    { "broken often", run_end::Broken, 6, false },
+    { "not run often", run_end::NotRun, 6, false },
+    { "unreachable often", run_end::Unreachable, 6, false },
+};
+
+}
+
+TEST_CASE("Items of a group go to one replica while it has room")
+{
+    scheduler_world world(4);
+    world.ledger.apply(batch_accepted { makeBatch("b", 2, 4) }, at(0ms));
+    std::map<std::size_t, std::set<std::string>> replicasOfGroup;
+    for (const start_run& run : world.take<start_run>(0ms))
+        replicasOfGroup[run.item / 4].insert(run.replica);
+    CHECK(replicasOfGroup[0].size() == 1);
+    CHECK(replicasOfGroup[1].size() == 1);
+    CHECK(replicasOfGroup[0] != replicasOfGroup[1]);
+}
+
+TEST_CASE("No replica gets more items than it has slots")
+{
+    scheduler_world world(3);
+    world.ledger.apply(batch_accepted { makeBatch("b", 4, 4) }, at(0ms));
+    CHECK(world.take<start_run>(0ms).size() == 6);
+    CHECK(world.take<start_run>(1ms).empty());
+}
+
+TEST_CASE("A whole stream becomes one result with its versions")
+{
+    scheduler_world world(4);
+    world.ledger.apply(batch_accepted { makeBatch("b", 1, 1) }, at(0ms));
+    const start_run run = world.startOne(0ms);
+    world.scheduler.onHead(run.run, 1);
+    world.feed(run.run, 1, "one");
+    world.scheduler.onEvent(run.run, { 2, "two", 2, "" }, at(0ms));
+    world.scheduler.onEnd(run.run, run_end::Whole, at(0ms));
+    const std::vector<write_record> written = world.take<write_record>(0ms);
+    REQUIRE(written.size() == 1);
+    const item_finished result = finishedOf(written[0]);
+    CHECK(result.isCompleted);
+    CHECK(result.output.text == "one\ntwo");
+    CHECK(result.output.versions == std::vector<std::uint64_t> { 1, 2 });
+    CHECK(world.take<start_run>(1ms).empty());
+}
+
+TEST_CASE("A broken stream goes on elsewhere after its last event")
+{
+    scheduler_world world(4);
+    world.ledger.apply(batch_accepted { makeBatch("b", 1, 1) }, at(0ms));
+    const start_run first = world.startOne(0ms);
+    world.scheduler.onHead(first.run, 1);
+    world.feed(first.run, 1, "one");
+    world.scheduler.onEnd(first.run, run_end::Broken, at(0ms));
+    const start_run second = world.startOne(1ms);
+    CHECK(second.afterEvent == 1);
+    CHECK(second.replica != first.replica);
+    world.scheduler.onHead(second.run, 1);
+    world.feed(second.run, 2, "two");
+    world.scheduler.onEnd(second.run, run_end::Whole, at(2ms));
+    CHECK(finishedOf(world.take<write_record>(2ms).at(0)).output.text == "one\ntwo");
+}
+
+TEST_CASE("Text joins only in order and with a version that is known")
+{
+    struct order_case {
+        const char* name;
+        std::optional<std::uint64_t> version;
+        std::uint64_t event;
+    };
+    const order_case cases[] = { { "gap", 1, 3 }, { "repeat", 1, 1 }, { "no version", std::nullopt, 2 } };
+    for (const order_case& row : cases) {
+        DYNAMIC_SECTION(row.name)
+        {
+            scheduler_world world(4);
+            world.ledger.apply(batch_accepted { makeBatch("b", 1, 1) }, at(0ms));
+            const start_run run = world.startOne(0ms);
+            world.scheduler.onHead(run.run, 1);
+            world.feed(run.run, 1, "one");
+            world.scheduler.onHead(run.run, row.version);
+            world.feed(run.run, row.event, "odd");
+            CHECK(world.startOne(1ms).afterEvent == 1);
+        }
+    }
+}
+
+TEST_CASE("Text of weights that are too old, or of a second version where one is asked for, is dropped")
+{
+    scheduler_world old(4);
+    batch_submission batch = makeBatch("b", 1, 1);
+    batch.minVersion = 1;
+    old.ledger.apply(batch_accepted { batch }, at(0ms));
+    const start_run run = old.startOne(0ms);
+    old.scheduler.onHead(run.run, 0);
+    old.feed(run.run, 1, "one");
+    CHECK(old.scheduler.counters().textsDropped == 1);
+    CHECK(old.startOne(1ms).afterEvent == 0);
+
+    scheduler_world single(4, true);
+    single.ledger.apply(batch_accepted { makeBatch("b", 1, 1) }, at(0ms));
+    const start_run mixed = single.startOne(0ms);
+    single.scheduler.onHead(mixed.run, 1);
+    single.feed(mixed.run, 1, "one");
+    single.scheduler.onEvent(mixed.run, { 2, "two", 2, "" }, at(0ms));
+    CHECK(single.startOne(1ms).afterEvent == 0);
+}
+
+TEST_CASE("An item is given up only for the reasons that the route names")
+{
+    for (const end_case& row : endCases) {
+        DYNAMIC_SECTION(row.name)
+        {
+            scheduler_world world(4);
+            world.ledger.apply(batch_accepted { makeBatch("b", 1, 1) }, at(0ms));
+            std::vector<write_record> written;
+            std::chrono::milliseconds time = 0ms;
+            for (int number = 0; number < row.times; ++number) {
+                time += 20s / row.times;
+                world.scheduler.onEnd(world.startOne(time).run, row.end, at(time));
+                for (write_record& effect : world.take<write_record>(time))
+                    written.push_back(std::move(effect));
+            }
+            REQUIRE(written.size() == (row.isAbandoned ? 1U : 0U));
+            if (row.isAbandoned)
+                CHECK_FALSE(finishedOf(written[0]).isCompleted);
+        }
+    }
+}
+
+TEST_CASE("An item is given up when its time is over, not before")
+{
+    scheduler_world world(4);
+    world.ledger.apply(batch_accepted { makeBatch("b", 1, 1) }, at(0ms));
+    world.pool.remove("r1");
+    world.pool.remove("r2");
+    CHECK(world.take<write_record>(40s).empty());
+    CHECK(world.take<write_record>(40001ms).size() == 1);
+}
+
+TEST_CASE("A run without events is moved")
+{
+    scheduler_world world(4);
+    world.ledger.apply(batch_accepted { makeBatch("b", 1, 1) }, at(0ms));
+    const start_run first = world.startOne(0ms);
+    CHECK(world.take<cancel_run>(2500ms).empty());
+    world.scheduler.schedule(at(2501ms));
+    const std::vector<scheduler_effect> effects = world.scheduler.takeEffects();
+    REQUIRE(effects.size() == 2);
+    CHECK(std::get<cancel_run>(effects[0]).run == first.run);
+    CHECK(std::get<start_run>(effects[1]).replica != first.replica);
+}
+
+TEST_CASE("Runs end when their batch ends, and runs of a batch of another owner are handed over")
+{
+    scheduler_world world(4);
+    world.ledger.apply(batch_accepted { makeBatch("b", 1, 1) }, at(0ms));
+    const start_run run = world.startOne(0ms);
+    SECTION("ended")
+    {
+        world.ledger.apply(batch_ended { "b" }, at(0ms));
+        CHECK(world.take<cancel_run>(1ms).size() == 1);
+        CHECK(world.scheduler.runs() == 0);
+    }
+    SECTION("handed over")
+    {
+        world.scheduler.onHead(run.run, 1);
+        world.feed(run.run, 1, "one");
+        world.scheduler.setOwnedModels({}, at(1ms));
+        const std::vector<write_record> written = world.take<write_record>(1ms);
+        REQUIRE(written.size() == 1);
+        CHECK(std::get<item_progressed>(written[0].record).output.text == "one");
+        CHECK(world.scheduler.runs() == 0);
+        world.ledger.apply(written[0].record, at(2ms));
+        world.scheduler.setOwnedModels({ testModel }, at(3ms));
+        CHECK(world.take<start_run>(4ms).empty());
+        CHECK(world.startOne(400ms).afterEvent == 1);
+    }
+}
--- /dev/null
+++ b/tests/auto/rollout/tst_leaseagent.cpp
@@ -0,0 +1,211 @@
+#include "rolloutfixture.h"
+
+#include <rollout/leaseagent.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <memory>
+
+using namespace ragwortreach;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::chrono::milliseconds step = 10ms;
+constexpr std::chrono::milliseconds holderPause = 3s;
+const std::string lease = "orders";
+
+/// Daemons that share leases through a log in virtual time. Each may be cut off from the log or stand still.
+class lease_world {
+public:
+    struct daemon {
+        daemon(const std::string& vm, const std::string& life)
+            : agent(fold, { vm, life }, holderPause)
+        {
+            agent.setLeases({ lease });
+        }
+
+        lease_fold fold;
+        lease_agent agent;
+        std::size_t read = 0;
+        instant confirmedAt {};
+        instant regainedAt {};
+        bool isCut = false;
+        bool isFrozen = false;
+    };
+
+    explicit lease_world(std::size_t daemons)
+    {
+        for (std::size_t number = 0; number < daemons; ++number)
+            add("vm" + std::to_string(number), "life" + std::to_string(number));
+    }
+
+    daemon& add(const std::string& vm, const std::string& life)
+    {
+        return *m_daemons.emplace_back(std::make_unique<daemon>(vm, life));
+    }
+
+    daemon& operator[](std::size_t index) { return *m_daemons[index]; }
+    std::size_t size() const { return m_daemons.size(); }
+    std::chrono::milliseconds now() const { return m_now; }
+
+    void play(std::chrono::milliseconds time)
+    {
+        for (const std::chrono::milliseconds end = m_now + time; m_now < end; m_now += step) {
+            for (const std::unique_ptr<daemon>& item : m_daemons)
+                playOne(*item);
+        }
+    }
+
+    void release(daemon& item)
+    {
+        m_log.push_back(item.agent.release(at(m_now)));
+    }
+
+    /// Index of the daemon that holds the lease and may act; none when nobody may.
+    std::optional<std::size_t> actor() const
+    {
+        std::optional<std::size_t> found;
+        for (std::size_t index = 0; index < m_daemons.size(); ++index) {
+            if (m_daemons[index]->isFrozen || !m_daemons[index]->agent.mayAct(lease, at(m_now)))
+                continue;
+            REQUIRE_FALSE(found);
+            found = index;
+        }
+        return found;
+    }
+
+private:
+    void playOne(daemon& item)
+    {
+        if (item.isFrozen)
+            return;
+        const instant now = at(m_now);
+        if (!item.isCut) {
+            if (now - item.confirmedAt > 1500ms)
+                item.regainedAt = now;
+            for (; item.read < m_log.size(); ++item.read)
+                item.fold.apply(m_log[item.read], item.read, now);
+            item.confirmedAt = now;
+        }
+        const std::vector<lease_record> records = item.agent.tick({ item.confirmedAt, item.regainedAt }, now);
+        if (records.empty())
+            return;
+        if (!item.isCut)
+            m_log.insert(m_log.end(), records.begin(), records.end());
+        item.agent.onWritten(!item.isCut, now);
+    }
+
+    std::vector<std::unique_ptr<daemon>> m_daemons;
+    std::vector<lease_record> m_log;
+    std::chrono::milliseconds m_now = 0ms;
+};
+
+}
+
+TEST_CASE("A lease that is free is taken by one daemon and stays there")
+{
+    lease_world world(5);
+    world.play(1s);
+    const std::optional<std::size_t> first = world.actor();
+    REQUIRE(first);
+    world.add("vm9", "life9");
+    world.play(20s);
+    CHECK(world.actor() == first);
+}
+
+TEST_CASE("A holder that stops hands over at once, but for the replicas that it has just given orders")
+{
+    lease_world world(3);
+    world.play(1s);
+    lease_world::daemon& first = world[*world.actor()];
+    first.agent.noteOrder("r1", at(world.now()));
+    world.release(first);
+    world.play(700ms);
+    const std::optional<std::size_t> second = world.actor();
+    REQUIRE(second);
+    CHECK(world[*second].agent.barredReplicas(lease, at(world.now())) == std::vector<std::string> { "r1" });
+    CHECK(world[*second].agent.fencingNumber(lease) > 1);
+    world.play(holderPause);
+    CHECK(world[*second].agent.barredReplicas(lease, at(world.now())).empty());
+}
+
+TEST_CASE("A lease of a daemon that died is held again within three seconds, but orders wait for the former holder")
+{
+    lease_world world(3);
+    world.play(1s);
+    const std::size_t first = *world.actor();
+    world[first].isFrozen = true;
+    world.play(2500ms);
+    std::size_t holders = 0;
+    for (std::size_t index = 0; index < world.size(); ++index)
+        holders += index != first && world[index].agent.isHeld(lease) ? 1 : 0;
+    CHECK(holders == 1);
+    CHECK_FALSE(world.actor());
+    world.play(3s);
+    CHECK(world.actor());
+}
+
+TEST_CASE("A daemon that starts again on its VM takes its lease back without a pause")
+{
+    lease_world world(1);
+    world.play(1s);
+    world[0].isFrozen = true;
+    world.add("vm0", "next life");
+    world.play(500ms);
+    CHECK(world[1].agent.mayAct(lease, at(world.now())));
+}
+
+TEST_CASE("While nobody reaches the log the lease stays, and its holder goes on after the outage")
+{
+    lease_world world(3);
+    world.play(1s);
+    const std::optional<std::size_t> first = world.actor();
+    REQUIRE(first);
+    for (std::size_t index = 0; index < world.size(); ++index)
+        world[index].isCut = true;
+    world.play(10s);
+    CHECK_FALSE(world.actor());
+    for (std::size_t index = 0; index < world.size(); ++index)
+        world[index].isCut = false;
+    world.play(1s);
+    CHECK(world.actor() == first);
+}
+
+TEST_CASE("Whatever is cut off or frozen, no two daemons may act at once")
+{
+    REQUIRE(rc::check([] {
+        lease_world world(4);
+        const int changes = *rc::gen::inRange(1, 25);
+        for (int number = 0; number < changes; ++number) {
+            lease_world::daemon& item = world[*rc::gen::inRange<std::size_t>(0, world.size())];
+            if (*rc::gen::arbitrary<bool>())
+                item.isCut = !item.isCut;
+            else
+                item.isFrozen = !item.isFrozen;
+            const int slices = *rc::gen::inRange(1, 40);
+            for (int slice = 0; slice < slices; ++slice) {
+                world.play(100ms);
+                world.actor();
+            }
+        }
+    }));
+}
+
+TEST_CASE("A daemon that starts from the records that the log still keeps finds the same holder")
+{
+    const lease_party first { "vm1", "a" };
+    const lease_party second { "vm2", "b" };
+    const std::vector<lease_record> records { lease_claim { lease, first, std::nullopt }, lease_renewal { first },
+        lease_claim { lease, second, 0 }, lease_renewal { first }, lease_claim { lease, { "vm3", "c" }, 0 }, lease_renewal { second } };
+    lease_fold whole;
+    for (std::size_t offset = 0; offset < records.size(); ++offset)
+        whole.apply(records[offset], offset, at(0ms));
+    lease_fold compacted;
+    for (const std::size_t offset : { 0U, 2U, 3U, 4U, 5U })
+        compacted.apply(records[offset], offset, at(0ms));
+    CHECK(whole.find(lease)->holder == second);
+    CHECK(compacted.find(lease)->holder == second);
+    CHECK(compacted.find(lease)->claimOffset == whole.find(lease)->claimOffset);
+}
--- /dev/null
+++ b/tests/auto/rollout/tst_replicapool.cpp
@@ -0,0 +1,100 @@
+#include "rolloutfixture.h"
+
+#include <rollout/replicapool.h>
+
+#include <catch2/catch.hpp>
+
+using namespace ragwortreach;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string pickOf(const replica_pool& pool, const replica_criteria& criteria, std::chrono::milliseconds time)
+{
+    const replica_pool::replica* const picked = pool.pick(criteria, at(time));
+    return picked ? picked->entry.id : "";
+}
+
+struct criteria_case {
+    const char* name;
+    replica_criteria criteria;
+    const char* picked;
+};
+
+const std::vector<std::string> withoutNear { "near" };
+
+const criteria_case criteriaCases[] = {
+    { "own data centre first", { testService }, "near" },
+    { "excluded", { .service = testService, .excluded = withoutNear }, "far" },
+    { "weights too old", { .service = testService, .model = testModel, .minVersion = 2 }, "far" },
+    { "weights too old everywhere", { .service = testService, .model = testModel, .minVersion = 3 }, "" },
+    { "model unknown", { .service = testService, .model = "other" }, "" },
+    { "other service", { .service = "bobbin-shop" }, "" },
+    { "preferred", { .service = testService, .preferred = "far" }, "far" },
+    { "no room", { .service = testService, .maxInFlight = 0 }, "" },
+};
+
+replica_pool makePool()
+{
+    replica_pool pool("north-a");
+    pool.update(makeReplica("near", "north-a", 1));
+    pool.update(makeReplica("far", "north-b", 2));
+    return pool;
+}
+
+}
+
+TEST_CASE("A replica is picked by what the request needs")
+{
+    for (const criteria_case& row : criteriaCases) {
+        DYNAMIC_SECTION(row.name) { CHECK(pickOf(makePool(), row.criteria, 0ms) == row.picked); }
+    }
+}
+
+TEST_CASE("A replica that failed is a last resort for a while, twice as long after the next failure")
+{
+    replica_pool pool = makePool();
+    pool.finished("near", replica_outcome::Failed, {}, at(0ms));
+    CHECK(pickOf(pool, { testService }, 100ms) == "far");
+    CHECK(pickOf(pool, { testService }, 600ms) == "near");
+    pool.finished("near", replica_outcome::Failed, {}, at(600ms));
+    CHECK(pickOf(pool, { testService }, 1500ms) == "far");
+    CHECK(pickOf(pool, { testService }, 1700ms) == "near");
+    pool.finished("near", replica_outcome::Failed, {}, at(1700ms));
+    pool.finished("far", replica_outcome::Failed, {}, at(1700ms));
+    CHECK_FALSE(pickOf(pool, { testService }, 1800ms).empty());
+}
+
+TEST_CASE("A replica that starts again under its id is a new one")
+{
+    replica_pool pool = makePool();
+    pool.noteVersion("near", testModel, 9);
+    pool.update(makeReplica("near", "north-a", 1));
+    CHECK(pool.find("near")->entry.weights.at(testModel) == 9);
+    replica_entry reborn = makeReplica("near", "north-a", 1);
+    reborn.startedAt = 2;
+    pool.update(reborn);
+    CHECK(pool.find("near")->entry.weights.at(testModel) == 1);
+}
+
+TEST_CASE("A replica that vanished in an outage serves as a last resort until it is given up")
+{
+    replica_pool pool = makePool();
+    pool.markVanished("near", at(0ms));
+    CHECK(pickOf(pool, { testService }, 10ms) == "far");
+    pool.remove("far");
+    CHECK(pickOf(pool, { testService }, 10ms) == "near");
+    pool.removeVanishedBefore(at(0ms));
+    CHECK(pickOf(pool, { testService }, 10ms) == "near");
+    pool.removeVanishedBefore(at(1ms));
+    CHECK(pickOf(pool, { testService }, 10ms).empty());
+}
+
+TEST_CASE("Draining replicas get nothing")
+{
+    replica_pool pool = makePool();
+    replica_entry draining = makeReplica("near", "north-a", 1);
+    draining.isDraining = true;
+    pool.update(draining);
+    CHECK(pickOf(pool, { testService }, 0ms) == "far");
+}
--- /dev/null
+++ b/tests/auto/rollout/tst_routetable.cpp
@@ -0,0 +1,103 @@
+#include <rollout/routetable.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <map>
+
+using namespace ragwortreach;
+
+namespace {
+
+route makeRoute(const std::string& host, const std::string& prefix)
+{
+    route made;
+    made.name = host + prefix;
+    made.host = host;
+    made.pathPrefix = prefix;
+    made.targets = { { "shop", 1 } };
+    return made;
+}
+
+/// Looks at all routes, one after the other.
+std::string naiveFind(const std::vector<route>& routes, const std::string& host, const std::string& path)
+{
+    std::string best;
+    std::size_t length = 0;
+    for (const route& candidate : routes) {
+        const bool fits = candidate.host == host && path.starts_with(candidate.pathPrefix);
+        if (!fits || candidate.pathPrefix.size() <= length)
+            continue;
+        length = candidate.pathPrefix.size();
+        best = candidate.name;
+    }
+    return best;
+}
+
+struct version_case {
+    std::uint64_t first;
+    std::uint64_t second;
+    bool isTaken;
+};
+
+const version_case versionCases[] = {
+    { 4, 6, true },
+    { 6, 6, false },
+    { 6, 4, false },
+};
+
+}
+
+TEST_CASE("The longest prefix of a host wins, as in a search of all routes")
+{
+    REQUIRE(rc::check([] {
+        const std::vector<std::string> prefixes { "/", "/a/", "/a/b/", "/a/b/c/", "/ab/" };
+        const std::vector<std::string> paths { "/", "/a", "/a/", "/a/b", "/a/b/c", "/a/b/c/d", "/ab/x", "/x", "" };
+        route_configuration configuration;
+        configuration.version = 1;
+        for (const std::string& prefix : prefixes) {
+            for (const char* host : { "one", "two" }) {
+                if (*rc::gen::arbitrary<bool>())
+                    configuration.routes.push_back(makeRoute(host, prefix));
+            }
+        }
+        route_table table;
+        table.setConfiguration(configuration);
+        for (const std::string& path : paths) {
+            for (const char* host : { "one", "two", "three" }) {
+                const route* const found = table.find(host, path);
+                RC_ASSERT((found ? found->name : std::string()) == naiveFind(configuration.routes, host, path));
+            }
+        }
+    }));
+}
+
+TEST_CASE("A version comes in force only after a lower one")
+{
+    for (const version_case& row : versionCases) {
+        DYNAMIC_SECTION(row.first << " then " << row.second)
+        {
+            route_table table;
+            route_configuration first;
+            first.version = row.first;
+            REQUIRE(table.setConfiguration(first));
+            route_configuration second;
+            second.version = row.second;
+            CHECK(table.setConfiguration(second) == row.isTaken);
+            CHECK(table.version() == std::max(row.first, row.second));
+        }
+    }
+}
+
+TEST_CASE("Requests are split by weight")
+{
+    route split = makeRoute("one", "/");
+    split.targets = { { "old", 90 }, { "new", 10 } };
+    std::map<std::string, int> counts;
+    for (std::uint64_t draw = 0; draw < 1000; ++draw)
+        ++counts[chooseTarget(split, draw)->service];
+    CHECK(counts["old"] == 900);
+    CHECK(counts["new"] == 100);
+    split.targets.clear();
+    CHECK(chooseTarget(split, 0) == nullptr);
+}
--- /dev/null
+++ b/tests/auto/rollout/tst_weightplan.cpp
@@ -0,0 +1,195 @@
+#include "rolloutfixture.h"
+
+#include <rollout/weightplan.h>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace ragwortreach;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::chrono::milliseconds loadTime = 900ms;
+constexpr std::chrono::milliseconds namingInterval = 4s;
+constexpr std::chrono::milliseconds step = 10ms;
+
+const std::vector<std::string> models { "m0", "m1", "m2" };
+
+/// Replicas that carry out orders in virtual time, and trainers that name a version every four seconds.
+class loading_world {
+public:
+    explicit loading_world(std::size_t replicas)
+        : m_pool("north-a")
+    {
+        m_routes.setConfiguration(makeConfiguration(models, 12));
+        for (std::size_t number = 0; number < replicas; ++number) {
+            replica_entry entry = makeReplica("r" + std::to_string(number), "north-a", 1);
+            entry.weights = { { "m0", 1 }, { "m1", 1 }, { "m2", 1 } };
+            m_pool.update(entry);
+        }
+    }
+
+    /// Plays \a time; returns the longest time during which a model had no replica that its trainer takes.
+    template <typename planner>
+    std::chrono::milliseconds play(std::chrono::milliseconds time, planner plan)
+    {
+        std::map<std::string, std::chrono::milliseconds> idle;
+        std::chrono::milliseconds longest = 0ms;
+        std::uint64_t version = 1;
+        for (std::chrono::milliseconds now = 0ms; now < time; now += step) {
+            finishLoads(now);
+            if (now % namingInterval == 0ms)
+                ++version;
+            for (const weight_order& order : plan(m_pool, m_routes, version, now))
+                m_loads.push_back({ order, now + loadTime });
+            for (const std::string& model : models) {
+                idle[model] = hasUsable(model, version - 1) ? 0ms : idle[model] + step;
+                longest = std::max(longest, idle[model]);
+            }
+            m_mostLoads = std::max(m_mostLoads, m_loads.size());
+        }
+        return longest;
+    }
+
+    std::size_t mostLoads() const { return m_mostLoads; }
+    std::size_t loads() const { return m_done; }
+
+private:
+    struct load {
+        weight_order order;
+        std::chrono::milliseconds until;
+    };
+
+    void finishLoads(std::chrono::milliseconds now)
+    {
+        std::erase_if(m_loads, [this, now](const load& item) {
+            if (item.until > now)
+                return false;
+            m_pool.noteVersion(item.order.replica, item.order.model, item.order.version);
+            ++m_done;
+            return true;
+        });
+    }
+
+    bool hasUsable(const std::string& model, std::uint64_t oldest) const
+    {
+        return std::any_of(m_pool.replicas().begin(), m_pool.replicas().end(), [this, &model, oldest](const std::pair<const std::string, replica_pool::replica>& item) {
+            const bool isLoading = std::any_of(m_loads.begin(), m_loads.end(), [&item, &model](const load& running) {
+                return running.order.replica == item.first && running.order.model == model;
+            });
+            return !isLoading && item.second.entry.weights.at(model) >= oldest;
+        });
+    }
+
+    replica_pool m_pool;
+    route_table m_routes;
+    std::vector<load> m_loads;
+    std::size_t m_mostLoads = 0;
+    std::size_t m_done = 0;
+};
+
+/// Loads every version everywhere, two at a time, in the order of the replicas.
+class naive_plan {
+public:
+    std::vector<weight_order> operator()(const replica_pool& pool, const route_table&, std::uint64_t version, std::chrono::milliseconds now)
+    {
+        std::erase_if(m_until, [now](const std::pair<const std::string, std::chrono::milliseconds>& item) { return item.second <= now; });
+        std::vector<weight_order> orders;
+        for (const std::string& model : models) {
+            for (const std::pair<const std::string, replica_pool::replica>& item : pool.replicas()) {
+                const bool isOld = item.second.entry.weights.at(model) < version;
+                if (!isOld || m_until.size() >= 2 || m_until.contains(item.first))
+                    continue;
+                m_until[item.first] = now + loadTime;
+                orders.push_back({ item.first, "", model, version, load_mode::Retain });
+            }
+        }
+        return orders;
+    }
+
+private:
+    std::map<std::string, std::chrono::milliseconds> m_until;
+};
+
+class half_plan {
+public:
+    std::vector<weight_order> operator()(const replica_pool& pool, const route_table& routes, std::uint64_t version, std::chrono::milliseconds now)
+    {
+        for (const std::string& model : models) {
+            m_plan.setTarget(model, version, at(now));
+            m_plan.setOldestAllowed(model, version - 1);
+        }
+        const std::vector<weight_order> orders = m_plan.plan(pool, routes, {}, at(now));
+        for (const weight_order& order : orders)
+            m_plan.onOutcome(order, order_outcome::Accepted, at(now));
+        return orders;
+    }
+
+private:
+    weight_plan m_plan;
+};
+
+}
+
+TEST_CASE("Trainers that name a version every four seconds always find a replica, where loading everywhere leaves them waiting")
+{
+    for (const std::size_t replicas : { 9U, 12U }) {
+        DYNAMIC_SECTION(replicas << " replicas")
+        {
+            loading_world naive(replicas);
+            CHECK(naive.play(60s, naive_plan()) > 4s);
+            loading_world planned(replicas);
+            CHECK(planned.play(60s, half_plan()) < 1s);
+            CHECK(planned.mostLoads() <= 2);
+            CHECK(planned.loads() < 60s / namingInterval * replicas);
+        }
+    }
+}
+
+TEST_CASE("An order without an answer is repeated only after it can no longer be carried out")
+{
+    replica_pool pool("north-a");
+    pool.update(makeReplica("r1", "north-a", 1));
+    route_table routes;
+    routes.setConfiguration(makeConfiguration({ testModel }, 4));
+    weight_plan plan;
+    plan.setTarget(testModel, 2, at(0ms));
+    const std::vector<weight_order> orders = plan.plan(pool, routes, {}, at(0ms));
+    REQUIRE(orders.size() == 1);
+    plan.onOutcome(orders[0], order_outcome::Unknown, at(0ms));
+    CHECK(plan.plan(pool, routes, {}, at(2s)).empty());
+    CHECK(plan.plan(pool, routes, {}, at(3s)).size() == 1);
+}
+
+TEST_CASE("Replicas that took an order of the former holder are left alone")
+{
+    replica_pool pool("north-a");
+    pool.update(makeReplica("r1", "north-a", 1));
+    route_table routes;
+    routes.setConfiguration(makeConfiguration({ testModel }, 4));
+    weight_plan plan;
+    plan.setTarget(testModel, 2, at(0ms));
+    const std::vector<std::string> barred { "r1" };
+    CHECK(plan.plan(pool, routes, barred, at(0ms)).empty());
+    CHECK(plan.plan(pool, routes, {}, at(0ms)).size() == 1);
+}
+
+TEST_CASE("A route that takes one version only lets runs finish before a load")
+{
+    replica_pool pool("north-a");
+    pool.update(makeReplica("r1", "north-a", 1));
+    for (const bool isSingleVersion : { false, true }) {
+        DYNAMIC_SECTION(isSingleVersion)
+        {
+            route_configuration configuration = makeConfiguration({ testModel }, 4);
+            configuration.routes[0].isSingleVersion = isSingleVersion;
+            route_table routes;
+            routes.setConfiguration(configuration);
+            weight_plan plan;
+            plan.setTarget(testModel, 2, at(0ms));
+            CHECK(plan.plan(pool, routes, {}, at(0ms)).at(0).mode == (isSingleVersion ? load_mode::Wait : load_mode::Retain));
+        }
+    }
+}
