Support: Write log lines without waiting for the reader, each kind within a budget

Cause: lines to standard output were written by a blocking console appender, without a bound on their number.

--- a/src/libs/rollout/itemscheduler.h
+++ b/src/libs/rollout/itemscheduler.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <set>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -102,7 +103,7 @@
         std::string batch;
         std::size_t item = 0;
 
-        auto operator<=>(const item_key&) const = default;
+        bool operator<(const item_key& other) const { return std::tie(batch, item) < std::tie(other.batch, other.item); }
     };
     struct item_state {
         item_text output;
--- a/src/libs/support/log.cpp
+++ b/src/libs/support/log.cpp
@@ -1,11 +1,12 @@
 #include "log.h"
 
 #include "jsonlineslayout.h"
+#include "linebudget.h"
 #include "logline.h"
+#include "outputappender.h"
 
 #include <core/resultcode.h>
 
-#include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
 #include <log4cxx/level.h>
 #include <log4cxx/logger.h>
@@ -13,6 +14,8 @@
 #include <atomic>
 #include <fstream>
 
+#include <unistd.h>
+
 namespace ragwortreach {
 
 namespace {
@@ -48,6 +51,7 @@
 
 struct log::log_data {
     log4cxx::LoggerPtr logger;
+    line_budget budget;
     std::error_code error;
 };
 
@@ -59,7 +63,7 @@
     m_data->logger->setLevel(toLevel(settings.level));
     const log4cxx::LayoutPtr layout = std::make_shared<Internal::json_lines_layout>(vm);
     if (settings.file.empty())
-        m_data->logger->addAppender(std::make_shared<log4cxx::ConsoleAppender>(layout));
+        m_data->logger->addAppender(std::make_shared<Internal::output_appender>(layout, STDOUT_FILENO));
     else if (isWritable(settings.file))
         m_data->logger->addAppender(std::make_shared<log4cxx::FileAppender>(layout, settings.file, true));
     else
@@ -79,8 +83,15 @@
 void log::write(const log_line& line)
 {
     const log4cxx::LevelPtr level = toLevel(line.level());
-    if (m_data->logger->isEnabledFor(level))
+    if (!m_data->logger->isEnabledFor(level))
+        return;
+    if (!m_data->budget.take(line.event(), std::chrono::steady_clock::now()))
+        return;
+    const std::uint64_t leftOut = m_data->budget.takeLeftOut(line.event());
+    if (leftOut == 0)
         m_data->logger->forcedLog(level, line.members());
+    else
+        m_data->logger->forcedLog(level, line.members() + ",\"left_out\":" + std::to_string(leftOut));
 }
 
 }
--- a/src/libs/support/log.h
+++ b/src/libs/support/log.h
@@ -11,6 +11,9 @@
 class log_line;
 
 /// Log of a process, written by log4cxx as one JSON object a line.
+///
+/// Lines to standard output never wait for its reader, and each kind of event has a budget of lines. The next line of a
+/// kind that went over its budget says in "left_out" how many lines of it are missing.
 class log {
 public:
     /// Lines carry \a vm as a field, so that the logs of several VMs can be merged.
@@ -22,7 +25,7 @@
     /// result_code::SettingsOutOfRange when the log file cannot be opened, else no error.
     std::error_code error() const;
 
-    /// Writes \a line when its level is logged. May be called from any thread.
+    /// Writes \a line when its level is logged and its kind is within its budget.
     void write(const log_line& line);
 
 private:
--- a/src/libs/support/logline.cpp
+++ b/src/libs/support/logline.cpp
@@ -22,6 +22,7 @@
 
 log_line::log_line(log_level level, std::string_view event)
     : m_level(level)
+    , m_event(event)
 {
     appendMember(m_members, "event", event);
 }
--- a/src/libs/support/logline.h
+++ b/src/libs/support/logline.h
@@ -27,6 +27,7 @@
     }
 
     log_level level() const { return m_level; }
+    const std::string& event() const { return m_event; }
 
     /// Event and fields as members of a JSON object, without the braces.
     const std::string& members() const { return m_members; }
@@ -35,6 +36,7 @@
     log_line& withInteger(std::string_view name, std::int64_t value);
 
     log_level m_level;
+    std::string m_event;
     std::string m_members;
 };
 
--- a/tests/auto/rollout/rolloutfixture.cpp
+++ b/tests/auto/rollout/rolloutfixture.cpp
@@ -50,8 +50,13 @@
     batch.wantedGroups = static_cast<std::uint32_t>(groups);
     for (std::size_t group = 0; group < groups; ++group) {
         for (std::size_t index = 0; index < size; ++index) {
-            const std::string name = std::to_string(group) + "-" + std::to_string(index);
-            batch.items.push_back({ id + "-" + name, "/lots/" + name, {}, "prompt", 100, "group-" + std::to_string(group) });
+            std::string name = std::to_string(group);
+            name += '-';
+            name += std::to_string(index);
+            std::string itemId = id;
+            itemId += '-';
+            itemId += name;
+            batch.items.push_back({ std::move(itemId), "/lots/" + name, {}, "prompt", 100, "group-" + std::to_string(group) });
         }
     }
     return batch;
--- a/tests/auto/rollout/tst_batchledger.cpp
+++ b/tests/auto/rollout/tst_batchledger.cpp
@@ -10,6 +10,13 @@
 
 namespace {
 
+std::string entryOf(std::string item, const std::string& text)
+{
+    item += '=';
+    item += text;
+    return item;
+}
+
 /// Results of a batch as a reader sees them.
 std::vector<std::string> listing(const batch_ledger& ledger)
 {
@@ -18,7 +25,7 @@
     if (!batch)
         return texts;
     for (const ledger_result& result : batch->results)
-        texts.push_back(batch->submission.items[result.item].id + "=" + result.output.text);
+        texts.push_back(entryOf(batch->submission.items[result.item].id, result.output.text));
     return texts;
 }
 
@@ -38,7 +45,7 @@
             const std::string text = "by owner " + std::to_string(number);
             if (std::find(seen.begin(), seen.end(), item) == seen.end()) {
                 seen.push_back(item);
-                expected.push_back(item + "=" + text);
+                expected.push_back(entryOf(item, text));
             }
             const std::vector<std::string> before = listing(ledger);
             ledger.apply(item_finished { "b", item, true, { text, 1, { 1 } } }, at(0ms));
--- a/tests/auto/rollout/tst_weightplan.cpp
+++ b/tests/auto/rollout/tst_weightplan.cpp
@@ -121,7 +121,7 @@
             m_plan.setTarget(model, version, at(now));
             m_plan.setOldestAllowed(model, version - 1);
         }
-        const std::vector<weight_order> orders = m_plan.plan(pool, routes, {}, at(now));
+        std::vector<weight_order> orders = m_plan.plan(pool, routes, {}, at(now));
         for (const weight_order& order : orders)
             m_plan.onOutcome(order, order_outcome::Accepted, at(now));
         return orders;
