Gateway: Report unready while the log is out of reach

Ruled out: loads of weights (77, none refused).

Change: a daemon that has not heard from the log for 1.5 s reports unready, so the balancer sends callers to daemons that can serve them; where all are unready it uses all of them, as before.

--- a/src/libs/gateway/gatewayhost.cpp
+++ b/src/libs/gateway/gatewayhost.cpp
@@ -31,6 +31,8 @@
     constexpr std::chrono::milliseconds tickInterval { 25 };
     /// Time in which the platform's balancer notices that the daemon is not ready.
     constexpr duration noticeTime = std::chrono::milliseconds(3200);
+    /// A daemon that has not heard from the log for longer sends callers to others.
+    constexpr duration maxLedgerAge = std::chrono::milliseconds(1500);
     /// Kept before the end of the time to stop.
     constexpr duration stopMargin = std::chrono::milliseconds(700);
     /// Time after which a batch that ended is forgotten; trainers may read it for two minutes.
@@ -212,7 +214,8 @@
 
 bool gateway_host::state::isReady() const
 {
-    return view.isReady() && batches.isReady() && !drainingSince;
+    const bool isCurrent = bootNow() - batches.confirmedAt() < maxLedgerAge;
+    return view.isReady() && batches.isReady() && isCurrent && !drainingSince;
 }
 
 void gateway_host::state::answerReadiness(const http_exchange& exchange)
--- a/src/libs/gateway/journal.cpp
+++ b/src/libs/gateway/journal.cpp
@@ -116,6 +116,14 @@
     return m_partitions[partitionOf(batch)].follower->confirmedAt();
 }
 
+instant journal::confirmedAt() const
+{
+    instant oldest = instant::max();
+    for (const partition& item : m_partitions)
+        oldest = std::min(oldest, item.follower->confirmedAt());
+    return oldest;
+}
+
 std::size_t journal::waiting() const
 {
     std::size_t waiting = 0;
--- a/src/libs/gateway/journal.h
+++ b/src/libs/gateway/journal.h
@@ -37,6 +37,8 @@
     bool isReady() const;
     /// All that was written on \a batch until then is in the ledger.
     instant confirmedAt(std::string_view batch) const;
+    /// All that was written until then is in the ledger.
+    instant confirmedAt() const;
     std::size_t waiting() const;
     const journal_counters& counters() const { return m_counters; }
 
