Gateway: Remove closed batches from the log

Cause: the log keeps the newest record of each key for good, and keys of batches are written once, so about 0.5 MB/s would fill the 400 MB that the log holds in a quarter of an hour.

Change: a batch that is closed and older than four minutes is forgotten; the daemon that holds the lease of its model removes its records, all acceptances first, so that a daemon that starts in between never runs the batch again. tst_gateway proves it with a batch that was accepted twice.

--- a/src/libs/gateway/gatewayhost.cpp
+++ b/src/libs/gateway/gatewayhost.cpp
@@ -256,7 +256,9 @@
             leases.tick();
             orderer.tick();
         }
-        batches.forgetBefore(bootNow() - batchMemory);
+        batches.forgetBefore(bootNow() - batchMemory, [this](const ledger_batch& batch) {
+            return leases.agent().isHeld(std::string(modelLeasePrefix) + batch.submission.model);
+        });
         checkStop();
         tick();
     });
--- a/src/libs/gateway/journal.cpp
+++ b/src/libs/gateway/journal.cpp
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace ragwortreach {
 
@@ -90,22 +91,63 @@
 void journal::applyChunk(const keyed_record& record)
 {
     const std::string name = record.key.substr(0, record.key.rfind('/'));
-    std::string& bytes = m_chunks[name];
-    bytes += std::string_view(*record.value).substr(1);
+    partial_record& partial = m_chunks[name];
+    partial.bytes += std::string_view(*record.value).substr(1);
+    partial.keys.push_back(record.key);
     if (record.value->front() == moreFollows)
         return;
-    const std::optional<journal_record> decoded = decodeJournalRecord(bytes);
+    const std::optional<journal_record> decoded = decodeJournalRecord(partial.bytes);
+    std::vector<std::string> keys = std::move(partial.keys);
     m_chunks.erase(name);
     if (!decoded) {
         ++m_counters.recordsUnreadable;
         return;
     }
+    noteKeys(*decoded, std::move(keys));
     ++m_counters.recordsApplied;
     const ledger_batch* const changed = m_ledger.apply(*decoded, bootNow());
     if (changed)
         m_onChanged(*changed);
 }
 
+void journal::noteKeys(const journal_record& record, std::vector<std::string> keys)
+{
+    const bool isAcceptance = std::holds_alternative<batch_accepted>(record);
+    const std::string_view batch = batchOf(record);
+    if (!isAcceptance && !m_ledger.find(batch))
+        return;
+    batch_keys& known = m_keys[std::string(batch)];
+    std::vector<std::string>& list = isAcceptance ? known.acceptances : known.others;
+    std::move(keys.begin(), keys.end(), std::back_inserter(list));
+}
+
+void journal::forgetBefore(instant limit, const std::function<bool(const ledger_batch&)>& isKeeper)
+{
+    for (const std::string& id : m_ledger.closedBefore(limit)) {
+        if (isKeeper(*m_ledger.find(id)))
+            removeFromLog(id);
+        m_ledger.forget(id);
+        m_keys.erase(id);
+    }
+}
+
+/// Removes the acceptances first and all together: results without an acceptance are ignored, while an acceptance
+/// without its results would make a daemon that starts then run the batch again.
+void journal::removeFromLog(const std::string& batch)
+{
+    const auto found = m_keys.find(batch);
+    if (found == m_keys.end())
+        return;
+    journal_writer& writer = *m_partitions[partitionOf(batch)].writer;
+    for (const std::vector<std::string>* list : { &found->second.acceptances, &found->second.others }) {
+        std::vector<keyed_record> removals;
+        for (const std::string& key : *list)
+            removals.push_back({ key, std::nullopt, 0 });
+        if (!removals.empty())
+            writer.write(std::move(removals), write_mode::Persistent, {});
+    }
+}
+
 bool journal::isReady() const
 {
     return std::all_of(m_partitions.begin(), m_partitions.end(), [](const partition& item) { return item.follower->isReady(); });
--- a/src/libs/gateway/journal.h
+++ b/src/libs/gateway/journal.h
@@ -32,8 +32,9 @@
     void write(const journal_record& record, write_mode mode, journal_writer::done_handler onDone);
 
     const batch_ledger& ledger() const { return m_ledger; }
-    /// Forgets batches that ended before \a limit, here and in the log.
-    void forgetBefore(instant limit) { m_ledger.forgetBefore(limit); }
+    /// Forgets the batches that are closed and older than \a limit. Those for which \a isKeeper says so are removed from
+    /// the log, too; one daemon has to, since the log keeps them for good otherwise.
+    void forgetBefore(instant limit, const std::function<bool(const ledger_batch&)>& isKeeper);
     bool isReady() const;
     /// All that was written on \a batch until then is in the ledger.
     instant confirmedAt(std::string_view batch) const;
@@ -48,9 +49,22 @@
         std::unique_ptr<journal_writer> writer;
     };
 
+    /// Keys of the records of a batch.
+    struct batch_keys {
+        std::vector<std::string> acceptances;
+        std::vector<std::string> others;
+    };
+
+    void removeFromLog(const std::string& batch);
+    struct partial_record {
+        std::string bytes;
+        std::vector<std::string> keys;
+    };
+
     std::size_t partitionOf(std::string_view batch) const;
     void apply(std::span<const keyed_record> records);
     void applyChunk(const keyed_record& record);
+    void noteKeys(const journal_record& record, std::vector<std::string> keys);
 
     std::string m_writerName;
     std::uint64_t m_lastRecord = 0;
@@ -58,7 +72,8 @@
     std::vector<partition> m_partitions;
     batch_ledger m_ledger;
     /// Records that were cut into several, by writer and number, until the last part comes.
-    std::map<std::string, std::string> m_chunks;
+    std::map<std::string, partial_record> m_chunks;
+    std::map<std::string, batch_keys, std::less<>> m_keys;
     journal_counters m_counters;
 };
 
--- a/src/libs/rollout/batchledger.cpp
+++ b/src/libs/rollout/batchledger.cpp
@@ -94,15 +94,23 @@
     return found == m_batches.end() ? nullptr : &found->second;
 }
 
-void batch_ledger::forgetBefore(instant limit)
+std::vector<std::string> batch_ledger::closedBefore(instant limit) const
 {
-    std::erase_if(m_order, [this, limit](const std::string& id) {
-        const auto found = m_batches.find(id);
-        if (found->second.isOpen() || found->second.learnedAt >= limit)
-            return false;
+    std::vector<std::string> closed;
+    for (const std::string& id : m_order) {
+        const ledger_batch& batch = m_batches.find(id)->second;
+        if (!batch.isOpen() && batch.learnedAt < limit)
+            closed.push_back(id);
+    }
+    return closed;
+}
+
+void batch_ledger::forget(std::string_view id)
+{
+    std::erase(m_order, id);
+    const auto found = m_batches.find(id);
+    if (found != m_batches.end())
         m_batches.erase(found);
-        return true;
-    });
 }
 
 }
--- a/src/libs/rollout/batchledger.h
+++ b/src/libs/rollout/batchledger.h
@@ -54,8 +54,9 @@
     const ledger_batch* find(std::string_view id) const;
     /// All batches, oldest first.
     std::span<const std::string> order() const { return m_order; }
-    /// Forgets the batches that this process learned of before \a limit and that are not open.
-    void forgetBefore(instant limit);
+    /// Batches that this process learned of before \a limit and that are not open.
+    std::vector<std::string> closedBefore(instant limit) const;
+    void forget(std::string_view id);
 
 private:
     friend class ledger_visitor;
--- a/tests/auto/gateway/tst_journal.cpp
+++ b/tests/auto/gateway/tst_journal.cpp
@@ -63,3 +63,31 @@
     CHECK(reader.counters().recordsUnreadable == 1);
     CHECK(reader.counters().recordsApplied == 0);
 }
+
+TEST_CASE("A batch that is forgotten leaves nothing in the log, its acceptances first, however often it was accepted")
+{
+    boost::asio::io_context context;
+    memory_log log(context);
+    int changes = 0;
+    journal keeper(context, log, 1, "keeper", [&changes](const ledger_batch&) { ++changes; });
+    journal other(context, log, 1, "other", [](const ledger_batch&) {});
+    keeper.start();
+    keeper.write(batch_accepted { largeBatch(500U * 1024U) }, write_mode::OneTry, {});
+    other.write(batch_accepted { largeBatch(500U * 1024U) }, write_mode::OneTry, {});
+    keeper.write(item_finished { "b", "i", true, { "text", 1, { 4 } } }, write_mode::Persistent, {});
+    runUntil(context, [&changes, &other] { return changes == 2 && other.waiting() == 0; });
+    runUntil(context, [&keeper, &log] { return keeper.counters().recordsApplied == 3 && log.records().size() >= 7; });
+    const std::size_t written = log.records().size();
+    keeper.forgetBefore(instant::max(), [](const ledger_batch&) { return true; });
+    CHECK_FALSE(keeper.ledger().find("b"));
+    runUntil(context, [&keeper] { return keeper.waiting() == 0; });
+    std::map<std::string, bool> isLeft;
+    for (std::size_t offset = 0; offset < written; ++offset)
+        isLeft[log.records()[offset].key] = true;
+    for (std::size_t offset = written; offset < log.records().size(); ++offset) {
+        CHECK_FALSE(log.records()[offset].value);
+        isLeft.erase(log.records()[offset].key);
+    }
+    CHECK(isLeft.empty());
+    CHECK(log.records().back().key.starts_with("keeper/2/"));
+}
--- a/tests/auto/rollout/tst_batchledger.cpp
+++ b/tests/auto/rollout/tst_batchledger.cpp
@@ -81,7 +81,7 @@
     CHECK(ledger.apply(item_progressed { "b", "b-0-0", { "x", 3, { 1 } } }, at(0ms)) == nullptr);
 }
 
-TEST_CASE("Only batches that are no longer open are forgotten")
+TEST_CASE("Only batches that are no longer open are to be forgotten")
 {
     batch_ledger ledger;
     ledger.apply(batch_accepted { makeBatch("open", 1, 1) }, at(0ms));
@@ -89,7 +89,8 @@
     ledger.apply(batch_accepted { makeBatch("late", 1, 1) }, at(10ms));
     ledger.apply(batch_ended { "ended" }, at(0ms));
     ledger.apply(batch_ended { "late" }, at(10ms));
-    ledger.forgetBefore(at(5ms));
+    REQUIRE(ledger.closedBefore(at(5ms)) == std::vector<std::string> { "ended" });
+    ledger.forget("ended");
     CHECK(ledger.find("open"));
     CHECK_FALSE(ledger.find("ended"));
     CHECK(ledger.find("late"));
