--- a/src/libs/gateway/topicfollower.cpp
+++ b/src/libs/gateway/topicfollower.cpp
@@ -48,6 +48,7 @@
     if (!m_hasSnapshotEnd) {
         m_hasSnapshotEnd = true;
         m_snapshotEnd = page.end;
+        m_snapshotSentAt = m_sentAt;
     }
     std::string lastKey;
     for (const keyed_record& record : page.records) {
@@ -76,6 +77,7 @@
     }
     m_next = std::max(m_next, m_snapshotEnd);
     m_isReady = true;
+    m_confirmedAt = m_snapshotSentAt;
     m_handlers.onSnapshot(all, fresh);
     readTail();
 }
--- a/src/libs/gateway/topicfollower.h
+++ b/src/libs/gateway/topicfollower.h
@@ -57,6 +57,7 @@
     boost::asio::steady_timer m_timer;
     std::map<std::string, keyed_record> m_pages;
     std::uint64_t m_snapshotEnd = 0;
+    instant m_snapshotSentAt {};
     bool m_hasSnapshotEnd = false;
     std::uint64_t m_next = 0;
     bool m_isReady = false;
--- a/tests/auto/gateway/tst_topicfollower.cpp
+++ b/tests/auto/gateway/tst_topicfollower.cpp
@@ -74,6 +74,16 @@
     CHECK(world.follower.confirmedAt() != instant {});
 }
 
+TEST_CASE("A snapshot confirms what stood in the log when its first page was asked for")
+{
+    follower_world world;
+    world.log.put("a", "1");
+    world.follower.start();
+    while (world.snapshots == 0)
+        world.context.run_one();
+    CHECK(world.follower.confirmedAt() != instant {});
+}
+
 TEST_CASE("A follower begins again where the log has dropped records, and delivers none of them twice")
 {
     follower_world world;
