--- a/tests/auto/gateway/tst_journal.cpp
+++ b/tests/auto/gateway/tst_journal.cpp
@@ -72,8 +72,8 @@
     journal keeper(context, log, 1, "keeper", [&changes](const ledger_batch&) { ++changes; });
     journal other(context, log, 1, "other", [](const ledger_batch&) {});
     keeper.start();
-    keeper.write(batch_accepted { largeBatch(500U * 1024U) }, write_mode::OneTry, {});
-    other.write(batch_accepted { largeBatch(500U * 1024U) }, write_mode::OneTry, {});
+    keeper.write(batch_accepted { largeBatch(500000) }, write_mode::OneTry, {});
+    other.write(batch_accepted { largeBatch(500000) }, write_mode::OneTry, {});
     keeper.write(item_finished { "b", "i", true, { "text", 1, { 4 } } }, write_mode::Persistent, {});
     runUntil(context, [&changes, &other] { return changes == 2 && other.waiting() == 0; });
     runUntil(context, [&keeper, &log] { return keeper.counters().recordsApplied == 3 && log.records().size() >= 7; });
