Tests: Prove the relay of calls over sockets

Two stand-in replicas answer whole, not at all, cut, unsigned, for another request, or that they did not run the call; an order never reaches a second replica once the first may have run it, and a caller that leaves closes the replica's connection.

--- /dev/null
+++ b/tests/auto/gateway/tst_callrelay.cpp
@@ -0,0 +1,212 @@
+#include <gateway/callrelay.h>
+
+#include <net/httpclient.h>
+#include <net/httpserver.h>
+#include <support/log.h>
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include <memory>
+
+using namespace ragwortreach;
+
+namespace {
+
+/// How a replica behaves towards each request.
+enum class behaviour {
+    Whole,
+    Full,
+    OtherReplica,
+    OtherId,
+    Unsigned,
+    Failure,
+    CutBody,
+    Silent,
+};
+
+http_response answerTo(const http_request& request, int status, bool isSigned)
+{
+    http_response response { status, { { "Request-Id", std::string(headerValue(request.headers, "Request-Id").value_or("")) } }, "pattern" };
+    if (isSigned)
+        response.headers.push_back({ "Server-Stamp", "s" });
+    return response;
+}
+
+/// Replica on a port of its own.
+class replica_standin {
+public:
+    replica_standin(boost::asio::io_context& context, behaviour kind)
+        : m_kind(kind)
+        , m_server(
+              context, {}, [this](const http_exchange& exchange) { answer(exchange); }, [](std::error_code) { return http_response { 400, {}, {} }; })
+    {
+        REQUIRE_FALSE(m_server.listen({ "127.0.0.1", 0 }));
+    }
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(m_server.port()); }
+    int requests() const { return m_requests; }
+    int callersGone() const { return m_callersGone; }
+
+private:
+    void answer(const http_exchange& exchange)
+    {
+        ++m_requests;
+        http_response response = answerTo(exchange.request(), 200, true);
+        switch (m_kind) {
+        case behaviour::Whole:
+            exchange.respond(response);
+            return;
+        case behaviour::Full:
+            exchange.respond({ 503, { { "Not-Executed", "1" } }, {} });
+            return;
+        case behaviour::OtherReplica:
+            exchange.respond({ 421, {}, {} });
+            return;
+        case behaviour::OtherId:
+            response.headers[0].value = "somebody else's";
+            exchange.respond(response);
+            return;
+        case behaviour::Unsigned:
+            exchange.respond(answerTo(exchange.request(), 200, false));
+            return;
+        case behaviour::Failure:
+            exchange.respond(answerTo(exchange.request(), 500, true));
+            return;
+        case behaviour::CutBody:
+            exchange.beginStream({ 200, response.headers, 100 });
+            exchange.write("patt");
+            exchange.abort();
+            return;
+        case behaviour::Silent:
+            exchange.setGoneHandler([this] { ++m_callersGone; });
+            m_held.push_back(exchange);
+            return;
+        }
+    }
+
+    behaviour m_kind;
+    http_server m_server;
+    std::vector<http_exchange> m_held;
+    int m_requests = 0;
+    int m_callersGone = 0;
+};
+
+/// A relay with two replicas, the first of which is tried first.
+struct relay_world {
+    relay_world(behaviour first, behaviour second, route_kind kind)
+        : lines({ "", log_level::Error }, "vm")
+        , pool("north-a")
+        , replicas { std::make_unique<replica_standin>(context, first), std::make_unique<replica_standin>(context, second) }
+        , client(context)
+        , relay(context, client, pool, routes, lines)
+        , server(
+              context, {}, [this](const http_exchange& exchange) { relay.serve(exchange, shop, platform::decodeCallerRequest(exchange.request())); },
+              [](std::error_code) { return http_response { 400, {}, {} }; })
+    {
+        shop.kind = kind;
+        shop.timeout = std::chrono::seconds(20);
+        shop.targets = { { "shop", 1 } };
+        shop.maxAttempts = 2;
+        for (std::size_t index = 0; index < replicas.size(); ++index) {
+            replica_entry entry;
+            entry.id = "r" + std::to_string(index);
+            entry.service = "shop";
+            entry.address = replicas[index]->address();
+            entry.dataCentre = index == 0 ? "north-a" : "north-b";
+            pool.update(entry);
+        }
+        REQUIRE_FALSE(server.listen({ "127.0.0.1", 0 }));
+    }
+
+    http_call_handle call(const std::function<void(const http_outcome&, const http_response&)>& onDone)
+    {
+        http_call_options options;
+        options.timeout = std::chrono::seconds(30);
+        const http_request request { "POST", "/shop/1", { { "Request-Id", "mine" }, { "Deadline-Ms", "20000" } }, "order" };
+        return client.callWhole({ "127.0.0.1", server.port() }, request, options, onDone);
+    }
+
+    boost::asio::io_context context;
+    ragwortreach::log lines;
+    replica_pool pool;
+    route_table routes;
+    route shop;
+    std::array<std::unique_ptr<replica_standin>, 2> replicas;
+    http_client client;
+    call_relay relay;
+    http_server server;
+};
+
+struct relay_case {
+    const char* name;
+    route_kind kind;
+    behaviour first;
+    int status;
+    /// Requests that the second replica gets.
+    int atSecond;
+};
+
+const relay_case relayCases[] = {
+    { "whole", route_kind::NonIdempotent, behaviour::Whole, 200, 0 },
+    { "full, so it has not run", route_kind::NonIdempotent, behaviour::Full, 200, 1 },
+    { "another replica has the address", route_kind::NonIdempotent, behaviour::OtherReplica, 200, 1 },
+    { "order with the answer of another request", route_kind::NonIdempotent, behaviour::OtherId, 502, 0 },
+    { "order with an answer that nobody signed", route_kind::NonIdempotent, behaviour::Unsigned, 502, 0 },
+    { "order whose answer is cut", route_kind::NonIdempotent, behaviour::CutBody, 502, 0 },
+    { "order that failed at the replica", route_kind::NonIdempotent, behaviour::Failure, 500, 0 },
+    { "repeatable with the answer of another request", route_kind::Idempotent, behaviour::OtherId, 200, 1 },
+    { "repeatable with an answer that nobody signed", route_kind::Idempotent, behaviour::Unsigned, 200, 1 },
+    { "repeatable whose answer is cut", route_kind::Idempotent, behaviour::CutBody, 200, 1 },
+    { "repeatable that failed at the replica", route_kind::Idempotent, behaviour::Failure, 200, 1 },
+};
+
+}
+
+TEST_CASE("A caller gets a whole answer to its own request, and an order runs at most once")
+{
+    for (const relay_case& row : relayCases) {
+        DYNAMIC_SECTION(row.name)
+        {
+            relay_world world(row.first, behaviour::Whole, row.kind);
+            int status = 0;
+            std::string body;
+            world.call([&status, &body](const http_outcome&, const http_response& response) {
+                status = response.status;
+                body = response.body;
+            });
+            while (status == 0)
+                world.context.run_one();
+            CHECK(status == row.status);
+            CHECK(world.replicas[0]->requests() == 1);
+            CHECK(world.replicas[1]->requests() == row.atSecond);
+            if (status == 200)
+                CHECK(body == "pattern");
+        }
+    }
+}
+
+TEST_CASE("A call that no replica ran is refused with a time to come back")
+{
+    relay_world world(behaviour::Full, behaviour::Full, route_kind::NonIdempotent);
+    http_response answer;
+    answer.status = 0;
+    world.call([&answer](const http_outcome&, const http_response& response) { answer = response; });
+    while (answer.status == 0)
+        world.context.run_one();
+    CHECK(answer.status == 503);
+    CHECK(headerValue(answer.headers, "Retry-After"));
+}
+
+TEST_CASE("When the caller leaves, the replica's connection is closed")
+{
+    relay_world world(behaviour::Silent, behaviour::Silent, route_kind::NonIdempotent);
+    http_call_handle handle = world.call([](const http_outcome&, const http_response&) {});
+    while (world.replicas[0]->requests() == 0)
+        world.context.run_one();
+    handle.cancel();
+    while (world.replicas[0]->callersGone() == 0)
+        world.context.run_one();
+    CHECK(world.relay.openCalls() == 0);
+    CHECK(world.replicas[1]->requests() == 0);
+}
