Rollout: Run what no trainer waits for last

Ruled out: lost orders (two replicas had the version), a late owner (lease claimed 0.1 s after the start).

Change: the ledger counts complete groups; batches whose trainer has as many as it waits for take only the room that is left. The test failed first (tst_itemscheduler.cpp:110).

--- a/src/libs/rollout/batchledger.cpp
+++ b/src/libs/rollout/batchledger.cpp
@@ -20,8 +20,10 @@
         batch.submission = record.submission;
         batch.learnedAt = m_now;
         batch.items.resize(batch.submission.items.size());
-        for (std::size_t index = 0; index < batch.submission.items.size(); ++index)
+        for (std::size_t index = 0; index < batch.submission.items.size(); ++index) {
             batch.itemIndex.emplace(batch.submission.items[index].id, index);
+            ++batch.openItems[batch.submission.items[index].group];
+        }
         m_ledger.m_order.push_back(id);
         return &batch;
     }
@@ -37,6 +39,8 @@
         batch->items[*index].position = batch->results.size();
         batch->items[*index].progress = {};
         batch->results.push_back({ *index, record.isCompleted, record.output });
+        if (--batch->openItems[batch->submission.items[*index].group] == 0)
+            ++batch->completeGroups;
         return batch;
     }
 
--- a/src/libs/rollout/batchledger.h
+++ b/src/libs/rollout/batchledger.h
@@ -37,8 +37,14 @@
     /// In the order of the journal; a result keeps its position for good.
     std::vector<ledger_result> results;
     std::map<std::string, std::size_t, std::less<>> itemIndex;
+    /// Items of each group that have no result yet.
+    std::map<std::string, std::size_t, std::less<>> openItems;
+    /// Groups all of whose items have a result.
+    std::size_t completeGroups = 0;
 
     std::optional<std::size_t> indexOf(std::string_view item) const;
+    /// Whether the trainer has as many complete groups as it waits for.
+    bool isSatisfied() const { return submission.wantedGroups != 0 && completeGroups >= submission.wantedGroups; }
     bool isOpen() const { return !isEnded && results.size() < items.size(); }
 };
 
--- a/src/libs/rollout/itemscheduler.cpp
+++ b/src/libs/rollout/itemscheduler.cpp
@@ -57,10 +57,13 @@
 void item_scheduler::schedule(instant now)
 {
     checkRuns(now);
-    for (const std::string& id : m_ledger.order()) {
-        const ledger_batch* const batch = m_ledger.find(id);
-        if (batch->isOpen())
-            scheduleBatch(*batch, now);
+    // What a trainer no longer waits for takes only the room that is left.
+    for (const bool isSatisfied : { false, true }) {
+        for (const std::string& id : m_ledger.order()) {
+            const ledger_batch* const batch = m_ledger.find(id);
+            if (batch->isOpen() && batch->isSatisfied() == isSatisfied)
+                scheduleBatch(*batch, now);
+        }
     }
     forgetItems();
 }
--- a/src/libs/rollout/itemscheduler.h
+++ b/src/libs/rollout/itemscheduler.h
@@ -77,6 +77,8 @@
 ///
 /// Load pattern: bursts of groups from several trainers, each of which needs most groups whole. Groups go in the
 /// order of the submission, items of a group to one replica while it has room, so that their prompt is read once.
+/// Batches whose trainer has what it waits for come last: after an outage the end of a batch may arrive late, and its
+/// rest would hold up the next step.
 class item_scheduler {
 public:
     item_scheduler(const batch_ledger& ledger, replica_pool& pool, const route_table& routes);
--- a/tests/auto/rollout/tst_itemscheduler.cpp
+++ b/tests/auto/rollout/tst_itemscheduler.cpp
@@ -97,6 +97,20 @@
     CHECK(world.take<start_run>(1ms).empty());
 }
 
+TEST_CASE("A batch whose trainer has what it waits for comes after the next one")
+{
+    scheduler_world world(1);
+    batch_submission first = makeBatch("first", 3, 1);
+    first.wantedGroups = 1;
+    world.ledger.apply(batch_accepted { first }, at(0ms));
+    world.ledger.apply(batch_accepted { makeBatch("second", 1, 1) }, at(0ms));
+    world.ledger.apply(item_finished { "first", "first-0-0", true, { "text", 1, { 1 } } }, at(0ms));
+    const std::vector<start_run> runs = world.take<start_run>(0ms);
+    REQUIRE(runs.size() == 2);
+    CHECK(runs[0].batch == "second");
+    CHECK(runs[1].batch == "first");
+}
+
 TEST_CASE("A whole stream becomes one result with its versions")
 {
     scheduler_world world(4);
