Rollout: Remove state of the replica pool that nothing sets

Found on reading the whole change once more: noteLoading() and hasReplica() had no caller, so loadingUntil was always empty and its check never held a replica back.

--- a/src/libs/rollout/replicapool.cpp
+++ b/src/libs/rollout/replicapool.cpp
@@ -83,17 +83,7 @@
     if (found == m_replicas.end())
         return;
     std::uint64_t& known = found->second.entry.weights[std::string(model)];
-    if (version <= known)
-        return;
-    known = version;
-    found->second.loadingUntil.erase(std::string(model));
-}
-
-void replica_pool::noteLoading(std::string_view id, std::string_view model, instant until)
-{
-    const auto found = m_replicas.find(id);
-    if (found != m_replicas.end())
-        found->second.loadingUntil[std::string(model)] = until;
+    known = std::max(known, version);
 }
 
 const replica_pool::replica* replica_pool::find(std::string_view id) const
@@ -113,10 +103,7 @@
     if (criteria.model.empty())
         return true;
     const auto version = replica.entry.weights.find(criteria.model);
-    if (version == replica.entry.weights.end() || version->second < criteria.minVersion)
-        return false;
-    const auto loading = replica.loadingUntil.find(criteria.model);
-    return loading == replica.loadingUntil.end() || loading->second <= now;
+    return version != replica.entry.weights.end() && version->second >= criteria.minVersion;
 }
 
 replica_pool::rank replica_pool::rankOf(const replica& replica, instant now) const
@@ -149,13 +136,6 @@
     return best;
 }
 
-bool replica_pool::hasReplica(std::string_view service) const
-{
-    return std::any_of(m_replicas.begin(), m_replicas.end(), [service](const std::pair<const std::string, replica>& item) {
-        return item.second.entry.service == service && !item.second.entry.isDraining;
-    });
-}
-
 void replica_pool::started(std::string_view id)
 {
     const auto found = m_replicas.find(id);
--- a/src/libs/rollout/replicapool.h
+++ b/src/libs/rollout/replicapool.h
@@ -68,8 +68,6 @@
         std::optional<instant> vanishedAt;
         /// Smoothed latency of answers, in seconds; 0 before the first one.
         double latency = 0;
-        /// Models that are being loaded, with the end of the expected time.
-        std::map<std::string, instant, std::less<>> loadingUntil;
     };
 
     explicit replica_pool(std::string dataCentre);
@@ -82,16 +80,12 @@
     void removeVanishedBefore(instant limit);
     /// Takes the version that an answer named.
     void noteVersion(std::string_view id, std::string_view model, std::uint64_t version);
-    /// The replica loads \a model and takes no request for it until \a until or until the version shows.
-    void noteLoading(std::string_view id, std::string_view model, instant until);
 
     const replica* find(std::string_view id) const;
     const std::map<std::string, replica, std::less<>>& replicas() const { return m_replicas; }
 
     /// Replica for a request, or null when none qualifies.
     const replica* pick(const replica_criteria& criteria, instant now) const;
-    /// Whether any replica of \a service exists that is not draining.
-    bool hasReplica(std::string_view service) const;
     void started(std::string_view id);
     void finished(std::string_view id, replica_outcome outcome, duration latency, instant now);
 
