Rollout: Load weights on a fifth of the replicas at once

Cause: at most two replicas loaded at once, whatever the size of the service. With 44 replicas and three models the loads of one version took as long as three steps, so most of the fleet stood with versions that no trainer took.

Change: the limit is a part of the service's replicas (setting load_share, 0.2), counted for each service. 9 and 12 replicas: two, as before.

--- a/src/libs/gateway/gatewayhost.cpp
+++ b/src/libs/gateway/gatewayhost.cpp
@@ -94,6 +94,7 @@
               ioContext, {}, [this](const http_exchange& exchange) { answerMetrics(exchange); }, malformed)
         , timer(ioContext)
     {
+        orderer.plan().setLoadShare(daemonSettings.loadShare);
     }
 
     std::error_code listen(http_server& server, const std::string& address, std::string& detail) const;
--- a/src/libs/gateway/gatewaysettings.h
+++ b/src/libs/gateway/gatewaysettings.h
@@ -27,6 +27,8 @@
     std::uint32_t journalPartitions = 1;
     /// Time between two holders of the right to order weights.
     duration orderLease = std::chrono::milliseconds(3000);
+    /// Replicas of a service that may load weights at once without slowing each other down, as a part of them.
+    double loadShare = 0.2;
     /// Time from the request to stop until the process is killed.
     duration stopTime = std::chrono::milliseconds(8000);
     log_settings log;
--- a/src/libs/rollout/weightplan.cpp
+++ b/src/libs/rollout/weightplan.cpp
@@ -1,14 +1,13 @@
 #include "weightplan.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace ragwortreach {
 
 namespace {
 
-    /// More loads at once slow each other down.
-    constexpr std::size_t maxLoads = 2;
     /// Usual time of a load, with a margin for the way of the order.
     constexpr duration loadTime = std::chrono::milliseconds(920);
     /// An order without an answer may be carried out so much later.
@@ -47,26 +46,46 @@
 std::vector<weight_order> weight_plan::plan(const replica_pool& pool, const route_table& routes, std::span<const std::string> barred, instant now)
 {
     forgetDone(pool, now);
-    std::vector<due_order> due;
+    std::vector<weight_order> orders;
     for (const service_definition& service : routes.configuration().services) {
         if (!service.engine)
             continue;
+        std::vector<due_order> due;
         for (const std::pair<const std::string, replica_list>& part : share(pool, service, now))
             addDue(due, part.first, part.second, isSingleVersion(part.first, routes) ? load_mode::Wait : load_mode::Retain);
+        std::erase_if(due, [barred](const due_order& item) {
+            return std::find(barred.begin(), barred.end(), item.order.replica) != barred.end();
+        });
+        std::stable_sort(due.begin(), due.end(), [](const due_order& left, const due_order& right) {
+            return std::make_tuple(!left.isUrgent, left.namedAt) < std::make_tuple(!right.isUrgent, right.namedAt);
+        });
+        startLoads(due, loadLimit(pool, service), orders, now);
     }
-    std::stable_sort(due.begin(), due.end(), [](const due_order& left, const due_order& right) {
-        return std::make_tuple(!left.isUrgent, left.namedAt) < std::make_tuple(!right.isUrgent, right.namedAt);
-    });
-    std::vector<weight_order> orders;
+    return orders;
+}
+
+/// Takes orders off the begin of \a due until \a limit replicas load.
+void weight_plan::startLoads(std::vector<due_order>& due, std::size_t limit, std::vector<weight_order>& orders, instant now)
+{
     for (due_order& item : due) {
-        if (m_loads.size() >= maxLoads)
-            break;
-        if (std::find(barred.begin(), barred.end(), item.order.replica) != barred.end())
-            continue;
+        if (m_loads.size() >= limit)
+            return;
         m_loads[item.order.replica] = { item.order.model, item.order.version, now + unknownOrderTime };
         orders.push_back(std::move(item.order));
     }
-    return orders;
+}
+
+std::size_t weight_plan::loadLimit(const replica_pool& pool, const service_definition& service) const
+{
+    std::size_t replicas = 0;
+    std::size_t loadsElsewhere = 0;
+    for (const std::pair<const std::string, replica_pool::replica>& item : pool.replicas()) {
+        const bool isOwn = item.second.entry.service == service.name;
+        replicas += isOwn ? 1U : 0U;
+        loadsElsewhere += !isOwn && m_loads.contains(item.first) ? 1U : 0U;
+    }
+    const std::size_t limit = static_cast<std::size_t>(std::lround(m_loadShare * static_cast<double>(replicas)));
+    return loadsElsewhere + std::max<std::size_t>(limit, 1);
 }
 
 /// Adds the replicas whose version is too old to serve, and others until half of the share has the newest version.
--- a/src/libs/rollout/weightplan.h
+++ b/src/libs/rollout/weightplan.h
@@ -54,13 +54,23 @@
 
 /// Decides which replicas load which version.
 ///
-/// Load pattern: each trainer names a version every few seconds, and only a few replicas can load at once. Loading
-/// each version everywhere takes longer than the trainers need for a step. So the replicas of a service are split
+/// Load pattern: each trainer names a version every few seconds, and only a part of the replicas of a service can load
+/// at once without slowing each other down. Loading each version everywhere takes longer than the trainers need for a step. So the replicas of a service are split
 /// among its models, and a version is loaded on half of the share of its model. The other half serves on with the
 /// version before, which the trainer still takes, and takes the next version when its own one is too old.
 /// Replicas that hold the newest version stay with their model.
 class weight_plan {
 public:
+    /// Replicas of a service that may load at once, as a part of them; more slow each other down.
+    static constexpr double defaultLoadShare = 0.2;
+
+    explicit weight_plan(double loadShare = defaultLoadShare)
+        : m_loadShare(loadShare)
+    {
+    }
+
+    void setLoadShare(double share) { m_loadShare = share; }
+
     /// Notes a version that a trainer named.
     void setTarget(std::string_view model, std::uint64_t version, instant now);
     std::uint64_t target(std::string_view model) const;
@@ -98,11 +108,14 @@
     };
 
     void addDue(std::vector<due_order>& due, std::string_view model, const replica_list& share, load_mode mode) const;
+    void startLoads(std::vector<due_order>& due, std::size_t limit, std::vector<weight_order>& orders, instant now);
+    std::size_t loadLimit(const replica_pool& pool, const service_definition& service) const;
     void forgetDone(const replica_pool& pool, instant now);
     std::map<std::string, replica_list> share(const replica_pool& pool, const service_definition& service, instant now) const;
     static const replica_pool::replica* bestFor(std::string_view model, const replica_list& free, instant now);
     bool isSingleVersion(std::string_view model, const route_table& routes) const;
 
+    double m_loadShare;
     std::map<std::string, target_version, std::less<>> m_targets;
     std::map<std::string, load, std::less<>> m_loads;
 };
