Rollout: Let runs leave replicas that are much slower than the others

An item has 24 events of about 40 ms in the mean and up to 174, so an item that begins on a slow replica misses its step, and with it its group. The smoothed latency of answers does not show it, since it depends on the lengths. Ruled out: reading the prompt again, which takes under 3 ms.

Change: the time between two events is smoothed for each replica; one with 1.8 times the usual interval of its service counts as slow, takes new runs last, and its runs go on elsewhere as soon as a faster replica has room. A replica that rejects again and again, as while it loads weights, rests for 50, 100, then 200 ms, in place of a pause of the item. A replica whose text was too old for the batch is not picked again at once. The items of a group go to one target of a split route.

tst_itemscheduler: 'Runs leave a replica that is much slower than the others'; without the comparison (factor 100) it fails with no run moved.

--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -44,6 +44,7 @@
         { counter("ragwortreach_item_runs_total", "Runs of items at replicas"), from.items.runsStarted },
         { counter("ragwortreach_item_runs_resumed_total", "Runs that went on after an event"), from.items.runsResumed },
         { counter("ragwortreach_item_runs_stalled_total", "Runs that were moved since no event came"), from.items.runsStalled },
+        { counter("ragwortreach_item_runs_moved_total", "Runs that went on at a faster replica"), from.items.runsMoved },
         { counter("ragwortreach_item_runs_not_run_total", "Runs that the replica did not start"), from.items.runsNotRun },
         { counter("ragwortreach_item_runs_broken_total", "Runs whose stream broke"), from.items.runsBroken },
         { counter("ragwortreach_items_completed_total", "Items with a whole text"), from.items.itemsCompleted },
--- a/src/libs/rollout/itemscheduler.cpp
+++ b/src/libs/rollout/itemscheduler.cpp
@@ -11,7 +11,9 @@
     constexpr duration stallTimeout = std::chrono::milliseconds(2500);
     /// Time in which the owner before hands over its texts.
     constexpr duration handoverPause = std::chrono::milliseconds(300);
-    constexpr duration retryPause = std::chrono::milliseconds(50);
+    constexpr duration compareInterval = std::chrono::milliseconds(100);
+    /// A run stays on a replica for so long at least, so that runs do not wander about.
+    constexpr duration minRunTime = std::chrono::milliseconds(250);
     constexpr duration failurePause = std::chrono::milliseconds(200);
 
 }
@@ -56,7 +58,12 @@
 
 void item_scheduler::schedule(instant now)
 {
+    if (now - m_comparedAt >= compareInterval) {
+        m_comparedAt = now;
+        m_pool.compareIntervals(now);
+    }
     checkRuns(now);
+    leaveSlowReplicas(now);
     // What a trainer no longer waits for takes only the room that is left.
     for (const bool isSatisfied : { false, true }) {
         for (const std::string& id : m_ledger.order()) {
@@ -89,11 +96,27 @@
     }
 }
 
+/// Items of a group go to one service, also when the route splits its requests.
+const service_definition* item_scheduler::serviceOf(const ledger_batch& batch, std::size_t item, const route& route) const
+{
+    const route_target* const target = chooseTarget(route, std::hash<std::string> {}(batch.submission.items[item].group));
+    return target ? m_routes.service(target->service) : nullptr;
+}
+
+replica_criteria item_scheduler::criteriaFor(const ledger_batch& batch, const service_definition& service)
+{
+    replica_criteria criteria;
+    criteria.service = service.name;
+    criteria.model = batch.submission.model;
+    criteria.minVersion = batch.submission.minVersion;
+    criteria.maxInFlight = service.engine ? service.engine->slots : 1;
+    return criteria;
+}
+
 /// False when no replica has room for the model of the batch.
 bool item_scheduler::startItem(const ledger_batch& batch, std::size_t item, const route& route, instant now)
 {
-    const route_target* const target = chooseTarget(route, m_lastRun + 1);
-    const service_definition* const service = target ? m_routes.service(target->service) : nullptr;
+    const service_definition* const service = serviceOf(batch, item, route);
     if (!service)
         return false;
     const item_key key { batch.submission.id, item };
@@ -101,12 +124,8 @@
     if (batch.items[item].progress.lastEvent > state.output.lastEvent)
         state.output = batch.items[item].progress;
     std::string& groupReplica = m_groupReplicas[{ key.batch, batch.submission.items[item].group }];
-    replica_criteria criteria;
-    criteria.service = service->name;
+    replica_criteria criteria = criteriaFor(batch, *service);
     criteria.excluded = state.excluded;
-    criteria.model = batch.submission.model;
-    criteria.minVersion = batch.submission.minVersion;
-    criteria.maxInFlight = service->engine ? service->engine->slots : 1;
     criteria.preferred = groupReplica;
     const replica_pool::replica* replica = m_pool.pick(criteria, now);
     if (!replica && !state.excluded.empty()) {
@@ -160,6 +179,40 @@
     }
 }
 
+void item_scheduler::leaveSlowReplicas(instant now)
+{
+    std::vector<run_number> slow;
+    for (const std::pair<const run_number, run_state>& item : m_runs) {
+        const replica_pool::replica* const replica = m_pool.find(item.second.replica);
+        if (replica && now - item.second.startedAt >= minRunTime && m_pool.isSlow(*replica, now))
+            slow.push_back(item.first);
+    }
+    for (const run_number run : slow) {
+        if (!moveRun(run, now))
+            return;
+    }
+}
+
+/// False when no faster replica has room.
+bool item_scheduler::moveRun(run_number run, instant now)
+{
+    const run_state& state = m_runs.find(run)->second;
+    const item_key key = state.key;
+    const ledger_batch& batch = *m_ledger.find(key.batch);
+    const route* const itemRoute = routeOf(batch, key.item);
+    const service_definition* const service = itemRoute ? serviceOf(batch, key.item, *itemRoute) : nullptr;
+    if (!service)
+        return true;
+    replica_criteria criteria = criteriaFor(batch, *service);
+    criteria.isFastOnly = true;
+    if (!m_pool.pick(criteria, now))
+        return false;
+    ++m_counters.runsMoved;
+    m_items[key].excluded.push_back(state.replica);
+    cancel(run, "a faster replica has room", now);
+    return startItem(batch, key.item, *itemRoute, now);
+}
+
 void item_scheduler::onHead(run_number run, std::optional<std::uint64_t> weightVersion)
 {
     const auto found = m_runs.find(run);
@@ -185,9 +238,13 @@
     if (!addVersion(item, state, *state.version)) {
         dropText(item);
         m_effects.emplace_back(cancel_run { run, "weights do not fit the batch" });
+        // The replica has other weights than it was listed with.
+        item.excluded.push_back(state.replica);
         endRun(run, replica_outcome::Cancelled, now);
         return;
     }
+    if (state.hasEvents)
+        m_pool.noteEvent(state.replica, now - state.lastEventAt, now);
     if (item.output.lastEvent != 0)
         item.output.text += '\n';
     item.output.text += event.data;
@@ -239,7 +296,6 @@
     case run_end::NotRun:
         ++m_counters.runsNotRun;
         endRun(run, replica_outcome::Full, now);
-        item.notBefore = now + retryPause;
         return;
     case run_end::Unreachable:
         endRun(run, replica_outcome::Failed, now);
--- a/src/libs/rollout/itemscheduler.h
+++ b/src/libs/rollout/itemscheduler.h
@@ -65,6 +65,8 @@
     std::uint64_t runsStarted = 0;
     std::uint64_t runsResumed = 0;
     std::uint64_t runsStalled = 0;
+    /// Runs that went on at a faster replica.
+    std::uint64_t runsMoved = 0;
     std::uint64_t runsNotRun = 0;
     std::uint64_t runsBroken = 0;
     std::uint64_t itemsCompleted = 0;
@@ -77,6 +79,8 @@
 ///
 /// Load pattern: bursts of groups from several trainers, each of which needs most groups whole. Groups go in the
 /// order of the submission, items of a group to one replica while it has room, so that their prompt is read once.
+/// Runs on a replica that is much slower than the others go on elsewhere as soon as there is room: the longest items
+/// take most of the time that a step has, and reading a prompt again is cheap.
 /// Batches whose trainer has what it waits for come last: after an outage the end of a batch may arrive late, and its
 /// rest would hold up the next step.
 class item_scheduler {
@@ -129,6 +133,10 @@
     void scheduleBatch(const ledger_batch& batch, instant now);
     bool startItem(const ledger_batch& batch, std::size_t item, const route& route, instant now);
     void checkRuns(instant now);
+    void leaveSlowReplicas(instant now);
+    bool moveRun(run_number run, instant now);
+    static replica_criteria criteriaFor(const ledger_batch& batch, const service_definition& service);
+    const service_definition* serviceOf(const ledger_batch& batch, std::size_t item, const route& route) const;
     void endRun(run_number run, replica_outcome outcome, instant now);
     void cancel(run_number run, std::string_view reason, instant now);
     bool addVersion(item_state& state, run_state& run, std::uint64_t version);
@@ -147,6 +155,7 @@
     std::map<std::pair<std::string, std::string>, std::string> m_groupReplicas;
     std::vector<scheduler_effect> m_effects;
     run_number m_lastRun = 0;
+    instant m_comparedAt {};
     scheduler_counters m_counters;
 };
 
--- a/src/libs/rollout/replicapool.h
+++ b/src/libs/rollout/replicapool.h
@@ -49,6 +49,8 @@
     std::uint32_t maxInFlight = UINT32_MAX;
     /// Replica that is taken when it qualifies, such as the one that holds the prompt in its cache.
     std::string_view preferred {};
+    /// Leaves out replicas whose streams are slow.
+    bool isFastOnly = false;
 };
 
 /// Replicas of all services, and the requests of this process on them.
@@ -56,6 +58,10 @@
 /// A replica that failed is left out for a while, twice as long after each further failure, and takes requests in
 /// that time only when no other one qualifies. Among those that qualify, the one with the shortest expected time
 /// wins: own requests times the usual latency; the own data centre goes first within a bound.
+///
+/// Of streams the time between two events tells more than the latency, which depends on their lengths. A replica
+/// whose events come much later than those of the others counts as slow until its events come in time again, or until
+/// it had no stream for a while.
 class replica_pool {
 public:
     struct replica {
@@ -68,6 +74,11 @@
         std::optional<instant> vanishedAt;
         /// Smoothed latency of answers, in seconds; 0 before the first one.
         double latency = 0;
+        /// Rejections in a row of a replica that was full or loaded weights.
+        std::uint32_t rejections = 0;
+        /// Smoothed time between two events of a stream, in seconds; 0 before the first one.
+        double eventInterval = 0;
+        instant eventAt {};
     };
 
     explicit replica_pool(std::string dataCentre);
@@ -81,6 +92,15 @@
     /// Takes the version that an answer named.
     void noteVersion(std::string_view id, std::string_view model, std::uint64_t version);
 
+    /// Notes an event of a stream, \a interval after the one before it.
+    void noteEvent(std::string_view id, duration interval, instant now);
+    /// Compares the replicas of each service anew; to be called every now and then.
+    void compareIntervals(instant now);
+    /// Whether the streams of the replica are much slower than those of the others of its service.
+    bool isSlow(const replica& replica, instant now) const;
+    /// Usual time between two events at the replicas of \a service, in seconds; 0 when it is not known.
+    double usualInterval(std::string_view service) const;
+
     const replica* find(std::string_view id) const;
     const std::map<std::string, replica, std::less<>>& replicas() const { return m_replicas; }
 
@@ -96,6 +116,7 @@
 
     std::string m_dataCentre;
     std::map<std::string, replica, std::less<>> m_replicas;
+    std::map<std::string, double, std::less<>> m_usualIntervals;
 };
 
 }
--- a/tests/auto/rollout/tst_itemscheduler.cpp
+++ b/tests/auto/rollout/tst_itemscheduler.cpp
@@ -261,3 +261,40 @@
         CHECK(world.startOne(400ms).afterEvent == 1);
     }
 }
+
+TEST_CASE("Runs leave a replica that is much slower than the others")
+{
+    scheduler_world world(4);
+    world.pool.update(makeReplica("r3", "north-a", 1));
+    world.ledger.apply(batch_accepted { makeBatch("b", 3, 2) }, at(0ms));
+    std::vector<start_run> runs = world.take<start_run>(0ms);
+    REQUIRE(runs.size() == 6);
+    for (const start_run& run : runs)
+        world.scheduler.onHead(run.run, 1);
+    std::map<run_number, std::uint64_t> events;
+    std::vector<cancel_run> cancelled;
+    std::vector<start_run> moved;
+    for (std::chrono::milliseconds now = 40ms; now <= 2s; now += 40ms) {
+        for (const start_run& run : runs) {
+            const bool isDue = run.replica != "r2" || now % 120ms == 0ms;
+            if (isDue)
+                world.feed(run.run, ++events[run.run], "x", now);
+        }
+        world.scheduler.schedule(at(now));
+        for (const scheduler_effect& effect : world.scheduler.takeEffects()) {
+            if (std::holds_alternative<cancel_run>(effect))
+                cancelled.push_back(std::get<cancel_run>(effect));
+            if (std::holds_alternative<start_run>(effect))
+                moved.push_back(std::get<start_run>(effect));
+        }
+        if (!moved.empty())
+            break;
+    }
+    REQUIRE(cancelled.size() == 2);
+    REQUIRE(moved.size() == 2);
+    for (const start_run& run : moved) {
+        CHECK(run.replica != "r2");
+        CHECK(run.afterEvent > 0);
+    }
+    CHECK(world.scheduler.counters().runsMoved == 2);
+}
