Rollout: Start the longest items of the wanted groups first

Load pattern: one item in ten is five times longer than the others and takes most of the time that a step has. In the order of the submission such an item often starts when the first free slot comes, a second or two late.

Change: itemOrder() ranks the groups by their longest expected item; groups that the trainer asks for again (found in its batches right before) count as wanted whatever other groups are complete. Items of wanted groups start by expected length, spare groups come last, one after the other. A batch counts as satisfied only when the repeated groups are complete, too.

--- a/src/libs/rollout/batchledger.cpp
+++ b/src/libs/rollout/batchledger.cpp
@@ -2,6 +2,11 @@
 
 namespace ragwortreach {
 
+namespace {
+    /// Trainers repeat the items of the batches right before.
+    constexpr std::size_t maxEarlierBatches = 6;
+}
+
 /// Applies one record to a ledger.
 class ledger_visitor {
 public:
@@ -24,6 +29,7 @@
             batch.itemIndex.emplace(batch.submission.items[index].id, index);
             ++batch.openItems[batch.submission.items[index].group];
         }
+        m_ledger.linkEarlier(batch);
         m_ledger.m_order.push_back(id);
         return &batch;
     }
@@ -39,8 +45,11 @@
         batch->items[*index].position = batch->results.size();
         batch->items[*index].progress = {};
         batch->results.push_back({ *index, record.isCompleted, record.output });
-        if (--batch->openItems[batch->submission.items[*index].group] == 0)
+        const std::string& group = batch->submission.items[*index].group;
+        if (--batch->openItems[group] == 0) {
             ++batch->completeGroups;
+            batch->openRequiredGroups -= batch->requiredGroups.contains(group) ? 1U : 0U;
+        }
         return batch;
     }
 
@@ -98,6 +107,27 @@
     return found == m_batches.end() ? nullptr : &found->second;
 }
 
+/// Looks for the items of \a batch in the newest batches of its model.
+void batch_ledger::linkEarlier(ledger_batch& batch) const
+{
+    std::size_t looked = 0;
+    for (std::size_t place = m_order.size(); place > 0 && looked < maxEarlierBatches; --place) {
+        const ledger_batch& before = m_batches.find(m_order[place - 1])->second;
+        if (before.submission.model != batch.submission.model)
+            continue;
+        ++looked;
+        for (std::size_t index = 0; index < batch.items.size(); ++index) {
+            const batch_item& item = batch.submission.items[index];
+            const std::optional<std::size_t> known = before.indexOf(item.id);
+            if (!known || batch.items[index].earlier || before.submission.items[*known].body != item.body)
+                continue;
+            batch.items[index].earlier = earlier_item { m_order[place - 1], *known };
+            batch.requiredGroups.insert(item.group);
+        }
+    }
+    batch.openRequiredGroups = batch.requiredGroups.size();
+}
+
 std::vector<std::string> batch_ledger::closedBefore(instant limit) const
 {
     std::vector<std::string> closed;
--- a/src/libs/rollout/batchledger.h
+++ b/src/libs/rollout/batchledger.h
@@ -6,13 +6,22 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string_view>
 
 namespace ragwortreach {
 
+/// Item of a batch that came before.
+struct earlier_item {
+    std::string batch;
+    std::size_t item = 0;
+};
+
 /// State of one item of a batch.
 struct ledger_item {
+    /// The same item in an earlier batch of the trainer.
+    std::optional<earlier_item> earlier;
     /// Position of its result; empty while there is none.
     std::optional<std::size_t> position;
     /// Text that another daemon left behind.
@@ -41,10 +50,16 @@
     std::map<std::string, std::size_t, std::less<>> openItems;
     /// Groups all of whose items have a result.
     std::size_t completeGroups = 0;
+    /// Groups that stood in an earlier batch. The trainer waits for them whatever other groups are complete.
+    std::set<std::string, std::less<>> requiredGroups;
+    std::size_t openRequiredGroups = 0;
 
     std::optional<std::size_t> indexOf(std::string_view item) const;
     /// Whether the trainer has as many complete groups as it waits for.
-    bool isSatisfied() const { return submission.wantedGroups != 0 && completeGroups >= submission.wantedGroups; }
+    bool isSatisfied() const
+    {
+        return submission.wantedGroups != 0 && completeGroups >= submission.wantedGroups && openRequiredGroups == 0;
+    }
     bool isOpen() const { return !isEnded && results.size() < items.size(); }
 };
 
@@ -67,6 +82,8 @@
 private:
     friend class ledger_visitor;
 
+    void linkEarlier(ledger_batch& batch) const;
+
     std::map<std::string, ledger_batch, std::less<>> m_batches;
     std::vector<std::string> m_order;
 };
--- a/src/libs/rollout/itemscheduler.cpp
+++ b/src/libs/rollout/itemscheduler.cpp
@@ -1,5 +1,7 @@
 #include "itemscheduler.h"
 
+#include "itemorder.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -80,7 +82,7 @@
     const auto owned = m_ownedSince.find(batch.submission.model);
     if (owned == m_ownedSince.end() || now - owned->second < handoverPause)
         return;
-    for (std::size_t item = 0; item < batch.items.size(); ++item) {
+    for (const std::size_t item : orderOf(batch)) {
         if (batch.items[item].position)
             continue;
         item_state& state = m_items[{ batch.submission.id, item }];
@@ -96,6 +98,14 @@
     }
 }
 
+const std::vector<std::size_t>& item_scheduler::orderOf(const ledger_batch& batch)
+{
+    std::vector<std::size_t>& order = m_orders[batch.submission.id];
+    if (order.empty())
+        order = itemOrder(batch);
+    return order;
+}
+
 /// Items of a group go to one service, also when the route splits its requests.
 const service_definition* item_scheduler::serviceOf(const ledger_batch& batch, std::size_t item, const route& route) const
 {
@@ -372,6 +382,10 @@
         const ledger_batch* const batch = m_ledger.find(entry.first.batch);
         return entry.second.run == 0 && (!batch || !batch->isOpen());
     });
+    std::erase_if(m_orders, [this](const std::pair<const std::string, std::vector<std::size_t>>& entry) {
+        const ledger_batch* const batch = m_ledger.find(entry.first);
+        return !batch || !batch->isOpen();
+    });
     std::erase_if(m_groupReplicas, [this](const std::pair<const std::pair<std::string, std::string>, std::string>& entry) {
         const ledger_batch* const batch = m_ledger.find(entry.first.first);
         return !batch || !batch->isOpen();
--- a/src/libs/rollout/itemscheduler.h
+++ b/src/libs/rollout/itemscheduler.h
@@ -77,8 +77,8 @@
 
 /// Runs the items of the batches whose models this daemon owns.
 ///
-/// Load pattern: bursts of groups from several trainers, each of which needs most groups whole. Groups go in the
-/// order of the submission, items of a group to one replica while it has room, so that their prompt is read once.
+/// Load pattern: bursts of groups from several trainers, each of which needs most groups whole. Items go in the
+/// order of itemOrder(), those of a group to one replica while it has room, so that their prompt is read once.
 /// Runs on a replica that is much slower than the others go on elsewhere as soon as there is room: the longest items
 /// take most of the time that a step has, and reading a prompt again is cheap.
 /// Batches whose trainer has what it waits for come last: after an outage the end of a batch may arrive late, and its
@@ -130,6 +130,7 @@
         bool hasEvents = false;
     };
 
+    const std::vector<std::size_t>& orderOf(const ledger_batch& batch);
     void scheduleBatch(const ledger_batch& batch, instant now);
     bool startItem(const ledger_batch& batch, std::size_t item, const route& route, instant now);
     void checkRuns(instant now);
@@ -152,6 +153,8 @@
     std::map<std::string, instant, std::less<>> m_ownedSince;
     std::map<item_key, item_state> m_items;
     std::map<run_number, run_state> m_runs;
+    /// Order of the items of each open batch.
+    std::map<std::string, std::vector<std::size_t>, std::less<>> m_orders;
     std::map<std::pair<std::string, std::string>, std::string> m_groupReplicas;
     std::vector<scheduler_effect> m_effects;
     run_number m_lastRun = 0;
--- a/src/libs/rollout/journalrecord.h
+++ b/src/libs/rollout/journalrecord.h
@@ -22,6 +22,8 @@
     std::string body;
     /// Prompt tokens and the largest number of generated ones together.
     std::uint64_t tokens = 0;
+    /// Estimate of the generated tokens by the trainer, right in the median and often far off; 0 when there is none.
+    std::uint64_t expectedTokens = 0;
     /// Items of one group share their prompt.
     std::string group;
 };
--- a/src/libs/wire/journalcodec.cpp
+++ b/src/libs/wire/journalcodec.cpp
@@ -25,6 +25,7 @@
         to.set_path(from.path);
         to.set_body(from.body);
         to.set_tokens(from.tokens);
+        to.set_expected_tokens(from.expectedTokens);
         to.set_group(from.group);
         for (const item_header& header : from.headers) {
             wire::JournalHeader& written = *to.add_headers();
@@ -35,7 +36,7 @@
 
     batch_item readItem(const wire::JournalItem& from)
     {
-        batch_item item { from.id(), from.path(), {}, from.body(), from.tokens(), from.group() };
+        batch_item item { from.id(), from.path(), {}, from.body(), from.tokens(), from.expected_tokens(), from.group() };
         for (const wire::JournalHeader& header : from.headers())
             item.headers.push_back({ header.name(), header.value() });
         return item;
--- a/tests/auto/gateway/tst_journal.cpp
+++ b/tests/auto/gateway/tst_journal.cpp
@@ -12,7 +12,7 @@
 {
     batch_submission batch;
     batch.id = "b";
-    batch.items.push_back({ "i", "/1", { { "Token-Usage", "1,2" } }, std::string(bodyBytes, 'p'), 3, "g" });
+    batch.items.push_back({ "i", "/1", { { "Token-Usage", "1,2" } }, std::string(bodyBytes, 'p'), 3, 0, "g" });
     return batch;
 }
 
--- a/tests/auto/platform/tst_batchcodec.cpp
+++ b/tests/auto/platform/tst_batchcodec.cpp
@@ -31,14 +31,16 @@
     std::string detail;
     const std::optional<batch_submission> batch = decodeSubmission(
         R"({"train_step":7,"model_id":"lace","min_version":6,"group_count":1,"items":[
-            {"id":"a","path":"/1","headers":{"Token-Usage":"5,6","Odd":null},"body":"bGFjZQ==","token_count":9,"group_id":"g"},
+            {"id":"a","path":"/1","headers":{"Token-Usage":"5,6","length-hint":"31","Odd":null},"body":"bGFjZQ==","token_count":9,"group_id":"g"},
             {"id":"b","path":"/2","body":null,"group_id":null}]})",
         detail);
     REQUIRE(batch);
     CHECK(batch->minVersion == 6);
     CHECK(batch->wantedGroups == 1);
     CHECK(batch->items[0].body == "lace");
-    CHECK(batch->items[0].headers.size() == 1);
+    CHECK(batch->items[0].headers.size() == 2);
+    CHECK(batch->items[0].expectedTokens == 31);
+    CHECK(batch->items[1].expectedTokens == 0);
     CHECK(batch->items[1].group == "b");
 }
 
@@ -60,7 +62,7 @@
     batch_submission submission;
     submission.id = "b";
     for (int number = 0; number < 5; ++number)
-        submission.items.push_back({ std::to_string(number), "/", {}, "", 0, "g" });
+        submission.items.push_back({ std::to_string(number), "/", {}, "", 0, 0, "g" });
     ledger.apply(batch_accepted { submission }, {});
     const std::string large(400000, 'x');
     for (int number = 0; number < 4; ++number)
--- a/tests/auto/platform/tst_requestcodec.cpp
+++ b/tests/auto/platform/tst_requestcodec.cpp
@@ -67,7 +67,7 @@
 {
     batch_submission batch;
     batch.host = "h";
-    const batch_item item { "item-1", "/lots/1", { { "Token-Usage", "5,6" } }, "prompt", 11, "g" };
+    const batch_item item { "item-1", "/lots/1", { { "Token-Usage", "5,6" } }, "prompt", 11, 0, "g" };
     const http_request sent = encodeItemRequest(batch, item, { "i-1", std::nullopt, 4 });
     CHECK(sent.method == "POST");
     CHECK(sent.target == "/lots/1");
--- a/tests/auto/rollout/rolloutfixture.cpp
+++ b/tests/auto/rollout/rolloutfixture.cpp
@@ -56,7 +56,7 @@
             std::string itemId = id;
             itemId += '-';
             itemId += name;
-            batch.items.push_back({ std::move(itemId), "/lots/" + name, {}, "prompt", 100, "group-" + std::to_string(group) });
+            batch.items.push_back({ std::move(itemId), "/lots/" + name, {}, "prompt", 100, 0, "group-" + std::to_string(group) });
         }
     }
     return batch;
