--- a/src/libs/gateway/batchdesk.cpp
+++ b/src/libs/gateway/batchdesk.cpp
@@ -7,8 +7,6 @@
 #include <support/log.h>
 #include <support/logline.h>
 
-#include <boost/asio/io_context.hpp>
-
 namespace ragwortreach {
 
 namespace {
@@ -50,7 +48,7 @@
     const platform::caller_request& m_caller;
 };
 
-batch_desk::batch_desk(boost::asio::io_context&, journal& journal, const route_table& routes, log& log)
+batch_desk::batch_desk(journal& journal, const route_table& routes, log& log)
     : m_journal(journal)
     , m_routes(routes)
     , m_log(log)
@@ -131,24 +129,62 @@
     const bool isAllListed = batch->results.size() == batch->items.size();
     if (read.call.position >= batch->results.size() && !isAllListed)
         return false;
-    read.exchange.respond(jsonAnswer(okStatus, platform::encodeResults(*batch, read.call.position)));
+    list(read, *batch);
     return true;
 }
 
+void batch_desk::list(const waiting_read& read, const ledger_batch& batch)
+{
+    std::vector<text_reference> references;
+    for (const ledger_result& result : batch.page(read.call.position, platform::maxResultBytes)) {
+        if (result.reference)
+            references.push_back(*result.reference);
+    }
+    if (references.empty()) {
+        respondResults(read, {});
+        return;
+    }
+    m_journal.texts().read(std::move(references), [this, read](const std::optional<text_store::text_list>& texts) {
+        if (texts)
+            respondResults(read, *texts);
+        else
+            respondUnknown(read.exchange, read.call.batch, "the log does not give the texts");
+    });
+}
+
+/// \a texts are those of the results that have a reference, in order; results that came meanwhile are left out.
+void batch_desk::respondResults(const waiting_read& read, const text_store::text_list& texts)
+{
+    const ledger_batch* const batch = m_journal.ledger().find(read.call.batch);
+    if (!batch) {
+        respondUnknown(read.exchange, read.call.batch, "the batch was forgotten");
+        return;
+    }
+    std::vector<platform::listed_result> results;
+    text_store::text_list::const_iterator next = texts.begin();
+    for (const ledger_result& result : batch->page(read.call.position, platform::maxResultBytes)) {
+        if (result.reference && next == texts.end())
+            break;
+        const std::string_view text = result.reference ? std::string_view(**next++) : std::string_view(result.output.text);
+        results.push_back({ batch->submission.items[result.item].id, result.isCompleted, text, result.output.versions });
+    }
+    read.exchange.respond(jsonAnswer(okStatus, platform::encodeResults(batch->items.size(), read.call.position, results)));
+}
+
 void batch_desk::answerLate(const waiting_read& read)
 {
     const ledger_batch* const batch = m_journal.ledger().find(read.call.batch);
     if (batch && isSure(read.call.batch)) {
-        read.exchange.respond(jsonAnswer(okStatus, platform::encodeResults(*batch, read.call.position)));
+        list(read, *batch);
         return;
     }
-    respondUnknown(read.exchange, read.call.batch);
+    respondUnknown(read.exchange, read.call.batch, "the ledger is behind the log");
 }
 
-void batch_desk::respondUnknown(const http_exchange& exchange, std::string_view batch)
+void batch_desk::respondUnknown(const http_exchange& exchange, std::string_view batch, std::string_view reason)
 {
     ++m_counters.readsUnsure;
-    writeLine("batch_read", batch, "refused", "the ledger is behind the log");
+    writeLine("batch_read", batch, "refused", reason);
     exchange.respond(refusal(result_code::LogUnavailable, "This daemon is not sure of the newest state.", comeBackAfter));
 }
 
@@ -163,7 +199,7 @@
     if (batch || isSure(call.batch))
         exchange.respond(failure(notFoundStatus, result_code::UnknownBatch, "There is no such item."));
     else
-        respondUnknown(exchange, call.batch);
+        respondUnknown(exchange, call.batch, "the ledger is behind the log");
 }
 
 void batch_desk::endBatch(const http_exchange& exchange, const platform::end_batch_call& call)
@@ -173,7 +209,7 @@
         if (isSure(call.batch))
             exchange.respond(failure(notFoundStatus, result_code::UnknownBatch, "There is no such batch."));
         else
-            respondUnknown(exchange, call.batch);
+            respondUnknown(exchange, call.batch, "the ledger is behind the log");
         return;
     }
     if (batch->isEnded) {
--- a/src/libs/gateway/batchdesk.h
+++ b/src/libs/gateway/batchdesk.h
@@ -32,7 +32,7 @@
 /// Any daemon answers for any batch from its ledger. One that may be behind the journal says that it is not sure.
 class batch_desk {
 public:
-    batch_desk(boost::asio::io_context& context, journal& journal, const route_table& routes, log& log);
+    batch_desk(journal& journal, const route_table& routes, log& log);
 
     void submit(const http_exchange& exchange, const platform::caller_request& caller);
     void answer(const http_exchange& exchange, const platform::caller_request& caller, const platform::batch_call& call);
@@ -56,9 +56,12 @@
     void readItem(const http_exchange& exchange, const platform::read_item_call& call);
     void endBatch(const http_exchange& exchange, const platform::end_batch_call& call);
     bool answerNow(const waiting_read& read);
+    /// Lists the results from the position on, once their texts are there.
+    void list(const waiting_read& read, const ledger_batch& batch);
+    void respondResults(const waiting_read& read, const text_store::text_list& texts);
     void answerLate(const waiting_read& read);
     bool isSure(std::string_view batch) const;
-    void respondUnknown(const http_exchange& exchange, std::string_view batch);
+    void respondUnknown(const http_exchange& exchange, std::string_view batch, std::string_view reason);
     void writeLine(std::string_view event, std::string_view batch, std::string_view outcome, std::string_view reason);
 
     journal& m_journal;
--- a/src/libs/gateway/gatewayhost.cpp
+++ b/src/libs/gateway/gatewayhost.cpp
@@ -79,13 +79,13 @@
         , pool(daemonSettings.dataCentre)
         , view(ioContext, store, routes, pool, daemonLog,
               { [this] { nameLeases(); }, [this](const std::string& model, std::uint64_t version) { nameVersion(model, version); } })
-        , batches(ioContext, store, daemonSettings.journalPartitions, life, [this](const ledger_batch& batch) { noteBatch(batch); })
+        , batches(ioContext, store, { daemonSettings.journalPartitions, daemonSettings.textPartitions }, life, [this](const ledger_batch& batch) { noteBatch(batch); })
         , leases(ioContext, store, { daemonSettings.vm, life }, daemonSettings.orderLease, daemonLog, [this] { assignWork(); })
         , scheduler(batches.ledger(), pool, routes)
         , runner(ioContext, client, batches, scheduler, pool, daemonLog)
         , orderer(client, leases.agent(), pool, routes, daemonSettings.vm, daemonLog)
         , relay(ioContext, client, pool, routes, daemonLog)
-        , desk(ioContext, batches, routes, daemonLog)
+        , desk(batches, routes, daemonLog)
         , callers(
               ioContext, callerLimits(), [this](const http_exchange& exchange) { serve(exchange); }, malformed)
         , readiness(
--- a/src/libs/gateway/gatewaysettings.cpp
+++ b/src/libs/gateway/gatewaysettings.cpp
@@ -36,6 +36,7 @@
         "metrics": { "type": "string", "description": "an IP number and a port, such as 127.0.0.1:8080" },
         "store": { "type": "string", "description": "an IP number and a port, such as 127.0.0.1:8080" },
         "journal_partitions": { "type": "integer", "minimum": 1, "maximum": 64, "description": "a whole number from 1 to 64" },
+        "text_partitions": { "type": "integer", "minimum": 1, "maximum": 64, "description": "a whole number from 1 to 64" },
         "order_lease_ms": { "type": "integer", "minimum": 0, "maximum": 600000, "description": "milliseconds, from 0 to 600000" },
         "load_share": { "type": "number", "minimum": 0.001, "maximum": 1, "description": "a part of the replicas of a service, from 0.001 to 1" },
         "stop_s": { "type": "number", "minimum": 0.1, "maximum": 3600, "description": "seconds, from 0.1 to 3600" }
@@ -92,6 +93,7 @@
     if (!areAddresses)
         return result_code::SettingsOutOfRange;
     read.journalPartitions = gateway.value("journal_partitions", read.journalPartitions);
+    read.textPartitions = gateway.value("text_partitions", read.textPartitions);
     read.orderLease = readMilliseconds(gateway, "order_lease_ms", read.orderLease);
     read.loadShare = gateway.value("load_share", read.loadShare);
     const double stopSeconds = gateway.value("stop_s", std::chrono::duration<double>(read.stopTime).count());
--- a/src/libs/gateway/gatewaysettings.h
+++ b/src/libs/gateway/gatewaysettings.h
@@ -25,6 +25,8 @@
     std::string storeAddress;
     /// Partitions of the journal of batches.
     std::uint32_t journalPartitions = 1;
+    /// Partitions of the texts of results.
+    std::uint32_t textPartitions = 4;
     /// Time between two holders of the right to order weights.
     duration orderLease = std::chrono::milliseconds(3000);
     /// Replicas of a service that may load weights at once without slowing each other down, as a part of them.
--- a/src/libs/gateway/journal.cpp
+++ b/src/libs/gateway/journal.cpp
@@ -19,6 +19,8 @@
     /// A read that waits no longer confirms often enough that an answer can say there is nothing yet.
     constexpr duration readWait = std::chrono::milliseconds(400);
     constexpr duration readSpacing = std::chrono::milliseconds(60);
+    /// Longer texts stand apart from the records; a shorter one is not worth a record of its own.
+    constexpr std::size_t maxInlineBytes = 600;
     constexpr char moreFollows = '+';
     constexpr char isLast = '.';
 
@@ -34,21 +36,32 @@
         return std::visit(visitor(), record);
     }
 
+    std::vector<text_reference> textsOf(const ledger_batch& batch)
+    {
+        std::vector<text_reference> references;
+        for (const ledger_result& result : batch.results) {
+            if (result.reference)
+                references.push_back(*result.reference);
+        }
+        return references;
+    }
+
 }
 
-journal::journal(boost::asio::io_context& context, shared_log& log, std::uint32_t partitions, std::string writer,
+journal::journal(boost::asio::io_context& context, shared_log& log, const journal_options& options, std::string writer,
     std::function<void(const ledger_batch&)> onChanged)
     : m_writerName(std::move(writer))
     , m_onChanged(std::move(onChanged))
+    , m_texts(context, log, options.textPartitions, m_writerName)
 {
-    for (std::uint32_t number = 0; number < partitions; ++number) {
+    for (std::uint32_t number = 0; number < options.partitions; ++number) {
         const topic_partition where { std::string(topicName), number };
         topic_follower::handlers handlers;
         handlers.onSnapshot = [this](std::span<const keyed_record>, std::span<const keyed_record> fresh) { apply(fresh); };
         handlers.onRecords = [this](std::span<const keyed_record> records) { apply(records); };
-        const topic_follower_options options { where, readWait, readSpacing };
+        const topic_follower_options following { where, readWait, readSpacing };
         partition& added = m_partitions.emplace_back();
-        added.follower = std::make_unique<topic_follower>(context, log, options, std::move(handlers));
+        added.follower = std::make_unique<topic_follower>(context, log, following, std::move(handlers));
         added.writer = std::make_unique<journal_writer>(context, log, where, m_writerName + "-" + std::to_string(number));
     }
 }
@@ -64,7 +77,25 @@
     return XXH3_64bits(batch.data(), batch.size()) % m_partitions.size();
 }
 
-void journal::write(const journal_record& record, write_mode mode, journal_writer::done_handler onDone)
+void journal::write(const journal_record& record, write_mode mode, std::function<void(append_status)> onDone)
+{
+    const item_finished* const finished = std::get_if<item_finished>(&record);
+    if (!finished || finished->output.text.size() <= maxInlineBytes) {
+        writeRecord(record, mode, std::move(onDone));
+        return;
+    }
+    item_finished rest = *finished;
+    std::string text = std::move(rest.output.text);
+    rest.output.text.clear();
+    m_texts.write(finished->batch, finished->item, std::move(text),
+        [this, rest = std::move(rest), mode, whenDone = std::move(onDone)](const text_reference& reference) {
+            item_finished record = rest;
+            record.reference = reference;
+            writeRecord(record, mode, whenDone);
+        });
+}
+
+void journal::writeRecord(const journal_record& record, write_mode mode, std::function<void(append_status)> onDone)
 {
     const std::string bytes = encodeJournalRecord(record);
     const std::string keyBegin = m_writerName + "/" + std::to_string(++m_lastRecord);
@@ -77,7 +108,10 @@
         value += chunk;
         records.push_back({ keyBegin + "/" + std::to_string(records.size()), std::move(value), 0 });
     } while (!rest.empty());
-    m_partitions[partitionOf(batchOf(record))].writer->write(std::move(records), mode, std::move(onDone));
+    m_partitions[partitionOf(batchOf(record))].writer->write(std::move(records), mode, [whenDone = std::move(onDone)](const append_report& report) {
+        if (whenDone)
+            whenDone(report.status);
+    });
 }
 
 void journal::apply(std::span<const keyed_record> records)
@@ -124,8 +158,11 @@
 void journal::forgetBefore(instant limit, const std::function<bool(const ledger_batch&)>& isKeeper)
 {
     for (const std::string& id : m_ledger.closedBefore(limit)) {
-        if (isKeeper(*m_ledger.find(id)))
+        const ledger_batch& batch = *m_ledger.find(id);
+        if (isKeeper(batch)) {
             removeFromLog(id);
+            m_texts.remove(textsOf(batch));
+        }
         m_ledger.forget(id);
         m_keys.erase(id);
     }
@@ -168,7 +205,7 @@
 
 std::size_t journal::waiting() const
 {
-    std::size_t waiting = 0;
+    std::size_t waiting = m_texts.waiting();
     for (const partition& item : m_partitions)
         waiting += item.writer->waiting();
     return waiting;
--- a/src/libs/gateway/journal.h
+++ b/src/libs/gateway/journal.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "journalwriter.h"
+#include "textstore.h"
 #include "topicfollower.h"
 
 #include <rollout/batchledger.h>
@@ -18,6 +19,13 @@
     std::uint64_t recordsUnreadable = 0;
 };
 
+struct journal_options {
+    /// Partitions of the journal itself.
+    std::uint32_t partitions = 1;
+    /// Partitions of the texts of results.
+    std::uint32_t textPartitions = 1;
+};
+
 /// The journal of batches: writes records and folds what all daemons wrote into a ledger.
 ///
 /// A batch and all that is said of it stand in one partition, so their records have one order. Records have keys that
@@ -25,11 +33,15 @@
 class journal {
 public:
     /// \a writer names this life of the process; no other process ever has the same name.
-    journal(boost::asio::io_context& context, shared_log& log, std::uint32_t partitions, std::string writer,
+    journal(boost::asio::io_context& context, shared_log& log, const journal_options& options, std::string writer,
         std::function<void(const ledger_batch&)> onChanged);
 
     void start();
-    void write(const journal_record& record, write_mode mode, journal_writer::done_handler onDone);
+    /// A long text of a result is written apart from its record.
+    void write(const journal_record& record, write_mode mode, std::function<void(append_status)> onDone);
+
+    text_store& texts() { return m_texts; }
+    const text_store& texts() const { return m_texts; }
 
     const batch_ledger& ledger() const { return m_ledger; }
     /// Forgets the batches that are closed and older than \a limit. Those for which \a isKeeper says so are removed from
@@ -55,6 +67,7 @@
         std::vector<std::string> others;
     };
 
+    void writeRecord(const journal_record& record, write_mode mode, std::function<void(append_status)> onDone);
     void removeFromLog(const std::string& batch);
     struct partial_record {
         std::string bytes;
@@ -70,6 +83,7 @@
     std::uint64_t m_lastRecord = 0;
     std::function<void(const ledger_batch&)> m_onChanged;
     std::vector<partition> m_partitions;
+    text_store m_texts;
     batch_ledger m_ledger;
     /// Records that were cut into several, by writer and number, until the last part comes.
     std::map<std::string, partial_record> m_chunks;
--- a/src/libs/gateway/journalwriter.cpp
+++ b/src/libs/gateway/journalwriter.cpp
@@ -77,7 +77,7 @@
 {
     switch (outcome.status) {
     case append_status::Done:
-        complete();
+        complete(outcome.firstOffset);
         return;
     case append_status::Refused:
         ++m_failures;
@@ -93,7 +93,7 @@
         return;
     case append_status::WrongSequence:
         if (outcome.expectedSequence > m_identity.sequence) {
-            complete();
+            complete(std::nullopt);
             return;
         }
         [[fallthrough]];
@@ -105,14 +105,16 @@
     }
 }
 
-void journal_writer::complete()
+void journal_writer::complete(std::optional<std::uint64_t> firstOffset)
 {
     ++m_identity.sequence;
     std::vector<entry> done = std::exchange(m_sending, {});
     sendNext();
     for (entry& item : done) {
         if (!item.isReported && item.onDone)
-            item.onDone(append_status::Done);
+            item.onDone({ append_status::Done, firstOffset });
+        if (firstOffset)
+            *firstOffset += item.records.size();
     }
 }
 
@@ -127,7 +129,7 @@
         return true;
     });
     for (entry& item : refused)
-        item.onDone(append_status::Refused);
+        item.onDone({ append_status::Refused });
 }
 
 void journal_writer::reportUnknown()
@@ -137,7 +139,7 @@
         if (item.mode != write_mode::OneTry || item.isReported || !isLong)
             continue;
         item.isReported = true;
-        item.onDone(append_status::Unknown);
+        item.onDone({ append_status::Unknown });
     }
 }
 
--- a/src/libs/gateway/journalwriter.h
+++ b/src/libs/gateway/journalwriter.h
@@ -19,13 +19,20 @@
     OneTry,
 };
 
+/// What became of records.
+struct append_report {
+    append_status status = append_status::Unknown;
+    /// With Done, offset of the first record; empty when the log did not name it.
+    std::optional<std::uint64_t> firstOffset {};
+};
+
 /// Appends records to one partition of the journal, each exactly once.
 ///
 /// One append is under way at a time; the records that wait go together in the next one. An append without an answer
 /// is repeated under its numbers, which the log carries out once.
 class journal_writer {
 public:
-    using done_handler = std::function<void(append_status)>;
+    using done_handler = std::function<void(const append_report&)>;
 
     journal_writer(boost::asio::io_context& context, shared_log& log, topic_partition where, std::string producer);
 
@@ -47,7 +54,7 @@
     void sendNext();
     void send();
     void take(const append_outcome& outcome);
-    void complete();
+    void complete(std::optional<std::uint64_t> firstOffset);
     void refuse();
     void reportUnknown();
     void retryLater();
--- a/src/libs/gateway/leasekeeper.cpp
+++ b/src/libs/gateway/leasekeeper.cpp
@@ -92,7 +92,7 @@
         }
         encoded.push_back(std::move(added));
     }
-    m_writer.write(std::move(encoded), write_mode::OneTry, std::move(onDone));
+    m_writer.write(std::move(encoded), write_mode::OneTry, [whenDone = std::move(onDone)](const append_report& report) { whenDone(report.status); });
 }
 
 }
--- /dev/null
+++ b/src/libs/gateway/textread.cpp
@@ -0,0 +1,175 @@
+#include "textread.h"
+
+#include <algorithm>
+
+namespace ragwortreach {
+
+namespace {
+
+    /// Room in an answer for the key and the frame of a record.
+    constexpr std::size_t recordOverhead = 256;
+    /// Largest answer that the log gives.
+    constexpr std::size_t maxRangeBytes = std::size_t { 1024 } * 1024;
+
+    std::string_view batchPrefixOf(std::string_view key)
+    {
+        return key.substr(0, key.find('/') + 1);
+    }
+
+    std::size_t rangeBytes(const text_reference& reference)
+    {
+        return reference.bytes + reference.records * recordOverhead;
+    }
+
+}
+
+text_store::text_read::text_read(text_store& store, std::vector<text_reference> references,
+    std::function<void(const std::optional<text_list>&)> onDone)
+    : m_store(store)
+    , m_references(std::move(references))
+    , m_texts(m_references.size())
+    , m_onDone(std::move(onDone))
+{
+}
+
+void text_store::text_read::start()
+{
+    for (std::size_t index = 0; index < m_references.size(); ++index) {
+        m_texts[index] = m_store.cached(m_references[index].key);
+        m_store.m_counters.fromCache += m_texts[index] ? 1U : 0U;
+    }
+    step();
+}
+
+/// Goes on with the missing text that stands first in its partition.
+void text_store::text_read::step()
+{
+    std::optional<std::size_t> first;
+    for (std::size_t index = 0; index < m_references.size(); ++index) {
+        if (!m_texts[index] && (!first || m_references[index].offset < m_references[*first].offset))
+            first = index;
+    }
+    if (first)
+        readRange(*first);
+    else
+        finish(true);
+}
+
+void text_store::text_read::readRange(std::size_t first)
+{
+    const text_reference& begin = m_references[first];
+    std::size_t bytes = 0;
+    for (std::size_t index = 0; index < m_references.size(); ++index) {
+        if (!m_texts[index] && m_references[index].partition == begin.partition)
+            bytes += rangeBytes(m_references[index]);
+    }
+    const read_range range { begin.offset, {}, std::clamp(bytes, rangeBytes(begin), std::max(maxRangeBytes, rangeBytes(begin))) };
+    m_store.m_log.read(topicOf(begin.partition), range,
+        [self = shared_from_this(), first](const read_outcome& outcome) { self->takeRange(first, outcome); });
+}
+
+void text_store::text_read::takeRange(std::size_t first, const read_outcome& outcome)
+{
+    switch (outcome.status) {
+    case read_status::Unavailable:
+        finish(false);
+        return;
+    case read_status::Expired:
+        readPages(first, std::string(batchPrefixOf(m_references[first].key)));
+        return;
+    case read_status::Done:
+        break;
+    }
+    const text_reference& begin = m_references[first];
+    for (std::size_t index = 0; index < m_references.size(); ++index) {
+        const bool isCandidate = !m_texts[index] && m_references[index].partition == begin.partition;
+        if (isCandidate && takeText(index, begin.offset, outcome.records))
+            ++m_store.m_counters.fromLog;
+    }
+    if (m_texts[first])
+        step();
+    else
+        readPages(first, std::string(batchPrefixOf(begin.key)));
+}
+
+bool text_store::text_read::takeText(std::size_t index, std::uint64_t from, std::span<const keyed_record> records)
+{
+    const text_reference& reference = m_references[index];
+    if (reference.offset < from || reference.offset - from + reference.records > records.size())
+        return false;
+    std::string text;
+    for (const keyed_record& record : records.subspan(reference.offset - from, reference.records)) {
+        if (!record.key.starts_with(reference.key))
+            return false;
+        text += record.value.value_or("");
+    }
+    if (text.size() != reference.bytes)
+        return false;
+    set(index, std::move(text));
+    return true;
+}
+
+void text_store::text_read::readPages(std::size_t first, const std::string& afterKey)
+{
+    m_store.m_log.readNewest(topicOf(m_references[first].partition), afterKey,
+        [self = shared_from_this(), first](const newest_outcome& page) { self->takePage(first, page); });
+}
+
+void text_store::text_read::takePage(std::size_t first, const newest_outcome& page)
+{
+    if (!page.isDone) {
+        finish(false);
+        return;
+    }
+    const std::string_view prefix = batchPrefixOf(m_references[first].key);
+    std::string lastKey;
+    for (const keyed_record& record : page.records) {
+        lastKey = std::max(lastKey, record.key);
+        if (record.value && record.key.starts_with(prefix))
+            m_paged[record.key] = *record.value;
+    }
+    if (page.hasMore && lastKey.starts_with(prefix)) {
+        readPages(first, lastKey);
+        return;
+    }
+    takePagedTexts(prefix);
+    if (m_texts[first])
+        step();
+    else
+        finish(false);
+}
+
+void text_store::text_read::takePagedTexts(std::string_view batchPrefix)
+{
+    for (std::size_t index = 0; index < m_references.size(); ++index) {
+        const text_reference& reference = m_references[index];
+        if (m_texts[index] || !reference.key.starts_with(batchPrefix))
+            continue;
+        std::string text;
+        for (std::uint32_t number = 0; number < reference.records; ++number) {
+            const auto found = m_paged.find(chunkKey(reference.key, number));
+            if (found != m_paged.end())
+                text += found->second;
+        }
+        if (text.size() != reference.bytes)
+            continue;
+        ++m_store.m_counters.fromPages;
+        set(index, std::move(text));
+    }
+    m_paged.clear();
+}
+
+void text_store::text_read::set(std::size_t index, std::string text)
+{
+    m_texts[index] = std::make_shared<const std::string>(std::move(text));
+    m_store.keep(m_references[index].key, m_texts[index]);
+}
+
+void text_store::text_read::finish(bool isWhole)
+{
+    if (!isWhole)
+        ++m_store.m_counters.readFailures;
+    m_onDone(isWhole ? std::optional<text_list>(std::move(m_texts)) : std::nullopt);
+}
+
+}
--- /dev/null
+++ b/src/libs/gateway/textstore.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "journalwriter.h"
+
+#include <rollout/journalrecord.h>
+#include <rollout/sharedlog.h>
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace ragwortreach {
+
+struct text_counters {
+    std::uint64_t written = 0;
+    std::uint64_t fromCache = 0;
+    std::uint64_t fromLog = 0;
+    /// Reads that went through the pages of newest records, since the history was gone.
+    std::uint64_t fromPages = 0;
+    std::uint64_t readFailures = 0;
+};
+
+/// Texts of results, each a record of its own in the log.
+///
+/// All daemons need to know that an item has its result, few need its text, and that once. So texts stand apart from
+/// the journal, which names them, and are read when a trainer asks for them.
+class text_store {
+public:
+    using text_list = std::vector<std::shared_ptr<const std::string>>;
+
+    /// \a writer names this life of the process; it is a part of the keys, so no text is ever written over.
+    text_store(boost::asio::io_context& context, shared_log& log, std::uint32_t partitions, std::string writer);
+    ~text_store();
+
+    /// Appends \a text; \a onDone hears where it stands, once it does.
+    void write(std::string_view batch, std::string_view item, std::string text, std::function<void(const text_reference&)> onDone);
+    /// \a onDone gets the texts in the order of \a references, or nothing when the log does not answer.
+    void read(std::vector<text_reference> references, std::function<void(const std::optional<text_list>&)> onDone);
+    /// Removes texts from the log.
+    void remove(std::span<const text_reference> references);
+
+    /// Texts that do not stand in the log yet.
+    std::size_t waiting() const;
+    const text_counters& counters() const { return m_counters; }
+
+private:
+    class text_read;
+
+    static topic_partition topicOf(std::uint32_t partition);
+    static std::string chunkKey(const std::string& key, std::uint32_t number);
+    void append(text_reference reference, std::vector<keyed_record> records, std::shared_ptr<const std::string> text,
+        std::function<void(const text_reference&)> onDone);
+    void keep(const std::string& key, std::shared_ptr<const std::string> text);
+    std::shared_ptr<const std::string> cached(const std::string& key);
+
+    struct cache_entry {
+        std::string key;
+        std::shared_ptr<const std::string> text;
+    };
+
+    shared_log& m_log;
+    std::string m_writerName;
+    std::vector<std::unique_ptr<journal_writer>> m_writers;
+    /// Newest use first.
+    std::list<cache_entry> m_cache;
+    std::map<std::string, std::list<cache_entry>::iterator, std::less<>> m_cacheIndex;
+    std::size_t m_cacheBytes = 0;
+    text_counters m_counters;
+};
+
+}
--- a/src/libs/gateway/topicfollower.cpp
+++ b/src/libs/gateway/topicfollower.cpp
@@ -85,7 +85,7 @@
 void topic_follower::readTail()
 {
     m_sentAt = bootNow();
-    m_log.read(m_options.where, m_next, m_options.wait, [this](const read_outcome& outcome) { takeTail(outcome); });
+    m_log.read(m_options.where, { m_next, m_options.wait }, [this](const read_outcome& outcome) { takeTail(outcome); });
 }
 
 void topic_follower::takeTail(const read_outcome& outcome)
--- a/src/libs/rollout/batchledger.cpp
+++ b/src/libs/rollout/batchledger.cpp
@@ -44,7 +44,7 @@
             return nullptr;
         batch->items[*index].position = batch->results.size();
         batch->items[*index].progress = {};
-        batch->results.push_back({ *index, record.isCompleted, record.output });
+        batch->results.push_back({ *index, record.isCompleted, record.output, record.reference });
         const std::string& group = batch->submission.items[*index].group;
         if (--batch->openItems[group] == 0) {
             ++batch->completeGroups;
@@ -96,6 +96,21 @@
     return found->second;
 }
 
+std::span<const ledger_result> ledger_batch::page(std::size_t position, std::size_t maxBytes) const
+{
+    if (position >= results.size())
+        return {};
+    std::size_t count = 0;
+    std::uint64_t bytes = 0;
+    for (const ledger_result& result : std::span(results).subspan(position)) {
+        bytes += result.bytes();
+        if (count > 0 && bytes > maxBytes)
+            break;
+        ++count;
+    }
+    return std::span(results).subspan(position, count);
+}
+
 const ledger_batch* batch_ledger::apply(const journal_record& record, instant now)
 {
     return std::visit(ledger_visitor(*this, now), record);
--- a/src/libs/rollout/batchledger.h
+++ b/src/libs/rollout/batchledger.h
@@ -33,7 +33,11 @@
     /// Index of the item in the submission.
     std::size_t item = 0;
     bool isCompleted = true;
+    /// Without its text when \a reference says where that stands.
     item_text output;
+    std::optional<text_reference> reference;
+
+    std::uint64_t bytes() const { return reference ? reference->bytes : output.text.size(); }
 };
 
 /// Batch with what the journal says of it.
@@ -55,6 +59,8 @@
     std::size_t openRequiredGroups = 0;
 
     std::optional<std::size_t> indexOf(std::string_view item) const;
+    /// Results from \a position on whose texts have \a maxBytes together; at least one, if there is one.
+    std::span<const ledger_result> page(std::size_t position, std::size_t maxBytes) const;
     /// Whether the trainer has as many complete groups as it waits for.
     bool isSatisfied() const
     {
--- a/src/libs/rollout/journalrecord.h
+++ b/src/libs/rollout/journalrecord.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -56,13 +57,28 @@
     std::vector<std::uint64_t> versions;
 };
 
+/// Place of a text that stands in the log by itself.
+struct text_reference {
+    /// Key of the record; with several records, the begin of their keys.
+    std::string key;
+    std::uint32_t partition = 0;
+    /// Offset of the first record.
+    std::uint64_t offset = 0;
+    /// Records that the text is cut into, one after the other.
+    std::uint32_t records = 1;
+    /// Length of the text.
+    std::uint64_t bytes = 0;
+};
+
 /// An item has its final result. The first record of an item counts.
 struct item_finished {
     std::string batch;
     std::string item;
     /// False for an item that was given up.
     bool isCompleted = true;
+    /// Without its text when \a reference says where that stands.
     item_text output;
+    std::optional<text_reference> reference {};
 };
 
 /// Text of an item that another daemon is to go on with.
--- a/src/libs/rollout/sharedlog.h
+++ b/src/libs/rollout/sharedlog.h
@@ -41,6 +41,8 @@
 
 struct append_outcome {
     append_status status = append_status::Unknown;
+    /// With Done, offset of the first record.
+    std::optional<std::uint64_t> firstOffset {};
     /// With WrongSequence, the number that the log expects.
     std::uint64_t expectedSequence = 0;
 };
@@ -52,6 +54,15 @@
     std::uint64_t sequence = 0;
 };
 
+/// Records that a read asks for.
+struct read_range {
+    std::uint64_t from = 0;
+    /// Time that the read waits for a record.
+    duration wait {};
+    /// Bytes after which the answer ends.
+    std::size_t maxBytes = std::size_t { 1024 } * 1024;
+};
+
 enum class read_status {
     Done,
     /// The log no longer holds records from the offset on.
@@ -82,8 +93,7 @@
     virtual void append(const topic_partition& where, const append_identity& identity, std::span<const keyed_record> records,
         std::function<void(const append_outcome&)> onDone)
         = 0;
-    /// Waits up to \a wait for a record at \a from or later.
-    virtual void read(const topic_partition& where, std::uint64_t from, duration wait, std::function<void(const read_outcome&)> onDone) = 0;
+    virtual void read(const topic_partition& where, const read_range& range, std::function<void(const read_outcome&)> onDone) = 0;
     /// Newest records of the keys after \a afterKey.
     virtual void readNewest(const topic_partition& where, std::string_view afterKey, std::function<void(const newest_outcome&)> onDone) = 0;
 };
--- a/src/libs/wire/journalcodec.cpp
+++ b/src/libs/wire/journalcodec.cpp
@@ -19,6 +19,20 @@
         return { from.text(), from.last_event(), { from.versions().begin(), from.versions().end() } };
     }
 
+    void writeReference(const text_reference& from, wire::JournalTextReference& to)
+    {
+        to.set_key(from.key);
+        to.set_partition(from.partition);
+        to.set_offset(from.offset);
+        to.set_records(from.records);
+        to.set_bytes(from.bytes);
+    }
+
+    text_reference readReference(const wire::JournalTextReference& from)
+    {
+        return { from.key(), from.partition(), from.offset(), from.records(), from.bytes() };
+    }
+
     void writeItem(const batch_item& from, wire::JournalItem& to)
     {
         to.set_id(from.id);
@@ -69,6 +83,8 @@
             finished.set_item(record.item);
             finished.set_completed(record.isCompleted);
             writeText(record.output, *finished.mutable_output());
+            if (record.reference)
+                writeReference(*record.reference, *finished.mutable_reference());
         }
 
         void operator()(const item_progressed& record) const
@@ -118,7 +134,10 @@
         return readAccepted(message.accepted());
     case wire::JournalRecord::kFinished: {
         const wire::JournalItemFinished& finished = message.finished();
-        return item_finished { finished.batch(), finished.item(), finished.completed(), readText(finished.output()) };
+        item_finished record { finished.batch(), finished.item(), finished.completed(), readText(finished.output()), std::nullopt };
+        if (finished.has_reference())
+            record.reference = readReference(finished.reference());
+        return record;
     }
     case wire::JournalRecord::kProgressed: {
         const wire::JournalItemProgressed& progressed = message.progressed();
--- a/tests/auto/rollout/tst_batchledger.cpp
+++ b/tests/auto/rollout/tst_batchledger.cpp
@@ -96,3 +96,18 @@
     CHECK(ledger.find("late"));
     CHECK(ledger.order().size() == 2);
 }
+
+TEST_CASE("A page of results ends before its texts are too long, but has one result at least")
+{
+    batch_ledger ledger;
+    ledger.apply(batch_accepted { makeBatch("b", 5, 1) }, at(0ms));
+    const text_reference large { "b/b-1-0/writer", 0, 7, 1, 400 };
+    ledger.apply(item_finished { "b", "b-0-0", true, { std::string(400, 'x'), 1, { 1 } } }, at(0ms));
+    ledger.apply(item_finished { "b", "b-1-0", true, { "", 1, { 1 } }, large }, at(0ms));
+    ledger.apply(item_finished { "b", "b-2-0", true, { std::string(2000, 'x'), 1, { 1 } } }, at(0ms));
+    const ledger_batch& batch = *ledger.find("b");
+    CHECK(batch.page(0, 900).size() == 2);
+    CHECK(batch.page(1, 900).size() == 1);
+    CHECK(batch.page(2, 900).size() == 1);
+    CHECK(batch.page(3, 900).empty());
+}
