Gateway, Rollout: Save the texts of long items while they run, and go on with groups that come again

Cause: a tenth of the items runs for five seconds and more. Groups that a trainer asks for again began anew, too, though results and texts of them stood in the ledger.

Change: every 0.7 s the owner saves the texts that have grown by 12 events, in a keyed topic that only a new owner of the model reads; it holds the items back until they are read, a second at most. Items of an earlier batch with the same id and body go on: a result is named again by its place, a text is gone on with, each only if its versions fit. Saved texts are removed when their item has its result or its batch is closed.

--- a/src/libs/gateway/gatewayhost.cpp
+++ b/src/libs/gateway/gatewayhost.cpp
@@ -10,6 +10,7 @@
 #include "journal.h"
 #include "leasekeeper.h"
 #include "platformview.h"
+#include "progresskeeper.h"
 #include "weightorderer.h"
 
 #include <net/httpclient.h>
@@ -82,6 +83,7 @@
         , batches(ioContext, store, { daemonSettings.journalPartitions, daemonSettings.textPartitions }, life, [this](const ledger_batch& batch) { noteBatch(batch); })
         , leases(ioContext, store, { daemonSettings.vm, life }, daemonSettings.orderLease, daemonLog, [this] { assignWork(); })
         , scheduler(batches.ledger(), pool, routes)
+        , progress(ioContext, store, daemonSettings.textPartitions, life, batches.ledger(), scheduler, daemonLog)
         , runner(ioContext, client, batches, scheduler, pool, daemonLog)
         , orderer(client, leases.agent(), pool, routes, daemonSettings.vm, daemonLog)
         , relay(ioContext, client, pool, routes, daemonLog)
@@ -122,6 +124,7 @@
     journal batches;
     lease_keeper leases;
     item_scheduler scheduler;
+    progress_keeper progress;
     item_runner runner;
     weight_orderer orderer;
     call_relay relay;
@@ -170,7 +173,11 @@
     orderer.noteHolder();
     if (names == std::exchange(ownedNames, names))
         return;
+    std::vector<std::string> added;
+    std::copy_if(owned.begin(), owned.end(), std::back_inserter(added), [this](const std::string& model) { return !scheduler.owns(model); });
     scheduler.setOwnedModels(owned, bootNow());
+    for (const std::string& model : added)
+        progress.recover(model, bootNow());
     lines.write(log_line(log_level::Info, "work_assigned").with("models", names));
 }
 
@@ -232,7 +239,7 @@
 void gateway_host::state::answerMetrics(const http_exchange& exchange)
 {
     const gateway_readings readings { relay.counters(), desk.counters(), scheduler.counters(), orderer.counters(), view.counters(),
-        batches.counters(), routes.version(), relay.openCalls(), scheduler.runs(), batches.waiting(), isReady() };
+        batches.counters(), batches.texts().counters(), progress.counters(), routes.version(), relay.openCalls(), scheduler.runs(), batches.waiting(), isReady() };
     exchange.respond({ okStatus, { { "Content-Type", "text/plain; version=0.0.4" } }, metricsText(readings) });
 }
 
@@ -256,6 +263,7 @@
         if (!drainingSince) {
             leases.tick();
             orderer.tick();
+            progress.tick(bootNow());
         }
         batches.forgetBefore(bootNow() - batchMemory, [this](const ledger_batch& batch) {
             return leases.agent().isHeld(std::string(modelLeasePrefix) + batch.submission.model);
--- a/src/libs/gateway/gatewaymetrics.h
+++ b/src/libs/gateway/gatewaymetrics.h
@@ -4,6 +4,7 @@
 #include "callrelay.h"
 #include "journal.h"
 #include "platformview.h"
+#include "progresskeeper.h"
 #include "weightorderer.h"
 
 #include <rollout/itemscheduler.h>
@@ -20,6 +21,8 @@
     const weight_counters& weights;
     const view_counters& view;
     const journal_counters& journal;
+    const text_counters& texts;
+    const progress_counters& progress;
     std::uint64_t configuration = 0;
     std::size_t openCalls = 0;
     std::size_t runs = 0;
--- /dev/null
+++ b/src/libs/gateway/progresskeeper.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "journalwriter.h"
+
+#include <rollout/batchledger.h>
+#include <rollout/itemscheduler.h>
+#include <rollout/sharedlog.h>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace ragwortreach {
+
+class log;
+
+struct progress_counters {
+    std::uint64_t saved = 0;
+    std::uint64_t recovered = 0;
+    std::uint64_t recoveriesFailed = 0;
+    std::uint64_t unreadable = 0;
+};
+
+/// Saves the texts of long items while they run, and reads them when this daemon takes a model over.
+///
+/// Load pattern: a few items take most of the time of a step. Without their texts so far, a step starts again when
+/// its owner dies, and the trainer falls behind by the length of its longest item. The texts stand in a topic that
+/// only a new owner reads. They only save work: a text that is missing or old costs the time to generate it again.
+class progress_keeper {
+public:
+    progress_keeper(boost::asio::io_context& context, shared_log& log, std::uint32_t partitions, const std::string& writer,
+        const batch_ledger& ledger, item_scheduler& scheduler, ragwortreach::log& lines);
+
+    /// Reads what earlier owners of \a model left, then lets the scheduler run its items.
+    void recover(const std::string& model, instant now);
+    /// Saves what is due and removes what is no longer needed.
+    void tick(instant now);
+
+    const progress_counters& counters() const { return m_counters; }
+
+private:
+    struct recovery {
+        std::string model;
+        instant startedAt {};
+        std::size_t texts = 0;
+    };
+    struct saved_text {
+        std::string batch;
+        std::size_t item = 0;
+        std::uint32_t partition = 0;
+    };
+
+    std::uint32_t partitionOf(std::string_view model) const;
+    void save();
+    void removeClosed();
+    bool isNeeded(const saved_text& text) const;
+    void readPage(const recovery& recovery, const std::string& afterKey);
+    void takePage(recovery recovery, const newest_outcome& page);
+    void take(recovery& recovery, const keyed_record& record);
+    void finish(const recovery& recovery, bool isWhole);
+
+    shared_log& m_log;
+    const batch_ledger& m_ledger;
+    item_scheduler& m_scheduler;
+    ragwortreach::log& m_lines;
+    std::vector<std::unique_ptr<journal_writer>> m_writers;
+    /// What stands in the log, as far as this process wrote or read it, by key.
+    std::map<std::string, saved_text, std::less<>> m_saved;
+    instant m_savedAt {};
+    progress_counters m_counters;
+};
+
+}
--- a/src/libs/rollout/itemscheduler.cpp
+++ b/src/libs/rollout/itemscheduler.cpp
@@ -13,6 +13,12 @@
     constexpr duration stallTimeout = std::chrono::milliseconds(2500);
     /// Time in which the owner before hands over its texts.
     constexpr duration handoverPause = std::chrono::milliseconds(300);
+    /// Longest time that items wait for the texts of the owner before.
+    constexpr duration recoveryLimit = std::chrono::milliseconds(1000);
+    /// Events by which a text has grown when it is saved again; most items are shorter.
+    constexpr std::uint64_t minProgress = 12;
+    /// Trainers ask again for the groups of a batch soon after they ended it.
+    constexpr duration reuseTime = std::chrono::seconds(30);
     constexpr duration compareInterval = std::chrono::milliseconds(100);
     /// A run stays on a replica for so long at least, so that runs do not wander about.
     constexpr duration minRunTime = std::chrono::milliseconds(250);
@@ -48,9 +54,77 @@
 
 void item_scheduler::setOwnedModels(const std::set<std::string, std::less<>>& models, instant now)
 {
-    std::erase_if(m_ownedSince, [&models](const std::pair<const std::string, instant>& owned) { return !models.contains(owned.first); });
+    std::erase_if(m_owned, [&models](const std::pair<const std::string, ownership>& owned) { return !models.contains(owned.first); });
     for (const std::string& model : models)
-        m_ownedSince.try_emplace(model, now);
+        m_owned.try_emplace(model, ownership { now, false });
+}
+
+void item_scheduler::setRecovered(std::string_view model)
+{
+    const auto owned = m_owned.find(model);
+    if (owned != m_owned.end())
+        owned->second.isRecovered = true;
+}
+
+/// Whether \a text may be a part of the item's result.
+bool item_scheduler::fits(const ledger_batch& batch, std::size_t item, const item_text& text) const
+{
+    const route* const itemRoute = routeOf(batch, item);
+    if (!itemRoute || text.versions.empty() || (itemRoute->isSingleVersion && text.versions.size() > 1))
+        return false;
+    return *std::min_element(text.versions.begin(), text.versions.end()) >= batch.submission.minVersion;
+}
+
+bool item_scheduler::adoptText(const ledger_batch& batch, std::size_t item, const item_text& text)
+{
+    if (!batch.isOpen() || batch.items[item].position || !fits(batch, item, text))
+        return false;
+    item_state& state = m_items[{ batch.submission.id, item }];
+    if (state.run != 0 || state.isRecorded || text.lastEvent <= state.output.lastEvent)
+        return false;
+    state.output = text;
+    state.progressEvent = text.lastEvent;
+    return true;
+}
+
+std::vector<item_progressed> item_scheduler::takeProgress()
+{
+    std::vector<item_progressed> texts;
+    for (const std::pair<const run_number, run_state>& item : m_runs) {
+        const item_key& key = item.second.key;
+        item_state& state = m_items[key];
+        const ledger_batch* const batch = m_ledger.find(key.batch);
+        if (!batch || state.output.lastEvent < state.progressEvent + minProgress)
+            continue;
+        state.progressEvent = state.output.lastEvent;
+        texts.push_back({ key.batch, batch->submission.items[key.item].id, state.output });
+    }
+    return texts;
+}
+
+/// Goes on with what is known of the item from an earlier batch; true when that was its whole result.
+bool item_scheduler::adoptEarlier(const ledger_batch& batch, std::size_t item, item_state& state)
+{
+    const std::optional<earlier_item>& earlier = batch.items[item].earlier;
+    const ledger_batch* const before = earlier ? m_ledger.find(earlier->batch) : nullptr;
+    if (!before)
+        return false;
+    const std::optional<std::size_t>& position = before->items[earlier->item].position;
+    if (position) {
+        const ledger_result& result = before->results[*position];
+        if (!result.isCompleted || !fits(batch, item, result.output))
+            return false;
+        ++m_counters.resultsReused;
+        writeResult({ batch.submission.id, batch.submission.items[item].id, true, result.output, result.reference }, state);
+        return true;
+    }
+    const auto known = m_items.find({ earlier->batch, earlier->item });
+    const item_text& text = known != m_items.end() ? known->second.output : before->items[earlier->item].progress;
+    if (text.lastEvent > state.output.lastEvent && fits(batch, item, text)) {
+        ++m_counters.textsReused;
+        state.output = text;
+    }
+    return false;
 }
 
 const route* item_scheduler::routeOf(const ledger_batch& batch, std::size_t item) const
@@ -74,20 +148,23 @@
                 scheduleBatch(*batch, now);
         }
     }
-    forgetItems();
+    forgetItems(now);
 }
 
 void item_scheduler::scheduleBatch(const ledger_batch& batch, instant now)
 {
-    const auto owned = m_ownedSince.find(batch.submission.model);
-    if (owned == m_ownedSince.end() || now - owned->second < handoverPause)
+    const auto owned = m_owned.find(batch.submission.model);
+    if (owned == m_owned.end() || now - owned->second.since < (owned->second.isRecovered ? handoverPause : recoveryLimit))
         return;
     for (const std::size_t item : orderOf(batch)) {
         if (batch.items[item].position)
             continue;
-        item_state& state = m_items[{ batch.submission.id, item }];
+        const std::pair<std::map<item_key, item_state>::iterator, bool> known = m_items.try_emplace({ batch.submission.id, item });
+        item_state& state = known.first->second;
         if (state.isRecorded || state.run != 0 || state.notBefore > now)
             continue;
+        if (known.second && adoptEarlier(batch, item, state))
+            continue;
         const route* const itemRoute = routeOf(batch, item);
         if (!itemRoute || now - batch.learnedAt > itemRoute->retention) {
             finish({ batch.submission.id, item }, state, false);
@@ -173,7 +250,7 @@
         const ledger_batch* const batch = m_ledger.find(run.key.batch);
         if (!batch || batch->isEnded || batch->items[run.key.item].position)
             unneeded.push_back(item.first);
-        else if (!m_ownedSince.contains(batch->submission.model))
+        else if (!m_owned.contains(batch->submission.model))
             disowned.push_back(item.first);
         else if (now - run.lastEventAt > stallTimeout)
             stalled.push_back(item.first);
@@ -345,12 +422,17 @@
     const ledger_batch* const batch = m_ledger.find(key.batch);
     if (!batch || state.isRecorded)
         return;
-    state.isRecorded = true;
-    ++(isCompleted ? m_counters.itemsCompleted : m_counters.itemsAbandoned);
-    item_finished record { key.batch, batch->submission.items[key.item].id, isCompleted, {} };
+    item_finished record { key.batch, batch->submission.items[key.item].id, isCompleted, {}, {} };
     if (isCompleted)
         record.output = std::move(state.output);
+    writeResult(std::move(record), state);
+}
+
+void item_scheduler::writeResult(item_finished record, item_state& state)
+{
+    state.isRecorded = true;
     state.output = {};
+    ++(record.isCompleted ? m_counters.itemsCompleted : m_counters.itemsAbandoned);
     m_effects.emplace_back(write_record { std::move(record) });
 }
 
@@ -371,16 +453,17 @@
 
 void item_scheduler::handOverAll()
 {
-    m_ownedSince.clear();
+    m_owned.clear();
     while (!m_runs.empty())
         handOver(m_runs.begin()->first, {});
 }
 
-void item_scheduler::forgetItems()
+void item_scheduler::forgetItems(instant now)
 {
-    std::erase_if(m_items, [this](const std::pair<const item_key, item_state>& entry) {
+    std::erase_if(m_items, [this, now](const std::pair<const item_key, item_state>& entry) {
         const ledger_batch* const batch = m_ledger.find(entry.first.batch);
-        return entry.second.run == 0 && (!batch || !batch->isOpen());
+        const bool isReusable = batch && entry.second.output.lastEvent != 0 && now - batch->learnedAt < reuseTime;
+        return entry.second.run == 0 && (!batch || !batch->isOpen()) && !isReusable;
     });
     std::erase_if(m_orders, [this](const std::pair<const std::string, std::vector<std::size_t>>& entry) {
         const ledger_batch* const batch = m_ledger.find(entry.first);
--- a/src/libs/rollout/itemscheduler.h
+++ b/src/libs/rollout/itemscheduler.h
@@ -73,6 +73,9 @@
     std::uint64_t itemsAbandoned = 0;
     std::uint64_t textsDropped = 0;
     std::uint64_t handedOver = 0;
+    /// Texts and results that went on from an earlier batch of the trainer.
+    std::uint64_t textsReused = 0;
+    std::uint64_t resultsReused = 0;
 };
 
 /// Runs the items of the batches whose models this daemon owns.
@@ -87,8 +90,16 @@
 public:
     item_scheduler(const batch_ledger& ledger, replica_pool& pool, const route_table& routes);
 
-    /// Models whose batches this daemon runs. Items of a model that is new wait for the handover of the owner before.
+    /// Models whose batches this daemon runs. Items of a model that is new wait for the handover of the owner before
+    /// and, for a while, until setRecovered().
     void setOwnedModels(const std::set<std::string, std::less<>>& models, instant now);
+    bool owns(std::string_view model) const { return m_owned.find(model) != m_owned.end(); }
+    /// The texts that earlier owners of \a model left were adopted, as far as there are any.
+    void setRecovered(std::string_view model);
+    /// Takes a text that an earlier owner left; false when it does not fit or is not longer than what is known.
+    bool adoptText(const ledger_batch& batch, std::size_t item, const item_text& text);
+    /// Texts of long items that have grown since they were last taken.
+    std::vector<item_progressed> takeProgress();
 
     void onHead(run_number run, std::optional<std::uint64_t> weightVersion);
     void onEvent(run_number run, const stream_event& event, instant now);
@@ -118,6 +129,12 @@
         std::vector<std::string> excluded;
         run_number run = 0;
         bool isRecorded = false;
+        /// Last event of the text that was taken last.
+        std::uint64_t progressEvent = 0;
+    };
+    struct ownership {
+        instant since {};
+        bool isRecovered = false;
     };
     struct run_state {
         item_key key;
@@ -143,14 +160,17 @@
     bool addVersion(item_state& state, run_state& run, std::uint64_t version);
     void dropText(item_state& state);
     void finish(const item_key& key, item_state& state, bool isCompleted);
+    void writeResult(item_finished record, item_state& state);
     void handOver(run_number run, instant now);
     const route* routeOf(const ledger_batch& batch, std::size_t item) const;
-    void forgetItems();
+    void forgetItems(instant now);
+    bool adoptEarlier(const ledger_batch& batch, std::size_t item, item_state& state);
+    bool fits(const ledger_batch& batch, std::size_t item, const item_text& text) const;
 
     const batch_ledger& m_ledger;
     replica_pool& m_pool;
     const route_table& m_routes;
-    std::map<std::string, instant, std::less<>> m_ownedSince;
+    std::map<std::string, ownership, std::less<>> m_owned;
     std::map<item_key, item_state> m_items;
     std::map<run_number, run_state> m_runs;
     /// Order of the items of each open batch.
