Rollout, Tests: Let a daemon claim leases beside its renewals, and prove daemons on stand-ins of the platform

Cause: a claim waited for 0.4 s without any record of this process, and a holder renews every 0.3 s. So a daemon that held one lease never claimed a second one, and with fewer daemons than leases some models had no owner. Found by the new test 'A batch that is refused while the log is away never runs' with one daemon: the batch after the outage got no result in 60 s; the lines showed lease_claimed for orders only.

Change: renewals and claims have times of their own. tst_leaseagent 'Few daemons hold all leases' failed with 1 of 4 and 2 of 4 held, and passes.

tests/platform has stand-ins of the platform's log and of its replicas; tst_system plays real daemons on them: submission and reads at two daemons, all power lost with the history gone (results keep their places, the long item goes on after its saved text), SIGTERM twice with a call and a batch under way, a refused batch that never runs, a batch without an answer, no configuration, a named version.

A read of a batch that is not known is answered 404 once a read of the log that began later has shown nothing, within a second; it was 503 in each case, since it was answered before that read could end (same tests).

--- a/src/libs/gateway/batchdesk.cpp
+++ b/src/libs/gateway/batchdesk.cpp
@@ -18,6 +18,8 @@
     constexpr int timeoutStatus = 504;
     /// A ledger that was confirmed longer ago may lack what another daemon has shown already.
     constexpr duration maxAge = std::chrono::milliseconds(850);
+    /// Time until a read of the log has shown whether there is a batch.
+    constexpr duration confirmTime = std::chrono::milliseconds(1000);
     constexpr duration maxWait = std::chrono::milliseconds(1000);
     constexpr duration comeBackAfter = std::chrono::milliseconds(300);
 
@@ -235,7 +237,8 @@
     std::erase_if(m_waiting, [this, now](const waiting_read& read) {
         if (!read.exchange.isOpen() || answerNow(read))
             return true;
-        if (now < read.due)
+        const bool isUnknown = !m_journal.ledger().find(read.call.batch);
+        if (now < read.due || (isUnknown && now < read.arrivedAt + confirmTime))
             return false;
         answerLate(read);
         return true;
--- a/src/libs/rollout/leaseagent.cpp
+++ b/src/libs/rollout/leaseagent.cpp
@@ -31,8 +31,10 @@
     std::vector<lease_record> records;
     if (m_isReleased || m_isWriting)
         return records;
-    if (m_fold.heldBy(m_self) > 0 && now - m_lastSentAt >= renewInterval)
+    if (m_fold.heldBy(m_self) > 0 && now - m_renewedAt >= renewInterval) {
         records.emplace_back(lease_renewal { m_self });
+        m_renewedAt = now;
+    }
     for (const std::string& lease : m_leases) {
         const lease_state* const state = m_fold.find(lease);
         if (now - view.confirmedAt > maxViewAge || (state && !isClaimable(*state, view, now))) {
@@ -40,20 +42,18 @@
             continue;
         }
         const instant since = m_claimableSince.try_emplace(lease, now).first->second;
-        const bool isDue = now - since >= claimDelay(lease) && now - m_lastSentAt >= claimInterval;
+        const bool isDue = now - since >= claimDelay(lease) && now - m_claimedAt >= claimInterval;
         if (!isDue)
             continue;
         lease_claim claim { lease, m_self, std::nullopt };
         if (state)
             claim.formerClaim = state->claimOffset;
         records.emplace_back(std::move(claim));
+        m_claimedAt = now;
         // One at a time, so that the leases spread over the processes.
         break;
     }
-    if (!records.empty()) {
-        m_isWriting = true;
-        m_lastSentAt = now;
-    }
+    m_isWriting = !records.empty();
     return records;
 }
 
--- a/src/libs/rollout/leaseagent.h
+++ b/src/libs/rollout/leaseagent.h
@@ -66,7 +66,8 @@
     std::map<std::string, instant, std::less<>> m_claimableSince;
     std::map<std::string, instant, std::less<>> m_ordersAt;
     instant m_validUntil {};
-    instant m_lastSentAt {};
+    instant m_renewedAt {};
+    instant m_claimedAt {};
     bool m_isWriting = false;
     bool m_isReleased = false;
 };
--- a/tests/auto/rollout/tst_leaseagent.cpp
+++ b/tests/auto/rollout/tst_leaseagent.cpp
@@ -209,3 +209,23 @@
     CHECK(compacted.find(lease)->holder == second);
     CHECK(compacted.find(lease)->claimOffset == whole.find(lease)->claimOffset);
 }
+
+TEST_CASE("Few daemons hold all leases, however many there are")
+{
+    for (const std::size_t daemons : { 1U, 2U }) {
+        DYNAMIC_SECTION(daemons << " daemons")
+        {
+            lease_world world(daemons);
+            const std::vector<std::string> leases { "orders", "model/a", "model/b", "model/c" };
+            for (std::size_t number = 0; number < daemons; ++number)
+                world[number].agent.setLeases(leases);
+            world.play(6s);
+            std::size_t held = 0;
+            for (std::size_t number = 0; number < daemons; ++number) {
+                for (const std::string& name : leases)
+                    held += world[number].agent.isHeld(name) ? 1U : 0U;
+            }
+            CHECK(held == leases.size());
+        }
+    }
+}
--- /dev/null
+++ b/tests/auto/system/platformfleet.cpp
@@ -0,0 +1,98 @@
+#include "platformfleet.h"
+
+#include "freeaddresses.h"
+
+#include <client/testclient.h>
+
+#include <catch2/catch.hpp>
+
+using nlohmann::json;
+
+namespace ragwortreach::Tests {
+
+namespace {
+
+    json daemonSettings(std::size_t index, const std::string& store)
+    {
+        const std::vector<std::string> ports = freeAddresses(3);
+        const json gateway { { "caller", ports[0] }, { "readiness", ports[1] }, { "metrics", ports[2] }, { "store", store }, { "stop_s", 20 } };
+        return { { "vm", "entry-a" + std::to_string(index + 1) }, { "data_centre", "north-a" }, { "region", "north" }, { "log_level", "error" },
+            { "gateway", gateway } };
+    }
+
+    json configuration(int version)
+    {
+        const json rollouts { { "name", "lots" }, { "host", "lace.example" }, { "path_prefix", "/lots/" }, { "route_kind", "rollout" },
+            { "timeout_ms", 10000 }, { "full_value_ms", 400 }, { "service", "engines" }, { "max_attempts", 3 }, { "retention_s", 600.0 } };
+        const json orders { { "name", "orders" }, { "host", "lace.example" }, { "path_prefix", "/orders/" }, { "route_kind", "non_idempotent" },
+            { "timeout_ms", 60000 }, { "full_value_ms", 400 }, { "service", "shop" }, { "max_attempts", 2 } };
+        const json engine { { "slots", 8 }, { "kv_capacity", 90000 }, { "models", json::array({ { { "name", "lace-7b" } } }) } };
+        const json services = json::array({ { { "name", "engines" }, { "engine", engine } }, { { "name", "shop" } } });
+        return { { "version", version }, { "routes", json::array({ rollouts, orders }) }, { "services", services } };
+    }
+
+}
+
+platform_fleet::platform_fleet(std::size_t daemons, bool hasConfiguration)
+    : m_work(m_context.get_executor())
+    , m_store(std::make_unique<store_standin>(m_context))
+    , m_engine(std::make_unique<replica_standin>(m_context, *m_store, "engine-1", "engines", "lace-7b"))
+    , m_shop(std::make_unique<replica_standin>(m_context, *m_store, "shop-1", "shop", ""))
+    , m_daemons(daemons)
+{
+    std::string pattern = (std::filesystem::temp_directory_path() / "ragwortreach-XXXXXX").string();
+    REQUIRE(mkdtemp(pattern.data()) != nullptr);
+    m_folder = pattern;
+    for (std::size_t index = 0; index < daemons; ++index)
+        m_settings.push_back(daemonSettings(index, m_store->address()));
+    m_thread = std::thread([this] { m_context.run(); });
+    if (hasConfiguration)
+        configure(1);
+    for (std::size_t index = 0; index < daemons; ++index)
+        start(index);
+    for (std::size_t index = 0; hasConfiguration && index < daemons; ++index)
+        waitReady(index);
+}
+
+platform_fleet::~platform_fleet()
+{
+    killAll();
+    m_work.reset();
+    m_context.stop();
+    m_thread.join();
+    std::filesystem::remove_all(m_folder);
+}
+
+void platform_fleet::configure(int version)
+{
+    run([this, version] { m_store->put("keyed.op", "config", configuration(version).dump()); });
+}
+
+void platform_fleet::start(std::size_t daemon)
+{
+    m_daemons[daemon] = std::make_unique<daemon_process>(m_folder.string(), m_settings[daemon]);
+}
+
+void platform_fleet::killAll()
+{
+    for (const std::unique_ptr<daemon_process>& daemon : m_daemons) {
+        if (daemon)
+            daemon->signal(SIGKILL);
+    }
+    for (const std::unique_ptr<daemon_process>& daemon : m_daemons) {
+        if (daemon)
+            daemon->wait();
+    }
+}
+
+bool platform_fleet::isReady(std::size_t daemon) const
+{
+    return send(readiness(daemon), "GET", "/api/readyz").status == 200;
+}
+
+void platform_fleet::waitReady(std::size_t daemon) const
+{
+    CHECK(waitUntil([this, daemon] { return isReady(daemon); }));
+}
+
+}
--- a/tests/auto/system/testfleet.cpp
+++ b/tests/auto/system/testfleet.cpp
@@ -1,10 +1,11 @@
 #include "testfleet.h"
 
+#include "freeaddresses.h"
+
 #include <catch2/catch.hpp>
 
 #include <cstdlib>
 
-using boost::asio::ip::tcp;
 using nlohmann::json;
 
 namespace ragwortreach::Tests {
@@ -27,19 +28,6 @@
             { "upstream", upstream }, { "address", address }, { "state", "live" } };
     }
 
-    /// Addresses on ports that were free at the time; the sockets stay open until all are chosen.
-    std::vector<std::string> freeAddresses(std::size_t count)
-    {
-        boost::asio::io_context context;
-        std::vector<tcp::acceptor> acceptors;
-        std::vector<std::string> addresses;
-        for (std::size_t i = 0; i < count; ++i) {
-            acceptors.emplace_back(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-            addresses.push_back("127.0.0.1:" + std::to_string(acceptors.back().local_endpoint().port()));
-        }
-        return addresses;
-    }
-
     json daemonSettings(int index, const std::string& platform)
     {
         const std::vector<std::string> ports = freeAddresses(4);
--- /dev/null
+++ b/tests/platform/replicastandin.cpp
@@ -0,0 +1,103 @@
+#include "replicastandin.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+#include <memory>
+#include <stdexcept>
+
+namespace ragwortreach::Tests {
+
+using nlohmann::json;
+
+namespace {
+
+    constexpr std::chrono::milliseconds eventInterval { 20 };
+    /// Long enough that texts do not stand in the record of their result.
+    constexpr std::size_t eventBytes = 400;
+
+    std::string header(const http_request& request, std::string_view name)
+    {
+        return std::string(headerValue(request.headers, name).value_or(""));
+    }
+
+}
+
+replica_standin::replica_standin(boost::asio::io_context& context, store_standin& store, std::string id, std::string service, std::string model)
+    : m_context(context)
+    , m_store(store)
+    , m_id(std::move(id))
+    , m_service(std::move(service))
+    , m_model(std::move(model))
+    , m_server(
+          context, {}, [this](const http_exchange& exchange) { answer(exchange); }, [](std::error_code) { return http_response { 400, {}, {} }; })
+{
+    if (m_server.listen({ "127.0.0.1", 0 }))
+        throw std::runtime_error("no port for the replica");
+    list();
+}
+
+void replica_standin::list()
+{
+    const json entry { { "service", m_service }, { "address", "127.0.0.1:" + std::to_string(m_server.port()) }, { "zone", "north-a" },
+        { "version", "v1" }, { "slots", 8 }, { "state", "ready" }, { "cold_left_ms", 0 }, { "seq_no", 1 }, { "born", 1 },
+        { "models", json::array({ { { "name", m_model }, { "version", m_version } } }) } };
+    m_store.put("keyed.servers", m_id, entry.dump());
+}
+
+std::vector<http_header> replica_standin::headersFor(const http_request& request) const
+{
+    return { { "Request-Id", header(request, "Request-Id") }, { "Server-Stamp", "stamp" }, { "Weight-Versions", std::to_string(m_version) } };
+}
+
+void replica_standin::answer(const http_exchange& exchange)
+{
+    const http_request& request = exchange.request();
+    const std::string_view path = targetPath(request.target);
+    if (header(request, "Expect-Instance") != m_id) {
+        exchange.respond({ 421, {}, {} });
+    } else if (path == "/api/report") {
+        const json models = json::array({ { { "name", m_model }, { "version", m_version } } });
+        exchange.respond({ 200, {}, json { { "busy", false }, { "seq_no", m_orders }, { "models", models } }.dump() });
+    } else if (path == "/api/order") {
+        ++m_orders;
+        m_version = json::parse(request.body).at("version").get<std::uint64_t>();
+        exchange.respond({ 202, {}, {} });
+        list();
+    } else if (m_model.empty()) {
+        m_started.insert(header(request, "Request-Id"));
+        m_held.push_back(exchange);
+        if (!m_isHolding)
+            answerHeld();
+    } else {
+        const std::string item = header(request, "Request-Id");
+        const std::string after = header(request, "Last-Event-Id");
+        m_started.insert(item);
+        m_resumed += after.empty() ? 0 : 1;
+        exchange.beginStream({ 200, headersFor(request), std::nullopt });
+        stream(exchange, after.empty() ? 1 : std::stoi(after) + 1, item.find("long") != std::string::npos ? longEvents : 2);
+    }
+}
+
+void replica_standin::answerHeld()
+{
+    for (const http_exchange& exchange : std::exchange(m_held, {}))
+        exchange.respond({ 200, headersFor(exchange.request()), "parcel" });
+}
+
+void replica_standin::stream(const http_exchange& exchange, int event, int last)
+{
+    if (!exchange.isOpen())
+        return;
+    if (event > last) {
+        exchange.endStream();
+        return;
+    }
+    const std::string number = std::to_string(event);
+    exchange.write("id: " + number + "\ndata: " + number + std::string(eventBytes, '.') + "\n\n");
+    const std::shared_ptr<boost::asio::steady_timer> timer = std::make_shared<boost::asio::steady_timer>(m_context, eventInterval);
+    timer->async_wait([this, timer, exchange, event, last](const boost::system::error_code&) { stream(exchange, event + 1, last); });
+}
+
+}
--- /dev/null
+++ b/tests/platform/storestandin.cpp
@@ -0,0 +1,218 @@
+#include "storestandin.h"
+
+#include <platform/base64.h>
+#include <platform/recordframe.h>
+
+#include <boost/asio/io_context.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <set>
+#include <stdexcept>
+
+namespace ragwortreach::Tests {
+
+using nlohmann::json;
+
+namespace {
+
+    constexpr std::chrono::milliseconds tickInterval { 10 };
+    constexpr std::size_t pageSize = 20;
+
+    std::string whereOf(const http_request& request)
+    {
+        return queryValue(request.target, "topic").value_or("") + "/" + queryValue(request.target, "part").value_or("0");
+    }
+
+    std::uint64_t numberOf(const http_request& request, std::string_view name)
+    {
+        return std::stoull(queryValue(request.target, name).value_or("0"));
+    }
+
+    std::string bigEndian(std::uint64_t number)
+    {
+        std::string bytes;
+        for (int shift = 56; shift >= 0; shift -= 8)
+            bytes += static_cast<char>((number >> shift) & 0xff);
+        return bytes;
+    }
+
+    std::string decodeKey(const std::string& text)
+    {
+        std::string key;
+        for (std::size_t index = 0; index < text.size(); ++index) {
+            if (text[index] != '%') {
+                key += text[index];
+                continue;
+            }
+            key += static_cast<char>(std::stoi(text.substr(index + 1, 2), nullptr, 16));
+            index += 2;
+        }
+        return key;
+    }
+
+    std::map<std::string, keyed_record> newestOf(const std::vector<keyed_record>& records)
+    {
+        std::map<std::string, keyed_record> newest;
+        for (const keyed_record& record : records) {
+            if (record.value)
+                newest[record.key] = record;
+            else
+                newest.erase(record.key);
+        }
+        return newest;
+    }
+
+}
+
+store_standin::store_standin(boost::asio::io_context& context)
+    : m_server(
+        context, { 65536, std::size_t { 8 } * 1024 * 1024 }, [this](const http_exchange& exchange) { answer(exchange); },
+        [](std::error_code) { return http_response { 400, {}, {} }; })
+    , m_timer(context)
+{
+    if (m_server.listen({ "127.0.0.1", 0 }))
+        throw std::runtime_error("no port for the store");
+    tick();
+}
+
+std::string store_standin::address() const
+{
+    return "127.0.0.1:" + std::to_string(m_server.port());
+}
+
+void store_standin::put(const std::string& topic, const std::string& key, const std::string& value)
+{
+    std::vector<keyed_record>& records = m_partitions[topic + "/0"].records;
+    records.push_back({ key, value, records.size() });
+    answerWaiting(false);
+}
+
+void store_standin::compact()
+{
+    for (std::pair<const std::string, partition>& item : m_partitions)
+        item.second.firstRetained = item.second.records.size();
+}
+
+std::size_t store_standin::keys(const std::string& topic) const
+{
+    std::size_t count = 0;
+    for (const std::pair<const std::string, partition>& item : m_partitions) {
+        if (item.first.starts_with(topic + "/"))
+            count += newestOf(item.second.records).size();
+    }
+    return count;
+}
+
+void store_standin::answer(const http_exchange& exchange)
+{
+    const std::string_view path = targetPath(exchange.request().target);
+    if (m_behaviour == store_behaviour::Refusing) {
+        exchange.respond({ 503, {}, {} });
+        return;
+    }
+    if (path == "/api/log-append")
+        append(exchange);
+    else if (m_behaviour == store_behaviour::Mute)
+        m_unanswered.push_back(exchange);
+    else if (path == "/api/log-read")
+        read(exchange);
+    else if (path == "/api/log-newest")
+        newest(exchange);
+    else
+        exchange.respond({ 404, {}, {} });
+}
+
+void store_standin::append(const http_exchange& exchange)
+{
+    const http_request& request = exchange.request();
+    partition& target = m_partitions[whereOf(request)];
+    const std::string producer = decodeKey(queryValue(request.target, "producer").value_or(""));
+    const std::uint64_t sequence = numberOf(request, "seq_no");
+    const std::map<std::string, std::pair<std::uint64_t, std::uint64_t>>::iterator known = target.producers.find(producer);
+    const bool isRepeat = known != target.producers.end() && sequence + 1 == known->second.first;
+    if (known != target.producers.end() && !isRepeat && sequence != known->second.first) {
+        exchange.respond({ 409, {}, json { { "why", "seq" }, { "seq_no", known->second.first } }.dump() });
+        return;
+    }
+    if (!isRepeat) {
+        target.producers[producer] = { sequence + 1, target.records.size() };
+        const std::optional<platform::decoded_read> decoded
+            = platform::decodeRead(bigEndian(0) + bigEndian(0) + request.body, target.records.size());
+        target.records.insert(target.records.end(), decoded->records.begin(), decoded->records.end());
+        answerWaiting(false);
+    }
+    if (m_behaviour == store_behaviour::Mute) {
+        m_unanswered.push_back(exchange);
+        return;
+    }
+    const std::uint64_t offset = target.producers[producer].second;
+    exchange.respond({ 200, {}, json { { "offset", offset }, { "end", target.records.size() } }.dump() });
+}
+
+void store_standin::read(const http_exchange& exchange)
+{
+    const http_request& request = exchange.request();
+    const std::chrono::milliseconds wait { numberOf(request, "wait_ms") };
+    m_waiting.push_back({ exchange, whereOf(request), numberOf(request, "from"), std::chrono::steady_clock::now() + wait });
+    answerWaiting(false);
+}
+
+void store_standin::answerWaiting(bool isAll)
+{
+    if (m_behaviour != store_behaviour::Serving)
+        return;
+    const std::chrono::steady_clock::time_point now = std::chrono::steady_clock::now();
+    std::erase_if(m_waiting, [this, isAll, now](const waiting_read& waiting) {
+        if (!isAll && waiting.from >= m_partitions[waiting.where].records.size() && now < waiting.due)
+            return false;
+        respondRecords(waiting);
+        return true;
+    });
+}
+
+void store_standin::respondRecords(const waiting_read& waiting)
+{
+    const partition& source = m_partitions[waiting.where];
+    if (waiting.from < source.firstRetained) {
+        waiting.exchange.respond({ 410, {}, json { { "first", source.firstRetained } }.dump() });
+        return;
+    }
+    std::string body = bigEndian(source.records.size()) + bigEndian(source.firstRetained);
+    if (waiting.from < source.records.size())
+        body += platform::encodeRecords(std::span(source.records).subspan(waiting.from));
+    waiting.exchange.respond({ 200, {}, std::move(body) });
+}
+
+void store_standin::newest(const http_exchange& exchange)
+{
+    const http_request& request = exchange.request();
+    const partition& source = m_partitions[whereOf(request)];
+    const std::string after = decodeKey(queryValue(request.target, "after").value_or(""));
+    json items = json::array();
+    bool hasMore = false;
+    for (const std::pair<const std::string, keyed_record>& item : newestOf(source.records)) {
+        if (item.first <= after)
+            continue;
+        hasMore = items.size() == pageSize;
+        if (hasMore)
+            break;
+        items.push_back({ { "key", item.first }, { "value", platform::encodeBase64(*item.second.value) }, { "offset", item.second.offset } });
+    }
+    exchange.respond({ 200, {}, json { { "items", items }, { "more_pages", hasMore }, { "end", source.records.size() } }.dump() });
+}
+
+void store_standin::tick()
+{
+    m_timer.expires_after(tickInterval);
+    m_timer.async_wait([this](const boost::system::error_code& error) {
+        if (error)
+            return;
+        if (m_behaviour != store_behaviour::Mute)
+            m_unanswered.clear();
+        answerWaiting(false);
+        tick();
+    });
+}
+
+}
