--- a/src/apps/ragwortreachd/main.cpp
+++ b/src/apps/ragwortreachd/main.cpp
@@ -9,11 +9,13 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <gflags/gflags.h>
 
 #include <csignal>
 #include <cstdio>
 #include <exception>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <iostream>
@@ -64,7 +66,7 @@
 
 int run(const daemon_settings& settings)
 {
-    log daemonLog(settings.log, settings.vm);
+    ragwortreach::log daemonLog(settings.log, settings.vm);
     if (daemonLog.error())
         return fail(exitUsage, "The log file " + settings.log.file + " cannot be opened; check that its folder exists and can be written.");
     boost::asio::io_context context(1);
@@ -79,7 +81,7 @@
     return 0;
 }
 
-void reload(gateway_host& host, log& gatewayLog)
+void reload(gateway_host& host, ragwortreach::log& gatewayLog)
 {
     gateway_settings settings;
     std::string detail;
@@ -91,13 +93,35 @@
     host.reload(settings);
 }
 
+std::filesystem::file_time_type settingsTime()
+{
+    std::error_code ignored;
+    // A file that cannot be looked at keeps its old time, which is the same as no change.
+    return std::filesystem::last_write_time(FLAGS_settings, ignored);
+}
+
+/// Reloads the settings when their file has changed, which the platform may do without a signal.
+void watchSettings(boost::asio::steady_timer& timer, std::filesystem::file_time_type seen, const std::function<void()>& onChange)
+{
+    constexpr std::chrono::seconds interval { 1 };
+    timer.expires_after(interval);
+    timer.async_wait([&timer, seen, onChange](const boost::system::error_code& error) {
+        if (error)
+            return;
+        const std::filesystem::file_time_type now = settingsTime();
+        if (now != seen)
+            onChange();
+        watchSettings(timer, now, onChange);
+    });
+}
+
 int runGateway(const std::string& text)
 {
     gateway_settings settings;
     std::string detail;
     if (loadGatewaySettings(text, settings, detail))
         return fail(exitUsage, detail);
-    log gatewayLog(settings.log, settings.vm);
+    ragwortreach::log gatewayLog(settings.log, settings.vm);
     boost::asio::io_context context(1);
     gateway_host host(context, settings, gatewayLog);
     if (host.open(detail))
@@ -105,6 +129,8 @@
     boost::asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
     awaitSignal(
         signals, [&host] { host.drain(); }, [&host, &gatewayLog] { reload(host, gatewayLog); });
+    boost::asio::steady_timer timer(context);
+    watchSettings(timer, settingsTime(), [&host, &gatewayLog] { reload(host, gatewayLog); });
     context.run();
     return 0;
 }
--- a/src/libs/gateway/gatewayhost.cpp
+++ b/src/libs/gateway/gatewayhost.cpp
@@ -61,6 +61,18 @@
         return limits;
     }
 
+    /// Bounds that the operators set. The request line is not a part of the header that they bound.
+    http_server_limits callerLimits(const caller_bounds& bounds)
+    {
+        constexpr std::size_t requestLineBytes = std::size_t { 8 } * 1024;
+        http_server_limits limits;
+        limits.headerBytes = bounds.headerBytes + requestLineBytes;
+        limits.bodyBytes = bounds.bodyBytes;
+        limits.headerTimeout = bounds.headerTimeout;
+        limits.idleTimeout = bounds.idleTimeout;
+        return limits;
+    }
+
     http_response malformed(std::error_code code)
     {
         const result_code result = static_cast<result_code>(code.value());
@@ -155,6 +167,7 @@
     for (const std::string& model : routes.models())
         names.push_back(std::string(modelLeasePrefix) + model);
     leases.agent().setLeases(std::move(names));
+    callers.setLimits(callerLimits(routes.configuration().callers));
     assignWork();
 }
 
@@ -327,7 +340,17 @@
 
 void gateway_host::reload(const gateway_settings& settings)
 {
-    m_state->lines.write(log_line(log_level::Info, "settings_reloaded").with("vm", settings.vm));
+    state& daemon = *m_state;
+    const gateway_settings& old = daemon.settings;
+    const bool needsRestart = settings.callerAddress != old.callerAddress || settings.readinessAddress != old.readinessAddress
+        || settings.metricsAddress != old.metricsAddress || settings.storeAddress != old.storeAddress
+        || settings.journalPartitions != old.journalPartitions || settings.textPartitions != old.textPartitions;
+    daemon.settings.stopTime = settings.stopTime;
+    daemon.settings.orderLease = settings.orderLease;
+    daemon.settings.loadShare = settings.loadShare;
+    daemon.leases.agent().setHolderPause(settings.orderLease);
+    daemon.orderer.plan().setLoadShare(settings.loadShare);
+    daemon.lines.write(log_line(log_level::Info, "settings_reloaded").with("vm", settings.vm).with("needs_restart", needsRestart));
 }
 
 }
--- a/src/libs/gateway/gatewayhost.h
+++ b/src/libs/gateway/gatewayhost.h
@@ -27,7 +27,8 @@
     /// Begins a graceful shutdown; the io_context is stopped at its end. Further calls change nothing.
     void drain();
 
-    /// Takes settings that may change while the daemon runs.
+    /// Takes the settings that may change while the daemon runs: times and shares. Addresses and partitions wait for
+    /// the next start.
     void reload(const gateway_settings& settings);
 
 private:
--- a/src/libs/net/httpserver.cpp
+++ b/src/libs/net/httpserver.cpp
@@ -92,6 +92,11 @@
     return m_state->acceptor.local_endpoint(ignored).port();
 }
 
+void http_server::setLimits(const http_server_limits& limits)
+{
+    m_state->limits = limits;
+}
+
 void http_server::setDraining(bool isDraining)
 {
     m_state->isDraining = isDraining;
--- a/src/libs/net/httpserver.h
+++ b/src/libs/net/httpserver.h
@@ -28,6 +28,10 @@
     std::size_t bodyBytes = std::size_t { 8 } * 1024 * 1024;
     /// Time a caller has to send one whole request once it started.
     duration readTimeout = std::chrono::seconds(30);
+    /// Time a caller has to send the header of a request once it began; no bound of its own when zero.
+    duration headerTimeout {};
+    /// Time after which a kept connection without a request is closed; never when zero.
+    duration idleTimeout {};
 };
 
 /// One request of a caller and the way to answer it.
@@ -81,6 +85,8 @@
     std::error_code listen(const endpoint& address);
     /// Port in use, for a server that was asked to listen on port 0.
     std::uint16_t port() const;
+    /// Bounds of the requests that begin from now on.
+    void setLimits(const http_server_limits& limits);
     /// Asks callers to open no further request on kept connections.
     void setDraining(bool isDraining);
     /// Takes no further connections and closes the idle ones.
--- a/src/libs/net/httpsession.cpp
+++ b/src/libs/net/httpsession.cpp
@@ -80,7 +80,7 @@
 {
     error_code ignored;
     m_socket.set_option(tcp::no_delay(true), ignored);
-    readRequest();
+    awaitRequest();
 }
 
 void http_session::closeIfIdle()
@@ -89,8 +89,40 @@
         close();
 }
 
+/// Waits for the first byte of a request, for as long as a connection may be idle.
+void http_session::awaitRequest()
+{
+    if (m_buffer.size() != 0 || m_server->limits.idleTimeout == duration::zero()) {
+        readRequest();
+        return;
+    }
+    startCloseTimer(m_server->limits.idleTimeout);
+    m_socket.async_wait(tcp::socket::wait_read, [self = self_pointer(this)](const error_code& error) {
+        self->m_readTimer.cancel();
+        if (!error)
+            self->readRequest();
+    });
+}
+
+/// Closes the connection after \a timeout, unless bytes of the caller wait to be read: this process may have been paused.
+void http_session::startCloseTimer(duration timeout)
+{
+    m_readTimer.expires_after(timeout);
+    m_readTimer.async_wait([self = self_pointer(this), timeout](const error_code& error) {
+        if (error || self->m_isExchangeOpen)
+            return;
+        error_code readError;
+        if (self->m_socket.available(readError) > 0)
+            self->startCloseTimer(timeout);
+        else
+            self->close();
+    });
+}
+
 void http_session::readRequest()
 {
+    if (m_server->limits.headerTimeout != duration::zero())
+        startCloseTimer(m_server->limits.headerTimeout);
     m_parser.emplace();
     m_parser->header_limit(static_cast<std::uint32_t>(m_server->limits.headerBytes));
     m_parser->body_limit(m_server->limits.bodyBytes);
@@ -261,7 +293,7 @@
         closeAfterCaller();
         return;
     }
-    readRequest();
+    awaitRequest();
 }
 
 /// Reads on until the caller closes: data that is left unread would reset the connection, and the
--- a/src/libs/net/httpsession.h
+++ b/src/libs/net/httpsession.h
@@ -41,6 +41,8 @@
     using self_pointer = boost::intrusive_ptr<http_session>;
 
     void readRequest();
+    void awaitRequest();
+    void startCloseTimer(duration timeout);
     void startReadTimer();
     void onRequestRead(const boost::system::error_code& error);
     void rejectRequest(const boost::system::error_code& error);
--- a/src/libs/rollout/leaseagent.h
+++ b/src/libs/rollout/leaseagent.h
@@ -36,6 +36,7 @@
     /// \a holderPause separates the acts of two holders, where the former one did not release its lease.
     lease_agent(const lease_fold& fold, lease_party self, duration holderPause);
 
+    void setHolderPause(duration pause) { m_holderPause = pause; }
     /// Leases that there are.
     void setLeases(std::vector<std::string> leases) { m_leases = std::move(leases); }
     /// Records that are due now. onWritten() has to follow each time.
--- a/tests/auto/net/tst_httpserver.cpp
+++ b/tests/auto/net/tst_httpserver.cpp
@@ -3,9 +3,13 @@
 #include <net/httpserver.h>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 using namespace ragwortreach;
+using boost::asio::ip::tcp;
 
 namespace {
 
@@ -115,3 +119,42 @@
     CHECK(std::error_code(firstCode) == result_code::UpstreamTruncated);
     CHECK(body == "0123456789");
 }
+
+TEST_CASE("A connection that stays idle, or whose header does not come, is closed; one in use is not")
+{
+    struct idle_case {
+        const char* name;
+        std::chrono::milliseconds headerTimeout;
+        std::chrono::milliseconds idleTimeout;
+        const char* sent;
+        const char* received;
+    };
+    const idle_case cases[] = {
+        { "nothing sent", std::chrono::seconds(60), std::chrono::milliseconds(50), "", "" },
+        { "half a header", std::chrono::milliseconds(50), std::chrono::seconds(60), "GET / HTTP/1.1\r\nX-", "" },
+        { "idle after an answer", std::chrono::seconds(60), std::chrono::milliseconds(50), "GET / HTTP/1.1\r\n\r\n", "HTTP/1.1 200 OK" },
+    };
+    for (const idle_case& row : cases) {
+        DYNAMIC_SECTION(row.name)
+        {
+            boost::asio::io_context context;
+            http_server_limits limits;
+            limits.headerTimeout = row.headerTimeout;
+            limits.idleTimeout = row.idleTimeout;
+            http_server server(
+                context, {}, [](const http_exchange& exchange) { exchange.respond({ 200, {}, "ok" }); }, answerError);
+            server.setLimits(limits);
+            REQUIRE_FALSE(server.listen({ "127.0.0.1", 0 }));
+            tcp::socket caller(context);
+            caller.connect({ boost::asio::ip::address_v4::loopback(), server.port() });
+            boost::asio::write(caller, boost::asio::buffer(std::string_view(row.sent)));
+            std::string received;
+            bool isClosed = false;
+            boost::asio::async_read(caller, boost::asio::dynamic_buffer(received),
+                [&isClosed](const boost::system::error_code&, std::size_t) { isClosed = true; });
+            while (!isClosed)
+                REQUIRE(context.run_one() == 1);
+            CHECK(received.starts_with(row.received));
+        }
+    }
+}
--- a/tests/auto/platform/tst_listcodec.cpp
+++ b/tests/auto/platform/tst_listcodec.cpp
@@ -20,10 +20,13 @@
     { "no bytes", "" },
     { "not JSON", "\xff{" },
     { "a list", "[1]" },
-    { "no service", R"({"address":"127.0.0.1:9","zone":"a","state":"ready"})" },
-    { "address of another type", R"({"service":"llm","address":9,"zone":"a","state":"ready"})" },
-    { "unknown state", R"({"service":"llm","address":"127.0.0.1:9","zone":"a","state":"resting"})" },
-    { "models of another type", R"({"service":"llm","address":"127.0.0.1:9","zone":"a","state":"ready","models":{"name":1}})" },
+    { "no service", R"({"address":"127.0.0.1:9","zone":"a","slots":1,"state":"ready","seq_no":1})" },
+    { "address of another type", R"({"service":"llm","address":9,"zone":"a","slots":1,"state":"ready","seq_no":1})" },
+    { "unknown state", R"({"service":"llm","address":"127.0.0.1:9","zone":"a","slots":1,"state":"resting","seq_no":1})" },
+    { "models of another type", R"({"service":"llm","address":"127.0.0.1:9","zone":"a","slots":1,"state":"ready","seq_no":1,"models":{"name":1}})" },
+    { "no slots", R"({"service":"llm","address":"127.0.0.1:9","zone":"a","state":"ready","seq_no":1})" },
+    { "slots of another type", R"({"service":"llm","address":"127.0.0.1:9","zone":"a","slots":"1","state":"ready","seq_no":1})" },
+    { "no count of writes", R"({"service":"llm","address":"127.0.0.1:9","zone":"a","slots":1,"state":"ready"})" },
 };
 
 constexpr const char* wholeConfiguration = R"({"version":7,"routes":[
