--- /dev/null
+++ b/src/libs/gateway/newestpages.cpp
@@ -0,0 +1,62 @@
+#include "newestpages.h"
+
+#include <algorithm>
+#include <memory>
+
+namespace ragwortreach {
+
+namespace {
+
+    /// One walk through the pages; it lives as long as a page is on its way.
+    class page_walk : public std::enable_shared_from_this<page_walk> {
+    public:
+        page_walk(shared_log& log, topic_partition where, std::string prefix, std::function<void(newest_records)> onDone)
+            : m_log(log)
+            , m_where(std::move(where))
+            , m_prefix(std::move(prefix))
+            , m_onDone(std::move(onDone))
+        {
+        }
+
+        void readAfter(const std::string& key)
+        {
+            m_log.readNewest(m_where, key, [self = shared_from_this()](const newest_outcome& page) { self->take(page); });
+        }
+
+    private:
+        void take(const newest_outcome& page)
+        {
+            if (!page.isDone) {
+                m_onDone({});
+                return;
+            }
+            if (!m_result.isDone)
+                m_result.end = page.end;
+            m_result.isDone = true;
+            std::string lastKey;
+            for (const keyed_record& record : page.records) {
+                lastKey = std::max(lastKey, record.key);
+                if (record.key.starts_with(m_prefix))
+                    m_result.records.push_back(record);
+            }
+            if (page.hasMore && !lastKey.empty() && lastKey.starts_with(m_prefix))
+                readAfter(lastKey);
+            else
+                m_onDone(std::move(m_result));
+        }
+
+        shared_log& m_log;
+        topic_partition m_where;
+        std::string m_prefix;
+        std::function<void(newest_records)> m_onDone;
+        newest_records m_result;
+    };
+
+}
+
+void readNewestPages(shared_log& log, const topic_partition& where, const std::string& prefix, std::function<void(newest_records)> onDone)
+{
+    std::make_shared<page_walk>(log, where, prefix, std::move(onDone))->readAfter(prefix);
+}
+
+}
--- a/src/libs/gateway/progresskeeper.cpp
+++ b/src/libs/gateway/progresskeeper.cpp
@@ -1,6 +1,7 @@
 #include "progresskeeper.h"
 
 #include "bootclock.h"
+#include "newestpages.h"
 
 #include <support/log.h>
 #include <support/logline.h>
@@ -8,8 +9,6 @@
 
 #include <xxhash.h>
 
-#include <algorithm>
-
 namespace ragwortreach {
 
 namespace {
@@ -94,30 +93,11 @@
 
 void progress_keeper::recover(const std::string& model, instant now)
 {
-    readPage({ model, now, 0 }, {});
-}
-
-void progress_keeper::readPage(const recovery& recovery, const std::string& afterKey)
-{
-    m_log.readNewest(topicOf(partitionOf(recovery.model)), afterKey,
-        [this, recovery](const newest_outcome& page) { takePage(recovery, page); });
-}
-
-void progress_keeper::takePage(recovery recovery, const newest_outcome& page)
-{
-    if (!page.isDone) {
-        finish(recovery, false);
-        return;
-    }
-    std::string lastKey;
-    for (const keyed_record& record : page.records) {
-        lastKey = std::max(lastKey, record.key);
-        take(recovery, record);
-    }
-    if (page.hasMore && !lastKey.empty())
-        readPage(recovery, lastKey);
-    else
-        finish(recovery, true);
+    readNewestPages(m_log, topicOf(partitionOf(model)), {}, [this, found = recovery { model, now, 0 }](const newest_records& saved) mutable {
+        for (const keyed_record& record : saved.records)
+            take(found, record);
+        finish(found, saved.isDone);
+    });
 }
 
 void progress_keeper::take(recovery& recovery, const keyed_record& record)
--- a/src/libs/gateway/progresskeeper.h
+++ b/src/libs/gateway/progresskeeper.h
@@ -56,8 +56,6 @@
     void save();
     void removeClosed();
     bool isNeeded(const saved_text& text) const;
-    void readPage(const recovery& recovery, const std::string& afterKey);
-    void takePage(recovery recovery, const newest_outcome& page);
     void take(recovery& recovery, const keyed_record& record);
     void finish(const recovery& recovery, bool isWhole);
 
--- a/src/libs/gateway/textread.cpp
+++ b/src/libs/gateway/textread.cpp
@@ -1,5 +1,7 @@
 #include "textread.h"
 
+#include "newestpages.h"
+
 #include <algorithm>
 
 namespace ragwortreach {
@@ -75,7 +77,7 @@
         finish(false);
         return;
     case read_status::Expired:
-        readPages(first, std::string(batchPrefixOf(m_references[first].key)));
+        readPages(first);
         return;
     case read_status::Done:
         break;
@@ -89,7 +91,7 @@
     if (m_texts[first])
         step();
     else
-        readPages(first, std::string(batchPrefixOf(begin.key)));
+        readPages(first);
 }
 
 bool text_store::text_read::takeText(std::size_t index, std::uint64_t from, std::span<const keyed_record> records)
@@ -109,54 +111,40 @@
     return true;
 }
 
-void text_store::text_read::readPages(std::size_t first, const std::string& afterKey)
+/// For what the history no longer holds: reads the newest records of the batch of the text \a first.
+void text_store::text_read::readPages(std::size_t first)
 {
-    m_store.m_log.readNewest(topicOf(m_references[first].partition), afterKey,
-        [self = shared_from_this(), first](const newest_outcome& page) { self->takePage(first, page); });
+    const text_reference& reference = m_references[first];
+    readNewestPages(m_store.m_log, topicOf(reference.partition), std::string(batchPrefixOf(reference.key)),
+        [self = shared_from_this(), first](const newest_records& newest) {
+            self->takePagedTexts(newest.records);
+            if (self->m_texts[first])
+                self->step();
+            else
+                self->finish(false);
+        });
 }
 
-void text_store::text_read::takePage(std::size_t first, const newest_outcome& page)
+void text_store::text_read::takePagedTexts(std::span<const keyed_record> records)
 {
-    if (!page.isDone) {
-        finish(false);
-        return;
-    }
-    const std::string_view prefix = batchPrefixOf(m_references[first].key);
-    std::string lastKey;
-    for (const keyed_record& record : page.records) {
-        lastKey = std::max(lastKey, record.key);
-        if (record.value && record.key.starts_with(prefix))
-            m_paged[record.key] = *record.value;
+    std::map<std::string_view, std::string_view> values;
+    for (const keyed_record& record : records) {
+        if (record.value)
+            values[record.key] = *record.value;
     }
-    if (page.hasMore && lastKey.starts_with(prefix)) {
-        readPages(first, lastKey);
-        return;
-    }
-    takePagedTexts(prefix);
-    if (m_texts[first])
-        step();
-    else
-        finish(false);
-}
-
-void text_store::text_read::takePagedTexts(std::string_view batchPrefix)
-{
     for (std::size_t index = 0; index < m_references.size(); ++index) {
         const text_reference& reference = m_references[index];
-        if (m_texts[index] || !reference.key.starts_with(batchPrefix))
-            continue;
         std::string text;
-        for (std::uint32_t number = 0; number < reference.records; ++number) {
-            const auto found = m_paged.find(chunkKey(reference.key, number));
-            if (found != m_paged.end())
+        for (std::uint32_t number = 0; !m_texts[index] && number < reference.records; ++number) {
+            const auto found = values.find(chunkKey(reference.key, number));
+            if (found != values.end())
                 text += found->second;
         }
-        if (text.size() != reference.bytes)
+        if (m_texts[index] || text.size() != reference.bytes)
             continue;
         ++m_store.m_counters.fromPages;
         set(index, std::move(text));
     }
-    m_paged.clear();
 }
 
 void text_store::text_read::set(std::size_t index, std::string text)
--- a/src/libs/gateway/textread.h
+++ b/src/libs/gateway/textread.h
@@ -17,16 +17,14 @@
     void readRange(std::size_t first);
     void takeRange(std::size_t first, const read_outcome& outcome);
     bool takeText(std::size_t index, std::uint64_t from, std::span<const keyed_record> records);
-    void readPages(std::size_t first, const std::string& afterKey);
-    void takePage(std::size_t first, const newest_outcome& page);
-    void takePagedTexts(std::string_view batchPrefix);
+    void readPages(std::size_t first);
+    void takePagedTexts(std::span<const keyed_record> records);
     void set(std::size_t index, std::string text);
     void finish(bool isWhole);
 
     text_store& m_store;
     std::vector<text_reference> m_references;
     text_list m_texts;
-    std::map<std::string, std::string, std::less<>> m_paged;
     std::function<void(const std::optional<text_list>&)> m_onDone;
 };
 
--- a/src/libs/gateway/topicfollower.cpp
+++ b/src/libs/gateway/topicfollower.cpp
@@ -26,59 +26,28 @@
 }
 
 void topic_follower::restart()
-{
-    m_pages.clear();
-    m_hasSnapshotEnd = false;
-    readPage({});
-}
-
-void topic_follower::readPage(const std::string& afterKey)
 {
     m_sentAt = bootNow();
-    m_log.readNewest(m_options.where, afterKey, [this](const newest_outcome& page) { takePage(page); });
+    readNewestPages(m_log, m_options.where, {}, [this](newest_records newest) { takeSnapshot(std::move(newest)); });
 }
 
-void topic_follower::takePage(const newest_outcome& page)
+void topic_follower::takeSnapshot(newest_records newest)
 {
-    noteAnswer(page.isDone);
-    if (!page.isDone) {
+    noteAnswer(newest.isDone);
+    if (!newest.isDone) {
         retryLater(&topic_follower::restart);
         return;
     }
-    if (!m_hasSnapshotEnd) {
-        m_hasSnapshotEnd = true;
-        m_snapshotEnd = page.end;
-        m_snapshotSentAt = m_sentAt;
-    }
-    std::string lastKey;
-    for (const keyed_record& record : page.records) {
-        lastKey = std::max(lastKey, record.key);
-        m_pages[record.key] = record;
-    }
-    if (page.hasMore && !lastKey.empty()) {
-        readPage(lastKey);
-        return;
-    }
-    completeSnapshot();
-}
-
-void topic_follower::completeSnapshot()
-{
-    std::vector<keyed_record> all;
-    for (std::pair<const std::string, keyed_record>& item : m_pages)
-        all.push_back(std::move(item.second));
-    m_pages.clear();
+    std::vector<keyed_record>& all = newest.records;
     std::sort(all.begin(), all.end(), [](const keyed_record& left, const keyed_record& right) { return left.offset < right.offset; });
-    std::vector<keyed_record> fresh;
-    for (const keyed_record& record : all) {
-        // Pages are no snapshot: records after its end follow in the tail, in order.
-        if (record.offset >= m_next && record.offset < m_snapshotEnd)
-            fresh.push_back(record);
-    }
-    m_next = std::max(m_next, m_snapshotEnd);
+    const auto isBefore = [](const keyed_record& record, std::uint64_t offset) { return record.offset < offset; };
+    // Pages are no snapshot: records after the end of the first page follow in the tail, in order.
+    const std::vector<keyed_record>::iterator end = std::lower_bound(all.begin(), all.end(), newest.end, isBefore);
+    const std::vector<keyed_record>::iterator begin = std::lower_bound(all.begin(), end, m_next, isBefore);
+    m_next = std::max(m_next, newest.end);
     m_isReady = true;
-    m_confirmedAt = m_snapshotSentAt;
-    m_handlers.onSnapshot(all, fresh);
+    m_confirmedAt = m_sentAt;
+    m_handlers.onSnapshot(all, std::span<const keyed_record>(begin, end));
     readTail();
 }
 
--- a/src/libs/gateway/topicfollower.h
+++ b/src/libs/gateway/topicfollower.h
@@ -1,11 +1,12 @@
 #pragma once
 
+#include "newestpages.h"
+
 #include <rollout/sharedlog.h>
 
 #include <boost/asio/steady_timer.hpp>
 
 #include <functional>
-#include <map>
 #include <span>
 
 namespace ragwortreach {
@@ -42,9 +43,7 @@
     std::uint64_t readFailures() const { return m_readFailures; }
 
 private:
-    void readPage(const std::string& afterKey);
-    void takePage(const newest_outcome& page);
-    void completeSnapshot();
+    void takeSnapshot(newest_records newest);
     void readTail();
     void takeTail(const read_outcome& outcome);
     void noteAnswer(bool isDone);
@@ -55,10 +54,6 @@
     topic_follower_options m_options;
     handlers m_handlers;
     boost::asio::steady_timer m_timer;
-    std::map<std::string, keyed_record> m_pages;
-    std::uint64_t m_snapshotEnd = 0;
-    instant m_snapshotSentAt {};
-    bool m_hasSnapshotEnd = false;
     std::uint64_t m_next = 0;
     bool m_isReady = false;
     bool m_isFailing = false;
