--- a/src/libs/rollout/itemorder.cpp
+++ b/src/libs/rollout/itemorder.cpp
@@ -26,6 +26,7 @@
             group.isRequired = group.isRequired || batch.requiredGroups.contains(items[index].group);
         }
         std::vector<group_length> groups;
+        groups.reserve(byName.size());
         for (const std::pair<const std::string_view, group_length>& item : byName)
             groups.push_back(item.second);
         return groups;
--- a/tests/auto/gateway/tst_textstore.cpp
+++ b/tests/auto/gateway/tst_textstore.cpp
@@ -17,9 +17,9 @@
 
 const text_case textCases[] = {
     { "short", 700, {}, false },
-    { "longer than a record", 450U * 1024U, {}, false },
+    { "longer than a record", std::size_t { 450 } * 1024, {}, false },
     { "the history is gone", 700, {}, true },
-    { "longer than a record, the history is gone", 450U * 1024U, {}, true },
+    { "longer than a record, the history is gone", std::size_t { 450 } * 1024, {}, true },
     { "the answer to the append is lost", 700, { append_fault::LoseAnswer }, false },
     { "the append is carried out late", 700, { append_fault::ApplyLate }, true },
     { "the append is refused first", 700, { append_fault::Refuse }, false },
@@ -115,7 +115,7 @@
     boost::asio::io_context context;
     memory_log log(context);
     text_store store(context, log, 1, "store");
-    const text_reference reference = written(context, store, "i1", std::string(450U * 1024U, 'x'));
+    const text_reference reference = written(context, store, "i1", std::string(std::size_t { 450 } * 1024, 'x'));
     REQUIRE(reference.records == 3);
     const text_reference references[] = { reference };
     store.remove(references);
--- a/tests/auto/rollout/tst_itemorder.cpp
+++ b/tests/auto/rollout/tst_itemorder.cpp
@@ -48,6 +48,7 @@
         groupEnd = std::max(groupEnd, *slot);
     }
     std::vector<std::uint64_t> ends;
+    ends.reserve(groupEnds.size());
     for (const std::pair<const std::string, std::uint64_t>& group : groupEnds)
         ends.push_back(group.second);
     std::sort(ends.begin(), ends.end());
