Gateway: Take up work once the ledger is read

The new owners read the saved texts, found no batches for them and began all items anew; their lines say 0 texts for each model. Items of five seconds made the steps late.

Change: work is assigned once the ledger was read.

--- a/src/libs/gateway/gatewayhost.cpp
+++ b/src/libs/gateway/gatewayhost.cpp
@@ -148,6 +148,7 @@
     std::optional<instant> drainingSince;
     std::string ownedNames;
     bool wasReady = false;
+    bool wasLedgerRead = false;
     bool hasLeft = false;
 };
 
@@ -171,10 +172,15 @@
     assignWork();
 }
 
+/// Takes up the work of the leases that are held. Texts that earlier owners saved belong to batches of the ledger, so
+/// the ledger comes first.
 void gateway_host::state::assignWork()
 {
     if (drainingSince)
         return;
+    orderer.noteHolder();
+    if (!batches.isReady())
+        return;
     std::set<std::string, std::less<>> owned;
     std::string names;
     for (const std::string& model : routes.models()) {
@@ -183,7 +189,6 @@
         owned.insert(model);
         names += (names.empty() ? "" : " ") + model;
     }
-    orderer.noteHolder();
     if (names == std::exchange(ownedNames, names))
         return;
     std::vector<std::string> added;
@@ -270,6 +275,8 @@
         if (error)
             return;
         noteReadiness();
+        if (batches.isReady() && !std::exchange(wasLedgerRead, true))
+            assignWork();
         view.tick();
         desk.tick();
         runner.run();
--- a/tests/auto/system/tst_platform.cpp
+++ b/tests/auto/system/tst_platform.cpp
@@ -89,7 +89,11 @@
     REQUIRE(before.size() == 3);
     REQUIRE(waitUntil([&fleet] { return fleet.run([&fleet] { return fleet.store().keys("keyed.ragwortreach.progress"); }) > 0; }));
     fleet.killAll();
-    fleet.run([&fleet] { fleet.store().compact(); });
+    fleet.run([&fleet] {
+        fleet.store().compact();
+        // The leases and the saved texts are known before the batches that they belong to.
+        fleet.store().setSlowPages("keyed.ragwortreach.batches");
+    });
     fleet.start(0);
     fleet.start(1);
     REQUIRE(hasResults(fleet, 0, "b", 4));
--- a/tests/platform/storestandin.cpp
+++ b/tests/platform/storestandin.cpp
@@ -17,6 +17,7 @@
 namespace {
 
     constexpr std::chrono::milliseconds tickInterval { 10 };
+    constexpr std::chrono::milliseconds lateness { 500 };
     constexpr std::size_t pageSize = 20;
 
     std::string whereOf(const http_request& request)
@@ -117,6 +118,8 @@
         m_unanswered.push_back(exchange);
     else if (path == "/api/log-read")
         read(exchange);
+    else if (path == "/api/log-newest" && !m_slowTopic.empty() && whereOf(exchange.request()).starts_with(m_slowTopic + "/"))
+        m_latePages.push_back({ exchange, std::chrono::steady_clock::now() + lateness });
     else if (path == "/api/log-newest")
         newest(exchange);
     else
@@ -202,6 +205,17 @@
     exchange.respond({ 200, {}, json { { "items", items }, { "more_pages", hasMore }, { "end", source.records.size() } }.dump() });
 }
 
+void store_standin::answerLatePages()
+{
+    const std::chrono::steady_clock::time_point now = std::chrono::steady_clock::now();
+    std::erase_if(m_latePages, [this, now](const late_page& page) {
+        if (now < page.due)
+            return false;
+        newest(page.exchange);
+        return true;
+    });
+}
+
 void store_standin::tick()
 {
     m_timer.expires_after(tickInterval);
@@ -211,6 +225,7 @@
         if (m_behaviour != store_behaviour::Mute)
             m_unanswered.clear();
         answerWaiting(false);
+        answerLatePages();
         tick();
     });
 }
--- a/tests/platform/storestandin.h
+++ b/tests/platform/storestandin.h
@@ -28,6 +28,8 @@
 
     std::string address() const;
     void setBehaviour(store_behaviour behaviour) { m_behaviour = behaviour; }
+    /// The pages of \a topic come half a second late from now on.
+    void setSlowPages(const std::string& topic) { m_slowTopic = topic; }
     /// Writes as another writer.
     void put(const std::string& topic, const std::string& key, const std::string& value);
     /// Drops the history of all topics.
@@ -53,6 +55,7 @@
     void append(const http_exchange& exchange);
     void read(const http_exchange& exchange);
     void newest(const http_exchange& exchange);
+    void answerLatePages();
     void answerWaiting(bool isAll);
     void respondRecords(const waiting_read& read);
     void tick();
@@ -63,6 +66,12 @@
     std::map<std::string, partition> m_partitions;
     std::list<waiting_read> m_waiting;
     std::vector<http_exchange> m_unanswered;
+    struct late_page {
+        http_exchange exchange;
+        std::chrono::steady_clock::time_point due;
+    };
+    std::list<late_page> m_latePages;
+    std::string m_slowTopic;
 };
 
 }
