Gateway, Rollout: One set of partition writers, and less that is kept or done twice

- text_store kept the records of a text beside the text until the append was answered; they are cut from the text again in the rare case that they are written anew.
- journal_writer called an empty handler on some ways and not on others, so its callers wrapped theirs.
- weight_plan added the loads of other services to the limit of a service to compare the sum of all; it counts the loads of the service.

No test was changed.

--- a/src/libs/gateway/batchdesk.cpp
+++ b/src/libs/gateway/batchdesk.cpp
@@ -74,8 +74,8 @@
     submission->id = caller.id;
     submission->host = caller.host;
     const std::string id = caller.id;
-    m_journal.write(batch_accepted { std::move(*submission) }, write_mode::OneTry, [this, exchange, id](append_status status) {
-        switch (status) {
+    m_journal.write(batch_accepted { std::move(*submission) }, write_mode::OneTry, [this, exchange, id](const append_report& report) {
+        switch (report.status) {
         case append_status::Done:
             ++m_counters.accepted;
             writeLine("batch_submitted", id, "accepted", "");
@@ -218,7 +218,7 @@
         exchange.respond(jsonAnswer(okStatus, "{}"));
         return;
     }
-    m_journal.write(batch_ended { call.batch }, write_mode::Persistent, [this, exchange, id = call.batch](append_status) {
+    m_journal.write(batch_ended { call.batch }, write_mode::Persistent, [this, exchange, id = call.batch](const append_report&) {
         ++m_counters.ended;
         writeLine("batch_ended", id, "done", "");
         exchange.respond(jsonAnswer(okStatus, "{}"));
--- a/src/libs/gateway/journal.cpp
+++ b/src/libs/gateway/journal.cpp
@@ -4,8 +4,6 @@
 
 #include <wire/journalcodec.h>
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <iterator>
 
@@ -14,8 +12,6 @@
 namespace {
 
     constexpr std::string_view topicName = "keyed.ragwortreach.batches";
-    /// The log takes records of 256 KiB; the key takes its part.
-    constexpr std::size_t maxChunkBytes = std::size_t { 200 } * 1024;
     /// A read that waits no longer confirms often enough that an answer can say there is nothing yet.
     constexpr duration readWait = std::chrono::milliseconds(400);
     constexpr duration readSpacing = std::chrono::milliseconds(60);
@@ -52,32 +48,25 @@
     std::function<void(const ledger_batch&)> onChanged)
     : m_writerName(std::move(writer))
     , m_onChanged(std::move(onChanged))
+    , m_writers(context, log, std::string(topicName), options.partitions, m_writerName)
     , m_texts(context, log, options.textPartitions, m_writerName)
 {
     for (std::uint32_t number = 0; number < options.partitions; ++number) {
-        const topic_partition where { std::string(topicName), number };
         topic_follower::handlers handlers;
         handlers.onSnapshot = [this](std::span<const keyed_record>, std::span<const keyed_record> fresh) { apply(fresh); };
         handlers.onRecords = [this](std::span<const keyed_record> records) { apply(records); };
-        const topic_follower_options following { where, readWait, readSpacing };
-        partition& added = m_partitions.emplace_back();
-        added.follower = std::make_unique<topic_follower>(context, log, following, std::move(handlers));
-        added.writer = std::make_unique<journal_writer>(context, log, where, m_writerName + "-" + std::to_string(number));
+        const topic_follower_options following { m_writers.where(number), readWait, readSpacing };
+        m_followers.push_back(std::make_unique<topic_follower>(context, log, following, std::move(handlers)));
     }
 }
 
 void journal::start()
 {
-    for (partition& item : m_partitions)
-        item.follower->start();
-}
-
-std::size_t journal::partitionOf(std::string_view batch) const
-{
-    return XXH3_64bits(batch.data(), batch.size()) % m_partitions.size();
+    for (const std::unique_ptr<topic_follower>& follower : m_followers)
+        follower->start();
 }
 
-void journal::write(const journal_record& record, write_mode mode, std::function<void(append_status)> onDone)
+void journal::write(const journal_record& record, write_mode mode, journal_writer::done_handler onDone)
 {
     const item_finished* const finished = std::get_if<item_finished>(&record);
     if (!finished || finished->output.text.size() <= maxInlineBytes) {
@@ -95,23 +84,19 @@
         });
 }
 
-void journal::writeRecord(const journal_record& record, write_mode mode, std::function<void(append_status)> onDone)
+void journal::writeRecord(const journal_record& record, write_mode mode, journal_writer::done_handler onDone)
 {
     const std::string bytes = encodeJournalRecord(record);
     const std::string keyBegin = m_writerName + "/" + std::to_string(++m_lastRecord);
+    const std::vector<std::string_view> pieces = cutForRecords(bytes);
     std::vector<keyed_record> records;
-    std::string_view rest = bytes;
-    do {
-        const std::string_view chunk = rest.substr(0, maxChunkBytes);
-        rest.remove_prefix(chunk.size());
-        std::string value(1, rest.empty() ? isLast : moreFollows);
-        value += chunk;
+    records.reserve(pieces.size());
+    for (const std::string_view piece : pieces) {
+        std::string value(1, records.size() + 1 == pieces.size() ? isLast : moreFollows);
+        value += piece;
         records.push_back({ keyBegin + "/" + std::to_string(records.size()), std::move(value), 0 });
-    } while (!rest.empty());
-    m_partitions[partitionOf(batchOf(record))].writer->write(std::move(records), mode, [whenDone = std::move(onDone)](const append_report& report) {
-        if (whenDone)
-            whenDone(report.status);
-    });
+    }
+    m_writers[m_writers.partitionOf(batchOf(record))].write(std::move(records), mode, std::move(onDone));
 }
 
 void journal::apply(std::span<const keyed_record> records)
@@ -175,40 +160,32 @@
     const auto found = m_keys.find(batch);
     if (found == m_keys.end())
         return;
-    journal_writer& writer = *m_partitions[partitionOf(batch)].writer;
-    for (const std::vector<std::string>* list : { &found->second.acceptances, &found->second.others }) {
-        std::vector<keyed_record> removals;
-        for (const std::string& key : *list)
-            removals.push_back({ key, std::nullopt, 0 });
-        if (!removals.empty())
-            writer.write(std::move(removals), write_mode::Persistent, {});
-    }
+    const std::uint32_t partition = m_writers.partitionOf(batch);
+    m_writers.remove(partition, found->second.acceptances);
+    m_writers.remove(partition, found->second.others);
 }
 
 bool journal::isReady() const
 {
-    return std::all_of(m_partitions.begin(), m_partitions.end(), [](const partition& item) { return item.follower->isReady(); });
+    return std::all_of(m_followers.begin(), m_followers.end(), [](const std::unique_ptr<topic_follower>& follower) { return follower->isReady(); });
 }
 
 instant journal::confirmedAt(std::string_view batch) const
 {
-    return m_partitions[partitionOf(batch)].follower->confirmedAt();
+    return m_followers[m_writers.partitionOf(batch)]->confirmedAt();
 }
 
 instant journal::confirmedAt() const
 {
     instant oldest = instant::max();
-    for (const partition& item : m_partitions)
-        oldest = std::min(oldest, item.follower->confirmedAt());
+    for (const std::unique_ptr<topic_follower>& follower : m_followers)
+        oldest = std::min(oldest, follower->confirmedAt());
     return oldest;
 }
 
 std::size_t journal::waiting() const
 {
-    std::size_t waiting = m_texts.waiting();
-    for (const partition& item : m_partitions)
-        waiting += item.writer->waiting();
-    return waiting;
+    return m_texts.waiting() + m_writers.waiting();
 }
 
 }
--- a/src/libs/gateway/journal.h
+++ b/src/libs/gateway/journal.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "journalwriter.h"
+#include "partitionedwriter.h"
 #include "textstore.h"
 #include "topicfollower.h"
 
@@ -38,7 +38,7 @@
 
     void start();
     /// A long text of a result is written apart from its record.
-    void write(const journal_record& record, write_mode mode, std::function<void(append_status)> onDone);
+    void write(const journal_record& record, write_mode mode, journal_writer::done_handler onDone);
 
     text_store& texts() { return m_texts; }
     const text_store& texts() const { return m_texts; }
@@ -56,25 +56,19 @@
     const journal_counters& counters() const { return m_counters; }
 
 private:
-    struct partition {
-        std::unique_ptr<topic_follower> follower;
-        std::unique_ptr<journal_writer> writer;
-    };
-
     /// Keys of the records of a batch.
     struct batch_keys {
         std::vector<std::string> acceptances;
         std::vector<std::string> others;
     };
 
-    void writeRecord(const journal_record& record, write_mode mode, std::function<void(append_status)> onDone);
+    void writeRecord(const journal_record& record, write_mode mode, journal_writer::done_handler onDone);
     void removeFromLog(const std::string& batch);
     struct partial_record {
         std::string bytes;
         std::vector<std::string> keys;
     };
 
-    std::size_t partitionOf(std::string_view batch) const;
     void apply(std::span<const keyed_record> records);
     void applyChunk(const keyed_record& record);
     void noteKeys(const journal_record& record, std::vector<std::string> keys);
@@ -82,7 +76,8 @@
     std::string m_writerName;
     std::uint64_t m_lastRecord = 0;
     std::function<void(const ledger_batch&)> m_onChanged;
-    std::vector<partition> m_partitions;
+    partitioned_writer m_writers;
+    std::vector<std::unique_ptr<topic_follower>> m_followers;
     text_store m_texts;
     batch_ledger m_ledger;
     /// Records that were cut into several, by writer and number, until the last part comes.
--- a/src/libs/gateway/journalwriter.cpp
+++ b/src/libs/gateway/journalwriter.cpp
@@ -46,6 +46,12 @@
     return m_queue.size() + m_sending.size();
 }
 
+void journal_writer::report(const entry& item, const append_report& report)
+{
+    if (item.onDone)
+        item.onDone(report);
+}
+
 void journal_writer::sendNext()
 {
     std::size_t bytes = 0;
@@ -111,8 +117,8 @@
     std::vector<entry> done = std::exchange(m_sending, {});
     sendNext();
     for (entry& item : done) {
-        if (!item.isReported && item.onDone)
-            item.onDone({ append_status::Done, firstOffset });
+        if (!item.isReported)
+            report(item, { append_status::Done, firstOffset });
         if (firstOffset)
             *firstOffset += item.records.size();
     }
@@ -129,7 +135,7 @@
         return true;
     });
     for (entry& item : refused)
-        item.onDone({ append_status::Refused });
+        report(item, { append_status::Refused });
 }
 
 void journal_writer::reportUnknown()
@@ -139,7 +145,7 @@
         if (item.mode != write_mode::OneTry || item.isReported || !isLong)
             continue;
         item.isReported = true;
-        item.onDone({ append_status::Unknown });
+        report(item, { append_status::Unknown });
     }
 }
 
--- a/src/libs/gateway/journalwriter.h
+++ b/src/libs/gateway/journalwriter.h
@@ -32,6 +32,7 @@
 /// is repeated under its numbers, which the log carries out once.
 class journal_writer {
 public:
+    /// May be empty.
     using done_handler = std::function<void(const append_report&)>;
 
     journal_writer(boost::asio::io_context& context, shared_log& log, topic_partition where, std::string producer);
@@ -51,6 +52,7 @@
         instant firstSentAt {};
     };
 
+    static void report(const entry& item, const append_report& report);
     void sendNext();
     void send();
     void take(const append_outcome& outcome);
--- a/src/libs/gateway/leasekeeper.cpp
+++ b/src/libs/gateway/leasekeeper.cpp
@@ -71,15 +71,15 @@
     if (records.empty())
         return;
     noteClaims(records);
-    write(records, [this, now](append_status status) { m_agent.onWritten(status == append_status::Done, now); });
+    write(records, [this, now](const append_report& report) { m_agent.onWritten(report.status == append_status::Done, now); });
 }
 
 void lease_keeper::release(std::function<void()> onDone)
 {
-    write({ m_agent.release(bootNow()) }, [whenDone = std::move(onDone)](append_status) { whenDone(); });
+    write({ m_agent.release(bootNow()) }, [whenDone = std::move(onDone)](const append_report&) { whenDone(); });
 }
 
-void lease_keeper::write(const std::vector<lease_record>& records, std::function<void(append_status)> onDone)
+void lease_keeper::write(const std::vector<lease_record>& records, journal_writer::done_handler onDone)
 {
     std::vector<keyed_record> encoded;
     for (const lease_record& record : records) {
@@ -92,7 +92,7 @@
         }
         encoded.push_back(std::move(added));
     }
-    m_writer.write(std::move(encoded), write_mode::OneTry, [whenDone = std::move(onDone)](const append_report& report) { whenDone(report.status); });
+    m_writer.write(std::move(encoded), write_mode::OneTry, std::move(onDone));
 }
 
 }
--- a/src/libs/gateway/leasekeeper.h
+++ b/src/libs/gateway/leasekeeper.h
@@ -32,7 +32,7 @@
 private:
     void noteClaims(const std::vector<lease_record>& records);
     void apply(std::span<const keyed_record> records);
-    void write(const std::vector<lease_record>& records, std::function<void(append_status)> onDone);
+    void write(const std::vector<lease_record>& records, journal_writer::done_handler onDone);
 
     std::string m_writerName;
     ragwortreach::log& m_lines;
--- a/src/libs/gateway/progresskeeper.cpp
+++ b/src/libs/gateway/progresskeeper.cpp
@@ -7,8 +7,6 @@
 #include <support/logline.h>
 #include <wire/journalcodec.h>
 
-#include <xxhash.h>
-
 namespace ragwortreach {
 
 namespace {
@@ -16,13 +14,6 @@
     constexpr std::string_view topicName = "keyed.ragwortreach.progress";
     /// An owner that dies loses this much of the work of its items at most.
     constexpr duration saveInterval = std::chrono::milliseconds(700);
-    /// The log takes records of 256 KiB; longer texts are not saved again.
-    constexpr std::size_t maxSavedBytes = std::size_t { 200 } * 1024;
-
-    topic_partition topicOf(std::uint32_t partition)
-    {
-        return { std::string(topicName), partition };
-    }
 
 }
 
@@ -32,16 +23,8 @@
     , m_ledger(ledger)
     , m_scheduler(scheduler)
     , m_lines(lines)
+    , m_writers(context, log, std::string(topicName), partitions, writer + "-progress")
 {
-    for (std::uint32_t number = 0; number < partitions; ++number) {
-        const std::string producer = writer + "-progress-" + std::to_string(number);
-        m_writers.push_back(std::make_unique<journal_writer>(context, log, topicOf(number), producer));
-    }
-}
-
-std::uint32_t progress_keeper::partitionOf(std::string_view model) const
-{
-    return static_cast<std::uint32_t>(XXH3_64bits(model.data(), model.size()) % m_writers.size());
 }
 
 void progress_keeper::tick(instant now)
@@ -58,17 +41,17 @@
     for (item_progressed& text : m_scheduler.takeProgress()) {
         const ledger_batch* const batch = m_ledger.find(text.batch);
         const std::optional<std::size_t> item = batch ? batch->indexOf(text.item) : std::nullopt;
-        if (!item || text.output.text.size() > maxSavedBytes)
+        // A text that does not fit a record is not saved again.
+        if (!item || text.output.text.size() > maxRecordBytes)
             continue;
-        const std::uint32_t partition = partitionOf(batch->submission.model);
+        const std::uint32_t partition = m_writers.partitionOf(batch->submission.model);
         // Saves that the log did not take yet are enough; more would only wait behind them.
-        if (m_writers[partition]->waiting() > batch->items.size())
+        if (m_writers[partition].waiting() > batch->items.size())
             continue;
+        // A text that the log refuses costs time only.
         const std::string key = text.batch + "/" + text.item;
         m_saved[key] = { text.batch, *item, partition };
-        m_writers[partition]->write({ { key, encodeJournalRecord(text), 0 } }, write_mode::OneTry, [](const append_report&) {
-            // A text that is not saved costs time only.
-        });
+        m_writers[partition].write({ { key, encodeJournalRecord(text), 0 } }, write_mode::OneTry, {});
         ++m_counters.saved;
     }
 }
@@ -86,14 +69,14 @@
             ++it;
             continue;
         }
-        m_writers[it->second.partition]->write({ { it->first, std::nullopt, 0 } }, write_mode::Persistent, {});
+        m_writers.remove(it->second.partition, { it->first });
         it = m_saved.erase(it);
     }
 }
 
 void progress_keeper::recover(const std::string& model, instant now)
 {
-    readNewestPages(m_log, topicOf(partitionOf(model)), {}, [this, found = recovery { model, now, 0 }](const newest_records& saved) mutable {
+    readNewestPages(m_log, m_writers.where(m_writers.partitionOf(model)), {}, [this, found = recovery { model, now, 0 }](const newest_records& saved) mutable {
         for (const keyed_record& record : saved.records)
             take(found, record);
         finish(found, saved.isDone);
@@ -112,7 +95,7 @@
     const std::optional<std::size_t> item = batch ? batch->indexOf(text->item) : std::nullopt;
     if (!item || batch->submission.model != recovery.model)
         return;
-    m_saved[record.key] = { text->batch, *item, partitionOf(recovery.model) };
+    m_saved[record.key] = { text->batch, *item, m_writers.partitionOf(recovery.model) };
     if (m_scheduler.adoptText(*batch, *item, text->output)) {
         ++recovery.texts;
         ++m_counters.recovered;
--- a/src/libs/gateway/progresskeeper.h
+++ b/src/libs/gateway/progresskeeper.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "journalwriter.h"
+#include "partitionedwriter.h"
 
 #include <rollout/batchledger.h>
 #include <rollout/itemscheduler.h>
@@ -52,7 +52,6 @@
         std::uint32_t partition = 0;
     };
 
-    std::uint32_t partitionOf(std::string_view model) const;
     void save();
     void removeClosed();
     bool isNeeded(const saved_text& text) const;
@@ -63,7 +62,7 @@
     const batch_ledger& m_ledger;
     item_scheduler& m_scheduler;
     ragwortreach::log& m_lines;
-    std::vector<std::unique_ptr<journal_writer>> m_writers;
+    partitioned_writer m_writers;
     /// What stands in the log, as far as this process wrote or read it, by key.
     std::map<std::string, saved_text, std::less<>> m_saved;
     instant m_savedAt {};
--- a/src/libs/gateway/textread.cpp
+++ b/src/libs/gateway/textread.cpp
@@ -66,7 +66,7 @@
             bytes += rangeBytes(m_references[index]);
     }
     const read_range range { begin.offset, {}, std::clamp(bytes, rangeBytes(begin), std::max(maxRangeBytes, rangeBytes(begin))) };
-    m_store.m_log.read(topicOf(begin.partition), range,
+    m_store.m_log.read(m_store.m_writers.where(begin.partition), range,
         [self = shared_from_this(), first](const read_outcome& outcome) { self->takeRange(first, outcome); });
 }
 
@@ -115,7 +115,7 @@
 void text_store::text_read::readPages(std::size_t first)
 {
     const text_reference& reference = m_references[first];
-    readNewestPages(m_store.m_log, topicOf(reference.partition), std::string(batchPrefixOf(reference.key)),
+    readNewestPages(m_store.m_log, m_store.m_writers.where(reference.partition), std::string(batchPrefixOf(reference.key)),
         [self = shared_from_this(), first](const newest_records& newest) {
             self->takePagedTexts(newest.records);
             if (self->m_texts[first])
@@ -133,14 +133,16 @@
             values[record.key] = *record.value;
     }
     for (std::size_t index = 0; index < m_references.size(); ++index) {
+        if (m_texts[index])
+            continue;
         const text_reference& reference = m_references[index];
         std::string text;
-        for (std::uint32_t number = 0; !m_texts[index] && number < reference.records; ++number) {
+        for (std::uint32_t number = 0; number < reference.records; ++number) {
             const auto found = values.find(chunkKey(reference.key, number));
             if (found != values.end())
                 text += found->second;
         }
-        if (m_texts[index] || text.size() != reference.bytes)
+        if (text.size() != reference.bytes)
             continue;
         ++m_store.m_counters.fromPages;
         set(index, std::move(text));
--- a/src/libs/gateway/textstore.h
+++ b/src/libs/gateway/textstore.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "journalwriter.h"
+#include "partitionedwriter.h"
 
 #include <rollout/journalrecord.h>
 #include <rollout/sharedlog.h>
@@ -46,16 +46,14 @@
     void remove(std::span<const text_reference> references);
 
     /// Texts that do not stand in the log yet.
-    std::size_t waiting() const;
+    std::size_t waiting() const { return m_writers.waiting(); }
     const text_counters& counters() const { return m_counters; }
 
 private:
     class text_read;
 
-    static topic_partition topicOf(std::uint32_t partition);
     static std::string chunkKey(const std::string& key, std::uint32_t number);
-    void append(text_reference reference, std::vector<keyed_record> records, std::shared_ptr<const std::string> text,
-        std::function<void(const text_reference&)> onDone);
+    void append(text_reference reference, std::shared_ptr<const std::string> text, std::function<void(const text_reference&)> onDone);
     void keep(const std::string& key, std::shared_ptr<const std::string> text);
     std::shared_ptr<const std::string> cached(const std::string& key);
 
@@ -66,7 +64,7 @@
 
     shared_log& m_log;
     std::string m_writerName;
-    std::vector<std::unique_ptr<journal_writer>> m_writers;
+    partitioned_writer m_writers;
     /// Newest use first.
     std::list<cache_entry> m_cache;
     std::map<std::string, std::list<cache_entry>::iterator, std::less<>> m_cacheIndex;
--- a/src/libs/rollout/itemscheduler.cpp
+++ b/src/libs/rollout/itemscheduler.cpp
@@ -19,7 +19,8 @@
     constexpr std::uint64_t minProgress = 12;
     /// Trainers ask again for the groups of a batch soon after they ended it.
     constexpr duration reuseTime = std::chrono::seconds(30);
-    constexpr duration compareInterval = std::chrono::milliseconds(100);
+    /// Comparing replicas and forgetting closed batches walk over all there is.
+    constexpr duration upkeepInterval = std::chrono::milliseconds(100);
     /// A run stays on a replica for so long at least, so that runs do not wander about.
     constexpr duration minRunTime = std::chrono::milliseconds(250);
     constexpr duration failurePause = std::chrono::milliseconds(200);
@@ -134,9 +135,10 @@
 
 void item_scheduler::schedule(instant now)
 {
-    if (now - m_comparedAt >= compareInterval) {
-        m_comparedAt = now;
+    if (now - m_upkeepAt >= upkeepInterval) {
+        m_upkeepAt = now;
         m_pool.compareIntervals(now);
+        forgetItems(now);
     }
     checkRuns(now);
     leaveSlowReplicas(now);
@@ -148,7 +150,6 @@
                 scheduleBatch(*batch, now);
         }
     }
-    forgetItems(now);
 }
 
 void item_scheduler::scheduleBatch(const ledger_batch& batch, instant now)
@@ -465,14 +466,15 @@
         const bool isReusable = batch && entry.second.output.lastEvent != 0 && now - batch->learnedAt < reuseTime;
         return entry.second.run == 0 && (!batch || !batch->isOpen()) && !isReusable;
     });
-    std::erase_if(m_orders, [this](const std::pair<const std::string, std::vector<std::size_t>>& entry) {
-        const ledger_batch* const batch = m_ledger.find(entry.first);
-        return !batch || !batch->isOpen();
-    });
-    std::erase_if(m_groupReplicas, [this](const std::pair<const std::pair<std::string, std::string>, std::string>& entry) {
-        const ledger_batch* const batch = m_ledger.find(entry.first.first);
-        return !batch || !batch->isOpen();
-    });
+    std::erase_if(m_orders, [this](const std::pair<const std::string, std::vector<std::size_t>>& entry) { return !isOpen(entry.first); });
+    std::erase_if(m_groupReplicas,
+        [this](const std::pair<const std::pair<std::string, std::string>, std::string>& entry) { return !isOpen(entry.first.first); });
+}
+
+bool item_scheduler::isOpen(std::string_view batch) const
+{
+    const ledger_batch* const known = m_ledger.find(batch);
+    return known && known->isOpen();
 }
 
 std::vector<scheduler_effect> item_scheduler::takeEffects()
--- a/src/libs/rollout/itemscheduler.h
+++ b/src/libs/rollout/itemscheduler.h
@@ -164,6 +164,7 @@
     void handOver(run_number run, instant now);
     const route* routeOf(const ledger_batch& batch, std::size_t item) const;
     void forgetItems(instant now);
+    bool isOpen(std::string_view batch) const;
     bool adoptEarlier(const ledger_batch& batch, std::size_t item, item_state& state);
     bool fits(const ledger_batch& batch, std::size_t item, const item_text& text) const;
 
@@ -178,7 +179,7 @@
     std::map<std::pair<std::string, std::string>, std::string> m_groupReplicas;
     std::vector<scheduler_effect> m_effects;
     run_number m_lastRun = 0;
-    instant m_comparedAt {};
+    instant m_upkeepAt {};
     scheduler_counters m_counters;
 };
 
--- a/src/libs/rollout/weightplan.cpp
+++ b/src/libs/rollout/weightplan.cpp
@@ -59,33 +59,33 @@
         std::stable_sort(due.begin(), due.end(), [](const due_order& left, const due_order& right) {
             return std::make_tuple(!left.isUrgent, left.namedAt) < std::make_tuple(!right.isUrgent, right.namedAt);
         });
-        startLoads(due, loadLimit(pool, service), orders, now);
+        startLoads(due, roomForLoads(pool, service), orders, now);
     }
     return orders;
 }
 
-/// Takes orders off the begin of \a due until \a limit replicas load.
-void weight_plan::startLoads(std::vector<due_order>& due, std::size_t limit, std::vector<weight_order>& orders, instant now)
+/// Takes the first \a room orders of \a due.
+void weight_plan::startLoads(std::vector<due_order>& due, std::size_t room, std::vector<weight_order>& orders, instant now)
 {
-    for (due_order& item : due) {
-        if (m_loads.size() >= limit)
-            return;
+    for (due_order& item : std::span(due).first(std::min(room, due.size()))) {
         m_loads[item.order.replica] = { item.order.model, item.order.version, now + unknownOrderTime };
         orders.push_back(std::move(item.order));
     }
 }
 
-std::size_t weight_plan::loadLimit(const replica_pool& pool, const service_definition& service) const
+/// Replicas of \a service that may begin to load.
+std::size_t weight_plan::roomForLoads(const replica_pool& pool, const service_definition& service) const
 {
     std::size_t replicas = 0;
-    std::size_t loadsElsewhere = 0;
+    std::size_t loading = 0;
     for (const std::pair<const std::string, replica_pool::replica>& item : pool.replicas()) {
-        const bool isOwn = item.second.entry.service == service.name;
-        replicas += isOwn ? 1U : 0U;
-        loadsElsewhere += !isOwn && m_loads.contains(item.first) ? 1U : 0U;
+        if (item.second.entry.service != service.name)
+            continue;
+        ++replicas;
+        loading += m_loads.contains(item.first) ? 1U : 0U;
     }
-    const std::size_t limit = static_cast<std::size_t>(std::lround(m_loadShare * static_cast<double>(replicas)));
-    return loadsElsewhere + std::max<std::size_t>(limit, 1);
+    const std::size_t limit = static_cast<std::size_t>(std::max(1L, std::lround(m_loadShare * static_cast<double>(replicas))));
+    return limit - std::min(limit, loading);
 }
 
 /// Adds the replicas whose version is too old to serve, and others until half of the share has the newest version.
--- a/src/libs/rollout/weightplan.h
+++ b/src/libs/rollout/weightplan.h
@@ -108,8 +108,8 @@
     };
 
     void addDue(std::vector<due_order>& due, std::string_view model, const replica_list& share, load_mode mode) const;
-    void startLoads(std::vector<due_order>& due, std::size_t limit, std::vector<weight_order>& orders, instant now);
-    std::size_t loadLimit(const replica_pool& pool, const service_definition& service) const;
+    void startLoads(std::vector<due_order>& due, std::size_t room, std::vector<weight_order>& orders, instant now);
+    std::size_t roomForLoads(const replica_pool& pool, const service_definition& service) const;
     void forgetDone(const replica_pool& pool, instant now);
     std::map<std::string, replica_list> share(const replica_pool& pool, const service_definition& service, instant now) const;
     static const replica_pool::replica* bestFor(std::string_view model, const replica_list& free, instant now);
