--- a/src/libs/gateway/batchdesk.cpp
+++ b/src/libs/gateway/batchdesk.cpp
@@ -168,7 +168,7 @@
         if (result.reference && next == texts.end())
             break;
         const std::string_view text = result.reference ? std::string_view(**next++) : std::string_view(result.output.text);
-        results.push_back({ batch->submission.items[result.item].id, result.isCompleted, text, result.output.versions });
+        results.push_back({ batch->submission.items[result.item].id, result.isCompleted, text, result.output.versions, result.reward });
     }
     read.exchange.respond(jsonAnswer(okStatus, platform::encodeResults(batch->items.size(), read.call.position, results)));
 }
--- a/src/libs/gateway/gatewaymetrics.h
+++ b/src/libs/gateway/gatewaymetrics.h
@@ -5,6 +5,7 @@
 #include "journal.h"
 #include "platformview.h"
 #include "progresskeeper.h"
+#include "rewardcaller.h"
 #include "weightorderer.h"
 
 #include <rollout/itemscheduler.h>
@@ -18,6 +19,8 @@
     const call_counters& calls;
     const batch_counters& batches;
     const scheduler_counters& items;
+    const reward_scheduler& rewards;
+    const reward_latency& rewardLatency;
     const weight_counters& weights;
     const view_counters& view;
     const journal_counters& journal;
--- a/src/libs/gateway/itemrunner.cpp
+++ b/src/libs/gateway/itemrunner.cpp
@@ -43,6 +43,8 @@
 
     void operator()(const start_run& effect) const { m_runner.start(effect); }
     void operator()(const cancel_run& effect) const { m_runner.cancel(effect); }
+    void operator()(const start_reward& effect) const { m_runner.m_rewards.start(effect); }
+    void operator()(const cancel_reward& effect) const { m_runner.m_rewards.cancel(effect); }
     void operator()(const write_record& effect) const { m_runner.m_journal.write(effect.record, write_mode::Persistent, {}); }
 
 private:
@@ -57,6 +59,10 @@
     , m_scheduler(scheduler)
     , m_pool(pool)
     , m_log(log)
+    , m_rewards(client, journal.ledger(), log, [this](reward_number call, const reward_answer& answer) {
+        m_scheduler.onRewardEnd(call, answer, bootNow());
+        runSoon();
+    })
 {
 }
 
--- a/src/libs/gateway/itemrunner.h
+++ b/src/libs/gateway/itemrunner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "journal.h"
+#include "rewardcaller.h"
 
 #include <net/httpclient.h>
 #include <platform/requestcodec.h>
@@ -23,6 +24,7 @@
     void run();
     /// Ends all runs and leaves their text so far in the journal.
     void handOver();
+    const reward_latency& rewardLatency() const { return m_rewards.latency(); }
 
 private:
     struct stream;
@@ -43,6 +45,7 @@
     item_scheduler& m_scheduler;
     replica_pool& m_pool;
     log& m_log;
+    reward_caller m_rewards;
     std::map<run_number, std::unique_ptr<stream>> m_streams;
     bool m_isRunDue = false;
     bool m_isStopped = false;
--- a/src/libs/gateway/progresskeeper.cpp
+++ b/src/libs/gateway/progresskeeper.cpp
@@ -38,7 +38,7 @@
 
 void progress_keeper::save()
 {
-    for (item_progressed& text : m_scheduler.takeProgress()) {
+    for (item_progressed& text : m_scheduler.takeProgress(bootNow())) {
         const ledger_batch* const batch = m_ledger.find(text.batch);
         const std::optional<std::size_t> item = batch ? batch->indexOf(text.item) : std::nullopt;
         // A text that does not fit a record is not saved again.
@@ -96,7 +96,7 @@
     if (!item || batch->submission.model != recovery.model)
         return;
     m_saved[record.key] = { text->batch, *item, m_writers.partitionOf(recovery.model) };
-    if (m_scheduler.adoptText(*batch, *item, text->output)) {
+    if (m_scheduler.adoptText(*batch, *item, text->output, bootNow())) {
         ++recovery.texts;
         ++m_counters.recovered;
     }
--- /dev/null
+++ b/src/libs/gateway/rewardcaller.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <net/httpclient.h>
+#include <platform/requestcodec.h>
+#include <rollout/batchledger.h>
+#include <rollout/rewardscheduler.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace ragwortreach {
+
+class log;
+
+/// Sums since the start of the process.
+struct reward_latency {
+    /// Time from the sending of the calls that were scored to their answers, in microseconds.
+    std::uint64_t microseconds = 0;
+    std::uint64_t calls = 0;
+};
+
+/// Sends reward calls to replicas and reads their answers.
+class reward_caller {
+public:
+    using end_handler = std::function<void(reward_number, const reward_answer&)>;
+
+    reward_caller(http_client& client, const batch_ledger& ledger, log& log, end_handler onEnd);
+    ~reward_caller();
+
+    void start(const start_reward& effect);
+    void cancel(const cancel_reward& effect);
+    const reward_latency& latency() const { return m_latency; }
+
+private:
+    struct open_call;
+
+    void take(reward_number number, const http_outcome& outcome, const http_response& response);
+    static reward_answer answerOf(const open_call& call, const http_outcome& outcome, const http_response& response);
+
+    http_client& m_client;
+    const batch_ledger& m_ledger;
+    log& m_log;
+    end_handler m_onEnd;
+    std::map<reward_number, std::unique_ptr<open_call>> m_calls;
+    reward_latency m_latency;
+};
+
+}
--- a/src/libs/rollout/batchledger.cpp
+++ b/src/libs/rollout/batchledger.cpp
@@ -44,7 +44,7 @@
             return nullptr;
         batch->items[*index].position = batch->results.size();
         batch->items[*index].progress = {};
-        batch->results.push_back({ *index, record.isCompleted, record.output, record.reference });
+        batch->results.push_back({ *index, record.isCompleted, record.output, record.reference, record.reward });
         const std::string& group = batch->submission.items[*index].group;
         if (--batch->openItems[group] == 0) {
             ++batch->completeGroups;
@@ -62,7 +62,8 @@
         if (!index || batch->items[*index].position)
             return nullptr;
         item_text& progress = batch->items[*index].progress;
-        if (record.output.lastEvent <= progress.lastEvent)
+        const bool isLonger = record.output.lastEvent > progress.lastEvent;
+        if (!isLonger && record.output.isWhole <= progress.isWhole)
             return nullptr;
         progress = record.output;
         return batch;
--- a/src/libs/rollout/batchledger.h
+++ b/src/libs/rollout/batchledger.h
@@ -36,6 +36,8 @@
     /// Without its text when \a reference says where that stands.
     item_text output;
     std::optional<text_reference> reference;
+    /// Signature of the answer to the reward call; empty for an item without one.
+    std::string reward;
 
     std::uint64_t bytes() const { return reference ? reference->bytes : output.text.size(); }
 };
--- a/src/libs/rollout/itemscheduler.cpp
+++ b/src/libs/rollout/itemscheduler.cpp
@@ -17,6 +17,8 @@
     constexpr duration recoveryLimit = std::chrono::milliseconds(1000);
     /// Events by which a text has grown when it is saved again; most items are shorter.
     constexpr std::uint64_t minProgress = 12;
+    /// Most rewards come sooner; a whole text that waits longer is saved.
+    constexpr duration rewardPatience = std::chrono::milliseconds(300);
     /// Trainers ask again for the groups of a batch soon after they ended it.
     constexpr duration reuseTime = std::chrono::seconds(30);
     /// Comparing replicas and forgetting closed batches walk over all there is.
@@ -50,6 +52,7 @@
     : m_ledger(ledger)
     , m_pool(pool)
     , m_routes(routes)
+    , m_rewards(ledger, pool, routes)
 {
 }
 
@@ -76,7 +79,7 @@
     return *std::min_element(text.versions.begin(), text.versions.end()) >= batch.submission.minVersion;
 }
 
-bool item_scheduler::adoptText(const ledger_batch& batch, std::size_t item, const item_text& text)
+bool item_scheduler::adoptText(const ledger_batch& batch, std::size_t item, const item_text& text, instant now)
 {
     if (!batch.isOpen() || batch.items[item].position || !fits(batch, item, text))
         return false;
@@ -85,24 +88,38 @@
         return false;
     state.output = text;
     state.progressEvent = text.lastEvent;
+    state.isWholeTaken = text.isWhole;
+    if (text.isWhole)
+        complete({ batch.submission.id, item }, state, now);
     return true;
 }
 
-std::vector<item_progressed> item_scheduler::takeProgress()
+std::vector<item_progressed> item_scheduler::takeProgress(instant now)
 {
     std::vector<item_progressed> texts;
     for (const std::pair<const run_number, run_state>& item : m_runs) {
-        const item_key& key = item.second.key;
+        item_state& state = m_items[item.second.key];
+        if (state.output.lastEvent >= state.progressEvent + minProgress)
+            takeText(item.second.key, state, texts);
+    }
+    for (const item_key& key : m_rewards.waitingSince(now - rewardPatience)) {
         item_state& state = m_items[key];
-        const ledger_batch* const batch = m_ledger.find(key.batch);
-        if (!batch || state.output.lastEvent < state.progressEvent + minProgress)
-            continue;
-        state.progressEvent = state.output.lastEvent;
-        texts.push_back({ key.batch, batch->submission.items[key.item].id, state.output });
+        if (!state.isWholeTaken && !state.reference)
+            takeText(key, state, texts);
     }
     return texts;
 }
 
+void item_scheduler::takeText(const item_key& key, item_state& state, std::vector<item_progressed>& texts) const
+{
+    const ledger_batch* const batch = m_ledger.find(key.batch);
+    if (!batch)
+        return;
+    state.progressEvent = state.output.lastEvent;
+    state.isWholeTaken = state.output.isWhole;
+    texts.push_back({ key.batch, batch->submission.items[key.item].id, state.output });
+}
+
 /// Goes on with what is known of the item from an earlier batch; true when that was its whole result.
 bool item_scheduler::adoptEarlier(const ledger_batch& batch, std::size_t item, item_state& state)
 {
@@ -116,7 +133,13 @@
         if (!result.isCompleted || !fits(batch, item, result.output))
             return false;
         ++m_counters.resultsReused;
-        writeResult({ batch.submission.id, batch.submission.items[item].id, true, result.output, result.reference }, state);
+        state.output = result.output;
+        state.output.isWhole = true;
+        state.reference = result.reference;
+        // A reward belongs to its call; the text stays the same.
+        if (before->submission.items[earlier->item].reward != batch.submission.items[item].reward)
+            return false;
+        finish({ batch.submission.id, item }, state, true, result.reward);
         return true;
     }
     const auto known = m_items.find({ earlier->batch, earlier->item });
@@ -142,6 +165,7 @@
     }
     checkRuns(now);
     leaveSlowReplicas(now);
+    leaveRewards(now);
     // What a trainer no longer waits for takes only the room that is left.
     for (const bool isSatisfied : { false, true }) {
         for (const std::string& id : m_ledger.order()) {
@@ -150,6 +174,8 @@
                 scheduleBatch(*batch, now);
         }
     }
+    m_rewards.schedule(now);
+    takeRewardEffects();
 }
 
 void item_scheduler::scheduleBatch(const ledger_batch& batch, instant now)
@@ -157,8 +183,10 @@
     const auto owned = m_owned.find(batch.submission.model);
     if (owned == m_owned.end() || now - owned->second.since < (owned->second.isRecovered ? handoverPause : recoveryLimit))
         return;
+    bool hasRoom = true;
     for (const std::size_t item : orderOf(batch)) {
-        if (batch.items[item].position)
+        const item_text& progress = batch.items[item].progress;
+        if (batch.items[item].position || (!hasRoom && !progress.isWhole))
             continue;
         const std::pair<std::map<item_key, item_state>::iterator, bool> known = m_items.try_emplace({ batch.submission.id, item });
         item_state& state = known.first->second;
@@ -171,8 +199,12 @@
             finish({ batch.submission.id, item }, state, false);
             continue;
         }
-        if (!startItem(batch, item, *itemRoute, now))
-            return;
+        if (progress.lastEvent > state.output.lastEvent || (progress.isWhole && !state.output.isWhole))
+            state.output = progress;
+        if (state.output.isWhole)
+            complete({ batch.submission.id, item }, state, now);
+        else
+            hasRoom = hasRoom && startItem(batch, item, *itemRoute, now);
     }
 }
 
@@ -209,8 +241,6 @@
         return false;
     const item_key key { batch.submission.id, item };
     item_state& state = m_items[key];
-    if (batch.items[item].progress.lastEvent > state.output.lastEvent)
-        state.output = batch.items[item].progress;
     std::string& groupReplica = m_groupReplicas[{ key.batch, batch.submission.items[item].group }];
     replica_criteria criteria = criteriaFor(batch, *service);
     criteria.excluded = state.excluded;
@@ -373,8 +403,10 @@
     switch (end) {
     case run_end::Whole:
         endRun(run, replica_outcome::Answered, now);
-        if (item.output.lastEvent != 0)
-            finish(ended.key, item, true);
+        if (item.output.lastEvent != 0) {
+            item.output.isWhole = true;
+            complete(ended.key, item, now);
+        }
         return;
     case run_end::Broken:
         ++m_counters.runsBroken;
@@ -418,14 +450,28 @@
     endRun(run, replica_outcome::Cancelled, now);
 }
 
-void item_scheduler::finish(const item_key& key, item_state& state, bool isCompleted)
+/// The text of the item is whole: what is missing is its reward, if it needs one.
+void item_scheduler::complete(const item_key& key, item_state& state, instant now)
+{
+    const ledger_batch* const batch = m_ledger.find(key.batch);
+    if (!batch)
+        return;
+    if (batch->submission.items[key.item].reward)
+        m_rewards.add(key, now);
+    else
+        finish(key, state, true);
+}
+
+void item_scheduler::finish(const item_key& key, item_state& state, bool isCompleted, std::string reward)
 {
     const ledger_batch* const batch = m_ledger.find(key.batch);
     if (!batch || state.isRecorded)
         return;
-    item_finished record { key.batch, batch->submission.items[key.item].id, isCompleted, {}, {} };
-    if (isCompleted)
+    item_finished record { key.batch, batch->submission.items[key.item].id, isCompleted, {}, {}, std::move(reward) };
+    if (isCompleted) {
         record.output = std::move(state.output);
+        record.reference = std::move(state.reference);
+    }
     writeResult(std::move(record), state);
 }
 
@@ -433,6 +479,7 @@
 {
     state.isRecorded = true;
     state.output = {};
+    state.reference.reset();
     ++(record.isCompleted ? m_counters.itemsCompleted : m_counters.itemsAbandoned);
     m_effects.emplace_back(write_record { std::move(record) });
 }
@@ -443,20 +490,53 @@
     if (found == m_runs.end())
         return;
     const item_key key = found->second.key;
-    item_state& item = m_items[key];
     cancel(run, "handed over", now);
+    handOverText(key);
+}
+
+void item_scheduler::handOverText(const item_key& key)
+{
+    const item_state& item = m_items[key];
     const ledger_batch* const batch = m_ledger.find(key.batch);
-    if (!batch || item.output.lastEvent == 0)
+    if (!batch || item.output.lastEvent == 0 || item.reference)
         return;
     ++m_counters.handedOver;
     m_effects.emplace_back(write_record { item_progressed { key.batch, batch->submission.items[key.item].id, item.output } });
 }
 
+/// Leaves the rewards of models that another daemon owns now to that one.
+void item_scheduler::leaveRewards(instant now)
+{
+    for (const item_key& key : m_rewards.all()) {
+        const ledger_batch* const batch = m_ledger.find(key.batch);
+        if (batch && m_owned.contains(batch->submission.model))
+            continue;
+        m_rewards.remove(key, "handed over", now);
+        handOverText(key);
+    }
+}
+
+void item_scheduler::onRewardEnd(reward_number call, const reward_answer& answer, instant now)
+{
+    const std::optional<reward_outcome> outcome = m_rewards.onEnd(call, answer, now);
+    if (!outcome)
+        return;
+    finish(outcome->key, m_items[outcome->key], outcome->signature.has_value(), outcome->signature.value_or(std::string()));
+}
+
+void item_scheduler::takeRewardEffects()
+{
+    for (reward_effect& effect : m_rewards.takeEffects())
+        std::visit([this](auto& taken) { m_effects.emplace_back(std::move(taken)); }, effect);
+}
+
 void item_scheduler::handOverAll()
 {
     m_owned.clear();
     while (!m_runs.empty())
         handOver(m_runs.begin()->first, {});
+    leaveRewards({});
+    takeRewardEffects();
 }
 
 void item_scheduler::forgetItems(instant now)
@@ -464,7 +544,7 @@
     std::erase_if(m_items, [this, now](const std::pair<const item_key, item_state>& entry) {
         const ledger_batch* const batch = m_ledger.find(entry.first.batch);
         const bool isReusable = batch && entry.second.output.lastEvent != 0 && now - batch->learnedAt < reuseTime;
-        return entry.second.run == 0 && (!batch || !batch->isOpen()) && !isReusable;
+        return entry.second.run == 0 && !m_rewards.contains(entry.first) && (!batch || !batch->isOpen()) && !isReusable;
     });
     std::erase_if(m_orders, [this](const std::pair<const std::string, std::vector<std::size_t>>& entry) { return !isOpen(entry.first); });
     std::erase_if(m_groupReplicas,
--- a/src/libs/rollout/itemscheduler.h
+++ b/src/libs/rollout/itemscheduler.h
@@ -2,14 +2,15 @@
 
 #include "batchledger.h"
 #include "eventstreamreader.h"
+#include "itemkey.h"
 #include "replicapool.h"
+#include "rewardscheduler.h"
 #include "routetable.h"
 
 #include <core/instant.h>
 
 #include <map>
 #include <set>
-#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -39,7 +40,7 @@
     journal_record record;
 };
 
-using scheduler_effect = std::variant<start_run, cancel_run, write_record>;
+using scheduler_effect = std::variant<start_run, cancel_run, start_reward, cancel_reward, write_record>;
 
 /// How a run ended.
 enum class run_end {
@@ -86,6 +87,7 @@
 /// take most of the time that a step has, and reading a prompt again is cheap.
 /// Batches whose trainer has what it waits for come last: after an outage the end of a batch may arrive late, and its
 /// rest would hold up the next step.
+/// An item with a reward call has its result once the reward is there as well.
 class item_scheduler {
 public:
     item_scheduler(const batch_ledger& ledger, replica_pool& pool, const route_table& routes);
@@ -97,14 +99,15 @@
     /// The texts that earlier owners of \a model left were adopted, as far as there are any.
     void setRecovered(std::string_view model);
     /// Takes a text that an earlier owner left; false when it does not fit or is not longer than what is known.
-    bool adoptText(const ledger_batch& batch, std::size_t item, const item_text& text);
-    /// Texts of long items that have grown since they were last taken.
-    std::vector<item_progressed> takeProgress();
+    bool adoptText(const ledger_batch& batch, std::size_t item, const item_text& text, instant now);
+    /// Texts of long items that have grown since they were last taken, and whole ones whose reward is late.
+    std::vector<item_progressed> takeProgress(instant now);
 
     void onHead(run_number run, std::optional<std::uint64_t> weightVersion);
     void onEvent(run_number run, const stream_event& event, instant now);
     void onEnd(run_number run, run_end end, instant now);
 
+    void onRewardEnd(reward_number call, const reward_answer& answer, instant now);
     /// Starts, cancels and gives up what is due.
     void schedule(instant now);
     /// Journals the text so far of all runs and ends them, for a graceful shutdown.
@@ -113,17 +116,14 @@
     bool hasEffects() const { return !m_effects.empty(); }
 
     const scheduler_counters& counters() const { return m_counters; }
+    const reward_scheduler& rewards() const { return m_rewards; }
     std::size_t runs() const { return m_runs.size(); }
 
 private:
-    struct item_key {
-        std::string batch;
-        std::size_t item = 0;
-
-        bool operator<(const item_key& other) const { return std::tie(batch, item) < std::tie(other.batch, other.item); }
-    };
     struct item_state {
+        /// Without its text when \a reference says where that stands.
         item_text output;
+        std::optional<text_reference> reference;
         std::uint32_t failures = 0;
         instant notBefore {};
         std::vector<std::string> excluded;
@@ -131,6 +131,7 @@
         bool isRecorded = false;
         /// Last event of the text that was taken last.
         std::uint64_t progressEvent = 0;
+        bool isWholeTaken = false;
     };
     struct ownership {
         instant since {};
@@ -159,18 +160,24 @@
     void cancel(run_number run, std::string_view reason, instant now);
     bool addVersion(item_state& state, run_state& run, std::uint64_t version);
     void dropText(item_state& state);
-    void finish(const item_key& key, item_state& state, bool isCompleted);
+    void complete(const item_key& key, item_state& state, instant now);
+    void finish(const item_key& key, item_state& state, bool isCompleted, std::string reward = {});
     void writeResult(item_finished record, item_state& state);
     void handOver(run_number run, instant now);
+    void handOverText(const item_key& key);
+    void leaveRewards(instant now);
+    void takeRewardEffects();
     const route* routeOf(const ledger_batch& batch, std::size_t item) const;
     void forgetItems(instant now);
     bool isOpen(std::string_view batch) const;
+    void takeText(const item_key& key, item_state& state, std::vector<item_progressed>& texts) const;
     bool adoptEarlier(const ledger_batch& batch, std::size_t item, item_state& state);
     bool fits(const ledger_batch& batch, std::size_t item, const item_text& text) const;
 
     const batch_ledger& m_ledger;
     replica_pool& m_pool;
     const route_table& m_routes;
+    reward_scheduler m_rewards;
     std::map<std::string, ownership, std::less<>> m_owned;
     std::map<item_key, item_state> m_items;
     std::map<run_number, run_state> m_runs;
--- a/src/libs/rollout/journalrecord.h
+++ b/src/libs/rollout/journalrecord.h
@@ -14,6 +14,16 @@
     std::string value;
 };
 
+/// Call that gets the reward of an item, once its text is whole. It may be repeated.
+struct reward_call {
+    std::string id;
+    std::string host;
+    std::string path;
+    std::string body;
+
+    bool operator==(const reward_call&) const = default;
+};
+
 /// Item of a batch: one prompt that is to be completed.
 struct batch_item {
     std::string id;
@@ -27,6 +37,8 @@
     std::uint64_t expectedTokens = 0;
     /// Items of one group share their prompt.
     std::string group;
+    /// Empty for an item whose result needs no reward.
+    std::optional<reward_call> reward {};
 };
 
 /// Batch as a trainer submitted it.
@@ -55,6 +67,8 @@
     std::uint64_t lastEvent = 0;
     /// In the order in which they were first seen, each once.
     std::vector<std::uint64_t> versions;
+    /// The text has all its events.
+    bool isWhole = false;
 };
 
 /// Place of a text that stands in the log by itself.
@@ -79,6 +93,8 @@
     /// Without its text when \a reference says where that stands.
     item_text output;
     std::optional<text_reference> reference {};
+    /// Signature of the answer to the reward call; empty for an item without one.
+    std::string reward {};
 };
 
 /// Text of an item that another daemon is to go on with.
--- /dev/null
+++ b/src/libs/rollout/rewardscheduler.cpp
@@ -0,0 +1,275 @@
+#include "rewardscheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ragwortreach {
+
+namespace {
+
+    /// First pause after a call that did not succeed; it doubles.
+    constexpr duration firstPause = std::chrono::milliseconds(50);
+    constexpr std::uint32_t maxPauseDoublings = 5;
+    /// Calls under way at one service before any latency is known.
+    constexpr std::uint32_t initialLimit = 4;
+    constexpr std::uint32_t minLimit = 1;
+    /// Least time that a replica gets for a reward.
+    constexpr duration minPatience = std::chrono::milliseconds(200);
+
+    replica_outcome replicaOutcome(reward_end end)
+    {
+        switch (end) {
+        case reward_end::Scored:
+        case reward_end::Failed:
+        case reward_end::Rejected:
+            return replica_outcome::Answered;
+        case reward_end::NotRun:
+            return replica_outcome::Full;
+        case reward_end::Broken:
+        case reward_end::Unreachable:
+            return replica_outcome::Failed;
+        }
+        return replica_outcome::Failed;
+    }
+
+    /// Half of the route's time, so that there is time for another replica.
+    duration patienceFor(const route& route)
+    {
+        return std::max(minPatience, route.timeout / 2);
+    }
+
+}
+
+std::string_view toString(reward_end end)
+{
+    switch (end) {
+    case reward_end::Scored:
+        return "scored";
+    case reward_end::Failed:
+        return "failed";
+    case reward_end::Rejected:
+        return "rejected";
+    case reward_end::NotRun:
+        return "not_run";
+    case reward_end::Broken:
+        return "broken";
+    case reward_end::Unreachable:
+        return "unreachable";
+    }
+    return "unknown";
+}
+
+reward_scheduler::reward_scheduler(const batch_ledger& ledger, replica_pool& pool, const route_table& routes)
+    : m_ledger(ledger)
+    , m_pool(pool)
+    , m_routes(routes)
+{
+}
+
+void reward_scheduler::add(const item_key& key, instant now)
+{
+    m_pending.try_emplace(key, pending_reward { now, now, 0, 0, {}, 0 });
+}
+
+void reward_scheduler::remove(const item_key& key, std::string_view reason, instant now)
+{
+    const pending_map::iterator found = m_pending.find(key);
+    if (found == m_pending.end())
+        return;
+    const reward_number call = found->second.call;
+    m_pending.erase(found);
+    if (call == 0)
+        return;
+    ++m_counters.cancelled;
+    m_effects.emplace_back(cancel_reward { call, std::string(reason) });
+    close(call, replica_outcome::Cancelled, now);
+}
+
+std::vector<item_key> reward_scheduler::waitingSince(instant limit) const
+{
+    std::vector<item_key> keys;
+    for (const std::pair<const item_key, pending_reward>& item : m_pending) {
+        if (item.second.since < limit)
+            keys.push_back(item.first);
+    }
+    return keys;
+}
+
+const reward_call& reward_scheduler::callOf(const item_key& key) const
+{
+    return *m_ledger.find(key.batch)->submission.items[key.item].reward;
+}
+
+const route* reward_scheduler::routeOf(const item_key& key) const
+{
+    const reward_call& call = callOf(key);
+    return m_routes.find(call.host, call.path);
+}
+
+reward_scheduler::service_load& reward_scheduler::loadOf(const std::string& service)
+{
+    const adaptive_limit_settings settings { initialLimit, minLimit, UINT16_MAX };
+    return m_loads.try_emplace(service, service_load { adaptive_limit(settings), 0 }).first->second;
+}
+
+/// Slots of \a service that the rewards of one model may use.
+std::uint32_t reward_scheduler::slotPart(std::string_view service) const
+{
+    std::uint32_t slots = 0;
+    for (const std::pair<const std::string, replica_pool::replica>& item : m_pool.replicas()) {
+        const replica_entry& entry = item.second.entry;
+        slots += entry.service == service && !entry.isDraining ? entry.slots : 0;
+    }
+    const std::uint32_t parts = static_cast<std::uint32_t>(m_routes.models().size()) + 1;
+    return std::max(1U, slots / parts);
+}
+
+void reward_scheduler::dropUnneeded(instant now)
+{
+    std::vector<item_key> unneeded;
+    for (const std::pair<const item_key, pending_reward>& item : m_pending) {
+        const ledger_batch* const batch = m_ledger.find(item.first.batch);
+        if (!batch || batch->isEnded || batch->items[item.first.item].position)
+            unneeded.push_back(item.first);
+    }
+    for (const item_key& key : unneeded)
+        remove(key, "not needed", now);
+}
+
+/// Those that complete a group of a trainer that still waits first, of those the oldest batch.
+std::vector<reward_scheduler::pending_map::iterator> reward_scheduler::dueInOrder(instant now)
+{
+    struct due_reward {
+        bool isSatisfied = false;
+        instant learnedAt {};
+        std::size_t openItems = 0;
+        instant since {};
+        pending_map::iterator pending;
+
+        bool operator<(const due_reward& other) const
+        {
+            return std::tie(isSatisfied, learnedAt, openItems, since) < std::tie(other.isSatisfied, other.learnedAt, other.openItems, other.since);
+        }
+    };
+    std::vector<due_reward> due;
+    for (pending_map::iterator it = m_pending.begin(); it != m_pending.end(); ++it) {
+        if (it->second.call != 0 || it->second.notBefore > now)
+            continue;
+        const ledger_batch& batch = *m_ledger.find(it->first.batch);
+        const std::string& group = batch.submission.items[it->first.item].group;
+        due.push_back({ batch.isSatisfied(), batch.learnedAt, batch.openItems.find(group)->second, it->second.since, it });
+    }
+    std::sort(due.begin(), due.end());
+    std::vector<pending_map::iterator> order;
+    order.reserve(due.size());
+    for (const due_reward& item : due)
+        order.push_back(item.pending);
+    return order;
+}
+
+void reward_scheduler::schedule(instant now)
+{
+    dropUnneeded(now);
+    if (m_pending.size() == m_calls.size())
+        return;
+    for (const pending_map::iterator& pending : dueInOrder(now))
+        send(pending, now);
+}
+
+void reward_scheduler::send(pending_map::iterator pending, instant now)
+{
+    const route* const route = routeOf(pending->first);
+    const route_target* const target = route ? chooseTarget(*route, std::hash<std::string> {}(callOf(pending->first).id)) : nullptr;
+    // Without a route it waits: a later configuration may bring it back.
+    if (!target)
+        return;
+    service_load& load = loadOf(target->service);
+    if (load.inFlight >= std::min(load.limit.limit(), slotPart(target->service)))
+        return;
+    replica_criteria criteria { target->service, pending->second.excluded };
+    const replica_pool::replica* replica = m_pool.pick(criteria, now);
+    if (!replica && !pending->second.excluded.empty()) {
+        pending->second.excluded.clear();
+        criteria.excluded = {};
+        replica = m_pool.pick(criteria, now);
+    }
+    if (!replica)
+        return;
+    const reward_number call = ++m_lastCall;
+    pending->second.call = call;
+    ++load.inFlight;
+    ++m_counters.sent;
+    m_calls.emplace(call, open_call { pending->first, target->service, replica->entry.id, now, load.inFlight });
+    m_effects.emplace_back(start_reward { call, pending->first, replica->entry.id, replica->entry.address, patienceFor(*route) });
+    m_pool.started(replica->entry.id);
+}
+
+void reward_scheduler::close(reward_number call, replica_outcome outcome, instant now)
+{
+    const std::map<reward_number, open_call>::iterator found = m_calls.find(call);
+    const open_call& ended = found->second;
+    --loadOf(ended.service).inFlight;
+    m_pool.finished(ended.replica, outcome, now - ended.sentAt, now);
+    m_calls.erase(found);
+}
+
+void reward_scheduler::pause(pending_reward& pending, instant now) const
+{
+    pending.notBefore = now + firstPause * (1U << std::min(pending.setbacks, maxPauseDoublings));
+    ++pending.setbacks;
+}
+
+std::optional<reward_outcome> reward_scheduler::onEnd(reward_number call, const reward_answer& answer, instant now)
+{
+    const std::map<reward_number, open_call>::iterator found = m_calls.find(call);
+    if (found == m_calls.end())
+        return std::nullopt;
+    const open_call ended = found->second;
+    service_load& load = loadOf(ended.service);
+    close(call, replicaOutcome(answer.end), now);
+    const pending_map::iterator pending = m_pending.find(ended.key);
+    pending->second.call = 0;
+    switch (answer.end) {
+    case reward_end::Scored:
+        ++m_counters.scored;
+        load.limit.addAnswer(now - ended.sentAt, ended.inFlight);
+        m_pending.erase(pending);
+        return reward_outcome { ended.key, answer.signature };
+    case reward_end::Failed: {
+        ++m_counters.failed;
+        pending->second.excluded.push_back(ended.replica);
+        pause(pending->second, now);
+        const route* const route = routeOf(ended.key);
+        if (!route || ++pending->second.failures < route->maxAttempts)
+            return std::nullopt;
+        ++m_counters.givenUp;
+        m_pending.erase(pending);
+        return reward_outcome { ended.key, std::nullopt };
+    }
+    case reward_end::Rejected:
+        ++m_counters.failed;
+        pause(pending->second, now);
+        return std::nullopt;
+    case reward_end::NotRun:
+        ++m_counters.notRun;
+        load.limit.addFailure(now);
+        pending->second.excluded.push_back(ended.replica);
+        return std::nullopt;
+    case reward_end::Broken:
+        load.limit.addFailure(now);
+        [[fallthrough]];
+    case reward_end::Unreachable:
+        ++m_counters.broken;
+        pending->second.excluded.push_back(ended.replica);
+        pause(pending->second, now);
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+std::vector<reward_effect> reward_scheduler::takeEffects()
+{
+    return std::exchange(m_effects, {});
+}
+
+}
--- a/src/libs/wire/journalcodec.cpp
+++ b/src/libs/wire/journalcodec.cpp
@@ -12,11 +12,12 @@
         to.set_last_event(from.lastEvent);
         for (const std::uint64_t version : from.versions)
             to.add_versions(version);
+        to.set_whole(from.isWhole);
     }
 
     item_text readText(const wire::JournalItemText& from)
     {
-        return { from.text(), from.last_event(), { from.versions().begin(), from.versions().end() } };
+        return { from.text(), from.last_event(), { from.versions().begin(), from.versions().end() }, from.whole() };
     }
 
     void writeReference(const text_reference& from, wire::JournalTextReference& to)
@@ -33,6 +34,14 @@
         return { from.key(), from.partition(), from.offset(), from.records(), from.bytes() };
     }
 
+    void writeReward(const reward_call& from, wire::JournalRewardCall& to)
+    {
+        to.set_id(from.id);
+        to.set_host(from.host);
+        to.set_path(from.path);
+        to.set_body(from.body);
+    }
+
     void writeItem(const batch_item& from, wire::JournalItem& to)
     {
         to.set_id(from.id);
@@ -41,6 +50,8 @@
         to.set_tokens(from.tokens);
         to.set_expected_tokens(from.expectedTokens);
         to.set_group(from.group);
+        if (from.reward)
+            writeReward(*from.reward, *to.mutable_reward());
         for (const item_header& header : from.headers) {
             wire::JournalHeader& written = *to.add_headers();
             written.set_name(header.name);
@@ -53,6 +64,8 @@
         batch_item item { from.id(), from.path(), {}, from.body(), from.tokens(), from.expected_tokens(), from.group() };
         for (const wire::JournalHeader& header : from.headers())
             item.headers.push_back({ header.name(), header.value() });
+        if (from.has_reward())
+            item.reward = reward_call { from.reward().id(), from.reward().host(), from.reward().path(), from.reward().body() };
         return item;
     }
 
@@ -85,6 +98,7 @@
             writeText(record.output, *finished.mutable_output());
             if (record.reference)
                 writeReference(*record.reference, *finished.mutable_reference());
+            finished.set_reward(record.reward);
         }
 
         void operator()(const item_progressed& record) const
@@ -134,7 +148,7 @@
         return readAccepted(message.accepted());
     case wire::JournalRecord::kFinished: {
         const wire::JournalItemFinished& finished = message.finished();
-        item_finished record { finished.batch(), finished.item(), finished.completed(), readText(finished.output()), std::nullopt };
+        item_finished record { finished.batch(), finished.item(), finished.completed(), readText(finished.output()), std::nullopt, finished.reward() };
         if (finished.has_reference())
             record.reference = readReference(finished.reference());
         return record;
--- a/tests/auto/platform/tst_batchcodec.cpp
+++ b/tests/auto/platform/tst_batchcodec.cpp
@@ -21,6 +21,11 @@
     { "item twice", R"({"items":[{"id":"a","path":"/1"},{"id":"a","path":"/2"}]})", "twice" },
     { "body not base64", R"({"items":[{"id":"a","path":"/1","body":"?"}]})", "base64" },
     { "item without a path", R"({"items":[{"id":"a"}]})", "another type" },
+    { "reward call of another type", R"({"items":[{"id":"a","path":"/1","scorer":7}]})", "The field scorer of the item a" },
+    { "reward call without an id", R"({"items":[{"id":"a","path":"/1","scorer":{"host":"h","path":"/s"}}]})", "The field id" },
+    { "reward call with a host of another type", R"({"items":[{"id":"a","path":"/1","scorer":{"id":"s","host":7,"path":"/s"}}]})", "The field host" },
+    { "reward call without a path", R"({"items":[{"id":"a","path":"/1","scorer":{"id":"s","host":"h"}}]})", "The field path" },
+    { "reward call whose body is not base64", R"({"items":[{"id":"a","path":"/1","scorer":{"id":"s","host":"h","path":"/s","body":"?"}}]})", "The field body" },
     { "id of another type", R"({"items":[{"id":7,"path":"/1"}]})", "another type" },
 };
 
@@ -56,10 +61,20 @@
     }
 }
 
+TEST_CASE("A reward call is decoded with its item")
+{
+    std::string detail;
+    const std::optional<batch_submission> batch = decodeSubmission(
+        R"({"items":[{"id":"a","path":"/1","scorer":{"id":"s","host":"h","path":"/s","body":"bGFjZQ=="}},{"id":"b","path":"/1","scorer":null}]})", detail);
+    REQUIRE(batch);
+    CHECK(batch->items[0].reward == reward_call { "s", "h", "/s", "lace" });
+    CHECK_FALSE(batch->items[1].reward);
+}
+
 TEST_CASE("Results are listed with their states, texts and versions")
 {
     const std::vector<std::uint64_t> versions { 2, 3 };
-    const listed_result results[] = { { "a", true, "one\ntwo", versions }, { "b", false, "", {} } };
+    const listed_result results[] = { { "a", true, "one\ntwo", versions, "signed" }, { "b", false, "", {} } };
     const nlohmann::json answer = nlohmann::json::parse(encodeResults(5, 1, results));
     CHECK(answer["total"] == 5);
     CHECK(answer["next"] == 3);
@@ -67,6 +82,8 @@
     CHECK(answer["results"][0]["state"] == "completed");
     CHECK(answer["results"][0]["output"] == "one\ntwo");
     CHECK(answer["results"][0]["weight_versions"] == nlohmann::json::array({ 2, 3 }));
+    CHECK(answer["results"][0]["score"] == "signed");
     CHECK(answer["results"][1]["state"] == "abandoned");
+    CHECK_FALSE(answer["results"][1].contains("score"));
     CHECK(nlohmann::json::parse(encodeResults(5, 4, {}))["results"].empty());
 }
--- a/tests/auto/platform/tst_requestcodec.cpp
+++ b/tests/auto/platform/tst_requestcodec.cpp
@@ -77,6 +77,19 @@
     CHECK(header(sent, "Deadline-Ms") == "(none)");
 }
 
+TEST_CASE("A reward call goes out under its own id, with a deadline and the replica that is meant")
+{
+    const reward_call call { "s-1", "rewards.example", "/score/1", "body" };
+    const http_request sent = encodeRewardRequest(call, { "i-1", std::chrono::milliseconds(900), 0 });
+    CHECK(sent.method == "POST");
+    CHECK(sent.target == "/score/1");
+    CHECK(sent.body == "body");
+    CHECK(header(sent, "Host") == "rewards.example");
+    CHECK(header(sent, "Request-Id") == "s-1");
+    CHECK(header(sent, "Deadline-Ms") == "900");
+    CHECK(header(sent, "Expect-Instance") == "i-1");
+}
+
 TEST_CASE("The head of an answer says whose it is and whether the request ran")
 {
     for (const answer_case& row : answerCases) {
--- a/tests/auto/rollout/tst_itemscheduler.cpp
+++ b/tests/auto/rollout/tst_itemscheduler.cpp
@@ -343,7 +343,7 @@
             batch_submission batch = makeBatch("b", 1, 1);
             batch.minVersion = 2;
             world.ledger.apply(batch_accepted { batch }, at(0ms));
-            CHECK(world.scheduler.adoptText(*world.ledger.find("b"), 0, row.text) == (row.afterEvent != 0));
+            CHECK(world.scheduler.adoptText(*world.ledger.find("b"), 0, row.text, at(0ms)) == (row.afterEvent != 0));
             CHECK(world.startOne(0ms).afterEvent == row.afterEvent);
         }
     }
@@ -358,7 +358,7 @@
     std::vector<std::uint64_t> saved;
     for (std::uint64_t event = 1; event <= 30; ++event) {
         world.feed(run.run, event, "x");
-        for (const item_progressed& text : world.scheduler.takeProgress())
+        for (const item_progressed& text : world.scheduler.takeProgress(at(0ms)))
             saved.push_back(text.output.lastEvent);
     }
     CHECK(saved == std::vector<std::uint64_t> { 12, 24 });
--- /dev/null
+++ b/tests/auto/rollout/tst_rewardscheduler.cpp
@@ -0,0 +1,439 @@
+#include "rolloutfixture.h"
+
+#include <rollout/itemscheduler.h>
+#include <rollout/rewardscheduler.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <set>
+
+using namespace ragwortreach;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char* rewardService = "swap-app";
+constexpr std::uint32_t rewardSlots = 6;
+
+/// The configuration of the fixture with a plain service that gives rewards.
+route_configuration rewardConfiguration(std::vector<std::string> models, std::uint32_t engineSlots)
+{
+    route_configuration configuration = makeConfiguration(std::move(models), engineSlots);
+    route rewards;
+    rewards.name = "rewards";
+    rewards.host = "rewards.example";
+    rewards.pathPrefix = "/score/";
+    rewards.timeout = 2s;
+    rewards.objective = 400ms;
+    rewards.targets = { { rewardService, 1 } };
+    rewards.maxAttempts = 3;
+    configuration.routes.push_back(rewards);
+    service_definition service;
+    service.name = rewardService;
+    configuration.services.push_back(service);
+    return configuration;
+}
+
+replica_entry rewardReplica(const std::string& id)
+{
+    replica_entry entry = makeReplica(id, "north-a", 1);
+    entry.service = rewardService;
+    entry.slots = rewardSlots;
+    entry.weights.clear();
+    return entry;
+}
+
+batch_submission rewardBatch(const std::string& id, std::size_t groups, std::size_t size)
+{
+    batch_submission batch = makeBatch(id, groups, size);
+    for (batch_item& item : batch.items)
+        item.reward = reward_call { "reward-" + item.id, "rewards.example", "/score/1", item.id };
+    return batch;
+}
+
+/// Rewards of a batch \c b, with three replicas that give them.
+struct reward_world {
+    explicit reward_world(std::size_t groups, std::size_t size = 1, std::vector<std::string> models = { testModel })
+        : pool("north-a")
+        , rewards(ledger, pool, routes)
+    {
+        routes.setConfiguration(rewardConfiguration(std::move(models), 8));
+        for (const char* id : { "s1", "s2", "s3" })
+            pool.update(rewardReplica(id));
+        ledger.apply(batch_accepted { rewardBatch("b", groups, size) }, at(0ms));
+    }
+
+    std::vector<start_reward> start(std::chrono::milliseconds time)
+    {
+        rewards.schedule(at(time));
+        std::vector<start_reward> started;
+        for (reward_effect& effect : rewards.takeEffects()) {
+            if (std::holds_alternative<start_reward>(effect))
+                started.push_back(std::get<start_reward>(effect));
+            else
+                ++cancelled;
+        }
+        return started;
+    }
+
+    batch_ledger ledger;
+    replica_pool pool;
+    route_table routes;
+    reward_scheduler rewards;
+    int cancelled = 0;
+};
+
+struct ending_case {
+    const char* name;
+    reward_end end;
+    int times;
+    bool isGivenUp;
+    bool mayUseSameReplica;
+};
+
+const ending_case endings[] = {
+    { "failed twice", reward_end::Failed, 2, false, false },
+    { "failed as often as the route allows", reward_end::Failed, 3, true, false },
+    { "rejected often", reward_end::Rejected, 8, false, true },
+    { "not run often", reward_end::NotRun, 8, false, false },
+    { "broken often", reward_end::Broken, 8, false, false },
+    { "unreachable often", reward_end::Unreachable, 8, false, false },
+};
+
+}
+
+TEST_CASE("A reward call is repeated until it is scored or failed as often as its route allows")
+{
+    for (const ending_case& row : endings) {
+        DYNAMIC_SECTION(row.name)
+        {
+            reward_world world(1);
+            world.rewards.add({ "b", 0 }, at(0ms));
+            std::chrono::milliseconds time { 0 };
+            std::optional<reward_outcome> outcome;
+            std::string lastReplica;
+            for (int round = 0; round < row.times; ++round) {
+                time += 5s;
+                const std::vector<start_reward> started = world.start(time);
+                REQUIRE(started.size() == 1);
+                if (!row.mayUseSameReplica)
+                    CHECK(started[0].replica != lastReplica);
+                lastReplica = started[0].replica;
+                outcome = world.rewards.onEnd(started[0].call, { row.end, {} }, at(time));
+                CHECK(outcome.has_value() == (row.isGivenUp && round + 1 == row.times));
+            }
+            if (row.isGivenUp) {
+                CHECK_FALSE(outcome->signature);
+            } else {
+                time += 5s;
+                outcome = world.rewards.onEnd(world.start(time).at(0).call, { reward_end::Scored, "signed" }, at(time));
+                REQUIRE(outcome);
+                CHECK(outcome->signature == "signed");
+            }
+            CHECK(world.rewards.waiting() == 0);
+        }
+    }
+}
+
+TEST_CASE("A call without success is repeated at once elsewhere only when it has not run")
+{
+    reward_world world(1);
+    world.rewards.add({ "b", 0 }, at(0ms));
+    world.rewards.onEnd(world.start(0ms).at(0).call, { reward_end::NotRun, {} }, at(1ms));
+    const std::vector<start_reward> second = world.start(1ms);
+    REQUIRE(second.size() == 1);
+    world.rewards.onEnd(second[0].call, { reward_end::Broken, {} }, at(2ms));
+    CHECK(world.start(2ms).empty());
+    CHECK(world.start(200ms).size() == 1);
+}
+
+TEST_CASE("A burst of rewards leaves slots to customers and to the other models")
+{
+    struct load_case {
+        const char* name;
+        std::vector<std::string> models;
+        std::size_t limit;
+    };
+    const load_case cases[] = {
+        { "one model", { testModel }, 3 * rewardSlots / 2 },
+        { "two models", { testModel, "guide-7b" }, 3 * rewardSlots / 3 },
+        { "three models", { testModel, "guide-7b", "match-7b" }, 3 * rewardSlots / 4 },
+    };
+    constexpr std::chrono::milliseconds serviceTime { 80 };
+    for (const load_case& row : cases) {
+        DYNAMIC_SECTION(row.name)
+        {
+            reward_world world(64, 1, row.models);
+            for (std::size_t item = 0; item < 64; ++item)
+                world.rewards.add({ "b", item }, at(0ms));
+            std::multimap<std::chrono::milliseconds, reward_number> open;
+            std::size_t most = 0;
+            std::chrono::milliseconds time { 0 };
+            for (; world.rewards.waiting() > 0 && time < 10s; time += 10ms) {
+                while (!open.empty() && open.begin()->first <= time) {
+                    world.rewards.onEnd(open.begin()->second, { reward_end::Scored, "signed" }, at(time));
+                    open.erase(open.begin());
+                }
+                for (const start_reward& started : world.start(time))
+                    open.emplace(time + serviceTime, started.call);
+                most = std::max(most, open.size());
+            }
+            // All at once, the burst would take every slot and most calls would be turned away.
+            CHECK(most <= row.limit);
+            CHECK(time < 3s);
+        }
+    }
+}
+
+TEST_CASE("Replicas that turn calls away or answer slowly get fewer of them")
+{
+    reward_world world(40);
+    for (std::size_t item = 0; item < 40; ++item)
+        world.rewards.add({ "b", item }, at(0ms));
+    const std::size_t before = world.start(0ms).size();
+    for (reward_number call = 1; call <= before; ++call)
+        world.rewards.onEnd(call, { reward_end::NotRun, {} }, at(std::chrono::milliseconds(call)));
+    const std::size_t after = world.start(10s).size();
+    CHECK(after < before);
+    CHECK(after >= 1);
+}
+
+TEST_CASE("Rewards that complete a group of a trainer that waits go first")
+{
+    reward_world world(3, 2);
+    world.ledger.apply(item_finished { "b", "b-2-0", true, { "text", 1, { 1 } } }, at(0ms));
+    // One call at a time shows the order.
+    for (const std::size_t item : { 0, 1, 5 })
+        world.rewards.add({ "b", item }, at(0ms));
+    const std::vector<start_reward> started = world.start(1ms);
+    REQUIRE_FALSE(started.empty());
+    CHECK(started[0].key.item == 5);
+}
+
+TEST_CASE("A reward call ends with its batch, and none goes out afterwards")
+{
+    reward_world world(2);
+    world.rewards.add({ "b", 0 }, at(0ms));
+    CHECK(world.start(0ms).size() == 1);
+    world.ledger.apply(batch_ended { "b" }, at(1ms));
+    world.rewards.add({ "b", 1 }, at(1ms));
+    CHECK(world.start(1ms).empty());
+    CHECK(world.cancelled == 1);
+    CHECK_FALSE(world.rewards.onEnd(1, { reward_end::Scored, "late" }, at(2ms)));
+    CHECK(world.rewards.waiting() == 0);
+}
+
+TEST_CASE("A reward waits while its route or its replicas are away")
+{
+    reward_world world(1);
+    world.rewards.add({ "b", 0 }, at(0ms));
+    route_configuration without = makeConfiguration({ testModel }, 8);
+    without.version = 2;
+    world.routes.setConfiguration(without);
+    CHECK(world.start(0ms).empty());
+    route_configuration moved = rewardConfiguration({ testModel }, 8);
+    moved.version = 3;
+    moved.routes.back().targets = { { "other-app", 1 } };
+    world.routes.setConfiguration(moved);
+    CHECK(world.start(1s).empty());
+    replica_entry other = rewardReplica("o1");
+    other.service = "other-app";
+    world.pool.update(other);
+    const std::vector<start_reward> started = world.start(2s);
+    REQUIRE(started.size() == 1);
+    CHECK(started[0].replica == "o1");
+}
+
+namespace {
+
+/// Runs items of a batch with rewards to their results; all endings are drawn.
+class random_run {
+public:
+    random_run()
+        : m_pool("north-a")
+        , m_scheduler(m_ledger, m_pool, m_routes)
+    {
+        m_routes.setConfiguration(rewardConfiguration({ testModel }, 4));
+        m_pool.update(makeReplica("r1", "north-a", 1));
+        m_pool.update(makeReplica("r2", "north-a", 1));
+        for (const char* id : { "s1", "s2", "s3" })
+            m_pool.update(rewardReplica(id));
+        m_scheduler.setOwnedModels({ testModel }, at(-2s));
+        m_ledger.apply(batch_accepted { rewardBatch("b", 4, 2) }, at(0ms));
+    }
+
+    void run()
+    {
+        for (std::chrono::milliseconds time { 0 }; time < 39s && m_ledger.find("b")->isOpen(); time += 100ms)
+            step(time);
+        RC_ASSERT(!m_ledger.find("b")->isOpen());
+    }
+
+private:
+    void step(std::chrono::milliseconds time)
+    {
+        const bool isLate = time > 20s;
+        if (!isLate && *rc::gen::inRange(0, 25) == 0)
+            loseOwner(time);
+        m_scheduler.schedule(at(time));
+        for (const scheduler_effect& effect : m_scheduler.takeEffects()) {
+            if (const start_run* const started = std::get_if<start_run>(&effect))
+                endRun(*started, time, isLate);
+            else if (const start_reward* const reward = std::get_if<start_reward>(&effect))
+                endReward(*reward, time, isLate);
+            else if (const write_record* const written = std::get_if<write_record>(&effect))
+                apply(written->record, time);
+        }
+    }
+
+    /// Another process takes over: what is not in the journal is gone.
+    void loseOwner(std::chrono::milliseconds time)
+    {
+        m_scheduler.setOwnedModels({}, at(time));
+        m_scheduler.schedule(at(time));
+        for (const scheduler_effect& effect : m_scheduler.takeEffects()) {
+            if (const write_record* const written = std::get_if<write_record>(&effect))
+                apply(written->record, time);
+        }
+        m_scheduler.setOwnedModels({ testModel }, at(time));
+    }
+
+    void endRun(const start_run& run, std::chrono::milliseconds time, bool isLate)
+    {
+        m_scheduler.onHead(run.run, 1);
+        const std::uint64_t last = isLate ? 3 : *rc::gen::inRange<std::uint64_t>(run.afterEvent, 4);
+        for (std::uint64_t event = run.afterEvent + 1; event <= last; ++event)
+            m_scheduler.onEvent(run.run, { event, "e" + std::to_string(event), std::nullopt, "" }, at(time));
+        if (last == 3)
+            m_wholeTexts.insert(run.item);
+        m_scheduler.onEnd(run.run, last == 3 ? run_end::Whole : run_end::Broken, at(time));
+    }
+
+    void endReward(const start_reward& reward, std::chrono::milliseconds time, bool isLate)
+    {
+        RC_ASSERT(m_wholeTexts.contains(reward.key.item));
+        const reward_end drawn = *rc::gen::element(reward_end::Scored, reward_end::Rejected, reward_end::NotRun, reward_end::Broken, reward_end::Unreachable);
+        const reward_end end = isLate ? reward_end::Scored : drawn;
+        const std::string signature = end == reward_end::Scored ? "signed-" + std::to_string(reward.key.item) : std::string();
+        m_scheduler.onRewardEnd(reward.call, { end, signature }, at(time));
+    }
+
+    void apply(const journal_record& record, std::chrono::milliseconds time)
+    {
+        if (const item_finished* const finished = std::get_if<item_finished>(&record)) {
+            const std::size_t item = *m_ledger.find("b")->indexOf(finished->item);
+            RC_ASSERT(finished->isCompleted);
+            RC_ASSERT(finished->reward == "signed-" + std::to_string(item));
+            RC_ASSERT(finished->output.text == "e1\ne2\ne3");
+            RC_ASSERT(m_results.insert(item).second);
+        }
+        m_ledger.apply(record, at(time));
+    }
+
+    batch_ledger m_ledger;
+    replica_pool m_pool;
+    route_table m_routes;
+    item_scheduler m_scheduler;
+    std::set<std::size_t> m_wholeTexts;
+    std::set<std::size_t> m_results;
+};
+
+}
+
+TEST_CASE("Whatever ends how, each item has one result with its own reward, and no call goes out before its text")
+{
+    CHECK(rc::check([] { random_run().run(); }));
+}
+
+TEST_CASE("A text whose reward is late is saved once, and a later owner repeats only the call")
+{
+    batch_ledger ledger;
+    replica_pool pool("north-a");
+    route_table routes;
+    routes.setConfiguration(rewardConfiguration({ testModel }, 4));
+    pool.update(makeReplica("r1", "north-a", 1));
+    pool.update(rewardReplica("s1"));
+    ledger.apply(batch_accepted { rewardBatch("b", 1, 1) }, at(0ms));
+    item_scheduler owner(ledger, pool, routes);
+    owner.setOwnedModels({ testModel }, at(-2s));
+    owner.schedule(at(0ms));
+    const start_run run = std::get<start_run>(owner.takeEffects().at(0));
+    owner.onHead(run.run, 1);
+    owner.onEvent(run.run, { 1, "text", std::nullopt, "" }, at(0ms));
+    owner.onEnd(run.run, run_end::Whole, at(0ms));
+    CHECK(owner.takeProgress(at(100ms)).empty());
+    const std::vector<item_progressed> saved = owner.takeProgress(at(400ms));
+    REQUIRE(saved.size() == 1);
+    CHECK(saved[0].output.isWhole);
+    CHECK(owner.takeProgress(at(800ms)).empty());
+
+    item_scheduler next(ledger, pool, routes);
+    next.setOwnedModels({ testModel }, at(1s));
+    REQUIRE(next.adoptText(*ledger.find("b"), 0, saved[0].output, at(1s)));
+    next.setRecovered(testModel);
+    next.schedule(at(3s));
+    const std::vector<scheduler_effect> effects = next.takeEffects();
+    REQUIRE(effects.size() == 1);
+    const start_reward reward = std::get<start_reward>(effects[0]);
+    next.onRewardEnd(reward.call, { reward_end::Scored, "signed" }, at(3s));
+    const item_finished finished = std::get<item_finished>(std::get<write_record>(next.takeEffects().at(0)).record);
+    CHECK(finished.output.text == "text");
+    CHECK(finished.reward == "signed");
+}
+
+namespace {
+
+struct repeat_case {
+    const char* name;
+    bool isSameCall;
+    bool isByReference;
+};
+
+const repeat_case repeats[] = {
+    { "same call", true, false },
+    { "another call", false, false },
+    { "another call, text apart from the record", false, true },
+};
+
+}
+
+TEST_CASE("An item that comes again keeps its text, and its reward only with the same call")
+{
+    for (const repeat_case& row : repeats) {
+        DYNAMIC_SECTION(row.name)
+        {
+            batch_ledger ledger;
+            replica_pool pool("north-a");
+            route_table routes;
+            routes.setConfiguration(rewardConfiguration({ testModel }, 4));
+            pool.update(rewardReplica("s1"));
+            ledger.apply(batch_accepted { rewardBatch("b", 1, 1) }, at(0ms));
+            item_finished first { "b", "b-0-0", true, { row.isByReference ? "" : "text", 1, { 1 } }, {}, "signed" };
+            if (row.isByReference)
+                first.reference = text_reference { "key", 0, 7, 1, 900 };
+            ledger.apply(first, at(0ms));
+            batch_submission again = ledger.find("b")->submission;
+            again.id = "again";
+            if (!row.isSameCall)
+                again.items[0].reward->id = "reward-2";
+            ledger.apply(batch_accepted { again }, at(1s));
+            item_scheduler scheduler(ledger, pool, routes);
+            scheduler.setOwnedModels({ testModel }, at(-2s));
+            scheduler.schedule(at(1s));
+            std::vector<scheduler_effect> effects = scheduler.takeEffects();
+            REQUIRE(effects.size() == 1);
+            if (!row.isSameCall) {
+                const start_reward reward = std::get<start_reward>(effects[0]);
+                scheduler.onRewardEnd(reward.call, { reward_end::Scored, "signed again" }, at(1s));
+                effects = scheduler.takeEffects();
+                REQUIRE(effects.size() == 1);
+            }
+            const item_finished finished = std::get<item_finished>(std::get<write_record>(effects[0]).record);
+            CHECK(finished.batch == "again");
+            CHECK(finished.reward == (row.isSameCall ? "signed" : "signed again"));
+            CHECK(finished.output.text == (row.isByReference ? "" : "text"));
+            CHECK(finished.reference.has_value() == row.isByReference);
+        }
+    }
+}
--- a/tests/auto/system/platformfleet.cpp
+++ b/tests/auto/system/platformfleet.cpp
@@ -26,9 +26,11 @@
             { "timeout_ms", 10000 }, { "full_value_ms", 400 }, { "service", "engines" }, { "max_attempts", 3 }, { "retention_s", 600.0 } };
         const json orders { { "name", "orders" }, { "host", "lace.example" }, { "path_prefix", "/orders/" }, { "route_kind", "non_idempotent" },
             { "timeout_ms", 60000 }, { "full_value_ms", 400 }, { "service", "shop" }, { "max_attempts", 2 } };
+        const json rewards { { "name", "rewards" }, { "host", "lace.example" }, { "path_prefix", "/score/" }, { "route_kind", "idempotent" },
+            { "timeout_ms", 20000 }, { "full_value_ms", 400 }, { "service", "shop" }, { "max_attempts", 3 } };
         const json engine { { "slots", 8 }, { "kv_capacity", 90000 }, { "models", json::array({ { { "name", "lace-7b" } } }) } };
         const json services = json::array({ { { "name", "engines" }, { "engine", engine } }, { { "name", "shop" } } });
-        return { { "version", version }, { "routes", json::array({ rollouts, orders }) }, { "services", services } };
+        return { { "version", version }, { "routes", json::array({ rollouts, orders, rewards }) }, { "services", services } };
     }
 
 }
--- a/tests/auto/system/tst_platform.cpp
+++ b/tests/auto/system/tst_platform.cpp
@@ -30,6 +30,17 @@
     return { { "train_step", 1 }, { "model_id", "lace-7b" }, { "min_version", 1 }, { "group_count", 4 }, { "items", items } };
 }
 
+/// Batch of four short items with reward calls.
+json rewardBatch()
+{
+    json items = json::array();
+    for (const std::string name : { "i-1", "i-2", "i-3", "i-4" }) {
+        const json reward { { "id", "reward-" + name }, { "host", "lace.example" }, { "path", "/score/1" }, { "body", "bGFjZQ==" } };
+        items.push_back({ { "id", name }, { "path", "/lots/1" }, { "body", "bGFjZQ==" }, { "group_id", name }, { "scorer", reward } });
+    }
+    return { { "train_step", 1 }, { "model_id", "lace-7b" }, { "min_version", 1 }, { "group_count", 4 }, { "items", items } };
+}
+
 json results(const platform_fleet& fleet, std::size_t daemon, const std::string& id)
 {
     const http_reply reply = send(fleet.caller(daemon), "GET", "/api/lots/" + id + "?after=0", nullptr, host);
@@ -127,6 +138,41 @@
     CHECK(isWhole(results(fleet, 1, "b")[3]["output"], replica_standin::longEvents));
 }
 
+TEST_CASE("Items with reward calls are listed with their own rewards, and with no reward before")
+{
+    platform_fleet fleet(2);
+    fleet.run([&fleet] { fleet.shop().setHolding(true); });
+    REQUIRE(send(fleet.caller(0), "POST", "/lots/b", rewardBatch(), headersFor("b")).status == 202);
+    REQUIRE(waitUntil([&fleet] { return fleet.run([&fleet] { return fleet.shop().held(); }) > 0; }));
+    CHECK(results(fleet, 1, "b").empty());
+    fleet.run([&fleet] { fleet.shop().failHeld(); });
+    fleet.run([&fleet] {
+        fleet.shop().setHolding(false);
+        fleet.shop().answerHeld();
+    });
+    REQUIRE(hasResults(fleet, 1, "b", 4));
+    for (const json& result : results(fleet, 1, "b")) {
+        CHECK(result["state"] == "completed");
+        CHECK(result["score"] == "stamp-reward-" + result["id"].get<std::string>());
+        CHECK(isWhole(result["output"], 2));
+    }
+}
+
+TEST_CASE("After all daemons lost power, a text that waits for its reward is not generated again")
+{
+    platform_fleet fleet(2);
+    fleet.run([&fleet] { fleet.shop().setHolding(true); });
+    REQUIRE(send(fleet.caller(0), "POST", "/lots/b", rewardBatch(), headersFor("b")).status == 202);
+    REQUIRE(waitUntil([&fleet] { return fleet.run([&fleet] { return fleet.store().keys("keyed.ragwortreach.progress"); }) == 4; }));
+    fleet.killAll();
+    fleet.run([&fleet] { fleet.shop().setHolding(false); });
+    fleet.start(0);
+    REQUIRE(hasResults(fleet, 0, "b", 4));
+    for (const json& result : results(fleet, 0, "b"))
+        CHECK(result["score"] == "stamp-reward-" + result["id"].get<std::string>());
+    CHECK(fleet.run([&fleet] { return fleet.engine().runs(); }) == 4);
+}
+
 TEST_CASE("A batch that is refused while the log is away never runs")
 {
     platform_fleet fleet(1);
--- a/tests/platform/replicastandin.cpp
+++ b/tests/platform/replicastandin.cpp
@@ -48,7 +48,7 @@
 
 std::vector<http_header> replica_standin::headersFor(const http_request& request) const
 {
-    return { { "Request-Id", header(request, "Request-Id") }, { "Server-Stamp", "stamp" }, { "Weight-Versions", std::to_string(m_version) } };
+    return { { "Request-Id", header(request, "Request-Id") }, { "Server-Stamp", "stamp-" + header(request, "Request-Id") }, { "Weight-Versions", std::to_string(m_version) } };
 }
 
 void replica_standin::answer(const http_exchange& exchange)
@@ -67,6 +67,7 @@
         list();
     } else if (m_model.empty()) {
         m_started.insert(header(request, "Request-Id"));
+        ++m_runs;
         m_held.push_back(exchange);
         if (!m_isHolding)
             answerHeld();
@@ -74,12 +75,19 @@
         const std::string item = header(request, "Request-Id");
         const std::string after = header(request, "Last-Event-Id");
         m_started.insert(item);
+        ++m_runs;
         m_resumed += after.empty() ? 0 : 1;
         exchange.beginStream({ 200, headersFor(request), std::nullopt });
         stream(exchange, after.empty() ? 1 : std::stoi(after) + 1, item.find("long") != std::string::npos ? longEvents : 2);
     }
 }
 
+void replica_standin::failHeld()
+{
+    for (const http_exchange& exchange : std::exchange(m_held, {}))
+        exchange.respond({ 500, headersFor(exchange.request()), "failed" });
+}
+
 void replica_standin::answerHeld()
 {
     for (const http_exchange& exchange : std::exchange(m_held, {}))
--- a/tests/platform/replicastandin.h
+++ b/tests/platform/replicastandin.h
@@ -26,8 +26,12 @@
     /// Runs that went on after an event.
     int resumed() const { return m_resumed; }
     int orders() const { return m_orders; }
+    /// Requests that began to run, each as often as it did.
+    int runs() const { return m_runs; }
     /// The next plain request is answered only when this is called.
     void answerHeld();
+    /// Answers what is held with a failure.
+    void failHeld();
     void setHolding(bool isHolding) { m_isHolding = isHolding; }
     std::size_t held() const { return m_held.size(); }
 
@@ -48,6 +52,7 @@
     bool m_isHolding = false;
     int m_resumed = 0;
     int m_orders = 0;
+    int m_runs = 0;
 };
 
 }
