Rollout: Keep the orders of two holders apart whatever is read late or released early

Cause: three ways in which two VMs could order one replica within the pause, each shown by a test that failed first. A holder whose writes arrive while its reads hang took the answer to its renewal for the right to act, though another claim stood before the renewal. A holder that released the lease before it might act ended the wait for the silent one before it. The orders of a holder that released were forgotten at the next release.

Change: a renewal gives the right to act once its process has read it back from the log, so no claim stands before it; the time counts from its sending. The fold keeps all VMs that went silent and all orders that former holders named. A property test draws cuts, deaf readers, freezes and stops over five daemons and checks each order's distance.

Ruled out: a longer pause for all, which would keep orders away after each orderly hand-over.

--- a/src/libs/gateway/leasekeeper.cpp
+++ b/src/libs/gateway/leasekeeper.cpp
@@ -41,10 +41,12 @@
         if (!record.value)
             continue;
         const std::optional<lease_record> decoded = decodeLeaseRecord(*record.value);
-        if (decoded)
-            m_fold.apply(*decoded, record.offset, bootNow());
-        else
+        if (!decoded) {
             ++m_unreadable;
+            continue;
+        }
+        m_fold.apply(*decoded, record.offset, bootNow());
+        m_agent.onRead(*decoded);
     }
     if (!records.empty())
         m_onChanged();
@@ -71,7 +73,7 @@
     if (records.empty())
         return;
     noteClaims(records);
-    write(records, [this, now](const append_report& report) { m_agent.onWritten(report.status == append_status::Done, now); });
+    write(records, [this](const append_report&) { m_agent.onWritten(); });
 }
 
 void lease_keeper::release(std::function<void()> onDone)
--- a/src/libs/rollout/leaseagent.cpp
+++ b/src/libs/rollout/leaseagent.cpp
@@ -32,7 +32,9 @@
     if (m_isReleased || m_isWriting)
         return records;
     if (m_fold.heldBy(m_self) > 0 && now - m_renewedAt >= renewInterval) {
-        records.emplace_back(lease_renewal { m_self });
+        std::erase_if(m_renewals, [now](const std::pair<const std::uint64_t, instant>& sent) { return now - sent.second >= validity; });
+        records.emplace_back(lease_renewal { m_self, ++m_lastRenewal });
+        m_renewals.emplace(m_lastRenewal, now);
         m_renewedAt = now;
     }
     for (const std::string& lease : m_leases) {
@@ -75,11 +77,16 @@
     return delayPerLease * m_fold.heldBy(m_self) + std::chrono::milliseconds(mixed % delaySpreadMs);
 }
 
-void lease_agent::onWritten(bool isDone, instant sentAt)
+void lease_agent::onRead(const lease_record& record)
 {
-    m_isWriting = false;
-    if (isDone)
-        m_validUntil = std::max(m_validUntil, sentAt + validity);
+    const lease_renewal* const renewal = std::get_if<lease_renewal>(&record);
+    if (!renewal || renewal->party != m_self)
+        return;
+    const std::map<std::uint64_t, instant>::const_iterator sent = m_renewals.find(renewal->number);
+    if (sent == m_renewals.end())
+        return;
+    m_validUntil = std::max(m_validUntil, sent->second + validity);
+    m_renewals.erase(m_renewals.begin(), std::next(sent));
 }
 
 lease_release lease_agent::release(instant now)
@@ -98,18 +105,19 @@
     if (m_isReleased || now >= m_validUntil || !isHeld(lease))
         return false;
     const lease_state& state = *m_fold.find(lease);
-    const bool isSuccession = state.formerHolder && !state.wasReleased && state.formerHolder->vm != m_self.vm;
-    return !isSuccession || now >= state.formerSeenAt + validity + m_holderPause + orderTransit;
+    return std::all_of(state.silentSince.begin(), state.silentSince.end(), [this, now](const std::pair<const std::string, instant>& silent) {
+        return silent.first == m_self.vm || now >= silent.second + validity + m_holderPause + orderTransit;
+    });
 }
 
 std::vector<std::string> lease_agent::barredReplicas(std::string_view lease, instant now) const
 {
     std::vector<std::string> barred;
     const lease_state* const state = m_fold.find(lease);
-    if (!state || !state->wasReleased || (state->formerHolder && state->formerHolder->vm == m_self.vm))
+    if (!state)
         return barred;
-    for (const recent_order& order : state->recentOrders) {
-        if (now - state->formerSeenAt + order.age < m_holderPause + orderTransit)
+    for (const former_order& order : state->formerOrders) {
+        if (order.vm != m_self.vm && now < order.sentAt + m_holderPause + orderTransit)
             barred.push_back(order.replica);
     }
     return barred;
--- a/src/libs/rollout/leaseagent.h
+++ b/src/libs/rollout/leaseagent.h
@@ -41,8 +41,10 @@
     void setLeases(std::vector<std::string> leases) { m_leases = std::move(leases); }
     /// Records that are due now. onWritten() has to follow each time.
     std::vector<lease_record> tick(const lease_view& view, instant now);
-    /// The records of a tick at \a sentAt stand in the log, or not.
-    void onWritten(bool isDone, instant sentAt);
+    /// The records of the last tick stand in the log, or will not.
+    void onWritten() { m_isWriting = false; }
+    /// Notes a record that the fold has taken. Only a renewal that was read back proves that no claim stands before it.
+    void onRead(const lease_record& record);
     /// Gives up all leases, for a graceful shutdown.
     lease_release release(instant now);
 
@@ -66,6 +68,9 @@
     std::vector<std::string> m_leases;
     std::map<std::string, instant, std::less<>> m_claimableSince;
     std::map<std::string, instant, std::less<>> m_ordersAt;
+    /// When the renewals that were not read back yet were sent, by their numbers.
+    std::map<std::uint64_t, instant> m_renewals;
+    std::uint64_t m_lastRenewal = 0;
     instant m_validUntil {};
     instant m_renewedAt {};
     instant m_claimedAt {};
--- a/src/libs/rollout/leasefold.cpp
+++ b/src/libs/rollout/leasefold.cpp
@@ -4,6 +4,13 @@
 
 namespace ragwortreach {
 
+namespace {
+
+    /// What former holders did is kept for longer than any holder has to wait for it.
+    constexpr duration formerMemory = std::chrono::seconds(60);
+
+}
+
 /// Applies one record to a fold.
 class lease_visitor {
 public:
@@ -20,12 +27,13 @@
         const bool hasRecord = found != m_fold.m_leases.end();
         if (hasRecord && record.formerClaim != found->second.claimOffset)
             return;
-        lease_state next { record.party, m_offset, m_now, false, {}, {}, false, {} };
+        lease_state next { record.party, m_offset, m_now, false, {}, {} };
         if (hasRecord) {
-            next.formerHolder = found->second.holder;
-            next.wasReleased = found->second.isReleased;
-            next.formerSeenAt = found->second.seenAt;
-            next.recentOrders = std::move(found->second.recentOrders);
+            next.formerOrders = std::move(found->second.formerOrders);
+            next.silentSince = std::move(found->second.silentSince);
+            if (!found->second.isReleased)
+                next.silentSince[found->second.holder.vm] = found->second.seenAt;
+            forgetOld(next);
         }
         m_fold.m_leases[record.lease] = std::move(next);
     }
@@ -37,13 +45,21 @@
 
     void operator()(const lease_release& record) const
     {
-        forEachHeld(record.party, [&record](lease_state& state) {
+        forEachHeld(record.party, [this, &record](lease_state& state) {
             state.isReleased = true;
-            state.recentOrders = record.recentOrders;
+            for (const recent_order& order : record.recentOrders)
+                state.formerOrders.push_back({ order.replica, record.party.vm, m_now - order.age });
         });
     }
 
 private:
+    void forgetOld(lease_state& state) const
+    {
+        const instant limit = m_now - formerMemory;
+        std::erase_if(state.formerOrders, [limit](const former_order& order) { return order.sentAt < limit; });
+        std::erase_if(state.silentSince, [limit](const std::pair<const std::string, instant>& silent) { return silent.second < limit; });
+    }
+
     template <typename function>
     void forEachHeld(const lease_party& party, const function& change) const
     {
--- a/src/libs/rollout/leasefold.h
+++ b/src/libs/rollout/leasefold.h
@@ -37,6 +37,8 @@
 /// A process keeps all leases that it holds.
 struct lease_renewal {
     lease_party party;
+    /// Grows from renewal to renewal of the process.
+    std::uint64_t number = 0;
 };
 
 /// A process gives all its leases up.
@@ -47,6 +49,14 @@
 
 using lease_record = std::variant<lease_claim, lease_renewal, lease_release>;
 
+/// Order of a holder that has released the lease.
+struct former_order {
+    std::string replica;
+    std::string vm;
+    /// Never before the order was sent.
+    instant sentAt {};
+};
+
 /// Lease as the records say.
 struct lease_state {
     lease_party holder;
@@ -55,11 +65,9 @@
     /// When this process learned of the newest record of the holder.
     instant seenAt {};
     bool isReleased = false;
-    std::vector<recent_order> recentOrders;
-    /// State of the lease before the claim, as far as the new holder has to wait for it.
-    std::optional<lease_party> formerHolder;
-    bool wasReleased = false;
-    instant formerSeenAt {};
+    std::vector<former_order> formerOrders;
+    /// VMs whose holder went silent without a release, and when its newest record was learned of.
+    std::map<std::string, instant, std::less<>> silentSince;
 };
 
 /// State of all leases: a fold of their records. All daemons reach the same state.
--- a/src/libs/wire/leasecodec.cpp
+++ b/src/libs/wire/leasecodec.cpp
@@ -25,7 +25,7 @@
         void operator()(const lease_renewal& record) const
         {
             writeParty(record.party);
-            m_message.mutable_renewal();
+            m_message.mutable_renewal()->set_number(record.number);
         }
 
         void operator()(const lease_release& record) const
@@ -84,7 +84,7 @@
     case wire::LeaseRecord::kClaim:
         return readClaim(party, message.claim());
     case wire::LeaseRecord::kRenewal:
-        return lease_renewal { party };
+        return lease_renewal { party, message.renewal().number() };
     case wire::LeaseRecord::kRelease:
         return readRelease(party, message.release());
     case wire::LeaseRecord::RECORD_NOT_SET:
--- a/tests/auto/rollout/tst_leaseagent.cpp
+++ b/tests/auto/rollout/tst_leaseagent.cpp
@@ -5,6 +5,8 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <algorithm>
+#include <map>
 #include <memory>
 
 using namespace ragwortreach;
@@ -32,7 +34,10 @@
         instant confirmedAt {};
         instant regainedAt {};
         bool isCut = false;
+        /// Its writes arrive, and it reads nothing.
+        bool isDeaf = false;
         bool isFrozen = false;
+        bool isStopped = false;
     };
 
     explicit lease_world(std::size_t daemons)
@@ -61,6 +66,26 @@
     void release(daemon& item)
     {
         m_log.push_back(item.agent.release(at(m_now)));
+        item.isStopped = true;
+    }
+
+    /// Sends an order to \a replica through whoever may act; checks that no other VM ordered it within the pause.
+    void order(const std::string& replica)
+    {
+        const std::optional<std::size_t> index = actor();
+        if (!index)
+            return;
+        lease_agent& agent = m_daemons[*index]->agent;
+        const std::vector<std::string> barred = agent.barredReplicas(lease, at(m_now));
+        if (std::find(barred.begin(), barred.end(), replica) != barred.end())
+            return;
+        for (const std::pair<const std::size_t, std::map<std::string, std::chrono::milliseconds>>& other : m_orders) {
+            const auto last = other.second.find(replica);
+            INFO("daemons " << other.first << " and " << *index << " at " << m_now.count());
+            REQUIRE((other.first == *index || last == other.second.end() || m_now - last->second >= holderPause));
+        }
+        m_orders[*index][replica] = m_now;
+        agent.noteOrder(replica, at(m_now));
     }
 
     /// Index of the daemon that holds the lease and may act; none when nobody may.
@@ -68,7 +93,7 @@
     {
         std::optional<std::size_t> found;
         for (std::size_t index = 0; index < m_daemons.size(); ++index) {
-            if (m_daemons[index]->isFrozen || !m_daemons[index]->agent.mayAct(lease, at(m_now)))
+            if (m_daemons[index]->isFrozen || m_daemons[index]->isStopped || !m_daemons[index]->agent.mayAct(lease, at(m_now)))
                 continue;
             REQUIRE_FALSE(found);
             found = index;
@@ -79,14 +104,16 @@
 private:
     void playOne(daemon& item)
     {
-        if (item.isFrozen)
+        if (item.isFrozen || item.isStopped)
             return;
         const instant now = at(m_now);
-        if (!item.isCut) {
+        if (!item.isCut && !item.isDeaf) {
             if (now - item.confirmedAt > 1500ms)
                 item.regainedAt = now;
-            for (; item.read < m_log.size(); ++item.read)
+            for (; item.read < m_log.size(); ++item.read) {
                 item.fold.apply(m_log[item.read], item.read, now);
+                item.agent.onRead(m_log[item.read]);
+            }
             item.confirmedAt = now;
         }
         const std::vector<lease_record> records = item.agent.tick({ item.confirmedAt, item.regainedAt }, now);
@@ -94,11 +121,13 @@
             return;
         if (!item.isCut)
             m_log.insert(m_log.end(), records.begin(), records.end());
-        item.agent.onWritten(!item.isCut, now);
+        item.agent.onWritten();
     }
 
     std::vector<std::unique_ptr<daemon>> m_daemons;
     std::vector<lease_record> m_log;
+    /// Last order to each replica, by daemon.
+    std::map<std::size_t, std::map<std::string, std::chrono::milliseconds>> m_orders;
     std::chrono::milliseconds m_now = 0ms;
 };
 
@@ -193,6 +222,88 @@
     }));
 }
 
+TEST_CASE("A holder that writes but no longer reads does not act beside the next one")
+{
+    lease_world world(2);
+    world.play(1s);
+    const std::size_t first = *world.actor();
+    world.order("r1");
+    world[first].isCut = true;
+    world.play(1700ms);
+    world[first].isDeaf = true;
+    for (int slice = 0; slice < 100; ++slice) {
+        world.play(100ms);
+        world[first].isCut = slice < 2;
+        world.order("r1");
+    }
+}
+
+TEST_CASE("A holder that was released before it might act does not shorten the wait for a silent one")
+{
+    lease_world world(3);
+    world.play(1s);
+    const std::size_t silent = *world.actor();
+    for (int slice = 0; slice < 10; ++slice) {
+        world.play(100ms);
+        world.order("r1");
+    }
+    world[silent].isFrozen = true;
+    world.play(2200ms);
+    for (std::size_t index = 0; index < world.size(); ++index) {
+        if (index != silent && world[index].agent.isHeld(lease)) {
+            world.release(world[index]);
+            break;
+        }
+    }
+    for (int slice = 0; slice < 100; ++slice) {
+        world.play(100ms);
+        world.order("r1");
+    }
+}
+
+TEST_CASE("Orders of a holder before the last one bar their replicas, too")
+{
+    lease_world world(3);
+    world.play(1s);
+    for (int holder = 0; holder < 2; ++holder) {
+        const std::size_t index = *world.actor();
+        world.order("r1");
+        world.release(world[index]);
+        world.play(500ms);
+    }
+    world.order("r1");
+}
+
+TEST_CASE("Whatever is cut off, deaf, frozen or stopped, orders of two VMs to a replica keep their distance")
+{
+    REQUIRE(rc::check([] {
+        lease_world world(5);
+        const int changes = *rc::gen::inRange(1, 20);
+        for (int number = 0; number < changes; ++number) {
+            lease_world::daemon& item = world[*rc::gen::inRange<std::size_t>(0, world.size())];
+            switch (*rc::gen::inRange(0, 5)) {
+            case 0:
+                world.release(item);
+                break;
+            case 1:
+                item.isFrozen = !item.isFrozen;
+                break;
+            case 2:
+                item.isDeaf = !item.isDeaf;
+                break;
+            default:
+                item.isCut = !item.isCut;
+                break;
+            }
+            const int slices = *rc::gen::inRange(1, 40);
+            for (int slice = 0; slice < slices; ++slice) {
+                world.play(100ms);
+                world.order(slice % 3 == 0 ? "r1" : "r2");
+            }
+        }
+    }));
+}
+
 TEST_CASE("A daemon that starts from the records that the log still keeps finds the same holder")
 {
     const lease_party first { "vm1", "a" };
