Gateway: End attempts whose bytes are no answer and have no end

Cause: a replica in trouble may send bytes without end. What was no answer to the call was collected until the time of the call was over, and an event without an end as long as the stream lived.

Change: event_stream_reader holds one event of 1 MiB at most and says so; the relay holds 1 MiB of a failure or of foreign bytes. Both end the attempt, which goes elsewhere where it may be repeated.

The new rows of tst_callrelay failed first: 504 after 20 s in place of 502 at once, for an order and for a stream; a repeatable call went on only after its share of the time.

--- a/src/libs/gateway/callrelay.cpp
+++ b/src/libs/gateway/callrelay.cpp
@@ -7,6 +7,9 @@
 #include <support/logline.h>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include <utility>
 
 namespace ragwortreach {
 
@@ -14,6 +17,8 @@
 
     /// Answers up to this size are held until they are whole, so that a broken one can be replaced.
     constexpr std::size_t heldBodyBytes = std::size_t { 256 } * 1024;
+    /// Largest answer of a failure, and of what is no answer to the call.
+    constexpr std::size_t maxFailureBytes = std::size_t { 1024 } * 1024;
     constexpr std::size_t callerQueueBytes = std::size_t { 1024 } * 1024;
     constexpr duration connectTimeout = std::chrono::milliseconds(300);
     constexpr int serverErrors = 500;
@@ -45,6 +50,8 @@
     instant arrivedAt {};
     instant attemptAt {};
     bool isAttemptOpen = false;
+    /// The attempt is about to end, since its bytes are no answer.
+    bool isSpoilt = false;
     http_call_handle handle;
     boost::asio::steady_timer timer;
     platform::replica_answer answer;
@@ -117,6 +124,7 @@
     const bool hasOther = m_pool.pick({ call.service, call.tried }, now) != nullptr;
     call.attemptAt = now;
     call.isAttemptOpen = true;
+    call.isSpoilt = false;
     call.answer = {};
     call.held = {};
     call.reader = event_stream_reader(platform::weightVersionField());
@@ -154,6 +162,12 @@
     const bool isForwardable = call->answer.isStamped && call->answer.requestId == call->caller.id && isSuccess(call->answer.status);
     if (call->progress.kind == route_kind::Streaming && isForwardable) {
         passEvents(*call, piece);
+        if (!call->reader.isSound())
+            stopReading(*call, number);
+        return;
+    }
+    if (!isForwardable && call->held.body.size() + piece.size() > maxFailureBytes) {
+        stopReading(*call, number);
         return;
     }
     if (!call->isAnswerBegun && isForwardable && call->held.body.size() + piece.size() > heldBodyBytes)
@@ -173,6 +187,21 @@
     });
 }
 
+/// Ends the attempt after the handler that found out; a replica may send bytes without end.
+void call_relay::stopReading(relayed_call& call, std::uint64_t number)
+{
+    if (std::exchange(call.isSpoilt, true))
+        return;
+    call.handle.setPaused(true);
+    boost::asio::post(m_context, [this, number] {
+        relayed_call* const spoilt = find(number);
+        if (!spoilt || !spoilt->isSpoilt)
+            return;
+        spoilt->handle.cancel();
+        concludeAttempt(number, attempt_end::Broken, "the bytes are no answer");
+    });
+}
+
 void call_relay::beginAnswer(relayed_call& call)
 {
     call.isAnswerBegun = true;
--- a/src/libs/gateway/callrelay.h
+++ b/src/libs/gateway/callrelay.h
@@ -48,6 +48,7 @@
     void startAttempt(std::uint64_t number);
     void readHead(std::uint64_t number, const http_response_head& head);
     void readBody(std::uint64_t number, std::string_view piece);
+    void stopReading(relayed_call& call, std::uint64_t number);
     void endAttempt(std::uint64_t number, const http_outcome& outcome);
     void concludeAttempt(std::uint64_t number, attempt_end end, std::string_view detail);
     void passEvents(relayed_call& call, std::string_view piece);
--- a/src/libs/gateway/itemrunner.cpp
+++ b/src/libs/gateway/itemrunner.cpp
@@ -32,6 +32,8 @@
     http_call_handle handle;
     platform::replica_answer answer;
     event_stream_reader reader;
+    /// The stream cannot be read; the run is about to end.
+    bool isSpoilt = false;
 };
 
 class item_runner::effect_visitor {
@@ -167,10 +169,22 @@
         if (m_scheduler.hasEffects())
             break;
     }
+    if (!stream.reader.isSound() && !std::exchange(stream.isSpoilt, true))
+        boost::asio::post(m_context, [this, run] { spoil(run); });
     if (m_scheduler.hasEffects())
         runSoon();
 }
 
+/// Ends a run whose stream cannot be read.
+void item_runner::spoil(run_number run)
+{
+    const auto found = m_streams.find(run);
+    if (found == m_streams.end())
+        return;
+    found->second->handle.cancel();
+    readEnd(run, { result_code::MalformedMessage, "The stream is no stream of events." });
+}
+
 run_end item_runner::endOf(const stream& stream, const http_outcome& outcome) const
 {
     if (outcome.code == result_code::UpstreamUnreachable)
--- a/src/libs/gateway/itemrunner.h
+++ b/src/libs/gateway/itemrunner.h
@@ -35,6 +35,7 @@
     void cancel(const cancel_run& effect);
     void readHead(run_number run, const http_response_head& head);
     void readBody(run_number run, std::string_view piece);
+    void spoil(run_number run);
     void readEnd(run_number run, const http_outcome& outcome);
     run_end endOf(const stream& stream, const http_outcome& outcome) const;
     void runSoon();
--- a/src/libs/rollout/eventstreamreader.cpp
+++ b/src/libs/rollout/eventstreamreader.cpp
@@ -7,6 +7,8 @@
 namespace {
 
     constexpr std::string_view eventEnd = "\n\n";
+    /// Largest event; bytes without an end are no stream.
+    constexpr std::size_t maxEventBytes = std::size_t { 1024 } * 1024;
 
     std::optional<std::uint64_t> parseNumber(std::string_view text)
     {
@@ -53,6 +55,10 @@
         end = m_pending.find(eventEnd, begin);
     }
     m_pending.erase(0, begin);
+    if (m_pending.size() > maxEventBytes) {
+        m_pending = {};
+        m_isSound = false;
+    }
     return events;
 }
 
--- a/src/libs/rollout/eventstreamreader.h
+++ b/src/libs/rollout/eventstreamreader.h
@@ -30,7 +30,7 @@
     std::vector<stream_event> read(std::string_view piece);
     /// Whether the body so far ends between two events.
     bool isBetweenEvents() const { return m_pending.empty(); }
-    /// False once an event without a readable number was seen.
+    /// False once an event without a readable number, or one without an end, was seen.
     bool isSound() const { return m_isSound; }
 
 private:
--- a/tests/auto/gateway/tst_callrelay.cpp
+++ b/tests/auto/gateway/tst_callrelay.cpp
@@ -23,6 +23,10 @@
     Failure,
     CutBody,
     Silent,
+    /// Bytes without end that are no answer to the request.
+    EndlessBody,
+    /// A signed stream of events whose first event has no end.
+    EndlessEvent,
 };
 
 http_response answerTo(const http_request& request, int status, bool isSigned)
@@ -78,6 +82,14 @@
             exchange.write("patt");
             exchange.abort();
             return;
+        case behaviour::EndlessBody:
+            exchange.beginStream({ 200, {}, std::nullopt });
+            pump(exchange);
+            return;
+        case behaviour::EndlessEvent:
+            exchange.beginStream({ 200, response.headers, std::nullopt });
+            pump(exchange);
+            return;
         case behaviour::Silent:
             exchange.setGoneHandler([this] { ++m_callersGone; });
             m_held.push_back(exchange);
@@ -85,6 +97,14 @@
         }
     }
 
+    void pump(const http_exchange& exchange)
+    {
+        constexpr std::size_t pieceBytes = std::size_t { 64 } * 1024;
+        for (int piece = 0; piece < 4 && exchange.isOpen(); ++piece)
+            exchange.write(std::string(pieceBytes, 'x'));
+        exchange.setDrainedHandler([this, exchange] { pump(exchange); });
+    }
+
     behaviour m_kind;
     http_server m_server;
     std::vector<http_exchange> m_held;
@@ -158,6 +178,9 @@
     { "repeatable with the answer of another request", route_kind::Idempotent, behaviour::OtherId, 200, 1 },
     { "repeatable with an answer that nobody signed", route_kind::Idempotent, behaviour::Unsigned, 200, 1 },
     { "repeatable whose answer is cut", route_kind::Idempotent, behaviour::CutBody, 200, 1 },
+    { "order with bytes without end", route_kind::NonIdempotent, behaviour::EndlessBody, 502, 0 },
+    { "repeatable with bytes without end", route_kind::Idempotent, behaviour::EndlessBody, 200, 1 },
+    { "stream with an event without end", route_kind::Streaming, behaviour::EndlessEvent, 502, 0 },
     { "repeatable that failed at the replica", route_kind::Idempotent, behaviour::Failure, 200, 1 },
 };
 
--- a/tests/auto/rollout/tst_eventstreamreader.cpp
+++ b/tests/auto/rollout/tst_eventstreamreader.cpp
@@ -59,3 +59,12 @@
         }
     }
 }
+
+TEST_CASE("An event without an end is dropped after a while and shows")
+{
+    event_stream_reader reader("weight-versions");
+    CHECK(reader.read("id: 1\ndata: one\n\nid: 2\ndata: ").size() == 1);
+    for (int piece = 0; piece < 20 && reader.isSound(); ++piece)
+        CHECK(reader.read(std::string(100000, 'x')).empty());
+    CHECK_FALSE(reader.isSound());
+}
