--- a/src/libs/gateway/batchdesk.cpp
+++ b/src/libs/gateway/batchdesk.cpp
@@ -28,6 +28,11 @@
         return { status, { { "Content-Type", "application/json" } }, std::move(body) };
     }
 
+    http_response bytesAnswer(std::string body)
+    {
+        return { okStatus, { { "Content-Type", "application/octet-stream" } }, std::move(body) };
+    }
+
 }
 
 class batch_desk::call_visitor {
@@ -194,8 +199,12 @@
 {
     const ledger_batch* const batch = m_journal.ledger().find(call.batch);
     const std::optional<std::size_t> index = batch ? batch->indexOf(call.item) : std::nullopt;
+    if (index && !batch->isLoaded) {
+        readStoredItem(exchange, call, *batch->submission.contents);
+        return;
+    }
     if (index) {
-        exchange.respond({ okStatus, { { "Content-Type", "application/octet-stream" } }, batch->submission.items[*index].body });
+        exchange.respond(bytesAnswer(batch->submission.items[*index].body));
         return;
     }
     if (batch || isSure(call.batch))
@@ -204,6 +213,17 @@
         respondUnknown(exchange, call.batch, "the ledger is behind the log");
 }
 
+void batch_desk::readStoredItem(const http_exchange& exchange, const platform::read_item_call& call, const text_reference& contents)
+{
+    m_journal.texts().read({ contents }, [this, exchange, call](const std::optional<text_store::text_list>& texts) {
+        const std::optional<std::string> body = texts ? journal::bodyOf(*texts->front(), call.item) : std::nullopt;
+        if (body)
+            exchange.respond(bytesAnswer(*body));
+        else
+            respondUnknown(exchange, call.batch, "the log does not give the contents of the batch");
+    });
+}
+
 void batch_desk::endBatch(const http_exchange& exchange, const platform::end_batch_call& call)
 {
     const ledger_batch* const batch = m_journal.ledger().find(call.batch);
--- a/src/libs/gateway/batchdesk.h
+++ b/src/libs/gateway/batchdesk.h
@@ -54,6 +54,8 @@
 
     void readResults(const http_exchange& exchange, const platform::caller_request& caller, const platform::read_results_call& call);
     void readItem(const http_exchange& exchange, const platform::read_item_call& call);
+    /// Answers with the body of an item whose batch is not loaded here.
+    void readStoredItem(const http_exchange& exchange, const platform::read_item_call& call, const text_reference& contents);
     void endBatch(const http_exchange& exchange, const platform::end_batch_call& call);
     bool answerNow(const waiting_read& read);
     /// Lists the results from the position on, once their texts are there.
--- /dev/null
+++ b/src/libs/gateway/batchloader.cpp
@@ -0,0 +1,84 @@
+#include "batchloader.h"
+
+#include "bootclock.h"
+
+#include <core/resultcode.h>
+#include <support/log.h>
+#include <support/logline.h>
+
+namespace ragwortreach {
+
+namespace {
+
+    constexpr duration retryPause = std::chrono::milliseconds(200);
+
+}
+
+batch_loader::batch_loader(journal& journal, log& log)
+    : m_journal(journal)
+    , m_log(log)
+{
+}
+
+void batch_loader::tick(const std::function<bool(const ledger_batch&)>& isWanted, instant now)
+{
+    std::vector<std::string> unneeded;
+    std::vector<std::string> batches;
+    std::vector<text_reference> references;
+    m_missing.clear();
+    for (const std::string& id : m_journal.ledger().order()) {
+        const ledger_batch& batch = *m_journal.ledger().find(id);
+        if (!batch.submission.contents)
+            continue;
+        if (!isWanted(batch)) {
+            if (batch.isLoaded)
+                unneeded.push_back(id);
+            continue;
+        }
+        if (batch.isLoaded || m_unreadable.contains(id))
+            continue;
+        m_missing.insert(batch.submission.model);
+        batches.push_back(id);
+        references.push_back(*batch.submission.contents);
+    }
+    for (const std::string& id : unneeded)
+        m_journal.unload(id);
+    if (!batches.empty() && !m_isReading && now >= m_notBefore)
+        read(std::move(batches), std::move(references), now);
+}
+
+void batch_loader::read(std::vector<std::string> batches, std::vector<text_reference> references, instant now)
+{
+    m_isReading = true;
+    m_notBefore = now + retryPause;
+    m_journal.texts().read(std::move(references), [this, now, ids = std::move(batches)](const std::optional<text_store::text_list>& contents) {
+        m_isReading = false;
+        const duration took = bootNow() - now;
+        m_log.write(log_line(log_level::Info, "batches_loaded").with("batches", ids.size()).with("outcome", contents ? "whole" : "the log does not answer").with("took_us", took.count()));
+        take(ids, contents);
+    });
+}
+
+void batch_loader::take(const std::vector<std::string>& batches, const std::optional<text_store::text_list>& contents)
+{
+    if (!contents) {
+        ++m_counters.readFailures;
+        return;
+    }
+    m_notBefore = {};
+    for (std::size_t index = 0; index < batches.size(); ++index) {
+        if (m_journal.load(batches[index], *(*contents)[index])) {
+            ++m_counters.loaded;
+            continue;
+        }
+        if (!m_journal.ledger().find(batches[index]))
+            continue;
+        ++m_counters.unreadable;
+        m_unreadable.insert(batches[index]);
+        m_log.write(log_line(log_level::Error, "batch_unreadable")
+                        .with("code", static_cast<int>(result_code::MalformedMessage))
+                        .with("batch", batches[index]));
+    }
+}
+
+}
--- a/src/libs/gateway/gatewayhost.cpp
+++ b/src/libs/gateway/gatewayhost.cpp
@@ -2,6 +2,7 @@
 
 #include "answers.h"
 #include "batchdesk.h"
+#include "batchloader.h"
 #include "bootclock.h"
 #include "callrelay.h"
 #include "gatewaymetrics.h"
@@ -11,6 +12,7 @@
 #include "leasekeeper.h"
 #include "platformview.h"
 #include "progresskeeper.h"
+#include "readingpace.h"
 #include "weightorderer.h"
 
 #include <net/httpclient.h>
@@ -34,6 +36,8 @@
     constexpr duration noticeTime = std::chrono::milliseconds(3200);
     /// A daemon that has not heard from the log for longer sends callers to others.
     constexpr duration maxLedgerAge = std::chrono::milliseconds(1500);
+    /// A configuration that was confirmed longer ago may lack a route that exists by now.
+    constexpr duration maxConfigurationAge = std::chrono::milliseconds(1200);
     /// Kept before the end of the time to stop.
     constexpr duration stopMargin = std::chrono::milliseconds(700);
     /// Time after which a batch that ended is forgotten; trainers may read it for two minutes.
@@ -93,7 +97,8 @@
         , view(ioContext, store, routes, pool, daemonLog,
               { [this] { nameLeases(); }, [this](const std::string& model, std::uint64_t version) { nameVersion(model, version); } })
         , batches(ioContext, store, { daemonSettings.journalPartitions, daemonSettings.textPartitions }, life, [this](const ledger_batch& batch) { noteBatch(batch); })
-        , leases(ioContext, store, { daemonSettings.vm, life }, daemonSettings.orderLease, daemonLog, [this] { assignWork(); })
+        , leases(ioContext, store, { daemonSettings.vm, life }, { daemonSettings.orderLease, daemonSettings.processorShare }, daemonLog, [this] { assignWork(); })
+        , loader(batches, daemonLog)
         , scheduler(batches.ledger(), pool, routes)
         , progress(ioContext, store, daemonSettings.textPartitions, life, batches.ledger(), scheduler, daemonLog)
         , runner(ioContext, client, batches, scheduler, pool, daemonLog)
@@ -113,6 +118,7 @@
 
     std::error_code listen(http_server& server, const std::string& address, std::string& detail) const;
     void nameLeases();
+    void setPace();
     void assignWork();
     void nameVersion(const std::string& model, std::uint64_t version);
     void noteBatch(const ledger_batch& batch);
@@ -121,6 +127,7 @@
     void answerMetrics(const http_exchange& exchange);
     bool isReady() const;
     void noteReadiness();
+    void loadBatches();
     void tick();
     void checkStop();
 
@@ -135,6 +142,7 @@
     platform_view view;
     journal batches;
     lease_keeper leases;
+    batch_loader loader;
     item_scheduler scheduler;
     progress_keeper progress;
     item_runner runner;
@@ -147,6 +155,8 @@
     boost::asio::steady_timer timer;
     std::optional<instant> drainingSince;
     std::string ownedNames;
+    /// Models that were taken over and whose batches are not loaded yet.
+    std::set<std::string, std::less<>> toRecover;
     bool wasReady = false;
     bool wasLedgerRead = false;
     bool hasLeft = false;
@@ -172,6 +182,14 @@
     assignWork();
 }
 
+void gateway_host::state::setPace()
+{
+    const reading_pace& pace = leases.agent().holdsAny() ? workingPace : idlePace;
+    view.setReplicaSpacing(pace.replicas);
+    batches.setSpacing(pace.journal);
+    leases.setSpacing(pace.leases);
+}
+
 /// Takes up the work of the leases that are held. Texts that earlier owners saved belong to batches of the ledger, so
 /// the ledger comes first.
 void gateway_host::state::assignWork()
@@ -179,6 +197,7 @@
     if (drainingSince)
         return;
     orderer.noteHolder();
+    setPace();
     if (!batches.isReady())
         return;
     std::set<std::string, std::less<>> owned;
@@ -194,8 +213,7 @@
     std::vector<std::string> added;
     std::copy_if(owned.begin(), owned.end(), std::back_inserter(added), [this](const std::string& model) { return !scheduler.owns(model); });
     scheduler.setOwnedModels(owned, bootNow());
-    for (const std::string& model : added)
-        progress.recover(model, bootNow());
+    toRecover.insert(added.begin(), added.end());
     lines.write(log_line(log_level::Info, "work_assigned").with("models", names));
 }
 
@@ -228,6 +246,10 @@
         return;
     }
     const route* const found = routes.find(caller.host, targetPath(request.target));
+    if (!found && bootNow() - view.configurationConfirmedAt() > maxConfigurationAge) {
+        exchange.respond(refusal(result_code::NoUpstream, "No route fits, and the configuration may have changed.", comeBackAfter));
+        return;
+    }
     if (!found) {
         exchange.respond(failure(notFoundStatus, result_code::UnknownRoute, "No route fits the host and the path."));
         return;
@@ -268,6 +290,22 @@
         lines.write(log_line(log_level::Info, "readiness_changed").with("ready", isReadyNow).with("configuration", routes.version()));
 }
 
+/// Batches that ended a while ago stay, since their groups may come again.
+void gateway_host::state::loadBatches()
+{
+    const instant now = bootNow();
+    loader.tick([this, now](const ledger_batch& batch) {
+        return scheduler.owns(batch.submission.model) && (batch.isOpen() || now - batch.learnedAt < item_scheduler::reuseTime);
+    },
+        now);
+    std::erase_if(toRecover, [this, now](const std::string& model) {
+        if (!loader.isLoaded(model))
+            return false;
+        progress.recover(model, now);
+        return true;
+    });
+}
+
 void gateway_host::state::tick()
 {
     timer.expires_after(tickInterval);
@@ -279,6 +317,7 @@
             assignWork();
         view.tick();
         desk.tick();
+        loadBatches();
         runner.run();
         if (!drainingSince) {
             leases.tick();
@@ -355,7 +394,8 @@
     daemon.settings.stopTime = settings.stopTime;
     daemon.settings.orderLease = settings.orderLease;
     daemon.settings.loadShare = settings.loadShare;
-    daemon.leases.agent().setHolderPause(settings.orderLease);
+    daemon.settings.processorShare = settings.processorShare;
+    daemon.leases.agent().setOptions({ settings.orderLease, settings.processorShare });
     daemon.orderer.plan().setLoadShare(settings.loadShare);
     daemon.lines.write(log_line(log_level::Info, "settings_reloaded").with("vm", settings.vm).with("needs_restart", needsRestart));
 }
--- a/src/libs/gateway/gatewaysettings.cpp
+++ b/src/libs/gateway/gatewaysettings.cpp
@@ -39,6 +39,7 @@
         "text_partitions": { "type": "integer", "minimum": 1, "maximum": 64, "description": "a whole number from 1 to 64" },
         "order_lease_ms": { "type": "integer", "minimum": 0, "maximum": 600000, "description": "milliseconds, from 0 to 600000" },
         "load_share": { "type": "number", "minimum": 0.001, "maximum": 1, "description": "a part of the replicas of a service, from 0.001 to 1" },
+        "processor_share": { "type": "number", "minimum": 0.001, "maximum": 1024, "description": "cores, from 0.001 to 1024" },
         "stop_s": { "type": "number", "minimum": 0.1, "maximum": 3600, "description": "seconds, from 0.1 to 3600" }
       }
     }
@@ -96,6 +97,7 @@
     read.textPartitions = gateway.value("text_partitions", read.textPartitions);
     read.orderLease = readMilliseconds(gateway, "order_lease_ms", read.orderLease);
     read.loadShare = gateway.value("load_share", read.loadShare);
+    read.processorShare = gateway.value("processor_share", read.processorShare);
     const double stopSeconds = gateway.value("stop_s", std::chrono::duration<double>(read.stopTime).count());
     read.stopTime = std::chrono::duration_cast<duration>(std::chrono::duration<double>(stopSeconds));
     const std::string levelName = document.value("log_level", std::string("info"));
--- a/src/libs/gateway/gatewaysettings.h
+++ b/src/libs/gateway/gatewaysettings.h
@@ -31,6 +31,8 @@
     duration orderLease = std::chrono::milliseconds(3000);
     /// Replicas of a service that may load weights at once without slowing each other down, as a part of them.
     double loadShare = 0.2;
+    /// Part of a core that the VM has.
+    double processorShare = 1;
     /// Time from the request to stop until the process is killed.
     duration stopTime = std::chrono::milliseconds(8000);
     log_settings log;
--- a/src/libs/gateway/journal.cpp
+++ b/src/libs/gateway/journal.cpp
@@ -1,6 +1,7 @@
 #include "journal.h"
 
 #include "bootclock.h"
+#include "readingpace.h"
 
 #include <wire/journalcodec.h>
 
@@ -14,9 +15,10 @@
     constexpr std::string_view topicName = "keyed.ragwortreach.batches";
     /// A read that waits no longer confirms often enough that an answer can say there is nothing yet.
     constexpr duration readWait = std::chrono::milliseconds(400);
-    constexpr duration readSpacing = std::chrono::milliseconds(60);
     /// Longer texts stand apart from the records; a shorter one is not worth a record of its own.
     constexpr std::size_t maxInlineBytes = 600;
+    /// Part of a batch's texts that holds its contents; ids of items have no such character.
+    constexpr std::string_view contentsPart = "*";
     constexpr char moreFollows = '+';
     constexpr char isLast = '.';
 
@@ -55,7 +57,7 @@
         topic_follower::handlers handlers;
         handlers.onSnapshot = [this](std::span<const keyed_record>, std::span<const keyed_record> fresh) { apply(fresh); };
         handlers.onRecords = [this](std::span<const keyed_record> records) { apply(records); };
-        const topic_follower_options following { m_writers.where(number), readWait, readSpacing };
+        const topic_follower_options following { m_writers.where(number), readWait, workingPace.journal };
         m_followers.push_back(std::make_unique<topic_follower>(context, log, following, std::move(handlers)));
     }
 }
@@ -66,8 +68,18 @@
         follower->start();
 }
 
+void journal::setSpacing(duration spacing)
+{
+    for (const std::unique_ptr<topic_follower>& follower : m_followers)
+        follower->setSpacing(spacing);
+}
+
 void journal::write(const journal_record& record, write_mode mode, journal_writer::done_handler onDone)
 {
+    if (const batch_accepted* const accepted = std::get_if<batch_accepted>(&record)) {
+        writeAcceptance(*accepted, mode, std::move(onDone));
+        return;
+    }
     const item_finished* const finished = std::get_if<item_finished>(&record);
     if (!finished || finished->output.text.size() <= maxInlineBytes) {
         writeRecord(record, mode, std::move(onDone));
@@ -76,14 +88,64 @@
     item_finished rest = *finished;
     std::string text = std::move(rest.output.text);
     rest.output.text.clear();
-    m_texts.write(finished->batch, finished->item, std::move(text),
-        [this, rest = std::move(rest), mode, whenDone = std::move(onDone)](const text_reference& reference) {
+    m_texts.write(finished->batch, finished->item, std::move(text), mode,
+        [this, rest = std::move(rest), mode, whenDone = std::move(onDone)](const text_report& report) {
+            if (report.status != append_status::Done) {
+                if (whenDone)
+                    whenDone({ append_status::Refused, std::nullopt });
+                return;
+            }
             item_finished record = rest;
-            record.reference = reference;
+            record.reference = report.reference;
+            writeRecord(record, mode, whenDone);
+        });
+}
+
+/// All daemons need to know which batches there are; only the owner needs what their items run with.
+void journal::writeAcceptance(const batch_accepted& accepted, write_mode mode, journal_writer::done_handler onDone)
+{
+    std::string whole = encodeJournalRecord(accepted);
+    if (whole.size() <= maxInlineBytes) {
+        writeRecord(accepted, mode, std::move(onDone));
+        return;
+    }
+    batch_accepted rest = accepted;
+    for (batch_item& item : rest.submission.items)
+        item = withoutContents(std::move(item));
+    m_texts.write(accepted.submission.id, contentsPart, std::move(whole), mode,
+        [this, rest = std::move(rest), mode, whenDone = std::move(onDone)](const text_report& report) {
+            if (report.status != append_status::Done) {
+                // Without a record of its own the batch was not accepted, whatever became of its contents.
+                if (whenDone)
+                    whenDone({ append_status::Refused, std::nullopt });
+                return;
+            }
+            batch_accepted record = rest;
+            record.submission.contents = report.reference;
             writeRecord(record, mode, whenDone);
         });
 }
 
+bool journal::load(std::string_view batch, std::string_view contents)
+{
+    const std::optional<journal_record> decoded = decodeJournalRecord(contents);
+    const batch_accepted* const accepted = decoded ? std::get_if<batch_accepted>(&*decoded) : nullptr;
+    return accepted && accepted->submission.id == batch && m_ledger.load(accepted->submission);
+}
+
+std::optional<std::string> journal::bodyOf(std::string_view contents, std::string_view item)
+{
+    const std::optional<journal_record> decoded = decodeJournalRecord(contents);
+    const batch_accepted* const accepted = decoded ? std::get_if<batch_accepted>(&*decoded) : nullptr;
+    if (!accepted)
+        return std::nullopt;
+    for (const batch_item& candidate : accepted->submission.items) {
+        if (candidate.id == item)
+            return candidate.body;
+    }
+    return std::nullopt;
+}
+
 void journal::writeRecord(const journal_record& record, write_mode mode, journal_writer::done_handler onDone)
 {
     const std::string bytes = encodeJournalRecord(record);
@@ -131,12 +193,14 @@
 
 void journal::noteKeys(const journal_record& record, std::vector<std::string> keys)
 {
-    const bool isAcceptance = std::holds_alternative<batch_accepted>(record);
+    const batch_accepted* const acceptance = std::get_if<batch_accepted>(&record);
     const std::string_view batch = batchOf(record);
-    if (!isAcceptance && !m_ledger.find(batch))
+    if (!acceptance && !m_ledger.find(batch))
         return;
     batch_keys& known = m_keys[std::string(batch)];
-    std::vector<std::string>& list = isAcceptance ? known.acceptances : known.others;
+    std::vector<std::string>& list = acceptance ? known.acceptances : known.others;
+    if (acceptance && acceptance->submission.contents)
+        known.contents.push_back(*acceptance->submission.contents);
     std::move(keys.begin(), keys.end(), std::back_inserter(list));
 }
 
@@ -163,6 +227,7 @@
     const std::uint32_t partition = m_writers.partitionOf(batch);
     m_writers.remove(partition, found->second.acceptances);
     m_writers.remove(partition, found->second.others);
+    m_texts.remove(found->second.contents);
 }
 
 bool journal::isReady() const
--- a/src/libs/gateway/journal.h
+++ b/src/libs/gateway/journal.h
@@ -37,9 +37,16 @@
         std::function<void(const ledger_batch&)> onChanged);
 
     void start();
-    /// A long text of a result is written apart from its record.
+    void setSpacing(duration spacing);
+    /// A long text of a result, and what only a run needs of a batch, are written apart from the record.
     void write(const journal_record& record, write_mode mode, journal_writer::done_handler onDone);
 
+    /// Takes what the record of \a batch lacked, as it was read from the texts; false for contents of another batch.
+    bool load(std::string_view batch, std::string_view contents);
+    /// Body of \a item in the contents of a batch.
+    static std::optional<std::string> bodyOf(std::string_view contents, std::string_view item);
+    void unload(std::string_view batch) { m_ledger.unload(batch); }
+
     text_store& texts() { return m_texts; }
     const text_store& texts() const { return m_texts; }
 
@@ -60,8 +67,11 @@
     struct batch_keys {
         std::vector<std::string> acceptances;
         std::vector<std::string> others;
+        /// Contents that the acceptances name.
+        std::vector<text_reference> contents;
     };
 
+    void writeAcceptance(const batch_accepted& accepted, write_mode mode, journal_writer::done_handler onDone);
     void writeRecord(const journal_record& record, write_mode mode, journal_writer::done_handler onDone);
     void removeFromLog(const std::string& batch);
     struct partial_record {
--- a/src/libs/gateway/leasekeeper.cpp
+++ b/src/libs/gateway/leasekeeper.cpp
@@ -1,6 +1,7 @@
 #include "leasekeeper.h"
 
 #include "bootclock.h"
+#include "readingpace.h"
 
 #include <support/log.h>
 #include <support/logline.h>
@@ -11,7 +12,6 @@
 namespace {
 
     constexpr duration readWait = std::chrono::milliseconds(1000);
-    constexpr duration readSpacing = std::chrono::milliseconds(30);
     /// Claims have keys of their own, so the log keeps them; of the renewals of a process it keeps the newest.
     constexpr std::string_view renewalKey = "/renewal";
 
@@ -22,13 +22,13 @@
 
 }
 
-lease_keeper::lease_keeper(boost::asio::io_context& context, shared_log& log, lease_party self, duration holderPause,
+lease_keeper::lease_keeper(boost::asio::io_context& context, shared_log& log, lease_party self, const lease_options& options,
     ragwortreach::log& lines, std::function<void()> onChanged)
     : m_writerName(self.life)
     , m_lines(lines)
     , m_onChanged(std::move(onChanged))
-    , m_agent(m_fold, std::move(self), holderPause)
-    , m_follower(context, log, { leaseTopic(), readWait, readSpacing },
+    , m_agent(m_fold, std::move(self), options)
+    , m_follower(context, log, { leaseTopic(), readWait, workingPace.leases },
           { [this](std::span<const keyed_record>, std::span<const keyed_record> fresh) { apply(fresh); },
               [this](std::span<const keyed_record> records) { apply(records); } })
     , m_writer(context, log, leaseTopic(), m_writerName + "-leases")
--- a/src/libs/gateway/leasekeeper.h
+++ b/src/libs/gateway/leasekeeper.h
@@ -18,10 +18,11 @@
 /// Carries out what the lease agent decides: writes its records and reads those of all daemons.
 class lease_keeper {
 public:
-    lease_keeper(boost::asio::io_context& context, shared_log& log, lease_party self, duration holderPause, ragwortreach::log& lines,
+    lease_keeper(boost::asio::io_context& context, shared_log& log, lease_party self, const lease_options& options, ragwortreach::log& lines,
         std::function<void()> onChanged);
 
     void start() { m_follower.start(); }
+    void setSpacing(duration spacing) { m_follower.setSpacing(spacing); }
     void tick();
     void release(std::function<void()> onDone);
 
--- a/src/libs/gateway/platformview.cpp
+++ b/src/libs/gateway/platformview.cpp
@@ -1,6 +1,7 @@
 #include "platformview.h"
 
 #include "bootclock.h"
+#include "readingpace.h"
 
 #include <core/resultcode.h>
 #include <platform/listcodec.h>
@@ -13,16 +14,13 @@
 
 namespace {
 
-    constexpr duration readWait = std::chrono::milliseconds(1000);
-    constexpr duration readSpacing = std::chrono::milliseconds(30);
+    /// A short wait confirms often that the configuration in force is the newest one.
+    constexpr duration operatorWait = std::chrono::milliseconds(500);
+    constexpr duration operatorSpacing = std::chrono::milliseconds(30);
+    constexpr duration replicaWait = std::chrono::milliseconds(1000);
     /// Entries that lapsed while the list was away are back within this time of its return, if they come back.
     constexpr duration returnTime = std::chrono::milliseconds(2300);
 
-    topic_follower_options optionsFor(const topic_partition& where)
-    {
-        return { where, readWait, readSpacing };
-    }
-
 }
 
 class platform_view::operator_visitor {
@@ -60,10 +58,10 @@
     , m_pool(pool)
     , m_lines(lines)
     , m_handlers(std::move(handlers))
-    , m_operators(context, log, optionsFor(platform::operatorTopic()),
+    , m_operators(context, log, { platform::operatorTopic(), operatorWait, operatorSpacing },
           { [this](std::span<const keyed_record> all, std::span<const keyed_record>) { takeOperatorRecords(all); },
               [this](std::span<const keyed_record> records) { takeOperatorRecords(records); } })
-    , m_replicas(context, log, optionsFor(platform::replicaTopic()),
+    , m_replicas(context, log, { platform::replicaTopic(), replicaWait, workingPace.replicas },
           { [this](std::span<const keyed_record> all, std::span<const keyed_record>) { takeReplicaSnapshot(all); },
               [this](std::span<const keyed_record> records) { takeReplicaRecords(records); } })
 {
--- a/src/libs/gateway/platformview.h
+++ b/src/libs/gateway/platformview.h
@@ -32,6 +32,9 @@
     void start();
     /// Whether a configuration is in force and the list of replicas was read.
     bool isReady() const { return m_routes.isReady() && m_replicas.isReady(); }
+    void setReplicaSpacing(duration spacing) { m_replicas.setSpacing(spacing); }
+    /// All that the operators wrote until then is in force; the epoch while nothing was read.
+    instant configurationConfirmedAt() const { return m_operators.confirmedAt(); }
     /// Forgets replicas that did not come back after an outage of the list.
     void tick();
     const view_counters& counters() const { return m_counters; }
--- a/src/libs/gateway/textstore.cpp
+++ b/src/libs/gateway/textstore.cpp
@@ -26,33 +26,37 @@
 
 text_store::~text_store() = default;
 
-void text_store::write(std::string_view batch, std::string_view item, std::string text, std::function<void(const text_reference&)> onDone)
+void text_store::write(std::string_view batch, std::string_view part, std::string text, write_mode mode, write_handler onDone)
 {
     ++m_counters.written;
     text_reference reference;
-    reference.key = std::string(batch) + "/" + std::string(item) + "/" + m_writerName;
+    reference.key = std::string(batch) + "/" + std::string(part) + "/" + m_writerName;
     reference.partition = m_writers.partitionOf(batch);
     reference.bytes = text.size();
-    append(std::move(reference), std::make_shared<const std::string>(std::move(text)), std::move(onDone));
+    append(std::move(reference), std::make_shared<const std::string>(std::move(text)), mode, std::move(onDone));
 }
 
-void text_store::append(text_reference reference, std::shared_ptr<const std::string> text, std::function<void(const text_reference&)> onDone)
+void text_store::append(text_reference reference, std::shared_ptr<const std::string> text, write_mode mode, write_handler onDone)
 {
     std::vector<keyed_record> records;
     for (const std::string_view piece : cutForRecords(*text))
         records.push_back({ chunkKey(reference.key, static_cast<std::uint32_t>(records.size())), std::string(piece), 0 });
     reference.records = static_cast<std::uint32_t>(records.size());
-    m_writers[reference.partition].write(std::move(records), write_mode::Persistent,
-        [this, place = reference, text = std::move(text), whenDone = std::move(onDone)](const append_report& report) {
+    m_writers[reference.partition].write(std::move(records), mode,
+        [this, place = reference, text = std::move(text), mode, whenDone = std::move(onDone)](const append_report& report) {
+            if (report.status != append_status::Done) {
+                whenDone({ report.status, {} });
+                return;
+            }
             if (!report.firstOffset) {
                 // The log took the records long ago and no longer says where. Written anew they have a known place.
-                append(place, text, whenDone);
+                append(place, text, mode, whenDone);
                 return;
             }
             text_reference written = place;
             written.offset = *report.firstOffset;
             keep(written.key, text);
-            whenDone(written);
+            whenDone({ append_status::Done, written });
         });
 }
 
--- a/src/libs/gateway/textstore.h
+++ b/src/libs/gateway/textstore.h
@@ -26,7 +26,14 @@
     std::uint64_t readFailures = 0;
 };
 
-/// Texts of results, each a record of its own in the log.
+/// What became of a text that was to be written.
+struct text_report {
+    append_status status = append_status::Unknown;
+    /// Where the text stands; with Done only.
+    text_reference reference {};
+};
+
+/// Texts of results and contents of batches, each with records of its own in the log.
 ///
 /// All daemons need to know that an item has its result, few need its text, and that once. So texts stand apart from
 /// the journal, which names them, and are read when a trainer asks for them.
@@ -38,8 +45,10 @@
     text_store(boost::asio::io_context& context, shared_log& log, std::uint32_t partitions, std::string writer);
     ~text_store();
 
-    /// Appends \a text; \a onDone hears where it stands, once it does.
-    void write(std::string_view batch, std::string_view item, std::string text, std::function<void(const text_reference&)> onDone);
+    using write_handler = std::function<void(const text_report&)>;
+
+    /// Appends \a text under the name \a part, which is given once in a batch.
+    void write(std::string_view batch, std::string_view part, std::string text, write_mode mode, write_handler onDone);
     /// \a onDone gets the texts in the order of \a references, or nothing when the log does not answer.
     void read(std::vector<text_reference> references, std::function<void(const std::optional<text_list>&)> onDone);
     /// Removes texts from the log.
@@ -53,7 +62,7 @@
     class text_read;
 
     static std::string chunkKey(const std::string& key, std::uint32_t number);
-    void append(text_reference reference, std::shared_ptr<const std::string> text, std::function<void(const text_reference&)> onDone);
+    void append(text_reference reference, std::shared_ptr<const std::string> text, write_mode mode, write_handler onDone);
     void keep(const std::string& key, std::shared_ptr<const std::string> text);
     std::shared_ptr<const std::string> cached(const std::string& key);
 
--- a/src/libs/gateway/topicfollower.h
+++ b/src/libs/gateway/topicfollower.h
@@ -34,6 +34,8 @@
     topic_follower(boost::asio::io_context& context, shared_log& log, topic_follower_options options, handlers handlers);
 
     void start();
+    /// Takes effect after the read that is under way.
+    void setSpacing(duration spacing) { m_options.spacing = spacing; }
     /// Whether a snapshot was read.
     bool isReady() const { return m_isReady; }
     /// Everything that stood in the partition at this time was delivered; the epoch while nothing was read.
--- a/src/libs/rollout/batchledger.cpp
+++ b/src/libs/rollout/batchledger.cpp
@@ -1,5 +1,7 @@
 #include "batchledger.h"
 
+#include <algorithm>
+
 namespace ragwortreach {
 
 namespace {
@@ -29,7 +31,9 @@
             batch.itemIndex.emplace(batch.submission.items[index].id, index);
             ++batch.openItems[batch.submission.items[index].group];
         }
-        m_ledger.linkEarlier(batch);
+        batch.isLoaded = !batch.submission.contents;
+        if (batch.isLoaded)
+            m_ledger.linkEarlier(batch);
         m_ledger.m_order.push_back(id);
         return &batch;
     }
@@ -123,13 +127,38 @@
     return found == m_batches.end() ? nullptr : &found->second;
 }
 
+bool batch_ledger::load(const batch_submission& whole)
+{
+    const auto found = m_batches.find(whole.id);
+    if (found == m_batches.end() || found->second.items.size() != whole.items.size())
+        return false;
+    ledger_batch& batch = found->second;
+    if (batch.isLoaded)
+        return true;
+    batch.submission.items = whole.items;
+    batch.isLoaded = true;
+    linkEarlier(batch);
+    return true;
+}
+
+void batch_ledger::unload(std::string_view id)
+{
+    const auto found = m_batches.find(id);
+    if (found == m_batches.end() || !found->second.submission.contents)
+        return;
+    found->second.isLoaded = false;
+    for (batch_item& item : found->second.submission.items)
+        item = withoutContents(std::move(item));
+}
+
 /// Looks for the items of \a batch in the newest batches of its model.
 void batch_ledger::linkEarlier(ledger_batch& batch) const
 {
     std::size_t looked = 0;
-    for (std::size_t place = m_order.size(); place > 0 && looked < maxEarlierBatches; --place) {
+    const std::vector<std::string>::const_iterator own = std::find(m_order.begin(), m_order.end(), batch.submission.id);
+    for (std::size_t place = static_cast<std::size_t>(own - m_order.begin()); place > 0 && looked < maxEarlierBatches; --place) {
         const ledger_batch& before = m_batches.find(m_order[place - 1])->second;
-        if (before.submission.model != batch.submission.model)
+        if (before.submission.model != batch.submission.model || !before.isLoaded)
             continue;
         ++looked;
         for (std::size_t index = 0; index < batch.items.size(); ++index) {
@@ -141,7 +170,8 @@
             batch.requiredGroups.insert(item.group);
         }
     }
-    batch.openRequiredGroups = batch.requiredGroups.size();
+    batch.openRequiredGroups = static_cast<std::size_t>(std::count_if(batch.requiredGroups.begin(), batch.requiredGroups.end(),
+        [&batch](const std::string& group) { return batch.openItems.find(group)->second > 0; }));
 }
 
 std::vector<std::string> batch_ledger::closedBefore(instant limit) const
--- a/src/libs/rollout/batchledger.h
+++ b/src/libs/rollout/batchledger.h
@@ -48,6 +48,8 @@
     /// When this process learned of the batch; never before it was accepted.
     instant learnedAt {};
     bool isEnded = false;
+    /// The items have what a run needs.
+    bool isLoaded = true;
     std::vector<ledger_item> items;
     /// In the order of the journal; a result keeps its position for good.
     std::vector<ledger_result> results;
@@ -81,6 +83,11 @@
     const ledger_batch* apply(const journal_record& record, instant now);
 
     const ledger_batch* find(std::string_view id) const;
+    /// Completes the items of a batch by what its record lacked. Batches of a model are loaded in their order, so that
+    /// items that come again are found. False when \a whole is another batch.
+    bool load(const batch_submission& whole);
+    /// Drops what load() added.
+    void unload(std::string_view id);
     /// All batches, oldest first.
     std::span<const std::string> order() const { return m_order; }
     /// Batches that this process learned of before \a limit and that are not open.
--- a/src/libs/rollout/itemscheduler.cpp
+++ b/src/libs/rollout/itemscheduler.cpp
@@ -19,8 +19,6 @@
     constexpr std::uint64_t minProgress = 12;
     /// Most rewards come sooner; a whole text that waits longer is saved.
     constexpr duration rewardPatience = std::chrono::milliseconds(300);
-    /// Trainers ask again for the groups of a batch soon after they ended it.
-    constexpr duration reuseTime = std::chrono::seconds(30);
     /// Comparing replicas and forgetting closed batches walk over all there is.
     constexpr duration upkeepInterval = std::chrono::milliseconds(100);
     /// A run stays on a replica for so long at least, so that runs do not wander about.
@@ -81,7 +79,7 @@
 
 bool item_scheduler::adoptText(const ledger_batch& batch, std::size_t item, const item_text& text, instant now)
 {
-    if (!batch.isOpen() || batch.items[item].position || !fits(batch, item, text))
+    if (!batch.isLoaded || !batch.isOpen() || batch.items[item].position || !fits(batch, item, text))
         return false;
     item_state& state = m_items[{ batch.submission.id, item }];
     if (state.run != 0 || state.isRecorded || text.lastEvent <= state.output.lastEvent)
@@ -181,7 +179,7 @@
 void item_scheduler::scheduleBatch(const ledger_batch& batch, instant now)
 {
     const auto owned = m_owned.find(batch.submission.model);
-    if (owned == m_owned.end() || now - owned->second.since < (owned->second.isRecovered ? handoverPause : recoveryLimit))
+    if (!batch.isLoaded || owned == m_owned.end() || now - owned->second.since < (owned->second.isRecovered ? handoverPause : recoveryLimit))
         return;
     bool hasRoom = true;
     for (const std::size_t item : orderOf(batch)) {
--- a/src/libs/rollout/itemscheduler.h
+++ b/src/libs/rollout/itemscheduler.h
@@ -90,6 +90,9 @@
 /// An item with a reward call has its result once the reward is there as well.
 class item_scheduler {
 public:
+    /// Trainers ask again for the groups of a batch soon after they ended it.
+    static constexpr duration reuseTime = std::chrono::seconds(30);
+
     item_scheduler(const batch_ledger& ledger, replica_pool& pool, const route_table& routes);
 
     /// Models whose batches this daemon runs. Items of a model that is new wait for the handover of the owner before
--- a/src/libs/rollout/journalrecord.h
+++ b/src/libs/rollout/journalrecord.h
@@ -41,6 +41,19 @@
     std::optional<reward_call> reward {};
 };
 
+/// Place of a text that stands in the log by itself.
+struct text_reference {
+    /// Key of the record; with several records, the begin of their keys.
+    std::string key;
+    std::uint32_t partition = 0;
+    /// Offset of the first record.
+    std::uint64_t offset = 0;
+    /// Records that the text is cut into, one after the other.
+    std::uint32_t records = 1;
+    /// Length of the text.
+    std::uint64_t bytes = 0;
+};
+
 /// Batch as a trainer submitted it.
 struct batch_submission {
     std::string id;
@@ -52,8 +65,13 @@
     /// Complete groups that the trainer waits for.
     std::uint32_t wantedGroups = 0;
     std::vector<batch_item> items;
+    /// Where the whole submission stands, if the items lack what only a run needs: path, headers, body, reward call.
+    std::optional<text_reference> contents {};
 };
 
+/// \a item without what only a run needs.
+batch_item withoutContents(batch_item item);
+
 /// A batch was accepted. Batches that are accepted again are ignored.
 struct batch_accepted {
     batch_submission submission;
@@ -71,19 +89,6 @@
     bool isWhole = false;
 };
 
-/// Place of a text that stands in the log by itself.
-struct text_reference {
-    /// Key of the record; with several records, the begin of their keys.
-    std::string key;
-    std::uint32_t partition = 0;
-    /// Offset of the first record.
-    std::uint64_t offset = 0;
-    /// Records that the text is cut into, one after the other.
-    std::uint32_t records = 1;
-    /// Length of the text.
-    std::uint64_t bytes = 0;
-};
-
 /// An item has its final result. The first record of an item counts.
 struct item_finished {
     std::string batch;
--- a/src/libs/rollout/leaseagent.cpp
+++ b/src/libs/rollout/leaseagent.cpp
@@ -11,7 +11,12 @@
     constexpr duration maxViewAge = std::chrono::milliseconds(1500);
     /// A process that holds leases leaves others the first chance.
     constexpr duration delayPerLease = std::chrono::milliseconds(100);
-    constexpr std::uint64_t delaySpreadMs = 80;
+    /// Claims of a large fleet are spread, so that most processes read the first claim before their own is due.
+    constexpr std::uint64_t delaySpreadMs = 400;
+    /// Part of a core that is enough to run the batches of a model.
+    constexpr double ampleShare = 0.5;
+    /// Time that a process with hardly any processor leaves to larger ones.
+    constexpr duration delayOfSmall = std::chrono::milliseconds(500);
     /// An order may take so long to arrive.
     constexpr duration orderTransit = std::chrono::milliseconds(300);
     /// Distance from an earlier claim of this process that was in vain.
@@ -19,10 +24,10 @@
 
 }
 
-lease_agent::lease_agent(const lease_fold& fold, lease_party self, duration holderPause)
+lease_agent::lease_agent(const lease_fold& fold, lease_party self, const lease_options& options)
     : m_fold(fold)
     , m_self(std::move(self))
-    , m_holderPause(holderPause)
+    , m_options(options)
 {
 }
 
@@ -47,7 +52,7 @@
         const bool isDue = now - since >= claimDelay(lease) && now - m_claimedAt >= claimInterval;
         if (!isDue)
             continue;
-        lease_claim claim { lease, m_self, std::nullopt };
+        lease_claim claim { lease, m_self, std::nullopt, m_lastRenewal };
         if (state)
             claim.formerClaim = state->claimOffset;
         records.emplace_back(std::move(claim));
@@ -74,7 +79,9 @@
 duration lease_agent::claimDelay(std::string_view lease) const
 {
     const std::uint64_t mixed = std::hash<std::string> {}(m_self.life + std::string(lease));
-    return delayPerLease * m_fold.heldBy(m_self) + std::chrono::milliseconds(mixed % delaySpreadMs);
+    const double missing = 1 - std::min(1.0, m_options.processorShare / ampleShare);
+    const duration ofSize = std::chrono::duration_cast<duration>(delayOfSmall * missing);
+    return delayPerLease * m_fold.heldBy(m_self) + ofSize + std::chrono::milliseconds(mixed % delaySpreadMs);
 }
 
 void lease_agent::onRead(const lease_record& record)
@@ -94,7 +101,7 @@
     m_isReleased = true;
     lease_release record { m_self, {} };
     for (const std::pair<const std::string, instant>& order : m_ordersAt) {
-        if (now - order.second < m_holderPause)
+        if (now - order.second < m_options.holderPause)
             record.recentOrders.push_back({ order.first, now - order.second });
     }
     return record;
@@ -105,8 +112,9 @@
     if (m_isReleased || now >= m_validUntil || !isHeld(lease))
         return false;
     const lease_state& state = *m_fold.find(lease);
-    return std::all_of(state.silentSince.begin(), state.silentSince.end(), [this, now](const std::pair<const std::string, instant>& silent) {
-        return silent.first == m_self.vm || now >= silent.second + validity + m_holderPause + orderTransit;
+    const duration wait = validity + m_options.holderPause + orderTransit;
+    return std::all_of(state.silentHolders.begin(), state.silentHolders.end(), [this, wait, now](const silent_holder& silent) {
+        return silent.vm == m_self.vm || std::max(now - silent.seenAt, silent.provenAge) >= wait;
     });
 }
 
@@ -117,7 +125,7 @@
     if (!state)
         return barred;
     for (const former_order& order : state->formerOrders) {
-        if (order.vm != m_self.vm && now < order.sentAt + m_holderPause + orderTransit)
+        if (order.vm != m_self.vm && std::max(now - order.sentAt, order.provenAge) < m_options.holderPause + orderTransit)
             barred.push_back(order.replica);
     }
     return barred;
--- a/src/libs/rollout/leaseagent.h
+++ b/src/libs/rollout/leaseagent.h
@@ -20,6 +20,13 @@
     instant regainedAt {};
 };
 
+struct lease_options {
+    /// Separates the acts of two holders, where the former one did not release its lease.
+    duration holderPause {};
+    /// Part of a core that this VM has. The smaller it is, the longer the process leaves a lease to others.
+    double processorShare = 1;
+};
+
 /// Claims, keeps and gives up the leases of one process.
 ///
 /// Load pattern: processes are stopped in turn, killed, frozen, and cut off from the log, often several shortly one
@@ -27,16 +34,15 @@
 /// processes come and go; a holder that stops releases it, and another process goes on at once.
 class lease_agent {
 public:
-    static constexpr duration renewInterval = std::chrono::milliseconds(300);
+    static constexpr duration renewInterval = lease_fold::renewInterval;
     /// From the sending of a renewal, the holder may act for so long.
     static constexpr duration validity = std::chrono::milliseconds(1000);
     /// A holder without a record for so long is taken to be gone.
     static constexpr duration silence = std::chrono::milliseconds(1800);
 
-    /// \a holderPause separates the acts of two holders, where the former one did not release its lease.
-    lease_agent(const lease_fold& fold, lease_party self, duration holderPause);
+    lease_agent(const lease_fold& fold, lease_party self, const lease_options& options);
 
-    void setHolderPause(duration pause) { m_holderPause = pause; }
+    void setOptions(const lease_options& options) { m_options = options; }
     /// Leases that there are.
     void setLeases(std::vector<std::string> leases) { m_leases = std::move(leases); }
     /// Records that are due now. onWritten() has to follow each time.
@@ -48,6 +54,7 @@
     /// Gives up all leases, for a graceful shutdown.
     lease_release release(instant now);
 
+    bool holdsAny() const { return m_fold.heldBy(m_self) > 0; }
     bool isHeld(std::string_view lease) const { return m_fold.isHeldBy(lease, m_self); }
     /// Whether the holder may act now, on anything but what barredReplicas() names. To be asked right before the act.
     bool mayAct(std::string_view lease, instant now) const;
@@ -64,7 +71,7 @@
 
     const lease_fold& m_fold;
     lease_party m_self;
-    duration m_holderPause;
+    lease_options m_options;
     std::vector<std::string> m_leases;
     std::map<std::string, instant, std::less<>> m_claimableSince;
     std::map<std::string, instant, std::less<>> m_ordersAt;
--- a/src/libs/rollout/leasefold.cpp
+++ b/src/libs/rollout/leasefold.cpp
@@ -27,12 +27,12 @@
         const bool hasRecord = found != m_fold.m_leases.end();
         if (hasRecord && record.formerClaim != found->second.claimOffset)
             return;
-        lease_state next { record.party, m_offset, m_now, false, {}, {} };
+        lease_state next { record.party, m_offset, m_now, false, {}, {}, record.renewals };
         if (hasRecord) {
             next.formerOrders = std::move(found->second.formerOrders);
-            next.silentSince = std::move(found->second.silentSince);
+            next.silentHolders = std::move(found->second.silentHolders);
             if (!found->second.isReleased)
-                next.silentSince[found->second.holder.vm] = found->second.seenAt;
+                next.silentHolders.push_back({ found->second.holder.vm, found->second.seenAt, {} });
             forgetOld(next);
         }
         m_fold.m_leases[record.lease] = std::move(next);
@@ -40,7 +40,15 @@
 
     void operator()(const lease_renewal& record) const
     {
-        forEachHeld(record.party, [](lease_state&) {});
+        forEachHeld(record.party, [&record](lease_state& state) {
+            if (record.number <= state.renewalsBefore + 1)
+                return;
+            const duration held = lease_fold::renewInterval * (record.number - state.renewalsBefore - 1);
+            for (former_order& order : state.formerOrders)
+                order.provenAge = std::max(order.provenAge, held);
+            for (silent_holder& silent : state.silentHolders)
+                silent.provenAge = std::max(silent.provenAge, held);
+        });
     }
 
     void operator()(const lease_release& record) const
@@ -48,16 +56,15 @@
         forEachHeld(record.party, [this, &record](lease_state& state) {
             state.isReleased = true;
             for (const recent_order& order : record.recentOrders)
-                state.formerOrders.push_back({ order.replica, record.party.vm, m_now - order.age });
+                state.formerOrders.push_back({ order.replica, record.party.vm, m_now - order.age, {} });
         });
     }
 
 private:
     void forgetOld(lease_state& state) const
     {
-        const instant limit = m_now - formerMemory;
-        std::erase_if(state.formerOrders, [limit](const former_order& order) { return order.sentAt < limit; });
-        std::erase_if(state.silentSince, [limit](const std::pair<const std::string, instant>& silent) { return silent.second < limit; });
+        std::erase_if(state.formerOrders, [this](const former_order& order) { return std::max(m_now - order.sentAt, order.provenAge) > formerMemory; });
+        std::erase_if(state.silentHolders, [this](const silent_holder& silent) { return std::max(m_now - silent.seenAt, silent.provenAge) > formerMemory; });
     }
 
     template <typename function>
--- a/src/libs/rollout/leasefold.h
+++ b/src/libs/rollout/leasefold.h
@@ -32,6 +32,8 @@
     std::string lease;
     lease_party party;
     std::optional<std::uint64_t> formerClaim;
+    /// Number of the last renewal of the process before.
+    std::uint64_t renewals = 0;
 };
 
 /// A process keeps all leases that it holds.
@@ -55,6 +57,17 @@
     std::string vm;
     /// Never before the order was sent.
     instant sentAt {};
+    /// Time that has passed since, as far as the renewals of later holders prove it.
+    duration provenAge {};
+};
+
+/// Holder that went silent without a release.
+struct silent_holder {
+    std::string vm;
+    /// When its newest record was learned of.
+    instant seenAt {};
+    /// Time that has passed since, as far as the renewals of later holders prove it.
+    duration provenAge {};
 };
 
 /// Lease as the records say.
@@ -66,8 +79,9 @@
     instant seenAt {};
     bool isReleased = false;
     std::vector<former_order> formerOrders;
-    /// VMs whose holder went silent without a release, and when its newest record was learned of.
-    std::map<std::string, instant, std::less<>> silentSince;
+    std::vector<silent_holder> silentHolders;
+    /// Number of the last renewal of the holder before its claim.
+    std::uint64_t renewalsBefore = 0;
 };
 
 /// State of all leases: a fold of their records. All daemons reach the same state.
@@ -78,6 +92,9 @@
 /// new holder waits until the former one may no longer act.
 class lease_fold {
 public:
+    /// Least time between two renewals of a process.
+    static constexpr duration renewInterval = std::chrono::milliseconds(300);
+
     void apply(const lease_record& record, std::uint64_t offset, instant now);
 
     const lease_state* find(std::string_view lease) const;
--- a/src/libs/wire/journalcodec.cpp
+++ b/src/libs/wire/journalcodec.cpp
@@ -87,6 +87,8 @@
             accepted.set_wanted_groups(record.submission.wantedGroups);
             for (const batch_item& item : record.submission.items)
                 writeItem(item, *accepted.add_items());
+            if (record.submission.contents)
+                writeReference(*record.submission.contents, *accepted.mutable_contents());
         }
 
         void operator()(const item_finished& record) const
@@ -126,6 +128,8 @@
         record.submission.wantedGroups = from.wanted_groups();
         for (const wire::JournalItem& item : from.items())
             record.submission.items.push_back(readItem(item));
+        if (from.has_contents())
+            record.submission.contents = readReference(from.contents());
         return record;
     }
 
--- a/src/libs/wire/leasecodec.cpp
+++ b/src/libs/wire/leasecodec.cpp
@@ -18,6 +18,7 @@
             writeParty(record.party);
             wire::LeaseClaim& claim = *m_message.mutable_claim();
             claim.set_lease(record.lease);
+            claim.set_renewals(record.renewals);
             if (record.formerClaim)
                 claim.set_former_claim(*record.formerClaim);
         }
@@ -51,7 +52,7 @@
 
     lease_claim readClaim(const lease_party& party, const wire::LeaseClaim& from)
     {
-        lease_claim claim { from.lease(), party, std::nullopt };
+        lease_claim claim { from.lease(), party, std::nullopt, from.renewals() };
         if (from.has_former_claim())
             claim.formerClaim = from.former_claim();
         return claim;
