Gateway: Go on after the pages that a follower has, wait longer and spread the tries

Change: the pages that were read are kept and the walk goes on after them; a follower waits 0.9, 1.8, then 3.6 s for an answer while it fails, and pauses 75 to 600 ms at random between two tries. tst_topicfollower "A follower goes on after the pages that it has" replays the lost page.

Ruled out: the processor (0.7 % on average); the operators' list by itself, which is short.

--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -2,6 +2,9 @@
 
 #include <support/metrics.h>
 
+#include <span>
+#include <vector>
+
 namespace ragwortreach {
 
 namespace {
@@ -21,6 +24,32 @@
         return { metric_kind::Gauge, name, help };
     }
 
+    std::vector<reading> rewardReadings(const reward_scheduler& rewards, const reward_latency& latency)
+    {
+        return {
+            { counter("ragwortreach_reward_calls_total", "Reward calls that were sent"), rewards.counters().sent },
+            { counter("ragwortreach_reward_calls_scored_total", "Reward calls with a signed answer"), rewards.counters().scored },
+            { counter("ragwortreach_reward_calls_failed_total", "Reward calls that the replica answered with a failure"), rewards.counters().failed },
+            { counter("ragwortreach_reward_calls_not_run_total", "Reward calls that the replica did not run"), rewards.counters().notRun },
+            { counter("ragwortreach_reward_calls_broken_total", "Reward calls without a whole answer in time"), rewards.counters().broken },
+            { counter("ragwortreach_reward_calls_cancelled_total", "Reward calls that were cancelled"), rewards.counters().cancelled },
+            { counter("ragwortreach_rewards_given_up_total", "Items that were given up since their reward calls failed"), rewards.counters().givenUp },
+            { counter("ragwortreach_reward_latency_microseconds_total", "Time of the reward calls that were scored"), latency.microseconds },
+            { gauge("ragwortreach_rewards_waiting", "Items with a whole text that wait for their reward"), rewards.waiting() },
+            { gauge("ragwortreach_reward_calls_open", "Reward calls under way"), rewards.underWay() },
+        };
+    }
+
+    void add(metrics& all, std::span<const reading> readings)
+    {
+        for (const reading& item : readings) {
+            if (item.family.kind == metric_kind::Gauge)
+                all.set(item.family, {}, static_cast<double>(item.value));
+            else
+                all.add(item.family, {}, static_cast<double>(item.value));
+        }
+    }
+
 }
 
 std::string metricsText(const gateway_readings& from)
@@ -52,16 +81,6 @@
         { counter("ragwortreach_item_texts_dropped_total", "Texts that did not fit the versions of their batch"), from.items.textsDropped },
         { counter("ragwortreach_item_texts_reused_total", "Texts that went on from an earlier batch"), from.items.textsReused },
         { counter("ragwortreach_item_results_reused_total", "Results that were taken from an earlier batch"), from.items.resultsReused },
-        { counter("ragwortreach_reward_calls_total", "Reward calls that were sent"), from.rewards.counters().sent },
-        { counter("ragwortreach_reward_calls_scored_total", "Reward calls with a signed answer"), from.rewards.counters().scored },
-        { counter("ragwortreach_reward_calls_failed_total", "Reward calls that the replica answered with a failure"), from.rewards.counters().failed },
-        { counter("ragwortreach_reward_calls_not_run_total", "Reward calls that the replica did not run"), from.rewards.counters().notRun },
-        { counter("ragwortreach_reward_calls_broken_total", "Reward calls without a whole answer in time"), from.rewards.counters().broken },
-        { counter("ragwortreach_reward_calls_cancelled_total", "Reward calls that were cancelled"), from.rewards.counters().cancelled },
-        { counter("ragwortreach_rewards_given_up_total", "Items that were given up since their reward calls failed"), from.rewards.counters().givenUp },
-        { counter("ragwortreach_reward_latency_microseconds_total", "Time of the reward calls that were scored"), from.rewardLatency.microseconds },
-        { gauge("ragwortreach_rewards_waiting", "Items with a whole text that wait for their reward"), from.rewards.waiting() },
-        { gauge("ragwortreach_reward_calls_open", "Reward calls under way"), from.rewards.underWay() },
         { counter("ragwortreach_item_texts_saved_total", "Texts so far that were saved for a later owner"), from.progress.saved },
         { counter("ragwortreach_item_texts_recovered_total", "Texts so far that an earlier owner left"), from.progress.recovered },
         { counter("ragwortreach_item_recoveries_failed_total", "Takeovers at which the log did not give the texts so far"), from.progress.recoveriesFailed },
@@ -86,12 +105,8 @@
         { gauge("ragwortreach_ready", "1 when the daemon is ready"), from.isReady ? 1U : 0U },
     };
     metrics all;
-    for (const reading& item : readings) {
-        if (item.family.kind == metric_kind::Gauge)
-            all.set(item.family, {}, static_cast<double>(item.value));
-        else
-            all.add(item.family, {}, static_cast<double>(item.value));
-    }
+    add(all, readings);
+    add(all, rewardReadings(from.rewards, from.rewardLatency));
     return all.prometheusText();
 }
 
--- a/src/libs/gateway/newestpages.cpp
+++ b/src/libs/gateway/newestpages.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <utility>
 
 namespace ragwortreach {
 
@@ -18,6 +19,12 @@
         {
         }
 
+        void goOn(newest_records soFar)
+        {
+            m_result = std::move(soFar);
+            readAfter(m_result.lastKey);
+        }
+
         void readAfter(const std::string& key)
         {
             m_log.readNewest(m_where, key, [self = shared_from_this()](const newest_outcome& page) { self->take(page); });
@@ -27,22 +34,23 @@
         void take(const newest_outcome& page)
         {
             if (!page.isDone) {
-                m_onDone({});
+                m_onDone(std::move(m_result));
                 return;
             }
-            if (!m_result.isDone)
+            if (!std::exchange(m_result.hasEnd, true))
                 m_result.end = page.end;
-            m_result.isDone = true;
             std::string lastKey;
             for (const keyed_record& record : page.records) {
                 lastKey = std::max(lastKey, record.key);
                 if (record.key.starts_with(m_prefix))
                     m_result.records.push_back(record);
             }
-            if (page.hasMore && !lastKey.empty() && lastKey.starts_with(m_prefix))
-                readAfter(lastKey);
-            else
+            m_result.isDone = !page.hasMore || lastKey.empty() || !lastKey.starts_with(m_prefix);
+            m_result.lastKey = lastKey;
+            if (m_result.isDone)
                 m_onDone(std::move(m_result));
+            else
+                readAfter(lastKey);
         }
 
         shared_log& m_log;
@@ -59,4 +67,9 @@
     std::make_shared<page_walk>(log, where, prefix, std::move(onDone))->readAfter(prefix);
 }
 
+void continueNewestPages(shared_log& log, const topic_partition& where, newest_records soFar, std::function<void(newest_records)> onDone)
+{
+    std::make_shared<page_walk>(log, where, std::string(), std::move(onDone))->goOn(std::move(soFar));
+}
+
 }
--- a/src/libs/gateway/newestpages.h
+++ b/src/libs/gateway/newestpages.h
@@ -10,15 +10,21 @@
 
 /// Newest records of the keys of a partition, from all pages.
 struct newest_records {
-    /// False when the log did not answer.
+    /// False when a page was not answered; the records are those of the pages before.
     bool isDone = false;
     /// In the order of their keys. Pages are no snapshot: some may have been written after the first page was read.
     std::vector<keyed_record> records;
     /// End of the partition when the first page was read.
     std::uint64_t end = 0;
+    /// A page was read, so \c end is known.
+    bool hasEnd = false;
+    /// Key after which the next page begins.
+    std::string lastKey;
 };
 
 /// Reads all pages of the keys that begin with \a prefix.
 void readNewestPages(shared_log& log, const topic_partition& where, const std::string& prefix, std::function<void(newest_records)> onDone);
+/// Goes on after the pages that \a soFar holds.
+void continueNewestPages(shared_log& log, const topic_partition& where, newest_records soFar, std::function<void(newest_records)> onDone);
 
 }
--- a/src/libs/gateway/topicfollower.cpp
+++ b/src/libs/gateway/topicfollower.cpp
@@ -5,11 +5,13 @@
 #include <boost/asio/io_context.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace ragwortreach {
 
 namespace {
-    constexpr std::chrono::milliseconds retryPause { 150 };
+    constexpr duration firstRetryPause = std::chrono::milliseconds(150);
+    constexpr std::uint32_t maxRetryDoublings = 2;
 }
 
 topic_follower::topic_follower(boost::asio::io_context& context, shared_log& log, topic_follower_options options, handlers handlers)
@@ -17,6 +19,7 @@
     , m_options(std::move(options))
     , m_handlers(std::move(handlers))
     , m_timer(context)
+    , m_random(std::random_device {}())
 {
 }
 
@@ -27,14 +30,16 @@
 
 void topic_follower::restart()
 {
-    m_sentAt = bootNow();
-    readNewestPages(m_log, m_options.where, {}, [this](newest_records newest) { takeSnapshot(std::move(newest)); });
+    if (!m_partial.hasEnd)
+        m_sentAt = bootNow();
+    continueNewestPages(m_log, m_options.where, std::exchange(m_partial, {}), [this](newest_records newest) { takeSnapshot(std::move(newest)); });
 }
 
 void topic_follower::takeSnapshot(newest_records newest)
 {
     noteAnswer(newest.isDone);
     if (!newest.isDone) {
+        m_partial = std::move(newest);
         retryLater(&topic_follower::restart);
         return;
     }
@@ -54,7 +59,9 @@
 void topic_follower::readTail()
 {
     m_sentAt = bootNow();
-    m_log.read(m_options.where, { m_next, m_options.wait }, [this](const read_outcome& outcome) { takeTail(outcome); });
+    read_range range { m_next, m_options.wait };
+    range.slack *= 1U << std::min(m_failuresInRow, maxRetryDoublings);
+    m_log.read(m_options.where, range, [this](const read_outcome& outcome) { takeTail(outcome); });
 }
 
 void topic_follower::takeTail(const read_outcome& outcome)
@@ -94,11 +101,14 @@
     else if (m_isFailing)
         m_regainedAt = bootNow();
     m_isFailing = !isDone;
+    m_failuresInRow = isDone ? 0 : m_failuresInRow + 1;
 }
 
 void topic_follower::retryLater(void (topic_follower::*step)())
 {
-    m_timer.expires_after(retryPause);
+    const duration longest = firstRetryPause * (1U << std::min(m_failuresInRow - 1, maxRetryDoublings));
+    std::uniform_int_distribution<duration::rep> pause(longest.count() / 2, longest.count());
+    m_timer.expires_after(duration(pause(m_random)));
     m_timer.async_wait([this, step](const boost::system::error_code& error) {
         if (!error)
             (this->*step)();
--- a/src/libs/gateway/topicfollower.h
+++ b/src/libs/gateway/topicfollower.h
@@ -6,7 +6,9 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <cstdint>
 #include <functional>
+#include <random>
 #include <span>
 
 namespace ragwortreach {
@@ -21,6 +23,10 @@
 
 /// Follows a partition of a topic that keeps the newest record of each key.
 ///
+/// Load pattern: after an outage, or once the log has dropped its history, all daemons of a fleet read again at once,
+/// and the log gives out only so much. So a follower goes on after the pages that it has, waits longer for answers, and
+/// spreads its tries.
+///
 /// It begins with the pages of newest records, goes on with the records after them in order, and begins again when
 /// the log has dropped records that were not read.
 class topic_follower {
@@ -59,6 +65,10 @@
     std::uint64_t m_next = 0;
     bool m_isReady = false;
     bool m_isFailing = false;
+    std::uint32_t m_failuresInRow = 0;
+    /// Pages that were read before one was not answered.
+    newest_records m_partial;
+    std::minstd_rand m_random;
     instant m_sentAt {};
     instant m_confirmedAt {};
     instant m_regainedAt {};
--- a/src/libs/rollout/sharedlog.h
+++ b/src/libs/rollout/sharedlog.h
@@ -61,6 +61,8 @@
     duration wait {};
     /// Bytes after which the answer ends.
     std::size_t maxBytes = std::size_t { 1024 } * 1024;
+    /// Time for the answer beyond the time that the read waits.
+    duration slack = std::chrono::milliseconds(900);
 };
 
 enum class read_status {
--- a/tests/auto/gateway/memorylog.cpp
+++ b/tests/auto/gateway/memorylog.cpp
@@ -134,7 +134,11 @@
             newest.erase(record.key);
     }
     newest_outcome outcome;
-    outcome.isDone = !m_isDown;
+    const bool isFailing = m_pagesUntilFailure == 0;
+    if (m_pagesUntilFailure)
+        m_pagesUntilFailure = isFailing ? std::nullopt : std::optional<std::size_t>(*m_pagesUntilFailure - 1);
+    outcome.isDone = !m_isDown && !isFailing;
+    m_pages += outcome.isDone ? 1 : 0;
     outcome.end = records.size();
     for (const std::pair<const std::string, keyed_record>& item : newest) {
         if (item.first <= afterKey)
--- a/tests/auto/gateway/memorylog.h
+++ b/tests/auto/gateway/memorylog.h
@@ -6,6 +6,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -38,6 +39,10 @@
     void setFaults(std::vector<append_fault> faults);
     /// While down, nothing is answered with success.
     void setDown(bool isDown) { m_isDown = isDown; }
+    /// The page after \a pages more is not answered.
+    void failPageAfter(std::size_t pages) { m_pagesUntilFailure = pages; }
+    /// Pages that were answered.
+    std::size_t pages() const { return m_pages; }
     /// Drops the history; the newest record of each key stays.
     void compact();
     /// Records of any partition that has no topic of its own yet, as one that a follower reads.
@@ -72,6 +77,8 @@
     std::deque<pending_append> m_late;
     std::map<std::string, append_identity> m_producers;
     std::size_t m_reads = 0;
+    std::size_t m_pages = 0;
+    std::optional<std::size_t> m_pagesUntilFailure;
     bool m_isDown = false;
 };
 
--- a/tests/auto/gateway/tst_topicfollower.cpp
+++ b/tests/auto/gateway/tst_topicfollower.cpp
@@ -117,3 +117,26 @@
     CHECK(world.values.at("a") == "2");
     CHECK(world.follower.regainedAt() != instant {});
 }
+
+TEST_CASE("A follower goes on after the pages that it has when one is not answered")
+{
+    follower_world world;
+    for (int number = 0; number < 40; ++number)
+        world.log.put("key-" + std::to_string(100 + number), "value");
+    world.follower.start();
+    while (!world.follower.isReady())
+        world.context.run_one();
+    const std::size_t wholeWalk = world.log.pages();
+    REQUIRE(wholeWalk > 2);
+
+    follower_world failing;
+    for (int number = 0; number < 40; ++number)
+        failing.log.put("key-" + std::to_string(100 + number), "value");
+    failing.log.failPageAfter(wholeWalk - 1);
+    failing.follower.start();
+    while (!failing.follower.isReady())
+        failing.context.run_one();
+    CHECK(failing.log.pages() == wholeWalk);
+    CHECK(failing.values.size() == 40);
+    CHECK(failing.journal.size() == 40);
+}
