Net, Gateway: Reset calls that time out, and give orders up while the lease is held

Cause: an order was given 0.7 s for its answer while the next holder allows 0.3 s for the way, and a connection that was closed after a time-out still delivered what a cut path held. An order could reach its replica after the wait of the next holder had been worked out without it.

Change: a call that times out resets its connection; an order is given up after the margin that its holder keeps. tst_httpclient failed first (end of stream in place of a reset).

Also, from reading the diff as a newcomer: one isSuccess() for statuses, one place that decodes the contents of a batch, counters of loads in the metrics, unreadable batches are forgotten with their batch.

--- a/src/libs/gateway/batchloader.cpp
+++ b/src/libs/gateway/batchloader.cpp
@@ -43,6 +43,7 @@
     }
     for (const std::string& id : unneeded)
         m_journal.unload(id);
+    std::erase_if(m_unreadable, [this](const std::string& id) { return !m_journal.ledger().find(id); });
     if (!batches.empty() && !m_isReading && now >= m_notBefore)
         read(std::move(batches), std::move(references), now);
 }
@@ -54,7 +55,10 @@
     m_journal.texts().read(std::move(references), [this, now, ids = std::move(batches)](const std::optional<text_store::text_list>& contents) {
         m_isReading = false;
         const duration took = bootNow() - now;
-        m_log.write(log_line(log_level::Info, "batches_loaded").with("batches", ids.size()).with("outcome", contents ? "whole" : "the log does not answer").with("took_us", took.count()));
+        m_log.write(log_line(log_level::Info, "batches_loaded")
+                        .with("batches", ids.size())
+                        .with("outcome", contents ? "whole" : "the log does not answer")
+                        .with("took_us", took.count()));
         take(ids, contents);
     });
 }
--- a/src/libs/gateway/callrelay.cpp
+++ b/src/libs/gateway/callrelay.cpp
@@ -23,11 +23,6 @@
     constexpr duration connectTimeout = std::chrono::milliseconds(300);
     constexpr int serverErrors = 500;
 
-    bool isSuccess(int status)
-    {
-        return status >= 200 && status < 300;
-    }
-
 }
 
 struct call_relay::relayed_call {
--- a/src/libs/gateway/gatewayhost.cpp
+++ b/src/libs/gateway/gatewayhost.cpp
@@ -278,7 +278,7 @@
 
 void gateway_host::state::answerMetrics(const http_exchange& exchange)
 {
-    const gateway_readings readings { relay.counters(), desk.counters(), scheduler.counters(), scheduler.rewards(), runner.rewardLatency(), orderer.counters(), view.counters(),
+    const gateway_readings readings { relay.counters(), desk.counters(), loader.counters(), scheduler.counters(), scheduler.rewards(), runner.rewardLatency(), orderer.counters(), view.counters(),
         batches.counters(), batches.texts().counters(), progress.counters(), routes.version(), relay.openCalls(), scheduler.runs(), batches.waiting(), isReady() };
     exchange.respond({ okStatus, { { "Content-Type", "text/plain; version=0.0.4" } }, metricsText(readings) });
 }
--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -24,6 +24,15 @@
         return { metric_kind::Gauge, name, help };
     }
 
+    std::vector<reading> loadReadings(const loader_counters& loads)
+    {
+        return {
+            { counter("ragwortreach_batches_loaded_total", "Batches whose contents were read to run them"), loads.loaded },
+            { counter("ragwortreach_batch_loads_failed_total", "Reads of contents that the log did not answer"), loads.readFailures },
+            { counter("ragwortreach_batches_unreadable_total", "Batches whose contents cannot be read"), loads.unreadable },
+        };
+    }
+
     std::vector<reading> rewardReadings(const reward_scheduler& rewards, const reward_latency& latency)
     {
         return {
@@ -106,6 +115,7 @@
     };
     metrics all;
     add(all, readings);
+    add(all, loadReadings(from.loads));
     add(all, rewardReadings(from.rewards, from.rewardLatency));
     return all.prometheusText();
 }
--- a/src/libs/gateway/gatewaymetrics.h
+++ b/src/libs/gateway/gatewaymetrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "batchdesk.h"
+#include "batchloader.h"
 #include "callrelay.h"
 #include "journal.h"
 #include "platformview.h"
@@ -18,6 +19,7 @@
 struct gateway_readings {
     const call_counters& calls;
     const batch_counters& batches;
+    const loader_counters& loads;
     const scheduler_counters& items;
     const reward_scheduler& rewards;
     const reward_latency& rewardLatency;
--- a/src/libs/gateway/journal.cpp
+++ b/src/libs/gateway/journal.cpp
@@ -34,6 +34,14 @@
         return std::visit(visitor(), record);
     }
 
+    /// The contents of a batch are the record that it would have had in one piece.
+    std::optional<batch_submission> decodeContents(std::string_view contents)
+    {
+        const std::optional<journal_record> decoded = decodeJournalRecord(contents);
+        const batch_accepted* const accepted = decoded ? std::get_if<batch_accepted>(&*decoded) : nullptr;
+        return accepted ? std::optional<batch_submission>(accepted->submission) : std::nullopt;
+    }
+
     std::vector<text_reference> textsOf(const ledger_batch& batch)
     {
         std::vector<text_reference> references;
@@ -128,18 +136,16 @@
 
 bool journal::load(std::string_view batch, std::string_view contents)
 {
-    const std::optional<journal_record> decoded = decodeJournalRecord(contents);
-    const batch_accepted* const accepted = decoded ? std::get_if<batch_accepted>(&*decoded) : nullptr;
-    return accepted && accepted->submission.id == batch && m_ledger.load(accepted->submission);
+    const std::optional<batch_submission> whole = decodeContents(contents);
+    return whole && whole->id == batch && m_ledger.load(*whole);
 }
 
 std::optional<std::string> journal::bodyOf(std::string_view contents, std::string_view item)
 {
-    const std::optional<journal_record> decoded = decodeJournalRecord(contents);
-    const batch_accepted* const accepted = decoded ? std::get_if<batch_accepted>(&*decoded) : nullptr;
-    if (!accepted)
+    const std::optional<batch_submission> whole = decodeContents(contents);
+    if (!whole)
         return std::nullopt;
-    for (const batch_item& candidate : accepted->submission.items) {
+    for (const batch_item& candidate : whole->items) {
         if (candidate.id == item)
             return candidate.body;
     }
--- a/src/libs/gateway/rewardcaller.cpp
+++ b/src/libs/gateway/rewardcaller.cpp
@@ -14,11 +14,6 @@
     constexpr std::size_t maxAnswerBytes = std::size_t { 256 } * 1024;
     constexpr int failedStatus = 500;
 
-    bool isSuccess(int status)
-    {
-        return status >= 200 && status < 300;
-    }
-
 }
 
 struct reward_caller::open_call {
--- a/src/libs/gateway/weightorderer.cpp
+++ b/src/libs/gateway/weightorderer.cpp
@@ -13,8 +13,8 @@
 namespace {
 
     constexpr int okStatus = 200;
-    constexpr duration orderTimeout = std::chrono::milliseconds(700);
-    /// An order has to arrive while the lease is held.
+    constexpr duration reportTimeout = std::chrono::milliseconds(700);
+    /// An order has to arrive while the lease is held, so it is given up after this time.
     constexpr duration transitMargin = std::chrono::milliseconds(300);
 
 }
@@ -51,7 +51,7 @@
 void weight_orderer::prepare(const weight_order& order)
 {
     http_call_options options;
-    options.timeout = orderTimeout;
+    options.timeout = reportTimeout;
     m_client.callWhole(parseEndpoint(order.address).value_or(endpoint {}), platform::encodeReportRequest(order.replica), options,
         [this, order](const http_outcome& outcome, const http_response& response) {
             std::optional<replica_report> report;
@@ -81,7 +81,7 @@
     ++m_counters.ordersSent;
     m_leases.noteOrder(order.replica, bootNow());
     http_call_options options;
-    options.timeout = orderTimeout;
+    options.timeout = transitMargin;
     const platform::order_authority authority { m_owner, m_leases.fencingNumber(leaseName) };
     m_client.callWhole(parseEndpoint(order.address).value_or(endpoint {}),
         platform::encodeWeightOrder(order, report.ordersAccepted, authority), options,
--- a/src/libs/net/httpcall.cpp
+++ b/src/libs/net/httpcall.cpp
@@ -276,6 +276,9 @@
     if (!m_stream)
         return;
     error_code ignored;
+    // What a cut path still holds must not arrive after the call was given up.
+    if (m_isTimedOut)
+        m_stream->socket().set_option(tcp::socket::linger(true, 0), ignored);
     m_stream->socket().close(ignored);
 }
 
--- a/src/libs/net/httpclient.h
+++ b/src/libs/net/httpclient.h
@@ -24,7 +24,8 @@
 
 /// How one call is made.
 struct http_call_options {
-    /// Time until the whole answer has to be there.
+    /// Time until the whole answer has to be there. After it the connection is reset, so nothing of the request arrives
+    /// later.
     duration timeout {};
     /// Time until a new connection has to stand; the whole timeout when it is zero.
     duration connectTimeout {};
--- a/src/libs/net/httpmessage.h
+++ b/src/libs/net/httpmessage.h
@@ -36,6 +36,12 @@
     std::string body;
 };
 
+/// Whether \a status says that the request succeeded (2xx).
+constexpr bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
 /// Compares header names without regard to case.
 bool isSameHeader(std::string_view left, std::string_view right);
 
--- /dev/null
+++ b/tests/auto/net/tst_httpclient.cpp
@@ -0,0 +1,30 @@
+#include <net/httpclient.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <catch2/catch.hpp>
+
+using namespace ragwortreach;
+using boost::asio::ip::tcp;
+
+TEST_CASE("A call that gets no answer in time resets its connection, so that nothing of it arrives later")
+{
+    boost::asio::io_context context;
+    tcp::acceptor acceptor(context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    tcp::socket silent(context);
+    acceptor.async_accept(silent, [](const boost::system::error_code&) {});
+    http_client client(context);
+    http_call_options options;
+    options.timeout = std::chrono::milliseconds(100);
+    std::optional<http_outcome> outcome;
+    client.callWhole({ "127.0.0.1", acceptor.local_endpoint().port() }, { "POST", "/api/order", {}, "order" }, options,
+        [&outcome](const http_outcome& ended, const http_response&) { outcome = ended; });
+    while (!outcome)
+        REQUIRE(context.run_one_for(std::chrono::seconds(10)) == 1);
+    CHECK(outcome->code == result_code::UpstreamTimeout);
+    std::string received;
+    boost::system::error_code error;
+    boost::asio::read(silent, boost::asio::dynamic_buffer(received), error);
+    CHECK(error == boost::asio::error::connection_reset);
+}
