--- a/src/libs/gateway/journal.cpp
+++ b/src/libs/gateway/journal.cpp
@@ -15,6 +15,8 @@
     constexpr std::string_view topicName = "keyed.ragwortreach.batches";
     /// A read that waits no longer confirms often enough that an answer can say there is nothing yet.
     constexpr duration readWait = std::chrono::milliseconds(400);
+    /// Answers with the records of many seconds take their time.
+    constexpr std::uint32_t maxSlackDoublings = 1;
     /// Longer texts stand apart from the records; a shorter one is not worth a record of its own.
     constexpr std::size_t maxInlineBytes = 600;
     /// Part of a batch's texts that holds its contents; ids of items have no such character.
@@ -65,7 +67,7 @@
         topic_follower::handlers handlers;
         handlers.onSnapshot = [this](std::span<const keyed_record>, std::span<const keyed_record> fresh) { apply(fresh); };
         handlers.onRecords = [this](std::span<const keyed_record> records) { apply(records); };
-        const topic_follower_options following { m_writers.where(number), readWait, workingPace.journal };
+        const topic_follower_options following { m_writers.where(number), readWait, workingPace.journal, maxSlackDoublings };
         m_followers.push_back(std::make_unique<topic_follower>(context, log, following, std::move(handlers)));
     }
 }
--- a/src/libs/gateway/topicfollower.cpp
+++ b/src/libs/gateway/topicfollower.cpp
@@ -60,7 +60,7 @@
 {
     m_sentAt = bootNow();
     read_range range { m_next, m_options.wait };
-    range.slack *= 1U << std::min(m_failuresInRow, maxRetryDoublings);
+    range.slack *= 1U << std::min(m_failuresInRow, m_options.maxSlackDoublings);
     m_log.read(m_options.where, range, [this](const read_outcome& outcome) { takeTail(outcome); });
 }
 
--- a/src/libs/gateway/topicfollower.h
+++ b/src/libs/gateway/topicfollower.h
@@ -19,13 +19,15 @@
     duration wait = std::chrono::milliseconds(1000);
     /// Least time between two reads, so that bursts of records come in few answers.
     duration spacing = std::chrono::milliseconds(20);
+    /// How often the time for an answer doubles while reads fail. Answers that are large may be slow without being lost;
+    /// for all others a longer time only delays the next try after an outage.
+    std::uint32_t maxSlackDoublings = 0;
 };
 
 /// Follows a partition of a topic that keeps the newest record of each key.
 ///
 /// Load pattern: after an outage, or once the log has dropped its history, all daemons of a fleet read again at once,
-/// and the log gives out only so much. So a follower goes on after the pages that it has, waits longer for answers, and
-/// spreads its tries.
+/// and the log gives out only so much. So a follower goes on after the pages that it has and spreads its tries.
 ///
 /// It begins with the pages of newest records, goes on with the records after them in order, and begins again when
 /// the log has dropped records that were not read.
--- a/tests/auto/gateway/memorylog.cpp
+++ b/tests/auto/gateway/memorylog.cpp
@@ -105,6 +105,7 @@
 void memory_log::read(const topic_partition& where, const read_range& range, std::function<void(const read_outcome&)> onDone)
 {
     ++m_reads;
+    m_lastSlack = range.slack;
     const partition& from = partitionOf(where);
     read_outcome outcome;
     outcome.end = from.records.size();
--- a/tests/auto/gateway/memorylog.h
+++ b/tests/auto/gateway/memorylog.h
@@ -53,6 +53,8 @@
     const std::vector<keyed_record>& records() { return partitionOf({}).records; }
     const std::vector<keyed_record>& records(const topic_partition& where) { return partitionOf(where).records; }
     std::size_t reads() const { return m_reads; }
+    /// Time that the last read gave for its answer beyond its wait.
+    duration lastSlack() const { return m_lastSlack; }
 
 private:
     struct pending_append {
@@ -77,6 +79,7 @@
     std::deque<pending_append> m_late;
     std::map<std::string, append_identity> m_producers;
     std::size_t m_reads = 0;
+    duration m_lastSlack {};
     std::size_t m_pages = 0;
     std::optional<std::size_t> m_pagesUntilFailure;
     bool m_isDown = false;
--- a/tests/auto/gateway/tst_topicfollower.cpp
+++ b/tests/auto/gateway/tst_topicfollower.cpp
@@ -10,9 +10,9 @@
 
 /// Follows a log in memory and keeps the newest value of each key as the follower delivers it.
 struct follower_world {
-    follower_world()
+    explicit follower_world(std::uint32_t maxSlackDoublings = 0)
         : log(context)
-        , follower(context, log, { { "topic", 0 }, {}, std::chrono::milliseconds(1) },
+        , follower(context, log, { { "topic", 0 }, {}, std::chrono::milliseconds(1), maxSlackDoublings },
               { [this](std::span<const keyed_record> all, std::span<const keyed_record> fresh) { takeSnapshot(all, fresh); },
                   [this](std::span<const keyed_record> records) { take(records); } })
     {
@@ -140,3 +140,27 @@
     CHECK(failing.values.size() == 40);
     CHECK(failing.journal.size() == 40);
 }
+
+TEST_CASE("While the log is silent, a follower waits no longer for each answer unless its answers are large")
+{
+    struct slack_case {
+        const char* name;
+        std::uint32_t maxDoublings;
+        duration slack;
+    };
+    const slack_case cases[] = {
+        { "short answers", 0, read_range {}.slack },
+        { "large answers", 1, 2 * read_range {}.slack },
+    };
+    for (const slack_case& row : cases) {
+        DYNAMIC_SECTION(row.name)
+        {
+            follower_world world(row.maxDoublings);
+            world.follower.start();
+            world.runReads(1);
+            world.log.setDown(true);
+            world.runReads(5);
+            CHECK(world.log.lastSlack() == row.slack);
+        }
+    }
+}
