Gateway, Rollout: One place for a text with its record, one constant for an order's way

The time that an order may be on its way stood twice, at its sender and at the next holder, whose distance rests on both being the same; lease_agent::orderTransit is now the only one. Behaviour stays as it is.

--- a/src/libs/gateway/journal.cpp
+++ b/src/libs/gateway/journal.cpp
@@ -98,17 +98,12 @@
     item_finished rest = *finished;
     std::string text = std::move(rest.output.text);
     rest.output.text.clear();
-    m_texts.write(finished->batch, finished->item, std::move(text), mode,
-        [this, rest = std::move(rest), mode, whenDone = std::move(onDone)](const text_report& report) {
-            if (report.status != append_status::Done) {
-                if (whenDone)
-                    whenDone({ append_status::Refused, std::nullopt });
-                return;
-            }
-            item_finished record = rest;
-            record.reference = report.reference;
-            writeRecord(record, mode, whenDone);
-        });
+    const text_place place { finished->batch, finished->item };
+    writeApart(place, std::move(text), mode, std::move(onDone), [rest = std::move(rest)](const text_reference& reference) {
+        item_finished named = rest;
+        named.reference = reference;
+        return journal_record(std::move(named));
+    });
 }
 
 /// All daemons need to know which batches there are; only the owner needs what their items run with.
@@ -122,17 +117,25 @@
     batch_accepted rest = accepted;
     for (batch_item& item : rest.submission.items)
         item = withoutContents(std::move(item));
-    m_texts.write(accepted.submission.id, contentsPart, std::move(whole), mode,
-        [this, rest = std::move(rest), mode, whenDone = std::move(onDone)](const text_report& report) {
-            if (report.status != append_status::Done) {
-                // Without a record of its own the batch was not accepted, whatever became of its contents.
-                if (whenDone)
-                    whenDone({ append_status::Refused, std::nullopt });
-                return;
-            }
-            batch_accepted record = rest;
-            record.submission.contents = report.reference;
-            writeRecord(record, mode, whenDone);
+    const text_place place { accepted.submission.id, contentsPart };
+    writeApart(place, std::move(whole), mode, std::move(onDone), [rest = std::move(rest)](const text_reference& reference) {
+        batch_accepted named = rest;
+        named.submission.contents = reference;
+        return journal_record(std::move(named));
+    });
+}
+
+/// Writes \a text, then the record that names it. Without its record a text counts for nothing, so a text that was not
+/// written for sure is a refusal.
+void journal::writeApart(const text_place& place, std::string text, write_mode mode, journal_writer::done_handler onDone,
+    std::function<journal_record(const text_reference&)> recordFor)
+{
+    m_texts.write(place.batch, place.part, std::move(text), mode,
+        [this, mode, whenDone = std::move(onDone), makeRecord = std::move(recordFor)](const text_report& report) {
+            if (report.status == append_status::Done)
+                writeRecord(makeRecord(report.reference), mode, whenDone);
+            else if (whenDone)
+                whenDone({ append_status::Refused, std::nullopt });
         });
 }
 
--- a/src/libs/gateway/journal.h
+++ b/src/libs/gateway/journal.h
@@ -71,7 +71,15 @@
         std::vector<text_reference> contents;
     };
 
+    /// Names a text of a batch.
+    struct text_place {
+        std::string_view batch;
+        std::string_view part;
+    };
+
     void writeAcceptance(const batch_accepted& accepted, write_mode mode, journal_writer::done_handler onDone);
+    void writeApart(const text_place& place, std::string text, write_mode mode, journal_writer::done_handler onDone,
+        std::function<journal_record(const text_reference&)> recordFor);
     void writeRecord(const journal_record& record, write_mode mode, journal_writer::done_handler onDone);
     void removeFromLog(const std::string& batch);
     struct partial_record {
--- a/src/libs/gateway/weightorderer.cpp
+++ b/src/libs/gateway/weightorderer.cpp
@@ -14,8 +14,6 @@
 
     constexpr int okStatus = 200;
     constexpr duration reportTimeout = std::chrono::milliseconds(700);
-    /// An order has to arrive while the lease is held, so it is given up after this time.
-    constexpr duration transitMargin = std::chrono::milliseconds(300);
 
 }
 
@@ -42,7 +40,7 @@
 void weight_orderer::tick()
 {
     const instant now = bootNow();
-    if (!m_leases.mayAct(leaseName, now + transitMargin))
+    if (!m_leases.mayAct(leaseName, now + lease_agent::orderTransit))
         return;
     for (const weight_order& order : m_plan.plan(m_pool, m_routes, m_leases.barredReplicas(leaseName, now), now))
         prepare(order);
@@ -74,14 +72,14 @@
         return;
     }
     // The process may have been paused since the plan was made.
-    if (!m_leases.mayAct(leaseName, bootNow() + transitMargin)) {
+    if (!m_leases.mayAct(leaseName, bootNow() + lease_agent::orderTransit)) {
         m_plan.onOutcome(order, order_outcome::Conflict, bootNow());
         return;
     }
     ++m_counters.ordersSent;
     m_leases.noteOrder(order.replica, bootNow());
     http_call_options options;
-    options.timeout = transitMargin;
+    options.timeout = lease_agent::orderTransit;
     const platform::order_authority authority { m_owner, m_leases.fencingNumber(leaseName) };
     m_client.callWhole(parseEndpoint(order.address).value_or(endpoint {}),
         platform::encodeWeightOrder(order, report.ordersAccepted, authority), options,
--- a/src/libs/rollout/leaseagent.cpp
+++ b/src/libs/rollout/leaseagent.cpp
@@ -17,8 +17,6 @@
     constexpr double ampleShare = 0.5;
     /// Time that a process with hardly any processor leaves to larger ones.
     constexpr duration delayOfSmall = std::chrono::milliseconds(500);
-    /// An order may take so long to arrive.
-    constexpr duration orderTransit = std::chrono::milliseconds(300);
     /// Distance from an earlier claim of this process that was in vain.
     constexpr duration claimInterval = std::chrono::milliseconds(400);
 
--- a/src/libs/rollout/leaseagent.h
+++ b/src/libs/rollout/leaseagent.h
@@ -39,6 +39,8 @@
     static constexpr duration validity = std::chrono::milliseconds(1000);
     /// A holder without a record for so long is taken to be gone.
     static constexpr duration silence = std::chrono::milliseconds(1800);
+    /// An order may take so long to arrive. The next holder waits for it, so its sender gives it up after this time.
+    static constexpr duration orderTransit = std::chrono::milliseconds(300);
 
     lease_agent(const lease_fold& fold, lease_party self, const lease_options& options);
 
