Gateway: Do not wait for the time-out of an overdue read

Ruled out: the retry pause (0.6 s at most) and the appends (0.75 s).

Change: a read without an answer 0.3 s beyond its wait is overdue. The follower then sends further small reads over new connections; the first answer counts. A late answer to a read that was overtaken shows that the log is only slow, and doubles the follower's patience.

tst_topicfollower replays the outage (fails without the change: nothing delivered 0.4 s after the log is back) and a slow log.

--- a/src/libs/gateway/topicfollower.cpp
+++ b/src/libs/gateway/topicfollower.cpp
@@ -12,6 +12,12 @@
 namespace {
     constexpr duration firstRetryPause = std::chrono::milliseconds(150);
     constexpr std::uint32_t maxRetryDoublings = 2;
+    constexpr duration minPatience = std::chrono::milliseconds(300);
+    constexpr duration maxPatience = std::chrono::milliseconds(2400);
+    /// Factor for the patience after each read that was answered in time.
+    constexpr double patienceDecay = 0.98;
+    /// Size of the answer to a read that is sent while another one is overdue.
+    constexpr std::size_t overdueReadBytes = std::size_t { 128 } * 1024;
 }
 
 topic_follower::topic_follower(boost::asio::io_context& context, shared_log& log, topic_follower_options options, handlers handlers)
@@ -19,6 +25,7 @@
     , m_options(std::move(options))
     , m_handlers(std::move(handlers))
     , m_timer(context)
+    , m_patience(minPatience)
     , m_random(std::random_device {}())
 {
 }
@@ -58,31 +65,82 @@
 
 void topic_follower::readTail()
 {
-    m_sentAt = bootNow();
+    ++m_readNumber;
+    m_openReads = 0;
     read_range range { m_next, m_options.wait };
     range.slack *= 1U << std::min(m_failuresInRow, m_options.maxTimeoutDoublings);
-    m_log.read(m_options.topicPartition, range, [this](const read_outcome& outcome) { applyTail(outcome); });
+    sendRead(range);
+    awaitAnswer(m_options.wait + m_patience);
 }
 
-void topic_follower::applyTail(const read_outcome& outcome)
+void topic_follower::sendRead(const read_range& range)
 {
-    recordReadResult(outcome.status != read_status::Unavailable);
+    ++m_openReads;
+    m_log.read(m_options.topicPartition, range, [this, number = m_readNumber, sentAt = bootNow()](const read_outcome& outcome) { onReadDone(number, sentAt, outcome); });
+}
+
+void topic_follower::awaitAnswer(duration time)
+{
+    m_timer.expires_after(time);
+    m_timer.async_wait([this](const boost::system::error_code& error) {
+        if (!error)
+            onOverdue();
+    });
+}
+
+void topic_follower::onOverdue()
+{
+    m_isFailing = true;
+    read_range range { m_next, {}, overdueReadBytes };
+    range.mayReuseConnection = false;
+    sendRead(range);
+    awaitAnswer(m_patience);
+}
+
+void topic_follower::onReadDone(std::uint64_t number, instant sentAt, const read_outcome& outcome)
+{
+    const bool isAnswered = outcome.status != read_status::Unavailable;
+    const bool isOvertaken = number != m_readNumber;
+    if (isAnswered)
+        learnPatience(sentAt, isOvertaken);
+    if (isOvertaken)
+        return;
+    --m_openReads;
+    if (isAnswered) {
+        ++m_readNumber;
+        m_timer.cancel();
+    }
+    recordReadResult(isAnswered);
     switch (outcome.status) {
     case read_status::Expired:
         readSnapshot();
         return;
     case read_status::Unavailable:
-        retryLater(&topic_follower::readTail);
+        if (m_openReads == 0)
+            retryLater(&topic_follower::readTail);
         return;
     case read_status::Done:
-        break;
+        applyTail(sentAt, outcome);
+        return;
     }
+}
+
+void topic_follower::learnPatience(instant sentAt, bool isOvertaken)
+{
+    if (!isOvertaken)
+        m_patience = std::max(minPatience, std::chrono::duration_cast<duration>(m_patience * patienceDecay));
+    else if (bootNow() - sentAt > m_patience)
+        m_patience = std::min(maxPatience, m_patience * 2);
+}
+
+void topic_follower::applyTail(instant sentAt, const read_outcome& outcome)
+{
     m_next += outcome.records.size();
     if (m_next >= outcome.end)
-        m_confirmedAt = m_sentAt;
+        m_confirmedAt = sentAt;
     if (!outcome.records.empty())
         m_handlers.onRecords(outcome.records);
-    const duration remaining = m_options.pollInterval - (bootNow() - m_sentAt);
+    const duration remaining = m_options.pollInterval - (bootNow() - sentAt);
     if (remaining <= duration::zero()) {
         readTail();
         return;
--- a/src/libs/gateway/topicfollower.h
+++ b/src/libs/gateway/topicfollower.h
@@ -31,6 +31,10 @@
 ///
 /// After an outage, or once the log has dropped its history, all daemons of a fleet read again at once, while the capacity
 /// of the log is limited. So a follower resumes after the pages that it already has, and randomises its retry delays.
+///
+/// During an outage, reads may remain without any answer, also after the log is back. So a follower does not wait for the
+/// time-out of an overdue read: it sends further ones over new connections, and the first answer counts. When the answer
+/// to a read that was overtaken arrives after all, the log was only slow, and the follower becomes more patient.
 class topic_follower {
 public:
     struct handlers {
@@ -56,7 +60,12 @@
 private:
     void applySnapshot(newest_records newest);
     void readTail();
-    void applyTail(const read_outcome& outcome);
+    void sendRead(const read_range& range);
+    void awaitAnswer(duration time);
+    void onOverdue();
+    void onReadDone(std::uint64_t number, instant sentAt, const read_outcome& outcome);
+    void applyTail(instant sentAt, const read_outcome& outcome);
+    void learnPatience(instant sentAt, bool isOvertaken);
     void recordReadResult(bool isDone);
     void retryLater(void (topic_follower::*step)());
     void readSnapshot();
@@ -66,6 +75,11 @@
     handlers m_handlers;
     boost::asio::steady_timer m_timer;
     std::uint64_t m_next = 0;
+    /// Number of the present read; the further ones sent while it is overdue share it.
+    std::uint64_t m_readNumber = 0;
+    std::size_t m_openReads = 0;
+    /// Time beyond its wait after which a read is overdue.
+    duration m_patience;
     bool m_isReady = false;
     bool m_isFailing = false;
     std::uint32_t m_failuresInRow = 0;
--- a/src/libs/rollout/sharedlog.h
+++ b/src/libs/rollout/sharedlog.h
@@ -63,6 +63,8 @@
     std::size_t maxBytes = std::size_t { 1024 } * 1024;
     /// Time-out of the answer, in addition to \a wait.
     duration slack = std::chrono::milliseconds(900);
+    /// Whether an open connection may be used; it may have gone silent.
+    bool mayReuseConnection = true;
 };
 
 enum class read_status {
--- a/tests/auto/gateway/memorylog.cpp
+++ b/tests/auto/gateway/memorylog.cpp
@@ -1,6 +1,9 @@
 #include "memorylog.h"
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
 
 namespace ragwortreach {
 
@@ -121,7 +124,15 @@
             outcome.records.push_back(from.records[offset]);
         }
     }
-    boost::asio::post(m_context, [outcome, whenDone = std::move(onDone)] { whenDone(outcome); });
+    if (m_isSilent)
+        outcome = {};
+    const duration delay = m_isSilent ? range.wait + range.slack : m_readDelay;
+    if (delay == duration::zero()) {
+        boost::asio::post(m_context, [outcome, whenDone = std::move(onDone)] { whenDone(outcome); });
+        return;
+    }
+    const std::shared_ptr<boost::asio::steady_timer> timer = std::make_shared<boost::asio::steady_timer>(m_context, delay);
+    timer->async_wait([timer, outcome, whenDone = std::move(onDone)](const boost::system::error_code&) { whenDone(outcome); });
 }
 
 void memory_log::readNewest(const topic_partition& topicPartition, std::string_view afterKey, std::function<void(const newest_outcome&)> onDone)
--- a/tests/auto/gateway/memorylog.h
+++ b/tests/auto/gateway/memorylog.h
@@ -39,6 +39,10 @@
     void setFaults(std::vector<append_fault> faults);
     /// While down, every call fails.
     void setDown(bool isDown) { m_isDown = isDown; }
+    /// While silent, reads by offset get no answer within their time.
+    void setSilent(bool isSilent) { m_isSilent = isSilent; }
+    /// Time until reads by offset are answered.
+    void setReadDelay(duration delay) { m_readDelay = delay; }
     /// Makes the read of one page fail, after \a pages more.
     void failPageAfter(std::size_t pages) { m_pagesUntilFailure = pages; }
     /// Number of pages read with success.
@@ -85,6 +89,8 @@
     std::size_t m_pages = 0;
     std::optional<std::size_t> m_pagesUntilFailure;
     bool m_isDown = false;
+    bool m_isSilent = false;
+    duration m_readDelay {};
 };
 
 }
--- a/tests/auto/gateway/tst_topicfollower.cpp
+++ b/tests/auto/gateway/tst_topicfollower.cpp
@@ -118,6 +118,33 @@
     CHECK(fixture.follower.regainedAt() != instant {});
 }
 
+TEST_CASE("A follower resumes soon after an outage during which reads were left without an answer")
+{
+    follower_fixture fixture;
+    fixture.log.put("a", "1");
+    fixture.follower.start();
+    fixture.runReads(2);
+    fixture.log.setSilent(true);
+    fixture.context.run_for(std::chrono::milliseconds(350));
+    fixture.log.setSilent(false);
+    fixture.log.put("a", "2");
+    fixture.context.run_for(std::chrono::milliseconds(400));
+    CHECK(fixture.values.at("a") == "2");
+    CHECK(fixture.deliveredOffsets == std::vector<std::uint64_t> { 0, 1 });
+    CHECK(fixture.follower.regainedAt() != instant {});
+}
+
+TEST_CASE("A follower of a slow log soon waits for the answers and does not read twice")
+{
+    follower_fixture fixture;
+    fixture.follower.start();
+    fixture.runReads(1);
+    fixture.log.setReadDelay(std::chrono::milliseconds(400));
+    const std::size_t before = fixture.log.reads();
+    fixture.context.run_for(std::chrono::milliseconds(2400));
+    CHECK(fixture.log.reads() - before <= 8);
+}
+
 TEST_CASE("A follower resumes after the pages that it has already read when reading one fails")
 {
     follower_fixture fixture;
