Rollout: Count a load as in progress until the replica reports its end

Cause: a load was taken for ended after 920 ms. Where loads take longer, more of them ran at a time than the replicas carry out without slowing down (4 of 2 in tst_weightplan). A replica that gave no report kept its place among the loads.

Change: an order is repeated when its load should have ended; the report then shows whether it has, and the expected time is learned. The limit is two at least and does not shrink with replicas that leave. A replica without a report is passed over for a second.

First form, reverted: the repeated order named the newest version.

--- a/src/libs/gateway/weightorderer.cpp
+++ b/src/libs/gateway/weightorderer.cpp
@@ -56,7 +56,7 @@
             if (outcome.code == result_code::Ok && response.status == okStatus)
                 report = platform::decodeReport(response.body);
             if (!report || report->isBusy) {
-                m_plan.onOutcome(order, order_outcome::Conflict, bootNow());
+                m_plan.onOutcome(order, report ? order_outcome::Busy : order_outcome::Unreachable, bootNow());
                 return;
             }
             send(order, *report);
@@ -97,6 +97,8 @@
     case order_outcome::Unknown:
         ++m_counters.ordersUnknown;
         break;
+    case order_outcome::Busy:
+    case order_outcome::Unreachable:
     case order_outcome::Conflict:
     case order_outcome::Rejected:
         ++m_counters.ordersRefused;
--- a/src/libs/rollout/weightplan.cpp
+++ b/src/libs/rollout/weightplan.cpp
@@ -8,12 +8,21 @@
 
 namespace {
 
-    /// Usual duration of a load, with a margin for the transit of the order.
-    constexpr duration loadTime = std::chrono::milliseconds(920);
+    /// Expected time of a load before any was observed.
+    constexpr duration initialLoadTime = std::chrono::milliseconds(900);
+    constexpr duration minLoadTime = std::chrono::milliseconds(100);
+    /// Weight of the newest load in the moving average.
+    constexpr double loadTimeGain = 0.3;
+    /// Factor for the expected time when a load had ended by then, since it may have ended earlier.
+    constexpr double loadTimeDecay = 0.97;
+    /// Delay before a load that takes longer than expected is checked again.
+    constexpr duration checkInterval = std::chrono::milliseconds(100);
     /// An order without an answer may still be carried out during this time.
     constexpr duration unknownOrderTime = std::chrono::milliseconds(2500);
     /// Delay before the next order to a replica that refused one.
     constexpr duration conflictPause = std::chrono::milliseconds(100);
+    /// Delay before the next order to a replica that gave no report, so that others load meanwhile.
+    constexpr duration unreachablePause = std::chrono::milliseconds(1000);
 
     std::uint64_t versionOf(const replica_pool::replica& replica, std::string_view model)
     {
@@ -23,6 +32,18 @@
 
 }
 
+weight_plan::weight_plan(double loadShare)
+    : m_loadShare(loadShare)
+    , m_loadTime(initialLoadTime)
+{
+}
+
+void weight_plan::clear()
+{
+    m_loads.clear();
+    m_pausedUntil.clear();
+}
+
 void weight_plan::setTarget(std::string_view model, std::uint64_t version, instant now)
 {
     target_version& target = m_targets[std::string(model)];
@@ -48,12 +69,13 @@
 {
     forgetFinishedLoads(pool, now);
     std::vector<weight_order> orders;
+    checkLoads(pool, routes, barred, orders, now);
     for (const service_definition& service : routes.configuration().services) {
         if (!service.engine)
             continue;
         std::vector<pending_order> pending;
         for (const std::pair<const std::string, replica_list>& part : assignReplicas(pool, service, now))
-            addPendingOrders(pending, part.first, part.second, isSingleVersion(part.first, routes) ? load_mode::Wait : load_mode::Retain);
+            addPendingOrders(pending, part.first, part.second, modeFor(part.first, routes), now);
         std::erase_if(pending, [barred](const pending_order& item) {
             return std::find(barred.begin(), barred.end(), item.order.replica) != barred.end();
         });
@@ -65,17 +87,34 @@
     return orders;
 }
 
+/// Adds an order for each load whose end is expected by now. The load counts as in progress until a report shows its end.
+void weight_plan::checkLoads(const replica_pool& pool, const route_table& routes, std::span<const std::string> barred, std::vector<weight_order>& orders, instant now)
+{
+    for (std::pair<const std::string, load>& item : m_loads) {
+        load& checked = item.second;
+        if (checked.until > now || std::find(barred.begin(), barred.end(), item.first) != barred.end())
+            continue;
+        checked.until = now + unknownOrderTime;
+        orders.push_back({ item.first, pool.find(item.first)->entry.address, checked.model, checked.version, modeFor(checked.model, routes) });
+    }
+}
+
+load_mode weight_plan::modeFor(std::string_view model, const route_table& routes) const
+{
+    return isSingleVersion(model, routes) ? load_mode::Wait : load_mode::Retain;
+}
+
 /// Moves the first \a room orders of \a pending to \a orders and notes their loads.
 void weight_plan::startLoads(std::vector<pending_order>& pending, std::size_t room, std::vector<weight_order>& orders, instant now)
 {
     for (pending_order& item : std::span(pending).first(std::min(room, pending.size()))) {
-        m_loads[item.order.replica] = { item.order.model, item.order.version, now + unknownOrderTime };
+        m_loads[item.order.replica] = { item.order.model, item.order.version, now + unknownOrderTime, std::nullopt, false };
         orders.push_back(std::move(item.order));
     }
 }
 
 /// Number of replicas of \a service that may start to load now.
-std::size_t weight_plan::roomForLoads(const replica_pool& pool, const service_definition& service) const
+std::size_t weight_plan::roomForLoads(const replica_pool& pool, const service_definition& service)
 {
     std::size_t replicas = 0;
     std::size_t loading = 0;
@@ -85,13 +124,15 @@
         ++replicas;
         loading += m_loads.contains(item.first) ? 1U : 0U;
     }
-    const std::size_t limit = static_cast<std::size_t>(std::max(1L, std::lround(m_loadShare * static_cast<double>(replicas))));
+    std::size_t& most = m_mostReplicas[service.name];
+    most = std::max(most, replicas);
+    const std::size_t limit = std::max(minLoadLimit, static_cast<std::size_t>(std::lround(m_loadShare * static_cast<double>(most))));
     return limit - std::min(limit, loading);
 }
 
 /// Adds orders for the replicas whose version is too old to serve, and for others until half of \a share has the newest
 /// version.
-void weight_plan::addPendingOrders(std::vector<pending_order>& pending, std::string_view model, const replica_list& share, load_mode mode) const
+void weight_plan::addPendingOrders(std::vector<pending_order>& pending, std::string_view model, const replica_list& share, load_mode mode, instant now) const
 {
     const auto wanted = m_targets.find(model);
     if (wanted == m_targets.end())
@@ -103,7 +144,7 @@
         const bool isLoading = m_loads.contains(replica->entry.id);
         if (versionOf(*replica, model) >= target.version || isLoading)
             ++newest;
-        else
+        else if (!isPaused(replica->entry.id, now))
             behind.push_back(replica);
     }
     std::stable_sort(behind.begin(), behind.end(), [model](const replica_pool::replica* left, const replica_pool::replica* right) {
@@ -127,29 +168,60 @@
         return;
     switch (outcome) {
     case order_outcome::Accepted:
-        found->second.until = now + loadTime;
+        found->second.acceptedAt = now;
+        found->second.isLate = false;
+        found->second.until = now + m_loadTime;
         return;
     case order_outcome::Loaded:
+        learnLoadTime(found->second, now);
         m_loads.erase(found);
         return;
     case order_outcome::Unknown:
         found->second.until = now + unknownOrderTime;
         return;
+    case order_outcome::Busy:
+        found->second.isLate = true;
+        found->second.until = now + checkInterval;
+        return;
+    case order_outcome::Unreachable:
+        m_pausedUntil[order.replica] = now + unreachablePause;
+        m_loads.erase(found);
+        return;
     case order_outcome::Conflict:
     case order_outcome::Rejected:
-        found->second.until = now + conflictPause;
+        m_pausedUntil[order.replica] = now + conflictPause;
+        m_loads.erase(found);
         return;
     }
 }
 
+/// Notes the end of a load that was accepted by this process.
+void weight_plan::learnLoadTime(const load& ended, instant now)
+{
+    if (!ended.acceptedAt)
+        return;
+    if (!ended.isLate) {
+        m_loadTime = std::max(minLoadTime, std::chrono::duration_cast<duration>(m_loadTime * loadTimeDecay));
+        return;
+    }
+    m_loadTime += std::chrono::duration_cast<duration>((now - *ended.acceptedAt - m_loadTime) * loadTimeGain);
+}
+
+bool weight_plan::isPaused(std::string_view replica, instant now) const
+{
+    const auto found = m_pausedUntil.find(replica);
+    return found != m_pausedUntil.end() && found->second > now;
+}
+
 void weight_plan::forgetFinishedLoads(const replica_pool& pool, instant now)
 {
     std::erase_if(m_loads, [&pool, now](const std::pair<const std::string, load>& item) {
         const replica_pool::replica* const replica = pool.find(item.first);
-        if (!replica)
+        if (!replica || replica->entry.isDraining || replica->vanishedAt)
             return true;
-        return versionOf(*replica, item.second.model) >= item.second.version || item.second.until <= now;
+        return versionOf(*replica, item.second.model) >= item.second.version;
     });
+    std::erase_if(m_pausedUntil, [now](const std::pair<const std::string, instant>& item) { return item.second <= now; });
 }
 
 bool weight_plan::isSingleVersion(std::string_view model, const route_table& routes) const
--- a/tests/auto/rollout/tst_weightplan.cpp
+++ b/tests/auto/rollout/tst_weightplan.cpp
@@ -11,22 +11,34 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds loadTime = 900ms;
+constexpr std::chrono::milliseconds usualLoadTime = 900ms;
 constexpr std::chrono::milliseconds namingInterval = 4s;
 constexpr std::chrono::milliseconds step = 10ms;
 constexpr std::chrono::milliseconds warmUp = 8s;
 
 const std::vector<std::string> models { "m0", "m1", "m2" };
 
+/// What a simulation plays.
+struct load_pattern {
+    std::size_t replicas = 0;
+    std::size_t models = 3;
+    std::chrono::milliseconds loadTime = usualLoadTime;
+    /// Replicas that leave after the warm-up.
+    std::size_t leavingReplicas = 0;
+};
+
 /// Simulates, in virtual time, replicas that carry out weight load orders and trainers that name a version every four
 /// seconds.
 class weight_load_simulation {
 public:
-    explicit weight_load_simulation(std::size_t replicas)
-        : m_pool("north-a")
+    explicit weight_load_simulation(const load_pattern& pattern)
+        : m_pattern(pattern)
+        , m_models(models.begin(), models.begin() + static_cast<std::ptrdiff_t>(pattern.models))
+        , m_pool("north-a")
+        , m_loadLimit(std::max<std::size_t>(2, (pattern.replicas + 2) / 5))
     {
-        m_routes.setConfiguration(makeConfiguration(models, 12));
-        for (std::size_t number = 0; number < replicas; ++number) {
+        m_routes.setConfiguration(makeConfiguration(m_models, 12));
+        for (std::size_t number = 0; number < pattern.replicas; ++number) {
             replica_entry entry = makeReplica("r" + std::to_string(number), "north-a", 1);
             entry.weights = { { "m0", 1 }, { "m1", 1 }, { "m2", 1 } };
             m_pool.update(entry);
@@ -43,15 +55,20 @@
         std::uint64_t version = 1;
         for (std::chrono::milliseconds now = 0ms; now < time; now += step) {
             finishLoads(now);
+            for (std::size_t number = 0; now == warmUp && number < m_pattern.leavingReplicas; ++number)
+                m_pool.remove("r" + std::to_string(number));
             if (now % namingInterval == 0ms)
                 ++version;
             for (const weight_order& order : plan(m_pool, m_routes, version, now))
-                startLoad(order, now);
-            for (const std::string& model : models) {
+                plan.onOutcome(order, carryOut(order, now), now);
+            for (const std::string& model : m_models) {
                 idle[model] = hasUsableReplica(model, version - 1) ? 0ms : idle[model] + step;
                 longest = std::max(longest, idle[model]);
-                if (now > warmUp)
-                    m_fewestAccepted = std::min(m_fewestAccepted, acceptedReplicas(model, version - 1));
+                if (now <= warmUp)
+                    continue;
+                m_fewestAccepted = std::min(m_fewestAccepted, acceptedReplicas(model, version - 1));
+                m_acceptedTime += step * acceptedReplicas(model, version - 1);
+                m_replicaTime += step * m_pool.replicas().size();
             }
             m_mostLoads = std::max(m_mostLoads, m_loads.size());
         }
@@ -62,8 +79,10 @@
     /// Lowest number of replicas, over all models and all times after the warm-up, with a version that the trainer
     /// accepts.
     std::size_t fewestAccepted() const { return m_fewestAccepted; }
+    /// Mean fraction of the replicas, over all models and the time after the warm-up, with a version that the trainer accepts.
+    double acceptedShare() const { return std::chrono::duration<double>(m_acceptedTime) / std::chrono::duration<double>(m_replicaTime); }
     /// Number of loads that do not slow each other down.
-    std::size_t loadLimit() const { return (m_pool.replicas().size() + 2) / 5; }
+    std::size_t loadLimit() const { return m_loadLimit; }
     std::size_t loads() const { return m_done; }
 
 private:
@@ -72,11 +91,17 @@
         std::chrono::milliseconds until;
     };
 
-    /// Starts a load; loads beyond the limit take proportionally longer.
-    void startLoad(const weight_order& order, std::chrono::milliseconds now)
+    /// Answer of the replica. Loads beyond the limit take proportionally longer.
+    order_outcome carryOut(const weight_order& order, std::chrono::milliseconds now)
     {
+        const bool isLoading = std::any_of(m_loads.begin(), m_loads.end(), [&order](const load& running) { return running.order.replica == order.replica; });
+        if (isLoading)
+            return order_outcome::Busy;
+        if (m_pool.find(order.replica)->entry.weights.at(order.model) >= order.version)
+            return order_outcome::Loaded;
         const std::size_t factor = std::max<std::size_t>(1, (m_loads.size() + loadLimit()) / loadLimit());
-        m_loads.push_back({ order, now + loadTime * factor });
+        m_loads.push_back({ order, now + m_pattern.loadTime * factor });
+        return order_outcome::Accepted;
     }
 
     std::size_t acceptedReplicas(const std::string& model, std::uint64_t oldest) const
@@ -107,11 +132,16 @@
         });
     }
 
+    load_pattern m_pattern;
+    std::vector<std::string> m_models;
     replica_pool m_pool;
+    std::size_t m_loadLimit;
     route_table m_routes;
     std::vector<load> m_loads;
     std::size_t m_mostLoads = 0;
     std::size_t m_fewestAccepted = SIZE_MAX;
+    std::chrono::milliseconds m_acceptedTime { 0 };
+    std::chrono::milliseconds m_replicaTime { 0 };
     std::size_t m_done = 0;
 };
 
@@ -127,13 +157,15 @@
                 const bool isOld = item.second.entry.weights.at(model) < version;
                 if (!isOld || m_until.size() >= 2 || m_until.contains(item.first))
                     continue;
-                m_until[item.first] = now + loadTime;
+                m_until[item.first] = now + usualLoadTime;
                 orders.push_back({ item.first, "", model, version, load_mode::Retain });
             }
         }
         return orders;
     }
 
+    void onOutcome(const weight_order&, order_outcome, std::chrono::milliseconds) { }
+
 private:
     std::map<std::string, std::chrono::milliseconds> m_until;
 };
@@ -146,12 +178,11 @@
             m_plan.setTarget(model, version, at(now));
             m_plan.setOldestAllowed(model, version - 1);
         }
-        std::vector<weight_order> orders = m_plan.plan(pool, routes, {}, at(now));
-        for (const weight_order& order : orders)
-            m_plan.onOutcome(order, order_outcome::Accepted, at(now));
-        return orders;
+        return m_plan.plan(pool, routes, {}, at(now));
     }
 
+    void onOutcome(const weight_order& order, order_outcome outcome, std::chrono::milliseconds now) { m_plan.onOutcome(order, outcome, at(now)); }
+
 private:
     weight_plan m_plan;
 };
@@ -163,9 +194,9 @@
     for (const std::size_t replicas : { 9U, 12U, 44U }) {
         DYNAMIC_SECTION(replicas << " replicas")
         {
-            weight_load_simulation baseline(replicas);
+            weight_load_simulation baseline({ replicas });
             CHECK(baseline.run(60s, baseline_plan()) > 4s);
-            weight_load_simulation planned(replicas);
+            weight_load_simulation planned({ replicas });
             CHECK(planned.run(60s, weight_plan_runner()) < 1s);
             CHECK(planned.mostLoads() <= planned.loadLimit());
             CHECK(planned.fewestAccepted() >= replicas / models.size() / 2);
@@ -174,6 +205,46 @@
     }
 }
 
+TEST_CASE("Replicas that leave do not keep the others from loading each version in time")
+{
+    weight_load_simulation simulation({ .replicas = 8, .models = 2, .loadTime = 1100ms, .leavingReplicas = 2 });
+    CHECK(simulation.run(60s, weight_plan_runner()) < 1s);
+    CHECK(simulation.mostLoads() <= simulation.loadLimit());
+    // Each model has half of the replicas. All of them serve but during their share of the loads.
+    CHECK(simulation.acceptedShare() > 0.4);
+}
+
+TEST_CASE("However long a load takes, no more loads run at the same time than the replicas can carry out without slowing down")
+{
+    for (const std::chrono::milliseconds loadTime : { 200ms, 900ms, 1500ms, 2500ms, 6000ms }) {
+        DYNAMIC_SECTION(loadTime.count() << " ms")
+        {
+            weight_load_simulation simulation({ .replicas = 12, .loadTime = loadTime });
+            simulation.run(60s, weight_plan_runner());
+            CHECK(simulation.mostLoads() <= simulation.loadLimit());
+            CHECK(simulation.loads() > 0);
+        }
+    }
+}
+
+TEST_CASE("A replica that gives no report leaves its place among the loads to another one")
+{
+    replica_pool pool("north-a");
+    for (const char* const name : { "r1", "r2", "r3" })
+        pool.update(makeReplica(name, "north-a", 1));
+    route_table routes;
+    routes.setConfiguration(makeConfiguration({ testModel }, 4));
+    weight_plan plan;
+    plan.setTarget(testModel, 3, at(0ms));
+    plan.setOldestAllowed(testModel, 3);
+    const std::vector<weight_order> orders = plan.plan(pool, routes, {}, at(0ms));
+    REQUIRE(orders.size() == 2);
+    plan.onOutcome(orders[0], order_outcome::Unreachable, at(0ms));
+    const std::vector<weight_order> next = plan.plan(pool, routes, {}, at(10ms));
+    REQUIRE(next.size() == 1);
+    CHECK(next[0].replica == "r3");
+}
+
 TEST_CASE("An order without an answer is repeated only once it can no longer be carried out")
 {
     replica_pool pool("north-a");
