Rollout: Pause between runs that end without an event

Change: from the second consecutive run without an event, the next one starts 25 ms, then twice as long, up to 800 ms after the start of the one before. The first is still repeated at once, elsewhere. tst_itemscheduler replays 2 s without a reachable replica: 2,000 runs before, 10 at most now.

--- a/src/libs/rollout/itemscheduler.cpp
+++ b/src/libs/rollout/itemscheduler.cpp
@@ -26,6 +26,10 @@
     constexpr duration minRunTime = std::chrono::milliseconds(250);
     /// Delay of an item after a failure answer.
     constexpr duration failurePause = std::chrono::milliseconds(200);
+    /// Least time between the second consecutive run of an item without an event and the next one; it doubles with each
+    /// further one. The first such run is repeated at once, at another replica.
+    constexpr duration fruitlessPause = std::chrono::milliseconds(25);
+    constexpr std::uint32_t maxFruitlessDoublings = 5;
 
 }
 
@@ -367,6 +371,7 @@
         item.output.text += '\n';
     item.output.text += event.data;
     item.output.lastEvent = event.id;
+    item.fruitlessRuns = 0;
     state.lastEventAt = now;
     state.hasEvents = true;
 }
@@ -412,6 +417,8 @@
         ++m_counters.runsInterrupted;
         endRun(run, ended.hasEvents ? replica_outcome::Cancelled : replica_outcome::Failed, now);
         item.excluded.push_back(ended.replica);
+        if (!ended.hasEvents)
+            pauseAfterFruitlessRun(item, ended.startedAt);
         return;
     case run_end::NotRun:
         ++m_counters.runsNotRun;
@@ -420,6 +427,7 @@
     case run_end::Unreachable:
         endRun(run, replica_outcome::Failed, now);
         item.excluded.push_back(ended.replica);
+        pauseAfterFruitlessRun(item, ended.startedAt);
         return;
     case run_end::Failed:
         endRun(run, replica_outcome::Answered, now);
@@ -444,6 +452,13 @@
     m_runs.erase(found);
 }
 
+/// When this process is cut off from the replicas, runs end at once; without a pause they would be repeated without end.
+void item_scheduler::pauseAfterFruitlessRun(item_state& item, instant startedAt)
+{
+    if (++item.fruitlessRuns > 1)
+        item.notBefore = startedAt + fruitlessPause * (1U << std::min(item.fruitlessRuns - 2, maxFruitlessDoublings));
+}
+
 void item_scheduler::cancel(run_number run, std::string_view reason, instant now)
 {
     m_effects.emplace_back(cancel_run { run, std::string(reason) });
--- a/src/libs/rollout/itemscheduler.h
+++ b/src/libs/rollout/itemscheduler.h
@@ -139,6 +139,8 @@
         item_text output;
         std::optional<text_reference> reference;
         std::uint32_t failures = 0;
+        /// Consecutive runs that ended without an event because the replica was out of reach or the connection broke.
+        std::uint32_t fruitlessRuns = 0;
         instant notBefore {};
         std::vector<std::string> excluded;
         run_number run = 0;
@@ -171,6 +173,7 @@
     static replica_criteria criteriaFor(const ledger_batch& batch, const service_definition& service);
     const service_definition* serviceOf(const ledger_batch& batch, std::size_t item, const route& route) const;
     void endRun(run_number run, replica_outcome outcome, instant now);
+    static void pauseAfterFruitlessRun(item_state& item, instant startedAt);
     void cancel(run_number run, std::string_view reason, instant now);
     bool addVersion(item_state& state, run_state& run, std::uint64_t version);
     void dropText(item_state& state);
--- a/tests/auto/rollout/tst_itemscheduler.cpp
+++ b/tests/auto/rollout/tst_itemscheduler.cpp
@@ -190,6 +190,27 @@
     CHECK(single.startOne(1ms).afterEvent == 0);
 }
 
+TEST_CASE("While no replica can be reached, an item is tried ever less often, and at once when a replica runs it again")
+{
+    scheduler_fixture fixture(4);
+    fixture.ledger.apply(batch_accepted { makeBatch("b", 1, 1) }, at(0ms));
+    std::size_t runs = 0;
+    for (std::chrono::milliseconds now = 0ms; now < 2s; now += 1ms) {
+        for (const start_run& run : fixture.take<start_run>(now)) {
+            ++runs;
+            fixture.scheduler.onEnd(run.run, run_end::Unreachable, at(now));
+        }
+    }
+    CHECK(runs <= 10);
+    CHECK(runs >= 5);
+    const std::vector<start_run> resumed = fixture.take<start_run>(4s);
+    REQUIRE(resumed.size() == 1);
+    fixture.scheduler.onHead(resumed[0].run, 1);
+    fixture.feed(resumed[0].run, 1, "one", 4s);
+    fixture.scheduler.onEnd(resumed[0].run, run_end::Interrupted, at(4s));
+    CHECK(fixture.take<start_run>(4s).size() == 1);
+}
+
 TEST_CASE("An item is abandoned only when it is impossible or failed as often as the route allows")
 {
     for (const end_case& row : endCases) {
