--- a/src/libs/rollout/weightplan.cpp
+++ b/src/libs/rollout/weightplan.cpp
@@ -15,6 +15,8 @@
     constexpr double loadTimeGain = 0.3;
     /// Factor for the expected time when a load had ended by then, since it may have ended earlier.
     constexpr double loadTimeDecay = 0.97;
+    /// A load that takes longer no longer counts as in progress, so that a replica that never ends one blocks no other.
+    constexpr duration maxLoadTime = std::chrono::seconds(20);
     /// Delay before a load that takes longer than expected is checked again.
     constexpr duration checkInterval = std::chrono::milliseconds(100);
     /// An order without an answer may still be carried out during this time.
@@ -180,6 +182,11 @@
         found->second.until = now + unknownOrderTime;
         return;
     case order_outcome::Busy:
+        if (!found->second.acceptedAt || now - *found->second.acceptedAt > maxLoadTime) {
+            m_pausedUntil[order.replica] = now + unreachablePause;
+            m_loads.erase(found);
+            return;
+        }
         found->second.isLate = true;
         found->second.until = now + checkInterval;
         return;
--- a/tests/auto/rollout/tst_weightplan.cpp
+++ b/tests/auto/rollout/tst_weightplan.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <set>
 
 using namespace ragwortreach;
 using namespace std::chrono_literals;
@@ -245,6 +246,28 @@
     CHECK(next[0].replica == "r3");
 }
 
+TEST_CASE("A load that never ends gives its place to another replica")
+{
+    replica_pool pool("north-a");
+    for (const char* const name : { "r1", "r2", "r3" })
+        pool.update(makeReplica(name, "north-a", 1));
+    route_table routes;
+    routes.setConfiguration(makeConfiguration({ testModel }, 4));
+    weight_plan plan;
+    plan.setTarget(testModel, 3, at(0ms));
+    plan.setOldestAllowed(testModel, 3);
+    for (const weight_order& order : plan.plan(pool, routes, {}, at(0ms)))
+        plan.onOutcome(order, order_outcome::Accepted, at(0ms));
+    std::set<std::string> ordered;
+    for (std::chrono::milliseconds now = 0ms; now < 25s; now += 100ms) {
+        for (const weight_order& order : plan.plan(pool, routes, {}, at(now))) {
+            ordered.insert(order.replica);
+            plan.onOutcome(order, order_outcome::Busy, at(now));
+        }
+    }
+    CHECK(ordered.contains("r3"));
+}
+
 TEST_CASE("An order without an answer is repeated only once it can no longer be carried out")
 {
     replica_pool pool("north-a");
