Rollout: Pass over a replica in one place

The same two lines, pause and end of the load, stood three times in weight_plan::onOutcome(). Behaviour as before; tst_rollout passes.

--- a/src/libs/rollout/weightplan.cpp
+++ b/src/libs/rollout/weightplan.cpp
@@ -183,25 +183,29 @@
         return;
     case order_outcome::Busy:
         if (!found->second.acceptedAt || now - *found->second.acceptedAt > maxLoadTime) {
-            m_pausedUntil[order.replica] = now + unreachablePause;
-            m_loads.erase(found);
+            passOver(order.replica, now + unreachablePause);
             return;
         }
         found->second.isLate = true;
         found->second.until = now + checkInterval;
         return;
     case order_outcome::Unreachable:
-        m_pausedUntil[order.replica] = now + unreachablePause;
-        m_loads.erase(found);
+        passOver(order.replica, now + unreachablePause);
         return;
     case order_outcome::Conflict:
     case order_outcome::Rejected:
-        m_pausedUntil[order.replica] = now + conflictPause;
-        m_loads.erase(found);
+        passOver(order.replica, now + conflictPause);
         return;
     }
 }
 
+/// Gives the place of \a replica among the loads to another one; \a replica gets no order until \a until.
+void weight_plan::passOver(const std::string& replica, instant until)
+{
+    m_pausedUntil[replica] = until;
+    m_loads.erase(replica);
+}
+
 /// Notes the end of a load that was accepted by this process.
 void weight_plan::learnLoadTime(const load& ended, instant now)
 {
--- a/src/libs/rollout/weightplan.h
+++ b/src/libs/rollout/weightplan.h
@@ -127,6 +127,7 @@
     void checkLoads(const replica_pool& pool, const route_table& routes, std::span<const std::string> barred, std::vector<weight_order>& orders, instant now);
     std::size_t roomForLoads(const replica_pool& pool, const service_definition& service);
     void forgetFinishedLoads(const replica_pool& pool, instant now);
+    void passOver(const std::string& replica, instant until);
     void learnLoadTime(const load& ended, instant now);
     bool isPaused(std::string_view replica, instant now) const;
     load_mode modeFor(std::string_view model, const route_table& routes) const;
