--- a/src/libs/core/gossipmessage.cpp
+++ b/src/libs/core/gossipmessage.cpp
@@ -31,6 +31,7 @@
                 size += textSize(vm);
             return size;
         }
+        std::size_t operator()(const payload_body& body) const { return textSize(body.bytes); }
     };
 
 }
--- a/src/libs/core/gossipmessage.h
+++ b/src/libs/core/gossipmessage.h
@@ -117,7 +117,13 @@
     bool operator==(const details_request_body&) const = default;
 };
 
-using gossip_body = std::variant<ping_body, ack_body, indirect_ping_body, push_body, digest_body, details_request_body>;
+/// Carries bytes of another protocol between daemons; the membership view only notes their sender.
+struct payload_body {
+    std::string bytes;
+    bool operator==(const payload_body&) const = default;
+};
+
+using gossip_body = std::variant<ping_body, ack_body, indirect_ping_body, push_body, digest_body, details_request_body, payload_body>;
 
 /// Datagram between two daemons.
 struct gossip_message {
--- a/src/libs/core/membership.cpp
+++ b/src/libs/core/membership.cpp
@@ -69,6 +69,7 @@
     void onBody(const push_body& body, const message_received& event);
     void onBody(const digest_body& body, const message_received& event);
     void onBody(const details_request_body& body, const message_received& event);
+    void onBody(const payload_body&, const message_received&) { }
 
 private:
     /// After a pause of this process drops the probes under way and extends all suspicions by the pause, since
--- a/src/libs/gateway/callrelay.cpp
+++ b/src/libs/gateway/callrelay.cpp
@@ -1,5 +1,6 @@
 #include "callrelay.h"
 
+#include "answernotes.h"
 #include "bootclock.h"
 #include "errorresponses.h"
 
@@ -32,6 +33,7 @@
     relayed_call(boost::asio::io_context& context, const http_exchange& callerExchange)
         : exchange(callerExchange)
         , timer(context)
+        , permitTimer(context)
         , reader(platform::weightVersionField())
     {
     }
@@ -41,10 +43,14 @@
     std::string routeName;
     std::string service;
     duration retryDelay {};
+    /// Longest time that the call waits for its turn at a limited replica.
+    duration maxPermitWait {};
+    /// Ask for a permit that is under way; 0 for none.
+    permit_number permit = 0;
     bool isResumable = false;
     call_progress progress;
     std::vector<std::string> triedReplicas;
-    std::string replica;
+    replica_instance replica;
     instant arrivedAt {};
     instant attemptStartedAt {};
     bool isAttemptOpen = false;
@@ -52,6 +58,7 @@
     bool isUnusable = false;
     http_call_handle handle;
     boost::asio::steady_timer timer;
+    boost::asio::steady_timer permitTimer;
     platform::replica_answer answer;
     http_response bufferedAnswer;
     std::optional<std::uint64_t> length;
@@ -60,10 +67,11 @@
     std::uint64_t lastEvent = 0;
 };
 
-call_relay::call_relay(boost::asio::io_context& context, http_client& client, replica_pool& pool, const route_table& routes, log& log)
+call_relay::call_relay(boost::asio::io_context& context, http_client& client, replica_pool& pool, replica_gate& gate, const route_table& routes, log& log)
     : m_context(context)
     , m_client(client)
     , m_pool(pool)
+    , m_gate(gate)
     , m_routes(routes)
     , m_log(log)
 {
@@ -87,6 +95,7 @@
     call->routeName = route.name;
     call->service = target ? target->service : std::string();
     call->retryDelay = retryAfter(route);
+    call->maxPermitWait = route.objective;
     call->isResumable = route.isResumable;
     call->lastEvent = caller.lastEvent;
     call->arrivedAt = bootNow();
@@ -103,22 +112,74 @@
     startAttempt(number);
 }
 
-void call_relay::startAttempt(std::uint64_t number)
+void call_relay::startAttempt(std::uint64_t number, std::string_view permitted)
 {
-    relayed_call& call = *find(number);
     const instant now = bootNow();
-    const replica_pool::replica* replica = m_pool.pick({ call.service, call.triedReplicas }, now);
-    if (!replica && call.progress.kind == route_kind::Idempotent && !call.triedReplicas.empty())
-        replica = m_pool.pick({ call.service, {} }, now);
-    if (!replica) {
-        if (call.progress.mayHaveRun)
-            fail(number, 502, "the call may have run, and no other replica is available");
-        else
-            refuse(number, "no replica is available");
+    const replica_pool::replica* const replica = pickReplica(*find(number), permitted, now);
+    if (replica)
+        sendTo(number, *replica);
+    else if (!waitForPermit(number, now))
+        endWithoutReplica(number, "no replica is available");
+}
+
+const replica_pool::replica* call_relay::pickReplica(const relayed_call& call, std::string_view permitted, instant now) const
+{
+    replica_criteria criteria { call.service, call.triedReplicas };
+    criteria.permitted = permitted;
+    criteria.preferred = permitted;
+    const replica_pool::replica* const replica = m_pool.pick(criteria, now);
+    if (replica || call.progress.kind != route_kind::Idempotent || call.triedReplicas.empty())
+        return replica;
+    criteria.excluded = {};
+    return m_pool.pick(criteria, now);
+}
+
+bool call_relay::waitForPermit(std::uint64_t number, instant now)
+{
+    relayed_call& call = *find(number);
+    const duration left = call.progress.deadline - now;
+    std::vector<replica_instance> replicas = m_pool.limitedReplicas({ call.service, call.triedReplicas }, now);
+    if (replicas.empty() && call.progress.kind == route_kind::Idempotent)
+        replicas = m_pool.limitedReplicas({ call.service, {} }, now);
+    if (replicas.empty())
+        return false;
+    call.permit = m_gate.ask(std::move(replicas), std::min(call.maxPermitWait, left / 2), [this, number](const permit_outcome& outcome) { onPermit(number, outcome); });
+    return true;
+}
+
+void call_relay::onPermit(std::uint64_t number, const permit_outcome& outcome)
+{
+    relayed_call& call = *find(number);
+    call.permit = 0;
+    if (outcome.replica.empty()) {
+        // Those that are refused at the same time return at different ones.
+        const std::size_t part = std::hash<std::string> {}(call.caller.id) % 100;
+        const duration spread = std::max(outcome.wait, call.retryDelay) * static_cast<duration::rep>(part) / 100;
+        call.retryDelay = std::max(outcome.wait, call.retryDelay) + spread;
+        endWithoutReplica(number, "all replicas are at the limits that they named");
         return;
     }
-    call.replica = replica->entry.id;
-    call.triedReplicas.push_back(call.replica);
+    call.permitTimer.expires_after(outcome.wait);
+    call.permitTimer.async_wait([this, number, replica = outcome.replica](const boost::system::error_code& error) {
+        if (!error && find(number))
+            startAttempt(number, replica);
+    });
+}
+
+void call_relay::endWithoutReplica(std::uint64_t number, std::string_view reason)
+{
+    if (find(number)->progress.mayHaveRun)
+        fail(number, 502, "the call may have run, and no other replica is available");
+    else
+        refuse(number, reason);
+}
+
+void call_relay::sendTo(std::uint64_t number, const replica_pool::replica& replica)
+{
+    relayed_call& call = *find(number);
+    const instant now = bootNow();
+    call.replica = replica.instance();
+    call.triedReplicas.push_back(call.replica.id);
     const bool hasAlternative = m_pool.pick({ call.service, call.triedReplicas }, now) != nullptr;
     call.attemptStartedAt = now;
     call.isAttemptOpen = true;
@@ -127,7 +188,7 @@
     call.bufferedAnswer = {};
     call.reader = event_stream_reader(platform::weightVersionField());
     ++m_counters.attempts;
-    platform::replica_request_options sent { call.replica, call.progress.deadline - now, call.lastEvent };
+    platform::replica_request_options sent { call.replica.id, call.progress.deadline - now, call.lastEvent };
     http_call_options options;
     options.timeout = call.progress.kind == route_kind::Streaming ? call.progress.deadline - now : attemptTime(call.progress, hasAlternative, now);
     options.connectTimeout = std::min(connectTimeout, options.timeout);
@@ -136,8 +197,8 @@
     handlers.onHead = [this, number](const http_response_head& head) { readHead(number, head); };
     handlers.onBody = [this, number](std::string_view piece) { readBody(number, piece); };
     handlers.onDone = [this, number](const http_outcome& outcome) { onAttemptDone(number, outcome); };
-    m_pool.started(call.replica);
-    const endpoint address = parseEndpoint(replica->entry.address).value_or(endpoint {});
+    m_pool.started(call.replica.id);
+    const endpoint address = parseEndpoint(replica.entry.address).value_or(endpoint {});
     call.handle = m_client.call(address, platform::encodeReplicaRequest(call.exchange.request(), sent), options, std::move(handlers));
 }
 
@@ -147,6 +208,7 @@
     if (!call)
         return;
     call->answer = platform::decodeReplicaAnswer(head);
+    noteAnswer(m_gate, call->replica, call->caller.id, call->answer);
     call->bufferedAnswer.status = head.status;
     call->bufferedAnswer.headers = platform::forwardedAnswerHeaders(head.headers);
     call->length = head.contentLength;
@@ -247,7 +309,7 @@
     relayed_call& call = *find(number);
     const instant now = bootNow();
     call.isAttemptOpen = false;
-    m_pool.finished(call.replica, replicaOutcome(end), now - call.attemptStartedAt, now);
+    m_pool.finished(call.replica.id, replicaOutcome(end), now - call.attemptStartedAt, now);
     ++call.progress.tries;
     const bool hasRun = end == attempt_end::Interrupted || end == attempt_end::AnsweredFailure || end == attempt_end::Answered;
     if (hasRun) {
@@ -336,7 +398,7 @@
                     .with("request", call.caller.id)
                     .with("route", call.routeName)
                     .with("service", call.service)
-                    .with("replica", call.replica)
+                    .with("replica", call.replica.id)
                     .with("outcome", outcome)
                     .with("reason", reason)
                     .with("attempts", call.progress.attempts)
@@ -354,8 +416,10 @@
     const std::unique_ptr<relayed_call> call = std::move(found->second);
     m_calls.erase(found);
     call->handle.cancel();
+    if (call->permit != 0)
+        m_gate.cancel(call->permit);
     if (call->isAttemptOpen)
-        m_pool.finished(call->replica, replica_outcome::Cancelled, {}, bootNow());
+        m_pool.finished(call->replica.id, replica_outcome::Cancelled, {}, bootNow());
 }
 
 }
--- a/src/libs/gateway/callrelay.h
+++ b/src/libs/gateway/callrelay.h
@@ -5,6 +5,7 @@
 #include <platform/requestcodec.h>
 #include <rollout/callpolicy.h>
 #include <rollout/eventstreamreader.h>
+#include <rollout/replicagate.h>
 #include <rollout/replicapool.h>
 #include <rollout/routetable.h>
 
@@ -38,7 +39,7 @@
 /// idempotent route, and a resumable stream continues after its last event.
 class call_relay {
 public:
-    call_relay(boost::asio::io_context& context, http_client& client, replica_pool& pool, const route_table& routes, log& log);
+    call_relay(boost::asio::io_context& context, http_client& client, replica_pool& pool, replica_gate& gate, const route_table& routes, log& log);
     ~call_relay();
 
     /// Relays the request of \a exchange, which belongs to \a route, and answers it there.
@@ -50,8 +51,16 @@
 private:
     struct relayed_call;
 
-    /// Sends the call to a replica, or ends it when no replica is free.
-    void startAttempt(std::uint64_t number);
+    /// Sends the call to a replica, waits for a permit of a limited one, or ends the call when no replica is free.
+    /// \a permitted: limited replica for which the call has a permit.
+    void startAttempt(std::uint64_t number, std::string_view permitted = {});
+    const replica_pool::replica* pickReplica(const relayed_call& call, std::string_view permitted, instant now) const;
+    void sendTo(std::uint64_t number, const replica_pool::replica& replica);
+    /// Asks for a permit to send the call to a limited replica; false when none would take it.
+    bool waitForPermit(std::uint64_t number, instant now);
+    void onPermit(std::uint64_t number, const permit_outcome& outcome);
+    /// Ends a call that no replica takes.
+    void endWithoutReplica(std::uint64_t number, std::string_view reason);
     void readHead(std::uint64_t number, const http_response_head& head);
     void readBody(std::uint64_t number, std::string_view piece);
     /// Cancels the attempt, since its bytes are not a valid answer to the call.
@@ -79,6 +88,7 @@
     boost::asio::io_context& m_context;
     http_client& m_client;
     replica_pool& m_pool;
+    replica_gate& m_gate;
     const route_table& m_routes;
     log& m_log;
     /// Open calls by number. Handlers look a call up by its number, since it may have ended meanwhile.
--- /dev/null
+++ b/src/libs/gateway/factexchange.cpp
@@ -0,0 +1,166 @@
+#include "factexchange.h"
+
+#include "bootclock.h"
+
+#include <core/overloaded.h>
+#include <support/log.h>
+#include <support/logline.h>
+#include <wire/factcodec.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include <random>
+#include <utility>
+
+namespace ragwortreach {
+
+namespace {
+
+    /// Time for which a scheduler may use a permit.
+    constexpr duration permitTime = std::chrono::milliseconds(500);
+    constexpr std::string_view answerSource = "answer";
+
+}
+
+fact_exchange::fact_exchange(boost::asio::io_context& context, shared_log& log, replica_pool& pool, member local, const std::string& instance,
+    ragwortreach::log& logger, std::function<void()> onPermit)
+    : m_context(context)
+    , m_pool(pool)
+    , m_logger(logger)
+    , m_onPermit(std::move(onPermit))
+    , m_agent(local.vm, pool.limits())
+    , m_spread(std::random_device()())
+    , m_link(context, log, std::move(local), instance,
+          { [this] { updateDaemons(); }, [this](const std::string& vm, std::string_view payload) { receive(vm, payload); } })
+{
+}
+
+void fact_exchange::updateDaemons()
+{
+    m_agent.setDaemons(owner_map(m_link.view()), m_link.visibleShare(bootNow()));
+    m_spread.setDaemons(m_link.others());
+}
+
+void fact_exchange::receive(const std::string& vm, std::string_view payload)
+{
+    const instant now = bootNow();
+    const std::optional<fact_message> message = decodeFactMessage(payload, now);
+    if (!message) {
+        ++m_counters.malformed;
+        return;
+    }
+    for (const fact& item : message->facts) {
+        ++m_counters.received;
+        std::visit([this, &vm](const replica_limit& limit) { learn(limit, vm); }, item);
+    }
+    if (!message->permit)
+        return;
+    m_agent.onMessage(vm, *message->permit, now);
+    executeEffects();
+}
+
+void fact_exchange::learn(const replica_limit& limit, std::string_view source)
+{
+    const instant now = bootNow();
+    if (!m_pool.limits().merge(limit, now))
+        return;
+    ++m_counters.learned;
+    m_spread.add(limit, source == answerSource);
+    const duration age = now - limit.statedAt;
+    m_logger.write(log_line(log_level::Info, "replica_limited")
+                       .with("replica", limit.replica.id)
+                       .with("per_second", limit.perSecond.value_or(-1))
+                       .with("source", source)
+                       .with("age_us", age.count()));
+}
+
+void fact_exchange::noteLimit(const replica_instance& replica, std::optional<double> perSecond)
+{
+    learn({ replica, perSecond, bootNow() }, answerSource);
+}
+
+permit_number fact_exchange::ask(std::vector<replica_instance> replicas, duration maxWait, std::function<void(const permit_outcome&)> onOutcome)
+{
+    const permit_number number = m_agent.ask(std::move(replicas), maxWait, bootNow());
+    m_waiting.emplace(number, std::move(onOutcome));
+    scheduleEffects();
+    return number;
+}
+
+void fact_exchange::cancel(permit_number number)
+{
+    m_agent.cancel(number);
+    m_waiting.erase(number);
+}
+
+/// Asks for the permits that schedulers want, one at a time for each kind of work.
+void fact_exchange::askForSchedulers(instant now)
+{
+    for (const permit_want& want : m_pool.takeWants()) {
+        if (m_wants.contains(want))
+            continue;
+        replica_criteria criteria;
+        criteria.service = want.service;
+        criteria.model = want.model;
+        criteria.minVersion = want.minVersion;
+        const permit_number number = m_agent.ask(m_pool.limitedReplicas(criteria, now), duration::zero(), now);
+        m_wants.emplace(want, number);
+        m_waiting.emplace(number, [this, want](const permit_outcome& outcome) {
+            m_wants.erase(want);
+            if (outcome.replica.empty())
+                return;
+            m_pool.addPermit(outcome.replica, bootNow() + permitTime);
+            m_onPermit();
+        });
+    }
+}
+
+void fact_exchange::tick()
+{
+    const instant now = bootNow();
+    m_link.tick();
+    m_pool.limits().forgetOld(now);
+    askForSchedulers(now);
+    m_agent.tick(now);
+    executeEffects();
+    std::vector<fact> all;
+    for (const replica_limit& limit : m_pool.limits().all())
+        all.emplace_back(limit);
+    for (const fact_delivery& delivery : m_spread.take(all, now))
+        m_link.send(delivery.vm, encodeFactMessage({ delivery.facts, std::nullopt }, now));
+}
+
+void fact_exchange::scheduleEffects()
+{
+    if (std::exchange(m_areEffectsScheduled, true))
+        return;
+    boost::asio::post(m_context, [this] {
+        m_areEffectsScheduled = false;
+        executeEffects();
+    });
+}
+
+void fact_exchange::executeEffects()
+{
+    for (const permit_effect& effect : m_agent.takeEffects()) {
+        std::visit(overloaded {
+                       [this](const send_permit_message& sent) { m_link.send(sent.vm, encodeFactMessage({ {}, sent.message }, bootNow())); },
+                       [this](const permit_granted& granted) { finish(granted.number, { granted.replica, granted.wait }); },
+                       [this](const permit_denied& denied) { finish(denied.number, { {}, denied.wait }); },
+                   },
+            effect);
+    }
+}
+
+void fact_exchange::finish(permit_number number, const permit_outcome& outcome)
+{
+    const auto found = m_waiting.find(number);
+    if (found == m_waiting.end())
+        return;
+    const std::function<void(const permit_outcome&)> onOutcome = std::move(found->second);
+    m_waiting.erase(found);
+    onOutcome(outcome);
+}
+
+}
--- /dev/null
+++ b/src/libs/gateway/factexchange.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "fleetlink.h"
+
+#include <rollout/factspread.h>
+#include <rollout/permitagent.h>
+#include <rollout/replicagate.h>
+#include <rollout/replicapool.h>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace ragwortreach {
+
+class log;
+
+/// Totals since the start of the process.
+struct fact_counters {
+    /// Facts that changed what this daemon knew, from answers to it and from other daemons.
+    std::uint64_t learned = 0;
+    std::uint64_t received = 0;
+    /// Messages of other daemons that cannot be read.
+    std::uint64_t malformed = 0;
+};
+
+/// Exchanges with the other daemons what answers told about replicas, and gets permits for limited replicas.
+class fact_exchange : public replica_gate {
+public:
+    /// \a onPermit is called when a permit for a scheduler has arrived.
+    fact_exchange(boost::asio::io_context& context, shared_log& log, replica_pool& pool, member local, const std::string& instance,
+        ragwortreach::log& logger, std::function<void()> onPermit);
+
+    std::error_code open() { return m_link.open(); }
+    void start() { m_link.start(); }
+    void tick();
+    void leave() { m_link.leave(); }
+
+    void noteLimit(const replica_instance& replica, std::optional<double> perSecond) override;
+    permit_number ask(std::vector<replica_instance> replicas, duration maxWait, std::function<void(const permit_outcome&)> onOutcome) override;
+    void cancel(permit_number number) override;
+
+    const permit_counters& permits() const { return m_agent.counters(); }
+    const fact_counters& counters() const { return m_counters; }
+    const gossip_socket_counters& traffic() const { return m_link.counters(); }
+    std::size_t daemons() const { return m_link.others().size() + 1; }
+
+private:
+    void updateDaemons();
+    void receive(const std::string& vm, std::string_view payload);
+    /// Merges \a limit and passes it on if it is news.
+    void learn(const replica_limit& limit, std::string_view source);
+    void askForSchedulers(instant now);
+    void scheduleEffects();
+    void executeEffects();
+    void finish(permit_number number, const permit_outcome& outcome);
+
+    boost::asio::io_context& m_context;
+    replica_pool& m_pool;
+    ragwortreach::log& m_logger;
+    std::function<void()> m_onPermit;
+    permit_agent m_agent;
+    fact_spread m_spread;
+    fleet_link m_link;
+    std::map<permit_number, std::function<void(const permit_outcome&)>> m_waiting;
+    /// Asks under way for the schedulers.
+    std::map<permit_want, permit_number> m_wants;
+    bool m_areEffectsScheduled = false;
+    fact_counters m_counters;
+};
+
+}
--- a/src/libs/gateway/gatewayhost.cpp
+++ b/src/libs/gateway/gatewayhost.cpp
@@ -5,6 +5,7 @@
 #include "bootclock.h"
 #include "callrelay.h"
 #include "errorresponses.h"
+#include "factexchange.h"
 #include "gatewaymetrics.h"
 #include "gatewaysettings.h"
 #include "itemrunner.h"
@@ -57,6 +58,19 @@
         return vm + "-" + std::to_string(number);
     }
 
+    /// This daemon as the others see it.
+    member localMember(const gateway_settings& settings)
+    {
+        member local;
+        local.vm = settings.vm;
+        local.instance.startMilliseconds = static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
+        local.dataCentre = settings.dataCentre;
+        local.region = settings.region;
+        local.addresses.gossip = settings.gossipAddress;
+        return local;
+    }
+
     http_server_limits callerLimits()
     {
         http_server_limits limits;
@@ -97,14 +111,15 @@
         , pool(daemonSettings.dataCentre)
         , platformView(ioContext, store, routes, pool, daemonLog,
               { [this] { updateLeases(); }, [this](const std::string& model, std::uint64_t version) { setTargetVersion(model, version); } })
+        , facts(ioContext, store, pool, localMember(daemonSettings), instance, daemonLog, [this] { runner.run(); })
         , batchJournal(ioContext, store, { daemonSettings.journalPartitions, daemonSettings.textPartitions }, instance, [this](const ledger_batch& batch) { onBatchChanged(batch); })
         , leaseClient(ioContext, store, { daemonSettings.vm, instance }, { daemonSettings.orderLease, daemonSettings.processorShare }, daemonLog, [this] { assignWork(); })
         , loader(batchJournal, daemonLog)
         , scheduler(batchJournal.ledger(), pool, routes)
         , progress(ioContext, store, daemonSettings.textPartitions, instance, batchJournal.ledger(), scheduler, daemonLog)
-        , runner(ioContext, client, batchJournal, scheduler, pool, daemonLog)
+        , runner(ioContext, client, batchJournal, scheduler, pool, facts, daemonLog)
         , orderer(client, leaseClient.agent(), pool, routes, daemonSettings.vm, daemonLog)
-        , relay(ioContext, client, pool, routes, daemonLog)
+        , relay(ioContext, client, pool, facts, routes, daemonLog)
         , batchHandler(batchJournal, routes, daemonLog)
         , callerServer(
               ioContext, callerLimits(), [this](const http_exchange& exchange) { serve(exchange); }, malformedResponse)
@@ -142,6 +157,7 @@
     route_table routes;
     replica_pool pool;
     platform_view platformView;
+    fact_exchange facts;
     journal batchJournal;
     lease_client leaseClient;
     batch_loader loader;
@@ -285,7 +301,7 @@
 
 void gateway_host::state::answerMetrics(const http_exchange& exchange)
 {
-    const gateway_readings readings { relay.counters(), batchHandler.counters(), loader.counters(), scheduler.counters(), scheduler.rewards(), runner.rewardLatency(), orderer.counters(), platformView.counters(),
+    const gateway_readings readings { relay.counters(), batchHandler.counters(), loader.counters(), scheduler.counters(), scheduler.rewards(), runner.rewardLatency(), orderer.counters(), platformView.counters(), facts,
         batchJournal.counters(), batchJournal.texts().counters(), progress.counters(), routes.version(), relay.openCalls(), scheduler.runs(), batchJournal.pendingWrites(), isReady() };
     exchange.respond({ okStatus, { { "Content-Type", "text/plain; version=0.0.4" } }, metricsText(readings) });
 }
@@ -325,6 +341,7 @@
         if (batchJournal.isReady() && !std::exchange(wasLedgerReady, true))
             assignWork();
         platformView.tick();
+        facts.tick();
         batchHandler.tick();
         loadBatches();
         runner.run();
@@ -375,10 +392,16 @@
         error = daemon.listen(daemon.metricsServer, daemon.settings.metricsAddress, detail);
     if (error)
         return error;
+    error = daemon.facts.open();
+    if (error) {
+        detail = "Cannot use the UDP address " + daemon.settings.gossipAddress + "; check that it belongs to this VM and that no other process uses the port.";
+        return error;
+    }
     daemon.logger.write(log_line(log_level::Info, "started").with("life", daemon.instance).with("store", daemon.settings.storeAddress));
     daemon.platformView.start();
     daemon.batchJournal.start();
     daemon.leaseClient.start();
+    daemon.facts.start();
     daemon.tick();
     return {};
 }
@@ -392,6 +415,7 @@
     daemon.logger.write(log_line(log_level::Info, "stopping").with("open_calls", daemon.callerServer.openExchanges()));
     daemon.callerServer.setDraining(true);
     daemon.runner.handOver();
+    daemon.facts.leave();
 }
 
 void gateway_host::reload(const gateway_settings& settings)
@@ -399,7 +423,7 @@
     state& daemon = *m_state;
     const gateway_settings& old = daemon.settings;
     const bool needsRestart = settings.callerAddress != old.callerAddress || settings.readinessAddress != old.readinessAddress
-        || settings.metricsAddress != old.metricsAddress || settings.storeAddress != old.storeAddress
+        || settings.metricsAddress != old.metricsAddress || settings.storeAddress != old.storeAddress || settings.gossipAddress != old.gossipAddress
         || settings.journalPartitions != old.journalPartitions || settings.textPartitions != old.textPartitions;
     daemon.settings.stopTime = settings.stopTime;
     daemon.settings.orderLease = settings.orderLease;
--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -33,6 +33,23 @@
         };
     }
 
+    std::vector<reading> factReadings(const fact_exchange& facts)
+    {
+        const permit_counters& permits = facts.permits();
+        return {
+            { counter("ragwortreach_permits_granted_total", "Requests that got a permit for a replica with a limit"), permits.granted },
+            { counter("ragwortreach_permits_denied_total", "Requests that got none, since all replicas were at their limits"), permits.denied },
+            { counter("ragwortreach_permits_given_total", "Permits that this daemon gave out as the keeper of a replica"), permits.given },
+            { counter("ragwortreach_permit_messages_unanswered_total", "Messages to keepers without an answer in time"), permits.unanswered },
+            { counter("ragwortreach_facts_learned_total", "Facts about replicas that were news"), facts.counters().learned },
+            { counter("ragwortreach_facts_received_total", "Facts about replicas from other daemons"), facts.counters().received },
+            { counter("ragwortreach_fact_messages_malformed_total", "Messages of other daemons that cannot be read"), facts.counters().malformed },
+            { counter("ragwortreach_gossip_sent_bytes_total", "Bytes of gossip that were sent"), facts.traffic().sentBytes },
+            { counter("ragwortreach_gossip_received_bytes_total", "Bytes of gossip that were received"), facts.traffic().receivedBytes },
+            { gauge("ragwortreach_daemons_alive", "Daemons that are alive, this one included"), facts.daemons() },
+        };
+    }
+
     std::vector<reading> rewardReadings(const reward_scheduler& rewards, const reward_latency& latency)
     {
         return {
@@ -116,6 +133,7 @@
     metrics all;
     add(all, readings);
     add(all, loadReadings(from.loads));
+    add(all, factReadings(from.facts));
     add(all, rewardReadings(from.rewards, from.rewardLatency));
     return all.prometheusText();
 }
--- a/src/libs/gateway/gatewaymetrics.h
+++ b/src/libs/gateway/gatewaymetrics.h
@@ -3,6 +3,7 @@
 #include "batchhandler.h"
 #include "batchloader.h"
 #include "callrelay.h"
+#include "factexchange.h"
 #include "journal.h"
 #include "platformview.h"
 #include "progressstore.h"
@@ -25,6 +26,7 @@
     const reward_latency& rewardLatency;
     const weight_counters& weights;
     const view_counters& view;
+    const fact_exchange& facts;
     const journal_counters& journal;
     const text_counters& texts;
     const progress_counters& progress;
--- a/src/libs/gateway/gatewaysettings.cpp
+++ b/src/libs/gateway/gatewaysettings.cpp
@@ -34,6 +34,7 @@
         "caller": { "type": "string", "description": "an IP number and a port, such as 127.0.0.1:8080" },
         "readiness": { "type": "string", "description": "an IP number and a port, such as 127.0.0.1:8080" },
         "metrics": { "type": "string", "description": "an IP number and a port, such as 127.0.0.1:8080" },
+        "gossip": { "type": "string", "description": "an IP number and a port, such as 127.0.0.1:8080" },
         "store": { "type": "string", "description": "an IP number and a port, such as 127.0.0.1:8080" },
         "journal_partitions": { "type": "integer", "minimum": 1, "maximum": 64, "description": "a whole number from 1 to 64" },
         "text_partitions": { "type": "integer", "minimum": 1, "maximum": 64, "description": "a whole number from 1 to 64" },
@@ -91,7 +92,7 @@
     const bool areAddresses = readAddress(gateway, "caller", read.callerAddress, detail)
         && readAddress(gateway, "readiness", read.readinessAddress, detail)
         && readAddress(gateway, "metrics", read.metricsAddress, detail) && readAddress(gateway, "store", read.storeAddress, detail);
-    if (!areAddresses)
+    if (!areAddresses || (gateway.contains("gossip") && !readAddress(gateway, "gossip", read.gossipAddress, detail)))
         return result_code::SettingsOutOfRange;
     read.journalPartitions = gateway.value("journal_partitions", read.journalPartitions);
     read.textPartitions = gateway.value("text_partitions", read.textPartitions);
--- a/src/libs/gateway/gatewaysettings.h
+++ b/src/libs/gateway/gatewaysettings.h
@@ -21,6 +21,8 @@
     std::string readinessAddress;
     /// Address of the metrics, "ip:port".
     std::string metricsAddress;
+    /// UDP address for gossip with the other daemons, "ip:port"; when it is empty the daemon knows no other one.
+    std::string gossipAddress;
     /// Address of the platform's log, "ip:port".
     std::string storeAddress;
     /// Number of partitions of the batch journal.
--- a/src/libs/gateway/itemrunner.cpp
+++ b/src/libs/gateway/itemrunner.cpp
@@ -1,5 +1,6 @@
 #include "itemrunner.h"
 
+#include "answernotes.h"
 #include "bootclock.h"
 
 #include <support/log.h>
@@ -28,7 +29,7 @@
     }
 
     std::string item;
-    std::string replica;
+    replica_instance replica;
     std::string model;
     http_call_handle handle;
     platform::replica_answer answer;
@@ -55,14 +56,15 @@
 };
 
 item_runner::item_runner(boost::asio::io_context& context, http_client& client, journal& journal, item_scheduler& scheduler,
-    replica_pool& pool, log& log)
+    replica_pool& pool, replica_gate& gate, log& log)
     : m_context(context)
     , m_client(client)
     , m_journal(journal)
     , m_scheduler(scheduler)
     , m_pool(pool)
+    , m_gate(gate)
     , m_log(log)
-    , m_rewards(client, journal.ledger(), log, [this](reward_number call, const reward_answer& answer) {
+    , m_rewards(client, journal.ledger(), pool, gate, log, [this](reward_number call, const reward_answer& answer) {
         m_scheduler.onRewardEnd(call, answer, bootNow());
         scheduleRun();
     })
@@ -110,7 +112,7 @@
     const batch_item& item = batch->submission.items[effect.item];
     std::unique_ptr<stream> added = std::make_unique<stream>();
     added->item = item.id;
-    added->replica = effect.replica;
+    added->replica = m_pool.instanceOf(effect.replica);
     added->model = batch->submission.model;
     stream& opened = *added;
     const run_number run = effect.run;
@@ -134,7 +136,7 @@
         return;
     m_log.write(log_line(log_level::Info, "run_cancelled")
                     .with("item", found->second->item)
-                    .with("replica", found->second->replica)
+                    .with("replica", found->second->replica.id)
                     .with("reason", effect.reason));
     found->second->handle.cancel();
     m_streams.erase(found);
@@ -147,11 +149,12 @@
         return;
     stream& stream = *found->second;
     stream.answer = platform::decodeReplicaAnswer(head);
+    noteAnswer(m_gate, stream.replica, stream.item, stream.answer);
     if (stream.answer.status != okStatus)
         return;
     m_scheduler.onHead(run, stream.answer.weightVersion);
     if (stream.answer.weightVersion)
-        m_pool.noteVersion(stream.replica, stream.model, *stream.answer.weightVersion);
+        m_pool.noteVersion(stream.replica.id, stream.model, *stream.answer.weightVersion);
 }
 
 void item_runner::readBody(run_number run, std::string_view piece)
@@ -165,7 +168,7 @@
         return;
     for (const stream_event& event : stream.reader.read(piece)) {
         if (event.weightVersion)
-            m_pool.noteVersion(stream.replica, stream.model, *event.weightVersion);
+            m_pool.noteVersion(stream.replica.id, stream.model, *event.weightVersion);
         m_scheduler.onEvent(run, event, bootNow());
         if (m_scheduler.hasEffects())
             break;
@@ -211,7 +214,7 @@
     if (end != run_end::Complete && end != run_end::NotRun)
         m_log.write(log_line(log_level::Info, "run_ended")
                         .with("item", found->second->item)
-                        .with("replica", found->second->replica)
+                        .with("replica", found->second->replica.id)
                         .with("status", found->second->answer.status)
                         .with("outcome", toString(end))
                         .with("reason", outcome.detail));
--- a/src/libs/gateway/itemrunner.h
+++ b/src/libs/gateway/itemrunner.h
@@ -17,7 +17,7 @@
 /// Executes the effects that the item scheduler decides on: streams from replicas, reward calls and journal records.
 class item_runner {
 public:
-    item_runner(boost::asio::io_context& context, http_client& client, journal& journal, item_scheduler& scheduler, replica_pool& pool, log& log);
+    item_runner(boost::asio::io_context& context, http_client& client, journal& journal, item_scheduler& scheduler, replica_pool& pool, replica_gate& gate, log& log);
     ~item_runner();
 
     /// Lets the scheduler decide and executes its effects.
@@ -48,6 +48,7 @@
     journal& m_journal;
     item_scheduler& m_scheduler;
     replica_pool& m_pool;
+    replica_gate& m_gate;
     log& m_log;
     reward_caller m_rewards;
     std::map<run_number, std::unique_ptr<stream>> m_streams;
--- a/src/libs/gateway/rewardcaller.cpp
+++ b/src/libs/gateway/rewardcaller.cpp
@@ -1,5 +1,6 @@
 #include "rewardcaller.h"
 
+#include "answernotes.h"
 #include "bootclock.h"
 
 #include <support/log.h>
@@ -20,14 +21,16 @@
 struct reward_caller::open_call {
     std::string id;
     std::string item;
-    std::string replica;
+    replica_instance replica;
     instant sentAt {};
     http_call_handle handle;
 };
 
-reward_caller::reward_caller(http_client& client, const batch_ledger& ledger, log& log, end_handler onEnd)
+reward_caller::reward_caller(http_client& client, const batch_ledger& ledger, const replica_pool& pool, replica_gate& gate, log& log, end_handler onEnd)
     : m_client(client)
     , m_ledger(ledger)
+    , m_pool(pool)
+    , m_gate(gate)
     , m_log(log)
     , m_onEnd(std::move(onEnd))
 {
@@ -44,7 +47,7 @@
     open_call& call = *m_calls.emplace(effect.call, std::make_unique<open_call>()).first->second;
     call.id = item.reward->id;
     call.item = item.id;
-    call.replica = effect.replica;
+    call.replica = m_pool.instanceOf(effect.replica);
     call.sentAt = bootNow();
     http_call_options options;
     options.timeout = effect.timeout;
@@ -63,22 +66,23 @@
     m_log.write(log_line(log_level::Info, "reward_cancelled")
                     .with("item", found->second->item)
                     .with("request", found->second->id)
-                    .with("replica", found->second->replica)
+                    .with("replica", found->second->replica.id)
                     .with("reason", effect.reason));
     found->second->handle.cancel();
     m_calls.erase(found);
 }
 
-reward_answer reward_caller::classifyResponse(const open_call& call, const http_outcome& outcome, const http_response& response)
+reward_answer reward_caller::classifyResponse(const open_call& call, const http_outcome& outcome, const http_response& response) const
 {
     if (outcome.code == result_code::UpstreamUnreachable)
         return { reward_end::Unreachable, {} };
     if (outcome.code != result_code::Ok)
         return { reward_end::Interrupted, {} };
     const platform::replica_answer answer = platform::decodeReplicaAnswer({ response.status, response.headers, std::nullopt });
+    noteAnswer(m_gate, call.replica, call.id, answer);
     if (answer.isNotRun)
         return { reward_end::NotRun, {} };
-    if (answer.requestId != call.id || !answer.isStamped)
+    if (!answer.belongsTo(call.id))
         return { reward_end::Interrupted, {} };
     if (isSuccess(answer.status))
         return { reward_end::Scored, answer.signature };
@@ -101,7 +105,7 @@
         m_log.write(log_line(log_level::Info, "reward_ended")
                         .with("item", call->item)
                         .with("request", call->id)
-                        .with("replica", call->replica)
+                        .with("replica", call->replica.id)
                         .with("status", response.status)
                         .with("outcome", toString(answer.end))
                         .with("reason", outcome.detail)
--- a/src/libs/gateway/rewardcaller.h
+++ b/src/libs/gateway/rewardcaller.h
@@ -3,6 +3,8 @@
 #include <net/httpclient.h>
 #include <platform/requestcodec.h>
 #include <rollout/batchledger.h>
+#include <rollout/replicagate.h>
+#include <rollout/replicapool.h>
 #include <rollout/rewardscheduler.h>
 
 #include <cstdint>
@@ -26,7 +28,7 @@
 public:
     using end_handler = std::function<void(reward_number, const reward_answer&)>;
 
-    reward_caller(http_client& client, const batch_ledger& ledger, log& log, end_handler onEnd);
+    reward_caller(http_client& client, const batch_ledger& ledger, const replica_pool& pool, replica_gate& gate, log& log, end_handler onEnd);
     ~reward_caller();
 
     void start(const start_reward& effect);
@@ -38,10 +40,12 @@
 
     void onResponse(reward_number number, const http_outcome& outcome, const http_response& response);
     /// How a reward call ended, by the outcome and the response.
-    static reward_answer classifyResponse(const open_call& call, const http_outcome& outcome, const http_response& response);
+    reward_answer classifyResponse(const open_call& call, const http_outcome& outcome, const http_response& response) const;
 
     http_client& m_client;
     const batch_ledger& m_ledger;
+    const replica_pool& m_pool;
+    replica_gate& m_gate;
     log& m_log;
     end_handler m_onEnd;
     std::map<reward_number, std::unique_ptr<open_call>> m_calls;
--- /dev/null
+++ b/src/libs/rollout/fact.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "replicalimit.h"
+
+#include <variant>
+
+namespace ragwortreach {
+
+/// What an answer told one daemon and others should know.
+using fact = std::variant<replica_limit>;
+
+}
--- a/src/libs/rollout/itemscheduler.cpp
+++ b/src/libs/rollout/itemscheduler.cpp
@@ -234,6 +234,7 @@
     criteria.model = batch.submission.model;
     criteria.minVersion = batch.submission.minVersion;
     criteria.maxInFlight = service.engine ? service.engine->slots : 1;
+    criteria.usesPermits = true;
     return criteria;
 }
 
@@ -255,8 +256,10 @@
         criteria.excluded = {};
         replica = m_pool.pick(criteria, now);
     }
-    if (!replica)
+    if (!replica) {
+        m_pool.wantPermit(criteria, now);
         return false;
+    }
     groupReplica = replica->entry.id;
     state.run = ++m_lastRun;
     run_state run;
@@ -268,7 +271,7 @@
     run.isSingleVersion = route.isSingleVersion;
     m_effects.emplace_back(start_run { state.run, key.batch, item, run.replica, replica->entry.address, state.output.lastEvent });
     m_runs.emplace(state.run, run);
-    m_pool.started(run.replica);
+    m_pool.started(run.replica, true);
     ++m_counters.runsStarted;
     if (state.output.lastEvent != 0)
         ++m_counters.runsResumed;
--- /dev/null
+++ b/src/libs/rollout/replicalimit.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <core/instant.h>
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace ragwortreach {
+
+/// One process instance of a replica. A replica that restarts under its id is another instance.
+struct replica_instance {
+    std::string id;
+    /// Start time of the replica in Unix milliseconds.
+    std::int64_t startedAt = 0;
+
+    auto operator<=>(const replica_instance&) const = default;
+};
+
+/// What an answer of a replica said about the requests that it takes.
+struct replica_limit {
+    replica_instance replica;
+    /// Requests a second that the replica takes from all daemons together; empty when it takes any number.
+    std::optional<double> perSecond;
+    /// Time of the answer.
+    instant statedAt {};
+};
+
+}
--- a/src/libs/rollout/replicapool.cpp
+++ b/src/libs/rollout/replicapool.cpp
@@ -29,6 +29,7 @@
     constexpr double maxIntervalFactor = 4;
     /// A replica is slow when its interval exceeds the usual one of its service by this factor.
     constexpr double slowFactor = 1.8;
+    constexpr std::size_t maxPermits = 8;
     /// The interval of a replica is ignored after this time without an event, so that a slow replica is tried again.
     constexpr duration intervalRetention = std::chrono::milliseconds(2000);
 
@@ -149,6 +150,12 @@
     return found == m_replicas.end() ? nullptr : &found->second;
 }
 
+replica_instance replica_pool::instanceOf(const std::string& id) const
+{
+    const replica* const known = find(id);
+    return known ? known->instance() : replica_instance { id, 0 };
+}
+
 bool replica_pool::qualifies(const replica& replica, const replica_criteria& criteria, instant now) const
 {
     if (replica.entry.service != criteria.service || replica.entry.isDraining)
@@ -165,6 +172,14 @@
     return version != replica.entry.weights.end() && version->second >= criteria.minVersion;
 }
 
+/// Whether the limit of the replica, if it has one, lets the request start.
+bool replica_pool::mayStart(const replica& replica, const replica_criteria& criteria, instant now) const
+{
+    if (!m_limits.rate(replica.instance(), now) || replica.entry.id == criteria.permitted)
+        return true;
+    return criteria.usesPermits && !replica.permits.empty() && replica.permits.back() > now;
+}
+
 replica_pool::rank replica_pool::rankOf(const replica& replica, instant now) const
 {
     rank result;
@@ -186,7 +201,7 @@
     rank bestRank;
     for (const std::pair<const std::string, replica>& item : m_replicas) {
         const replica& candidate = item.second;
-        if (!qualifies(candidate, criteria, now))
+        if (!qualifies(candidate, criteria, now) || !mayStart(candidate, criteria, now))
             continue;
         const rank candidateRank = rankOf(candidate, now);
         if (item.first == criteria.preferred && !candidateRank.isLastResort && !candidateRank.isSlow)
@@ -199,11 +214,46 @@
     return best;
 }
 
-void replica_pool::started(std::string_view id)
+std::vector<replica_instance> replica_pool::limitedReplicas(const replica_criteria& criteria, instant now) const
+{
+    std::multimap<rank, replica_instance> ranked;
+    for (const std::pair<const std::string, replica>& item : m_replicas) {
+        const replica& candidate = item.second;
+        if (qualifies(candidate, criteria, now) && m_limits.rate(candidate.instance(), now))
+            ranked.emplace(rankOf(candidate, now), candidate.instance());
+    }
+    std::vector<replica_instance> replicas;
+    replicas.reserve(ranked.size());
+    for (const std::pair<const rank, replica_instance>& item : ranked)
+        replicas.push_back(item.second);
+    return replicas;
+}
+
+void replica_pool::wantPermit(const replica_criteria& criteria, instant now)
+{
+    if (!limitedReplicas(criteria, now).empty())
+        m_wants.insert({ std::string(criteria.service), std::string(criteria.model), criteria.minVersion });
+}
+
+void replica_pool::addPermit(std::string_view id, instant until)
 {
     const auto found = m_replicas.find(id);
-    if (found != m_replicas.end())
-        ++found->second.inFlight;
+    if (found == m_replicas.end())
+        return;
+    found->second.permits.push_back(until);
+    if (found->second.permits.size() > maxPermits)
+        found->second.permits.pop_front();
+}
+
+void replica_pool::started(std::string_view id, bool usesPermit)
+{
+    const auto found = m_replicas.find(id);
+    if (found == m_replicas.end())
+        return;
+    replica& replica = found->second;
+    ++replica.inFlight;
+    if (usesPermit && !replica.permits.empty())
+        replica.permits.pop_back();
 }
 
 void replica_pool::finished(std::string_view id, replica_outcome outcome, duration latency, instant now)
--- a/src/libs/rollout/replicapool.h
+++ b/src/libs/rollout/replicapool.h
@@ -1,13 +1,18 @@
 #pragma once
 
+#include "limittable.h"
+
 #include <core/instant.h>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace ragwortreach {
@@ -51,6 +56,19 @@
     std::string_view preferred {};
     /// Leaves out replicas that are slow or that failed recently.
     bool isFastOnly = false;
+    /// Limited replica for which the request has a permit. Other limited replicas are left out, unless \a usesPermits.
+    std::string_view permitted {};
+    /// Whether limited replicas qualify for which addPermit() left a permit.
+    bool usesPermits = false;
+};
+
+/// Replicas for which a scheduler wants a permit: limited ones that would take its work.
+struct permit_want {
+    std::string service;
+    std::string model;
+    std::uint64_t minVersion = 0;
+
+    auto operator<=>(const permit_want&) const = default;
 };
 
 /// Replicas of all services, and the requests of this process on them.
@@ -81,6 +99,10 @@
         double eventInterval = 0;
         /// Time of the last event.
         instant eventAt {};
+        /// Ends of the permits for requests of the schedulers, the earliest first.
+        std::deque<instant> permits;
+
+        replica_instance instance() const { return { entry.id, entry.startedAt }; }
     };
 
     /// \a dataCentre is the one of this process, whose replicas are preferred.
@@ -106,23 +128,38 @@
     double usualInterval(std::string_view service) const;
 
     const replica* find(std::string_view id) const;
+    /// Instance of the replica \a id that is listed now.
+    replica_instance instanceOf(const std::string& id) const;
     const std::map<std::string, replica, std::less<>>& replicas() const { return m_replicas; }
 
     /// Best replica for a request, or null when none qualifies.
     const replica* pick(const replica_criteria& criteria, instant now) const;
-    /// Notes that a request was sent to the replica.
-    void started(std::string_view id);
+    /// Limited replicas that would qualify with a permit, the best first.
+    std::vector<replica_instance> limitedReplicas(const replica_criteria& criteria, instant now) const;
+    limit_table& limits() { return m_limits; }
+    const limit_table& limits() const { return m_limits; }
+    /// Notes that a scheduler found no replica for its work, if limited ones would take it.
+    void wantPermit(const replica_criteria& criteria, instant now);
+    std::set<permit_want> takeWants() { return std::exchange(m_wants, {}); }
+    /// Adds a permit for one request of a scheduler, to be used before \a until.
+    void addPermit(std::string_view id, instant until);
+
+    /// Notes that a request was sent to the replica. With \a usesPermit it takes one of those that addPermit() left.
+    void started(std::string_view id, bool usesPermit = false);
     /// Notes the end of a request. \a latency is used with Answered only.
     void finished(std::string_view id, replica_outcome outcome, duration latency, instant now);
 
 private:
     struct rank;
     bool qualifies(const replica& replica, const replica_criteria& criteria, instant now) const;
+    bool mayStart(const replica& replica, const replica_criteria& criteria, instant now) const;
     rank rankOf(const replica& replica, instant now) const;
 
     std::string m_dataCentre;
     std::map<std::string, replica, std::less<>> m_replicas;
     std::map<std::string, double, std::less<>> m_usualIntervals;
+    limit_table m_limits;
+    std::set<permit_want> m_wants;
 };
 
 }
--- a/src/libs/rollout/rewardscheduler.cpp
+++ b/src/libs/rollout/rewardscheduler.cpp
@@ -188,21 +188,24 @@
     if (load.inFlight >= std::min(load.limit.limit(), slotsPerModel(target->service)))
         return;
     replica_criteria criteria { target->service, pending->second.excluded };
+    criteria.usesPermits = true;
     const replica_pool::replica* replica = m_pool.pick(criteria, now);
     if (!replica && !pending->second.excluded.empty()) {
         pending->second.excluded.clear();
         criteria.excluded = {};
         replica = m_pool.pick(criteria, now);
     }
-    if (!replica)
+    if (!replica) {
+        m_pool.wantPermit(criteria, now);
         return;
+    }
     const reward_number call = ++m_lastCall;
     pending->second.call = call;
     ++load.inFlight;
     ++m_counters.sent;
     m_calls.emplace(call, open_call { pending->first, target->service, replica->entry.id, now, load.inFlight });
     m_effects.emplace_back(start_reward { call, pending->first, replica->entry.id, replica->entry.address, rewardTimeout(*route) });
-    m_pool.started(replica->entry.id);
+    m_pool.started(replica->entry.id, true);
 }
 
 void reward_scheduler::close(reward_number call, replica_outcome outcome, instant now)
--- /dev/null
+++ b/src/libs/wire/factcodec.cpp
@@ -0,0 +1,135 @@
+#include "factcodec.h"
+
+#include "facts.pb.h"
+
+#include <core/overloaded.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace ragwortreach {
+
+namespace {
+
+    /// Ages and waits beyond this are malformed.
+    constexpr std::uint64_t maxMicroseconds = std::uint64_t { 3600 } * 1000 * 1000;
+
+    std::uint64_t toMicroseconds(duration time)
+    {
+        return static_cast<std::uint64_t>(std::max<duration::rep>(time.count(), 0));
+    }
+
+    duration toDuration(std::uint64_t microseconds)
+    {
+        return duration(static_cast<duration::rep>(std::min(microseconds, maxMicroseconds)));
+    }
+
+    void write(const replica_limit& limit, instant now, wire::ReplicaLimit& out)
+    {
+        out.set_replica(limit.replica.id);
+        out.set_started_at_ms(limit.replica.startedAt);
+        out.set_age_us(toMicroseconds(now - limit.statedAt));
+        if (limit.perSecond)
+            out.set_per_second(*limit.perSecond);
+    }
+
+    std::optional<replica_limit> read(const wire::ReplicaLimit& in, instant now)
+    {
+        replica_limit limit { { in.replica(), in.started_at_ms() }, std::nullopt, now - toDuration(in.age_us()) };
+        if (limit.replica.id.empty())
+            return std::nullopt;
+        if (!in.has_per_second())
+            return limit;
+        if (!std::isfinite(in.per_second()) || in.per_second() < 0)
+            return std::nullopt;
+        limit.perSecond = in.per_second();
+        return limit;
+    }
+
+    bool readPermit(const wire::FactMessage& in, instant now, std::optional<permit_message>& permit)
+    {
+        switch (in.permit_case()) {
+        case wire::FactMessage::kAsk: {
+            const std::optional<replica_limit> limit = read(in.ask().limit(), now);
+            if (!limit)
+                return false;
+            permit = permit_ask { in.ask().number(), *limit, toDuration(in.ask().max_wait_us()), in.ask().is_stand_in() };
+            return true;
+        }
+        case wire::FactMessage::kReply:
+            permit = permit_reply { in.reply().number(), in.reply().is_granted(), toDuration(in.reply().wait_us()) };
+            return true;
+        case wire::FactMessage::PERMIT_NOT_SET:
+            return true;
+        }
+        return false;
+    }
+
+}
+
+std::string encodeFactMessage(const fact_message& message, instant now)
+{
+    wire::FactMessage out;
+    for (const fact& item : message.facts)
+        std::visit(overloaded { [&out, now](const replica_limit& limit) { write(limit, now, *out.add_facts()->mutable_limit()); } }, item);
+    if (!message.permit)
+        return out.SerializeAsString();
+    std::visit(overloaded {
+                   [&out, now](const permit_ask& ask) {
+                       out.mutable_ask()->set_number(ask.number);
+                       write(ask.limit, now, *out.mutable_ask()->mutable_limit());
+                       out.mutable_ask()->set_max_wait_us(toMicroseconds(ask.maxWait));
+                       out.mutable_ask()->set_is_stand_in(ask.isStandIn);
+                   },
+                   [&out](const permit_reply& reply) {
+                       out.mutable_reply()->set_number(reply.number);
+                       out.mutable_reply()->set_is_granted(reply.isGranted);
+                       out.mutable_reply()->set_wait_us(toMicroseconds(reply.wait));
+                   },
+               },
+        *message.permit);
+    return out.SerializeAsString();
+}
+
+std::optional<fact_message> decodeFactMessage(std::string_view bytes, instant now)
+{
+    wire::FactMessage in;
+    if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return std::nullopt;
+    fact_message message;
+    for (const wire::Fact& item : in.facts()) {
+        if (!item.has_limit())
+            continue;
+        const std::optional<replica_limit> limit = read(item.limit(), now);
+        if (!limit)
+            return std::nullopt;
+        message.facts.emplace_back(*limit);
+    }
+    if (!readPermit(in, now, message.permit))
+        return std::nullopt;
+    return message;
+}
+
+std::string encodeAnnouncement(const vm_list_entry& entry)
+{
+    wire::VmAnnouncement out;
+    out.set_data_centre(entry.dataCentre);
+    out.set_region(entry.region);
+    out.set_gossip(entry.addresses.gossip);
+    return out.SerializeAsString();
+}
+
+std::optional<vm_list_entry> decodeAnnouncement(const std::string& vm, std::string_view bytes)
+{
+    wire::VmAnnouncement in;
+    if (vm.empty() || !in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || in.gossip().empty())
+        return std::nullopt;
+    vm_list_entry entry;
+    entry.vm = vm;
+    entry.dataCentre = in.data_centre();
+    entry.region = in.region();
+    entry.addresses.gossip = in.gossip();
+    return entry;
+}
+
+}
--- a/src/libs/wire/gossipcodec.cpp
+++ b/src/libs/wire/gossipcodec.cpp
@@ -149,6 +149,7 @@
             for (const std::string& vm : body.vms)
                 out.mutable_details_request()->add_vms(vm);
         }
+        void operator()(const payload_body& body) const { out.set_payload(body.bytes); }
     };
 
     bool readDigest(const wire::Digest& in, digest_body& body)
@@ -185,6 +186,9 @@
             return readDigest(in.digest(), body.emplace<digest_body>());
         case wire::GossipMessage::kDetailsRequest:
             return readDetailsRequest(in.details_request(), body.emplace<details_request_body>());
+        case wire::GossipMessage::kPayload:
+            body = payload_body { in.payload() };
+            return true;
         case wire::GossipMessage::BODY_NOT_SET:
             return false;
         }
--- a/tests/auto/gateway/tst_callrelay.cpp
+++ b/tests/auto/gateway/tst_callrelay.cpp
@@ -37,6 +37,18 @@
     return response;
 }
 
+/// Gate to replicas that never name a limit.
+class unlimited_gate : public replica_gate {
+public:
+    void noteLimit(const replica_instance&, std::optional<double>) override { }
+    permit_number ask(std::vector<replica_instance>, duration, std::function<void(const permit_outcome&)>) override
+    {
+        FAIL("A permit was asked for without a limit.");
+        return 0;
+    }
+    void cancel(permit_number) override { }
+};
+
 /// Stand-in for a replica, on a port of its own.
 class replica_standin {
 public:
@@ -119,7 +131,7 @@
         , pool("north-a")
         , replicas { std::make_unique<replica_standin>(context, first), std::make_unique<replica_standin>(context, second) }
         , client(context)
-        , relay(context, client, pool, routes, logger)
+        , relay(context, client, pool, gate, routes, logger)
         , server(
               context, {}, [this](const http_exchange& exchange) { relay.serve(exchange, shop, platform::decodeCallerRequest(exchange.request())); },
               [](std::error_code) { return http_response { 400, {}, {} }; })
@@ -154,6 +166,7 @@
     route shop;
     std::array<std::unique_ptr<replica_standin>, 2> replicas;
     http_client client;
+    unlimited_gate gate;
     call_relay relay;
     http_server server;
 };
--- a/tests/auto/system/platformfleet.cpp
+++ b/tests/auto/system/platformfleet.cpp
@@ -14,8 +14,8 @@
 
     json daemonSettings(std::size_t index, const std::string& store)
     {
-        const std::vector<std::string> ports = freeAddresses(3);
-        const json gateway { { "caller", ports[0] }, { "readiness", ports[1] }, { "metrics", ports[2] }, { "store", store }, { "stop_s", 20 } };
+        const std::vector<std::string> ports = freeAddresses(4);
+        const json gateway { { "caller", ports[0] }, { "readiness", ports[1] }, { "metrics", ports[2] }, { "gossip", ports[3] }, { "store", store }, { "stop_s", 20 } };
         return { { "vm", "entry-a" + std::to_string(index + 1) }, { "data_centre", "north-a" }, { "region", "north" }, { "log_level", "error" },
             { "gateway", gateway } };
     }
--- a/tests/auto/system/tst_platform.cpp
+++ b/tests/auto/system/tst_platform.cpp
@@ -4,10 +4,12 @@
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <csignal>
 #include <thread>
 
 using namespace ragwortreach::Tests;
+using namespace std::chrono_literals;
 using nlohmann::json;
 
 namespace {
@@ -70,6 +72,61 @@
     return false;
 }
 
+/// Callers that keep calling the shop through each daemon of a fleet until they are stopped.
+class caller_group {
+public:
+    explicit caller_group(const platform_fleet& fleet, std::size_t daemons)
+    {
+        for (std::size_t daemon = 0; daemon < daemons; ++daemon)
+            m_threads.emplace_back([this, &fleet, daemon] { callUntilStopped(fleet, daemon); });
+    }
+    ~caller_group() { stop(); }
+
+    void stop()
+    {
+        m_isStopped = true;
+        for (std::thread& thread : std::exchange(m_threads, {}))
+            thread.join();
+    }
+    /// Number of answers that were neither 200 nor 503 with a time to return.
+    int wrongAnswers() const { return m_wrongAnswers; }
+
+private:
+    void callUntilStopped(const platform_fleet& fleet, std::size_t daemon)
+    {
+        for (int number = 0; !m_isStopped; ++number) {
+            const std::string id = "order-" + std::to_string(daemon) + "-" + std::to_string(number);
+            const http_reply reply = send(fleet.caller(daemon), "POST", "/orders/1", "linen", headersFor(id));
+            if (reply.status != 200 && !(reply.status == 503 && reply.headers.contains("Retry-After")))
+                ++m_wrongAnswers;
+            std::this_thread::sleep_for(20ms);
+        }
+    }
+
+    std::atomic<bool> m_isStopped = false;
+    std::atomic<int> m_wrongAnswers = 0;
+    std::vector<std::thread> m_threads;
+};
+
+}
+
+TEST_CASE("A replica that names a limit gets no more than that from all daemons together, and nine tenths of it while callers wait")
+{
+    static constexpr int perSecond = 5;
+    constexpr int seconds = 4;
+    platform_fleet fleet(3);
+    fleet.run([&fleet] { fleet.shop().setLimit(perSecond); });
+    caller_group callers(fleet, 3);
+    std::this_thread::sleep_for(2s);
+    const int before = fleet.run([&fleet] { return fleet.shop().runs(); });
+    std::this_thread::sleep_for(std::chrono::seconds(seconds));
+    const int runs = fleet.run([&fleet] { return fleet.shop().runs(); }) - before;
+    CHECK(runs <= perSecond * seconds * 21 / 20 + 1);
+    CHECK(runs >= perSecond * seconds * 9 / 10);
+    fleet.run([&fleet] { fleet.shop().setLimit(std::nullopt); });
+    CHECK(waitUntil([&fleet, start = runs + before] { return fleet.run([&fleet] { return fleet.shop().runs(); }) > start + 10 * perSecond; }));
+    callers.stop();
+    CHECK(callers.wrongAnswers() == 0);
 }
 
 TEST_CASE("All daemons list the same results in the same order, complete and with weight versions")
--- /dev/null
+++ b/tests/auto/wire/tst_factcodec.cpp
@@ -0,0 +1,76 @@
+#include <wire/factcodec.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace ragwortreach;
+using namespace std::chrono_literals;
+
+namespace {
+
+const instant sentAt { 50s };
+const instant receivedAt { 900s };
+
+}
+
+TEST_CASE("Facts keep their age between daemons whose clocks differ")
+{
+    const replica_limit limits[] = { { { "shop-1", 7 }, 2.5, sentAt - 300ms }, { { "shop-2", -1 }, std::nullopt, sentAt } };
+    for (const replica_limit& limit : limits) {
+        const std::optional<fact_message> decoded = decodeFactMessage(encodeFactMessage({ { limit }, std::nullopt }, sentAt), receivedAt);
+        REQUIRE(decoded);
+        REQUIRE(decoded->facts.size() == 1);
+        const replica_limit& read = std::get<replica_limit>(decoded->facts[0]);
+        CHECK(read.replica == limit.replica);
+        CHECK(read.perSecond == limit.perSecond);
+        CHECK(receivedAt - read.statedAt == sentAt - limit.statedAt);
+    }
+}
+
+TEST_CASE("Messages about permits are unchanged after encoding and decoding")
+{
+    const permit_ask ask { 4, { { "shop-1", 7 }, 2, sentAt }, 150ms, true };
+    const std::optional<fact_message> asked = decodeFactMessage(encodeFactMessage({ {}, ask }, sentAt), receivedAt);
+    REQUIRE(asked);
+    const permit_ask& readAsk = std::get<permit_ask>(*asked->permit);
+    CHECK(readAsk.number == 4);
+    CHECK(readAsk.limit.replica == ask.limit.replica);
+    CHECK(readAsk.maxWait == 150ms);
+    CHECK(readAsk.isStandIn);
+    const std::optional<fact_message> replied = decodeFactMessage(encodeFactMessage({ {}, permit_reply { 4, true, 20ms } }, sentAt), receivedAt);
+    REQUIRE(replied);
+    CHECK(std::get<permit_reply>(*replied->permit).isGranted);
+    CHECK(std::get<permit_reply>(*replied->permit).wait == 20ms);
+}
+
+TEST_CASE("Bytes that are no fact message are rejected or decode to a valid one")
+{
+    rc::prop("arbitrary and corrupted bytes", [] {
+        std::string bytes = encodeFactMessage({ { replica_limit { { "shop-1", 7 }, 2, sentAt } }, permit_reply { 1, false, 5ms } }, sentAt);
+        bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] = *rc::gen::arbitrary<char>();
+        for (const std::string& tried : { bytes, *rc::gen::arbitrary<std::string>() }) {
+            const std::optional<fact_message> decoded = decodeFactMessage(tried, receivedAt);
+            for (const fact& item : decoded ? decoded->facts : std::vector<fact>()) {
+                const replica_limit& limit = std::get<replica_limit>(item);
+                RC_ASSERT(!limit.replica.id.empty());
+                RC_ASSERT(!limit.perSecond || *limit.perSecond >= 0);
+            }
+        }
+    });
+}
+
+TEST_CASE("The announcement of a daemon is unchanged after encoding and decoding")
+{
+    vm_list_entry entry;
+    entry.vm = "entry-1";
+    entry.dataCentre = "north-a";
+    entry.region = "north";
+    entry.addresses.gossip = "10.0.0.1:7660";
+    const std::optional<vm_list_entry> decoded = decodeAnnouncement("entry-1", encodeAnnouncement(entry));
+    REQUIRE(decoded);
+    CHECK(decoded->vm == entry.vm);
+    CHECK(decoded->dataCentre == entry.dataCentre);
+    CHECK(decoded->addresses == entry.addresses);
+    CHECK_FALSE(decodeAnnouncement("entry-1", ""));
+    CHECK_FALSE(decodeAnnouncement("", encodeAnnouncement(entry)));
+}
--- a/tests/auto/wire/tst_gossipcodec.cpp
+++ b/tests/auto/wire/tst_gossipcodec.cpp
@@ -52,8 +52,10 @@
         return push_body { *rc::gen::arbitrary<bool>() };
     case 4:
         return digest_body { *rc::gen::arbitrary<std::array<std::uint32_t, digestBucketCount>>(), *rc::gen::arbitrary<bool>() };
-    default:
+    case 5:
         return details_request_body { { name(), name() } };
+    default:
+        return payload_body { *rc::gen::arbitrary<std::string>() };
     }
 }
 
--- a/tests/platform/replicastandin.cpp
+++ b/tests/platform/replicastandin.cpp
@@ -49,7 +49,11 @@
 
 std::vector<http_header> replica_standin::headersFor(const http_request& request) const
 {
-    return { { "Request-Id", header(request, "Request-Id") }, { "Server-Stamp", "stamp-" + header(request, "Request-Id") }, { "Weight-Versions", std::to_string(m_version) } };
+    std::vector<http_header> headers { { "Request-Id", header(request, "Request-Id") }, { "Server-Stamp", "stamp-" + header(request, "Request-Id") },
+        { "Weight-Versions", std::to_string(m_version) } };
+    if (m_limit)
+        headers.push_back({ "Server-Limit", std::to_string(*m_limit) });
+    return headers;
 }
 
 void replica_standin::answer(const http_exchange& exchange)
--- a/tests/platform/replicastandin.h
+++ b/tests/platform/replicastandin.h
@@ -4,6 +4,7 @@
 
 #include <net/httpserver.h>
 
+#include <optional>
 #include <set>
 #include <string>
 
@@ -36,6 +37,8 @@
     void failHeld();
     /// While set, plain requests are held until answerHeld() or failHeld() is called.
     void setHolding(bool isHolding) { m_isHolding = isHolding; }
+    /// Requests a second that the replica says in its answers to take from all daemons together; none when empty.
+    void setLimit(std::optional<double> perSecond) { m_limit = perSecond; }
     /// Number of plain requests that are held now.
     std::size_t heldCount() const { return m_held.size(); }
 
@@ -55,6 +58,7 @@
     std::set<std::string> m_started;
     std::vector<http_exchange> m_held;
     bool m_isHolding = false;
+    std::optional<double> m_limit;
     int m_resumed = 0;
     int m_orders = 0;
     int m_runs = 0;
