--- a/src/libs/rollout/weightplan.cpp
+++ b/src/libs/rollout/weightplan.cpp
@@ -149,6 +149,7 @@
         else if (!isPaused(replica->entry.id, now))
             behind.push_back(replica);
     }
+    // \a share has the replicas without a limit first.
     std::stable_sort(behind.begin(), behind.end(), [model](const replica_pool::replica* left, const replica_pool::replica* right) {
         return versionOf(*left, model) < versionOf(*right, model);
     });
@@ -249,28 +250,37 @@
     });
 }
 
-/// Assigns the replicas to the models in turn; each model gets the free replica with its newest weights.
+/// Assigns the replicas to the models: those without a limit first, so that no model depends on limited ones alone.
 std::map<std::string, weight_plan::replica_list> weight_plan::assignReplicas(const replica_pool& pool, const service_definition& service, instant now) const
 {
-    replica_list free;
+    replica_list unlimited;
+    replica_list limited;
     for (const std::pair<const std::string, replica_pool::replica>& item : pool.replicas()) {
-        if (item.second.entry.service == service.name && !item.second.entry.isDraining && !item.second.vanishedAt)
-            free.push_back(&item.second);
+        const replica_pool::replica& replica = item.second;
+        if (replica.entry.service != service.name || replica.entry.isDraining || replica.vanishedAt)
+            continue;
+        (pool.limits().rate(replica.instance(), now) ? limited : unlimited).push_back(&replica);
     }
     std::map<std::string, replica_list> parts;
-    const std::vector<std::string>& models = service.engine->models;
-    while (!free.empty() && !models.empty()) {
-        for (const std::string& model : models) {
-            const replica_pool::replica* const best = bestFor(model, free, now);
-            if (!best)
-                break;
-            parts[model].push_back(best);
-            std::erase(free, best);
-        }
-    }
+    if (service.engine->models.empty())
+        return parts;
+    assignInTurn(std::move(unlimited), service.engine->models, parts, now);
+    assignInTurn(std::move(limited), service.engine->models, parts, now);
     return parts;
 }
 
+/// Assigns each replica of \a free: the model with the fewest replicas gets the one with its newest weights.
+void weight_plan::assignInTurn(replica_list free, std::span<const std::string> models, std::map<std::string, replica_list>& parts, instant now)
+{
+    while (!free.empty()) {
+        const std::string& model = *std::min_element(models.begin(), models.end(),
+            [&parts](const std::string& left, const std::string& right) { return parts[left].size() < parts[right].size(); });
+        const replica_pool::replica* const best = bestFor(model, free, now);
+        parts[model].push_back(best);
+        std::erase(free, best);
+    }
+}
+
 const replica_pool::replica* weight_plan::bestFor(std::string_view model, const replica_list& free, instant now)
 {
     const auto best = std::max_element(free.begin(), free.end(), [model, now](const replica_pool::replica* left, const replica_pool::replica* right) {
@@ -278,7 +288,7 @@
         const bool isRightHealthy = right->suspectUntil <= now;
         return std::make_tuple(versionOf(*left, model), isLeftHealthy) < std::make_tuple(versionOf(*right, model), isRightHealthy);
     });
-    return best == free.end() ? nullptr : *best;
+    return *best;
 }
 
 }
--- a/src/libs/rollout/weightplan.h
+++ b/src/libs/rollout/weightplan.h
@@ -61,9 +61,10 @@
 ///
 /// Each trainer names a new version every few seconds, and only a fraction of the replicas of a service can load
 /// weights at the same time without slowing each other down. Loading each version on all replicas takes longer than a
-/// training step. So the replicas of a service are divided among its models, and a version is loaded on half of the
-/// replicas of its model. The other half continues to serve the previous version, which the trainer still accepts, and
-/// gets a newer version when its own is too old. Replicas with the newest version stay with their model.
+/// training step. So the replicas of a service are divided among its models, those with and those without a limit of
+/// requests each evenly, and a version is loaded on half of the replicas of its model. The other half continues to serve
+/// the previous version, which the trainer still accepts, and gets a newer version when its own is too old. Replicas with
+/// the newest version stay with their model.
 ///
 /// A load is in progress until the replica reports its end, and the time that loads take is learned from these reports.
 /// Replicas that leave do not reduce the number of loads that may run at the same time: those that remain need theirs the
@@ -132,6 +133,7 @@
     bool isPaused(std::string_view replica, instant now) const;
     load_mode modeFor(std::string_view model, const route_table& routes) const;
     std::map<std::string, replica_list> assignReplicas(const replica_pool& pool, const service_definition& service, instant now) const;
+    static void assignInTurn(replica_list free, std::span<const std::string> models, std::map<std::string, replica_list>& parts, instant now);
     static const replica_pool::replica* bestFor(std::string_view model, const replica_list& free, instant now);
     bool isSingleVersion(std::string_view model, const route_table& routes) const;
 
--- a/tests/auto/rollout/tst_weightplan.cpp
+++ b/tests/auto/rollout/tst_weightplan.cpp
@@ -313,3 +313,38 @@
         }
     }
 }
+
+TEST_CASE("No model depends on limited replicas alone while others serve without a limit")
+{
+    replica_pool pool("north-a");
+    std::set<std::string> limited;
+    for (int number = 0; number < 9; ++number) {
+        replica_entry entry = makeReplica("r" + std::to_string(number), "north-a", 1);
+        // The newest weights of each model are at three replicas.
+        entry.weights = { { "m0", 1 }, { "m1", 1 }, { "m2", 1 } };
+        entry.weights[models[static_cast<std::size_t>(number / 3)]] = 2;
+        pool.update(entry);
+        if (number < 6) {
+            limited.insert(entry.id);
+            pool.limits().merge({ pool.instanceOf(entry.id), 3, at(0ms) }, at(0ms));
+        }
+    }
+    route_table routes;
+    routes.setConfiguration(makeConfiguration(models, 12));
+    weight_plan plan;
+    for (const std::string& model : models)
+        plan.setTarget(model, 3, at(0ms));
+    for (std::chrono::milliseconds now = 0ms; now < 20s; now += 100ms) {
+        for (const weight_order& order : plan.plan(pool, routes, {}, at(now))) {
+            plan.onOutcome(order, order_outcome::Loaded, at(now));
+            pool.noteVersion(order.replica, order.model, order.version);
+        }
+    }
+    for (const std::string& model : models) {
+        INFO(model);
+        const std::map<std::string, replica_pool::replica, std::less<>>& all = pool.replicas();
+        CHECK(std::any_of(all.begin(), all.end(), [&limited, &model](const std::pair<const std::string, replica_pool::replica>& item) {
+            return !limited.contains(item.first) && item.second.entry.weights.at(model) == 3;
+        }));
+    }
+}
