Gateway, Rollout: Prefer a limited replica with a permit to one that failed (LIMIT)

Cause: a permit was asked for only when no replica was left at all, and a replica that has just failed is left as a last resort. Permits were also asked for at limited replicas that had failed themselves.

Change: calls, items and rewards ask for a permit when only last resorts are left, and go to a last resort when it is denied. Limited replicas that failed are asked for only when all limited ones did.

Evidence: tst_callrelay "A call goes to a limited replica with a permit rather than to one that failed".

--- a/src/libs/gateway/callrelay.cpp
+++ b/src/libs/gateway/callrelay.cpp
@@ -116,9 +116,12 @@
 {
     const instant now = bootNow();
     const replica_pool::replica* const replica = pickReplica(*find(number), permitted, now);
+    const bool isSuitable = replica && !m_pool.isLastResort(*replica, now);
+    if (!isSuitable && permitted.empty() && waitForPermit(number, now))
+        return;
     if (replica)
         sendTo(number, *replica);
-    else if (!waitForPermit(number, now))
+    else
         endWithoutReplica(number, "no replica is available");
 }
 
@@ -152,11 +155,7 @@
     relayed_call& call = *find(number);
     call.permit = 0;
     if (outcome.replica.empty()) {
-        // Those that are refused at the same time return at different ones.
-        const std::size_t part = std::hash<std::string> {}(call.caller.id) % 100;
-        const duration spread = std::max(outcome.wait, call.retryDelay) * static_cast<duration::rep>(part) / 100;
-        call.retryDelay = std::max(outcome.wait, call.retryDelay) + spread;
-        endWithoutReplica(number, "all replicas are at the limits that they named");
+        onPermitDenied(number, outcome.wait);
         return;
     }
     call.permitTimer.expires_after(outcome.wait);
@@ -166,6 +165,22 @@
     });
 }
 
+/// Sends the call to a replica that is a last resort, or refuses it until the next turn of a limited one.
+void call_relay::onPermitDenied(std::uint64_t number, duration nextTurn)
+{
+    relayed_call& call = *find(number);
+    const replica_pool::replica* const lastResort = pickReplica(call, {}, bootNow());
+    if (lastResort) {
+        sendTo(number, *lastResort);
+        return;
+    }
+    // Those that are refused at the same time return at different ones.
+    const std::size_t part = std::hash<std::string> {}(call.caller.id) % 100;
+    const duration wait = std::max(nextTurn, call.retryDelay);
+    call.retryDelay = wait + wait * static_cast<duration::rep>(part) / 100;
+    endWithoutReplica(number, "all replicas are at the limits that they named");
+}
+
 void call_relay::endWithoutReplica(std::uint64_t number, std::string_view reason)
 {
     if (find(number)->progress.mayHaveRun)
--- a/src/libs/gateway/callrelay.h
+++ b/src/libs/gateway/callrelay.h
@@ -59,6 +59,7 @@
     /// Asks for a permit to send the call to a limited replica; false when none would take it.
     bool waitForPermit(std::uint64_t number, instant now);
     void onPermit(std::uint64_t number, const permit_outcome& outcome);
+    void onPermitDenied(std::uint64_t number, duration nextTurn);
     /// Ends a call that no replica takes.
     void endWithoutReplica(std::uint64_t number, std::string_view reason);
     void readHead(std::uint64_t number, const http_response_head& head);
--- a/src/libs/rollout/itemscheduler.cpp
+++ b/src/libs/rollout/itemscheduler.cpp
@@ -256,10 +256,10 @@
         criteria.excluded = {};
         replica = m_pool.pick(criteria, now);
     }
-    if (!replica) {
+    if (!replica || m_pool.isLastResort(*replica, now))
         m_pool.wantPermit(criteria, now);
+    if (!replica)
         return false;
-    }
     groupReplica = replica->entry.id;
     state.run = ++m_lastRun;
     run_state run;
--- a/src/libs/rollout/replicapool.cpp
+++ b/src/libs/rollout/replicapool.cpp
@@ -180,10 +180,15 @@
     return criteria.usesPermits && !replica.permits.empty() && replica.permits.back() > now;
 }
 
+bool replica_pool::isLastResort(const replica& replica, instant now) const
+{
+    return replica.suspectUntil > now || replica.vanishedAt.has_value();
+}
+
 replica_pool::rank replica_pool::rankOf(const replica& replica, instant now) const
 {
     rank result;
-    result.isLastResort = replica.suspectUntil > now || replica.vanishedAt.has_value();
+    result.isLastResort = isLastResort(replica, now);
     result.isSlow = isSlow(replica, now);
     const bool isRemote = replica.entry.dataCentre != m_dataCentre;
     if (replica.eventInterval > 0) {
@@ -224,8 +229,10 @@
     }
     std::vector<replica_instance> replicas;
     replicas.reserve(ranked.size());
-    for (const std::pair<const rank, replica_instance>& item : ranked)
-        replicas.push_back(item.second);
+    for (const std::pair<const rank, replica_instance>& item : ranked) {
+        if (item.first.isLastResort == ranked.begin()->first.isLastResort)
+            replicas.push_back(item.second);
+    }
     return replicas;
 }
 
--- a/src/libs/rollout/replicapool.h
+++ b/src/libs/rollout/replicapool.h
@@ -134,7 +134,9 @@
 
     /// Best replica for a request, or null when none qualifies.
     const replica* pick(const replica_criteria& criteria, instant now) const;
-    /// Limited replicas that would qualify with a permit, the best first.
+    /// Whether the replica should get requests only when no other one takes them: it failed a short time ago, or vanished.
+    bool isLastResort(const replica& replica, instant now) const;
+    /// Limited replicas that would qualify with a permit, the best first. Last resorts are left out if there are others.
     std::vector<replica_instance> limitedReplicas(const replica_criteria& criteria, instant now) const;
     limit_table& limits() { return m_limits; }
     const limit_table& limits() const { return m_limits; }
--- a/src/libs/rollout/rewardscheduler.cpp
+++ b/src/libs/rollout/rewardscheduler.cpp
@@ -195,10 +195,10 @@
         criteria.excluded = {};
         replica = m_pool.pick(criteria, now);
     }
-    if (!replica) {
+    if (!replica || m_pool.isLastResort(*replica, now))
         m_pool.wantPermit(criteria, now);
+    if (!replica)
         return;
-    }
     const reward_number call = ++m_lastCall;
     pending->second.call = call;
     ++load.inFlight;
--- a/tests/auto/gateway/tst_callrelay.cpp
+++ b/tests/auto/gateway/tst_callrelay.cpp
@@ -1,3 +1,4 @@
+#include <gateway/bootclock.h>
 #include <gateway/callrelay.h>
 
 #include <net/httpclient.h>
@@ -5,6 +6,7 @@
 #include <support/log.h>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
 
 #include <memory>
@@ -37,16 +39,30 @@
     return response;
 }
 
-/// Gate to replicas that never name a limit.
-class unlimited_gate : public replica_gate {
+/// Gate that answers each ask for a permit in the same way.
+class scripted_gate : public replica_gate {
 public:
+    explicit scripted_gate(boost::asio::io_context& context)
+        : m_context(context)
+    {
+    }
+
+    void setGranting(bool isGranting) { m_isGranting = isGranting; }
+    int asks() const { return m_asks; }
+
     void noteLimit(const replica_instance&, std::optional<double>) override { }
-    permit_number ask(std::vector<replica_instance>, duration, std::function<void(const permit_outcome&)>) override
+    permit_number ask(std::vector<replica_instance> replicas, duration, std::function<void(const permit_outcome&)> onOutcome) override
     {
-        FAIL("A permit was asked for without a limit.");
-        return 0;
+        const std::string replica = m_isGranting ? replicas.front().id : std::string();
+        boost::asio::post(m_context, [replica, onOutcome = std::move(onOutcome)] { onOutcome({ replica, {} }); });
+        return static_cast<permit_number>(++m_asks);
     }
     void cancel(permit_number) override { }
+
+private:
+    boost::asio::io_context& m_context;
+    bool m_isGranting = false;
+    int m_asks = 0;
 };
 
 /// Stand-in for a replica, on a port of its own.
@@ -131,6 +147,7 @@
         , pool("north-a")
         , replicas { std::make_unique<replica_standin>(context, first), std::make_unique<replica_standin>(context, second) }
         , client(context)
+        , gate(context)
         , relay(context, client, pool, gate, routes, logger)
         , server(
               context, {}, [this](const http_exchange& exchange) { relay.serve(exchange, shop, platform::decodeCallerRequest(exchange.request())); },
@@ -166,7 +183,7 @@
     route shop;
     std::array<std::unique_ptr<replica_standin>, 2> replicas;
     http_client client;
-    unlimited_gate gate;
+    scripted_gate gate;
     call_relay relay;
     http_server server;
 };
@@ -214,6 +231,7 @@
             while (status == 0)
                 fixture.context.run_one();
             CHECK(status == row.status);
+            CHECK(fixture.gate.asks() == 0);
             CHECK(fixture.replicas[0]->requests() == 1);
             CHECK(fixture.replicas[1]->requests() == row.requestsAtSecond);
             if (status == 200)
@@ -234,6 +252,31 @@
     CHECK(headerValue(answer.headers, "Retry-After"));
 }
 
+TEST_CASE("A call goes to a limited replica with a permit rather than to one that failed, and to that one rather than nowhere")
+{
+    struct row {
+        bool isGranting;
+        int requestsAtFailed;
+        int requestsAtLimited;
+    };
+    const row rows[] = { { true, 0, 1 }, { false, 1, 0 } };
+    for (const row& row : rows) {
+        INFO("permit granted: " << row.isGranting);
+        relay_fixture fixture(behaviour::Complete, behaviour::Complete, route_kind::Idempotent);
+        fixture.gate.setGranting(row.isGranting);
+        fixture.pool.finished("r0", replica_outcome::Failed, {}, bootNow());
+        fixture.pool.limits().merge({ fixture.pool.instanceOf("r1"), 2, bootNow() }, bootNow());
+        int status = 0;
+        fixture.call([&status](const http_outcome&, const http_response& response) { status = response.status; });
+        while (status == 0)
+            fixture.context.run_one();
+        CHECK(status == 200);
+        CHECK(fixture.gate.asks() == 1);
+        CHECK(fixture.replicas[0]->requests() == row.requestsAtFailed);
+        CHECK(fixture.replicas[1]->requests() == row.requestsAtLimited);
+    }
+}
+
 TEST_CASE("When the caller disconnects, the connection to the replica is closed")
 {
     relay_fixture fixture(behaviour::Unresponsive, behaviour::Unresponsive, route_kind::NonIdempotent);
