Rollout, Gateway: Bound what daemons tell each other, and tell those that join (LIMIT)

Cause: a daemon sent all facts that it knew to another one each second, up to 4,096 of them: 160 KB/s of the 3 KB/s that control may cost (worked out). One that joined or came back from a cut learned them from a random choice of senders, on average after a second, and news waited for the next tick.

Change: 48 facts a second at most, in turn; a daemon that comes in sight gets all from three of the others on average; news are sent at once.

--- a/src/libs/gateway/factexchange.cpp
+++ b/src/libs/gateway/factexchange.cpp
@@ -67,6 +67,7 @@
         return;
     ++m_counters.learned;
     m_spread.add(limit, source == answerSource);
+    scheduleEffects();
     const duration age = now - limit.statedAt;
     m_logger.write(log_line(log_level::Info, "replica_limited")
                        .with("replica", limit.replica.id)
@@ -127,8 +128,13 @@
     std::vector<fact> all;
     for (const replica_limit& limit : m_pool.limits().all())
         all.emplace_back(limit);
-    for (const fact_delivery& delivery : m_spread.take(all, now))
-        m_link.send(delivery.vm, encodeFactMessage({ delivery.facts, std::nullopt }, now));
+    send(m_spread.takeSync(all, now));
+}
+
+void fact_exchange::send(std::span<const fact_delivery> deliveries)
+{
+    for (const fact_delivery& delivery : deliveries)
+        m_link.send(delivery.vm, encodeFactMessage({ delivery.facts, std::nullopt }, bootNow()));
 }
 
 void fact_exchange::scheduleEffects()
@@ -151,6 +157,7 @@
                    },
             effect);
     }
+    send(m_spread.takeNews());
 }
 
 void fact_exchange::finish(permit_number number, const permit_outcome& outcome)
--- a/src/libs/gateway/factexchange.h
+++ b/src/libs/gateway/factexchange.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <map>
+#include <span>
 #include <string>
 
 namespace ragwortreach {
@@ -54,7 +55,9 @@
     void learn(const replica_limit& limit, std::string_view source);
     void askForSchedulers(instant now);
     void scheduleEffects();
+    /// Sends what is news and carries out the effects of the agent.
     void executeEffects();
+    void send(std::span<const fact_delivery> deliveries);
     void finish(permit_number number, const permit_outcome& outcome);
 
     boost::asio::io_context& m_context;
--- a/src/libs/rollout/factspread.cpp
+++ b/src/libs/rollout/factspread.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <bit>
 #include <iterator>
+#include <utility>
 
 namespace ragwortreach {
 
@@ -27,6 +28,14 @@
 {
 }
 
+void fact_spread::setDaemons(std::vector<std::string> vms)
+{
+    const std::set<std::string> known(m_vms.begin(), m_vms.end());
+    std::erase_if(m_joining, [&vms](const std::string& vm) { return std::find(vms.begin(), vms.end(), vm) == vms.end(); });
+    std::copy_if(vms.begin(), vms.end(), std::inserter(m_joining, m_joining.end()), [&known](const std::string& vm) { return !known.contains(vm); });
+    m_vms = std::move(vms);
+}
+
 void fact_spread::add(const fact& news, bool isOwn)
 {
     if (isOwn || m_vms.size() > smallFleet)
@@ -43,32 +52,41 @@
     return receivers;
 }
 
-void fact_spread::deliverNews(std::vector<fact_delivery>& deliveries)
+std::vector<fact_delivery> fact_spread::takeNews()
 {
+    std::vector<fact_delivery> deliveries;
+    const std::vector<fact> news = std::exchange(m_news, {});
+    if (news.empty())
+        return deliveries;
     for (const std::string& vm : chooseReceivers())
-        addDeliveries(vm, m_news, deliveries);
-    m_news.clear();
+        addDeliveries(vm, news, deliveries);
+    return deliveries;
 }
 
-void fact_spread::deliverAll(std::span<const fact> all, std::vector<fact_delivery>& deliveries)
+/// Adds the next maxFactsPerSync of \a all, for one random daemon.
+void fact_spread::addSync(std::span<const fact> all, std::vector<fact_delivery>& deliveries)
 {
+    std::vector<fact> part;
+    for (std::size_t count = 0; count < std::min(all.size(), maxFactsPerSync); ++count)
+        part.push_back(all[m_syncPosition++ % all.size()]);
     const std::size_t index = std::uniform_int_distribution<std::size_t>(0, m_vms.size() - 1)(m_random);
-    addDeliveries(m_vms[index], all, deliveries);
+    addDeliveries(m_vms[index], part, deliveries);
 }
 
-std::vector<fact_delivery> fact_spread::take(std::span<const fact> all, instant now)
+std::vector<fact_delivery> fact_spread::takeSync(std::span<const fact> all, instant now)
 {
     std::vector<fact_delivery> deliveries;
-    if (m_vms.empty()) {
-        m_news.clear();
+    const std::set<std::string> joining = std::exchange(m_joining, {});
+    if (all.empty() || m_vms.empty())
         return deliveries;
+    for (const std::string& vm : joining) {
+        if (std::bernoulli_distribution(std::min(1.0, joiningSenders / static_cast<double>(m_vms.size())))(m_random))
+            addDeliveries(vm, all.first(std::min(all.size(), maxFactsForJoining)), deliveries);
     }
-    if (!m_news.empty())
-        deliverNews(deliveries);
-    if (all.empty() || now < m_nextSync)
+    if (now < m_nextSync)
         return deliveries;
     m_nextSync = now + syncPeriod;
-    deliverAll(all, deliveries);
+    addSync(all, deliveries);
     return deliveries;
 }
 
--- a/src/libs/rollout/factspread.h
+++ b/src/libs/rollout/factspread.h
@@ -3,6 +3,7 @@
 #include "fact.h"
 
 #include <random>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -18,33 +19,41 @@
 /// Decides which facts are sent to which daemons.
 ///
 /// A daemon passes each fact that is news to it on once, to all other daemons of a small fleet and to a random few of a
-/// large one. Besides, it sends all facts that it knows to one random daemon in each syncPeriod, which reaches daemons
-/// that join or missed a message.
+/// large one. Besides, it sends some of the facts that it knows to one random daemon in each syncPeriod, which reaches
+/// daemons that missed a message. A daemon that joins gets all facts from a few of the others.
 class fact_spread {
 public:
     static constexpr duration syncPeriod = std::chrono::seconds(1);
     /// Fleet up to which the daemon that learned a fact sends it to all others by itself.
     static constexpr std::size_t smallFleet = 16;
     static constexpr std::size_t maxFactsPerDelivery = 16;
+    static constexpr std::size_t maxFactsPerSync = 48;
+    static constexpr std::size_t maxFactsForJoining = 512;
+    /// Number of daemons that send their facts to one that joins, on average.
+    static constexpr double joiningSenders = 3;
 
     explicit fact_spread(std::uint64_t seed);
 
     /// Sets the other daemons that are alive.
-    void setDaemons(std::vector<std::string> vms) { m_vms = std::move(vms); }
+    void setDaemons(std::vector<std::string> vms);
     /// Adds a fact that is news to this daemon. \a isOwn: it comes from an answer to this daemon.
     void add(const fact& news, bool isOwn);
-    /// Deliveries that are due at \a now. \a all: all facts that this daemon knows.
-    std::vector<fact_delivery> take(std::span<const fact> all, instant now);
+    /// Deliveries of the news, to be sent at once.
+    std::vector<fact_delivery> takeNews();
+    /// Deliveries out of \a all facts that this daemon knows that are due at \a now.
+    std::vector<fact_delivery> takeSync(std::span<const fact> all, instant now);
 
 private:
-    void deliverNews(std::vector<fact_delivery>& deliveries);
-    void deliverAll(std::span<const fact> all, std::vector<fact_delivery>& deliveries);
+    void addSync(std::span<const fact> all, std::vector<fact_delivery>& deliveries);
     std::vector<std::string> chooseReceivers();
 
     std::vector<std::string> m_vms;
+    std::set<std::string> m_joining;
     std::vector<fact> m_news;
     std::minstd_rand m_random;
     instant m_nextSync {};
+    /// Position in the list of all facts at which the next sync begins.
+    std::size_t m_syncPosition = 0;
 };
 
 }
--- a/tests/auto/rollout/tst_permitagent.cpp
+++ b/tests/auto/rollout/tst_permitagent.cpp
@@ -168,7 +168,9 @@
             std::vector<fact> all;
             for (const replica_limit& limit : item->limits.all())
                 all.emplace_back(limit);
-            for (fact_delivery& delivery : item->spread.take(all, m_now))
+            for (fact_delivery& delivery : item->spread.takeNews())
+                send(*item, delivery.vm, std::nullopt, std::move(delivery.facts));
+            for (fact_delivery& delivery : item->spread.takeSync(all, m_now))
                 send(*item, delivery.vm, std::nullopt, std::move(delivery.facts));
             item->agent.tick(m_now);
             execute(*item);
