--- a/src/libs/gateway/factexchange.cpp
+++ b/src/libs/gateway/factexchange.cpp
@@ -3,6 +3,7 @@
 #include "bootclock.h"
 
 #include <core/overloaded.h>
+#include <rollout/visibleshare.h>
 #include <support/log.h>
 #include <support/logline.h>
 #include <wire/factcodec.h>
@@ -19,6 +20,7 @@
 
     /// Time for which a scheduler may use a permit.
     constexpr duration permitTime = std::chrono::milliseconds(500);
+    constexpr duration permitUsePeriod = std::chrono::seconds(5);
     constexpr std::string_view answerSource = "answer";
 
 }
@@ -38,10 +40,17 @@
 
 void fact_exchange::updateDaemons()
 {
-    m_agent.setDaemons(owner_map(m_link.view()), m_link.visibleShare(bootNow()));
+    m_agent.setDaemons(owner_map(m_link.view()), [this](const replica_instance& replica) { return sightOf(replica); });
     m_spread.setDaemons(m_link.others());
 }
 
+permit_agent::replica_sight fact_exchange::sightOf(const replica_instance& replica) const
+{
+    const replica_pool::replica* const known = m_pool.find(replica.id);
+    const std::string dataCentre = known ? known->entry.dataCentre : std::string();
+    return { dataCentre, visibleShare(dataCentre, daemons(), m_link.lostDataCentres(bootNow())) };
+}
+
 void fact_exchange::receive(const std::string& vm, std::string_view payload)
 {
     const instant now = bootNow();
@@ -101,22 +110,25 @@
     for (const permit_want& want : m_pool.takeWants()) {
         if (m_wants.contains(want))
             continue;
-        replica_criteria criteria;
-        criteria.service = want.service;
-        criteria.model = want.model;
-        criteria.minVersion = want.minVersion;
-        const permit_number number = m_agent.ask(m_pool.limitedReplicas(criteria, now), duration::zero(), now);
+        const permit_number number = m_agent.ask(m_pool.limitedReplicas(want.criteria(), now), duration::zero(), now);
         m_wants.emplace(want, number);
-        m_waiting.emplace(number, [this, want](const permit_outcome& outcome) {
-            m_wants.erase(want);
-            if (outcome.replica.empty())
-                return;
-            m_pool.addPermit(outcome.replica, bootNow() + permitTime);
-            m_onPermit();
-        });
+        m_waiting.emplace(number, [this, want](const permit_outcome& outcome) { onSchedulerPermit(want, outcome); });
     }
 }
 
+/// The next permit is asked for at once if the scheduler wants it.
+void fact_exchange::onSchedulerPermit(const permit_want& want, const permit_outcome& outcome)
+{
+    m_wants.erase(want);
+    if (outcome.replica.empty())
+        return;
+    const instant now = bootNow();
+    m_pool.addPermit(outcome.replica, now + permitTime);
+    m_onPermit();
+    askForSchedulers(now);
+    scheduleEffects();
+}
+
 void fact_exchange::tick()
 {
     const instant now = bootNow();
@@ -125,6 +137,7 @@
     askForSchedulers(now);
     m_agent.tick(now);
     executeEffects();
+    logPermitUse(now);
     std::vector<fact> all;
     for (const replica_limit& limit : m_pool.limits().all())
         all.emplace_back(limit);
@@ -137,6 +150,23 @@
         m_link.send(delivery.vm, encodeFactMessage({ delivery.facts, std::nullopt }, bootNow()));
 }
 
+/// Logs how much of the limits of the replicas that this daemon keeps was used.
+void fact_exchange::logPermitUse(instant now)
+{
+    const duration period = now - m_permitUseLoggedAt;
+    if (period < permitUsePeriod)
+        return;
+    m_permitUseLoggedAt = now;
+    for (const permit_use& use : m_agent.takeUse()) {
+        m_logger.write(log_line(log_level::Info, "permits_given")
+                           .with("replica", use.replica.id)
+                           .with("per_second", use.perSecond)
+                           .with("given", use.given)
+                           .with("denied", use.denied)
+                           .with("period_us", period.count()));
+    }
+}
+
 void fact_exchange::scheduleEffects()
 {
     if (std::exchange(m_areEffectsScheduled, true))
--- a/src/libs/gateway/factexchange.h
+++ b/src/libs/gateway/factexchange.h
@@ -50,10 +50,13 @@
 
 private:
     void updateDaemons();
+    permit_agent::replica_sight sightOf(const replica_instance& replica) const;
     void receive(const std::string& vm, std::string_view payload);
     /// Merges \a limit and passes it on if it is news.
     void learn(const replica_limit& limit, std::string_view source);
     void askForSchedulers(instant now);
+    void onSchedulerPermit(const permit_want& want, const permit_outcome& outcome);
+    void logPermitUse(instant now);
     void scheduleEffects();
     /// Sends what is news and carries out the effects of the agent.
     void executeEffects();
@@ -71,6 +74,7 @@
     /// Asks under way for the schedulers.
     std::map<permit_want, permit_number> m_wants;
     bool m_areEffectsScheduled = false;
+    instant m_permitUseLoggedAt {};
     fact_counters m_counters;
 };
 
--- a/src/libs/gateway/fleetlink.cpp
+++ b/src/libs/gateway/fleetlink.cpp
@@ -107,7 +107,7 @@
     if (change.state != member_state::Failed)
         m_lost.erase(change.vm);
     else if (change.previous && *change.previous != member_state::Leaving)
-        m_lost.try_emplace(change.vm, bootNow());
+        m_lost.try_emplace(change.vm, lost_daemon { dataCentreOf(change.vm), bootNow() });
 }
 
 void fleet_link::tick()
@@ -117,7 +117,7 @@
         return;
     m_nextTick = now + tickPeriod;
     handle(membership_tick {});
-    const std::size_t forgotten = std::erase_if(m_lost, [now](const std::pair<const std::string, instant>& lost) { return now - lost.second > lostRetention; });
+    const std::size_t forgotten = std::erase_if(m_lost, [now](const std::pair<const std::string, lost_daemon>& lost) { return now - lost.second.since > lostRetention; });
     if (forgotten > 0)
         m_handlers.onChanged();
 }
@@ -149,12 +149,20 @@
     return vms;
 }
 
-double fleet_link::visibleShare(instant now) const
+std::string fleet_link::dataCentreOf(std::string_view vm) const
 {
-    const std::size_t visible = others().size() + 1;
-    const std::size_t lost = static_cast<std::size_t>(std::count_if(m_lost.begin(), m_lost.end(),
-        [now](const std::pair<const std::string, instant>& item) { return now - item.second <= lostRetention; }));
-    return static_cast<double>(visible) / static_cast<double>(visible + lost);
+    const auto found = m_entries.find(vm);
+    return found == m_entries.end() ? std::string() : found->second.dataCentre;
+}
+
+std::vector<std::string> fleet_link::lostDataCentres(instant now) const
+{
+    std::vector<std::string> dataCentres;
+    for (const std::pair<const std::string, lost_daemon>& item : m_lost) {
+        if (now - item.second.since <= lostRetention)
+            dataCentres.push_back(item.second.dataCentre);
+    }
+    return dataCentres;
 }
 
 }
--- a/src/libs/gateway/fleetlink.h
+++ b/src/libs/gateway/fleetlink.h
@@ -42,10 +42,8 @@
     /// The daemons that are alive, except this one.
     std::vector<std::string> others() const;
     const membership& view() const { return m_view; }
-    /// Share of the daemons in sight among those and the ones that were lost sight of in the last lostRetention.
-    double visibleShare(instant now) const;
-    /// Whether a daemon was lost sight of in the last lostRetention, so that visibleShare() will change.
-    bool hasLost() const { return !m_lost.empty(); }
+    /// Data centres of the daemons that were lost sight of in the last lostRetention.
+    std::vector<std::string> lostDataCentres(instant now) const;
     const gossip_socket_counters& counters() const { return m_socket.counters(); }
 
     /// A daemon that is out of sight for longer is no longer expected to send requests to replicas.
@@ -55,6 +53,7 @@
     void applyAnnouncements(std::span<const keyed_record> records);
     void handle(const membership_event& event);
     void noteChange(const member_changed& change);
+    std::string dataCentreOf(std::string_view vm) const;
 
     member m_local;
     handlers m_handlers;
@@ -64,8 +63,12 @@
     partition_writer m_writer;
     std::map<std::string, vm_list_entry, std::less<>> m_entries;
     std::uint64_t m_listRevision = 0;
-    /// Daemons out of sight, with the time at which that was found out.
-    std::map<std::string, instant, std::less<>> m_lost;
+    struct lost_daemon {
+        std::string dataCentre;
+        instant since {};
+    };
+    /// Daemons out of sight.
+    std::map<std::string, lost_daemon, std::less<>> m_lost;
     instant m_nextTick {};
 };
 
--- a/src/libs/rollout/permitagent.cpp
+++ b/src/libs/rollout/permitagent.cpp
@@ -27,10 +27,10 @@
 {
 }
 
-void permit_agent::setDaemons(const owner_map& daemons, double visibleShare)
+void permit_agent::setDaemons(const owner_map& daemons, sight_lookup sightOf)
 {
     m_daemons = daemons;
-    m_visibleShare = visibleShare;
+    m_sightOf = std::move(sightOf);
 }
 
 permit_number permit_agent::ask(std::vector<replica_instance> replicas, duration maxWait, instant now)
@@ -79,7 +79,7 @@
     ask.replica = replica;
     ask.isStandIn = false;
     ask.keeper.clear();
-    for (const std::string& vm : m_daemons.candidates(replica.id, {}, maxKeepers)) {
+    for (const std::string& vm : m_daemons.candidates(replica.id, m_sightOf(replica).dataCentre, maxKeepers)) {
         const auto silent = m_silentKeepers.find(vm);
         if (silent != m_silentKeepers.end() && silent->second > now) {
             ask.isStandIn = true;
@@ -120,7 +120,7 @@
     const std::optional<double> rate = m_limits.rate(replica, now);
     if (!rate)
         return { true, {} };
-    const double share = m_visibleShare * (isStandIn ? standInShare : 1);
+    const double share = m_sightOf(replica).visibleShare * (isStandIn ? standInShare : 1);
     const permit_keeper::decision decision = m_keeper.decide(replica, *rate * share, maxWait, now);
     m_counters.given += decision.isGranted ? 1 : 0;
     return decision;
--- a/src/libs/rollout/permitagent.h
+++ b/src/libs/rollout/permitagent.h
@@ -6,9 +6,9 @@
 
 #include <core/ownermap.h>
 
+#include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -53,14 +53,23 @@
 /// Gets permits for requests to limited replicas, and gives them out for the replicas that this daemon keeps.
 ///
 /// A limit holds for all daemons together. One daemon is the keeper of a replica, by rendezvous hashing over the daemons
-/// that are alive, and gives out all permits for it. When daemons disappear, the keepers that are left give out the share
-/// of the daemons that they see, since those out of sight may have a keeper of their own.
+/// that are alive in its data centre, and gives out all permits for it. So a daemon that is cut off from the keeper is most
+/// likely cut off from the replica, too. When daemons of the data centre disappear, the keepers that are left give out the
+/// share of the daemons that they see, since those out of sight may have a keeper of their own.
 class permit_agent {
 public:
     permit_agent(std::string vm, limit_table& limits);
 
-    /// Sets the daemons that are alive, and the share that they are of those that may send requests.
-    void setDaemons(const owner_map& daemons, double visibleShare);
+    /// Position of a replica as far as this daemon knows.
+    struct replica_sight {
+        std::string dataCentre;
+        /// Share that the daemons that are alive are of those that may send requests to the replica.
+        double visibleShare = 1;
+    };
+    using sight_lookup = std::function<replica_sight(const replica_instance&)>;
+
+    /// Sets the daemons that are alive.
+    void setDaemons(const owner_map& daemons, sight_lookup sightOf);
 
     /// Asks for a permit to send a request to one of \a replicas, the best first. permit_granted or permit_denied follows.
     permit_number ask(std::vector<replica_instance> replicas, duration maxWait, instant now);
@@ -72,6 +81,8 @@
     /// Returns the effects to carry out, in order, and clears them.
     std::vector<permit_effect> takeEffects();
     const permit_counters& counters() const { return m_counters; }
+    /// Returns the permits that this daemon gave out and denied as a keeper since the last call.
+    std::vector<permit_use> takeUse() { return m_keeper.takeUse(); }
 
 private:
     struct open_ask {
@@ -100,7 +111,7 @@
     limit_table& m_limits;
     permit_keeper m_keeper;
     owner_map m_daemons;
-    double m_visibleShare = 1;
+    sight_lookup m_sightOf = [](const replica_instance&) { return replica_sight {}; };
     std::map<permit_number, open_ask> m_asks;
     /// Numbers of the asks by the number of their message in flight.
     std::map<std::uint64_t, permit_number> m_messages;
--- a/src/libs/rollout/replicapool.cpp
+++ b/src/libs/rollout/replicapool.cpp
@@ -47,6 +47,16 @@
     }
 };
 
+replica_criteria permit_want::criteria() const
+{
+    replica_criteria result;
+    result.service = service;
+    result.model = model;
+    result.minVersion = minVersion;
+    result.maxInFlight = maxInFlight;
+    return result;
+}
+
 replica_pool::replica_pool(std::string dataCentre)
     : m_dataCentre(std::move(dataCentre))
 {
@@ -239,7 +249,7 @@
 void replica_pool::wantPermit(const replica_criteria& criteria, instant now)
 {
     if (!limitedReplicas(criteria, now).empty())
-        m_wants.insert({ std::string(criteria.service), std::string(criteria.model), criteria.minVersion });
+        m_wants.insert({ std::string(criteria.service), std::string(criteria.model), criteria.minVersion, criteria.maxInFlight });
 }
 
 void replica_pool::addPermit(std::string_view id, instant until)
--- a/src/libs/rollout/replicapool.h
+++ b/src/libs/rollout/replicapool.h
@@ -67,8 +67,10 @@
     std::string service;
     std::string model;
     std::uint64_t minVersion = 0;
+    std::uint32_t maxInFlight = UINT32_MAX;
 
     auto operator<=>(const permit_want&) const = default;
+    replica_criteria criteria() const;
 };
 
 /// Replicas of all services, and the requests of this process on them.
--- a/tests/auto/rollout/tst_permitagent.cpp
+++ b/tests/auto/rollout/tst_permitagent.cpp
@@ -2,6 +2,7 @@
 
 #include <rollout/factspread.h>
 #include <rollout/permitagent.h>
+#include <rollout/visibleshare.h>
 
 #include <catch2/catch.hpp>
 
@@ -16,8 +17,10 @@
 /// Fleet of daemons whose messages take 2 ms and are lost at random, on virtual time.
 class permit_fleet {
 public:
-    permit_fleet(std::size_t size, unsigned lostPerThousand)
+    /// The daemons are in \a dataCentres in turn; all replicas are in the first one.
+    permit_fleet(std::size_t size, unsigned lostPerThousand, std::size_t dataCentres = 1)
         : m_lost(lostPerThousand)
+        , m_dataCentres(dataCentres)
     {
         for (std::size_t index = 0; index < size; ++index)
             m_daemons.push_back(std::make_unique<daemon>(index));
@@ -66,26 +69,31 @@
     }
 
     void kill(std::size_t index) { m_daemons[index]->isAlive = false; }
-    /// The fleet finds out which daemons are alive, \a inSight of each other: a daemon sees those of its own part.
+    /// Splits the fleet into \a parts, so that messages reach only daemons of the own part.
+    void split(std::size_t parts) { m_parts = parts; }
+    /// The fleet finds out which daemons are alive in the own part.
     void updateViews(std::size_t parts = 1)
     {
-        m_parts = parts;
+        split(parts);
         for (const std::unique_ptr<daemon>& item : m_daemons) {
             std::vector<member> members;
             std::vector<std::string> others;
-            std::size_t lost = 0;
+            std::vector<std::string> lost;
             for (const std::unique_ptr<daemon>& other : m_daemons) {
-                const bool isVisible = other->isAlive && other->index % parts == item->index % parts;
-                lost += isVisible ? 0 : 1;
-                if (!isVisible)
-                    continue;
                 member known;
                 known.vm = other->vm;
+                known.dataCentre = dataCentreOf(*other);
+                if (!other->isAlive || other->index % parts != item->index % parts) {
+                    lost.push_back(known.dataCentre);
+                    continue;
+                }
                 members.push_back(known);
                 if (other != item)
                     others.push_back(other->vm);
             }
-            item->agent.setDaemons(owner_map(members), static_cast<double>(members.size()) / static_cast<double>(members.size() + lost));
+            const std::string dataCentre = dataCentreOf(*m_daemons.front());
+            const double share = visibleShare(dataCentre, members.size(), lost);
+            item->agent.setDaemons(owner_map(members), [dataCentre, share](const replica_instance&) { return permit_agent::replica_sight { dataCentre, share }; });
             item->spread.setDaemons(others);
         }
     }
@@ -124,6 +132,8 @@
         std::vector<fact> facts;
     };
 
+    std::string dataCentreOf(const daemon& item) const { return "north-" + std::to_string(item.index % m_dataCentres); }
+
     void send(const daemon& from, const std::string& vm, std::optional<permit_message> permit, std::vector<fact> facts)
     {
         const std::size_t to = std::stoul(vm.substr(6));
@@ -178,6 +188,7 @@
     }
 
     unsigned m_lost;
+    std::size_t m_dataCentres;
     std::size_t m_parts = 1;
     instant m_now = at(0ms);
     std::vector<std::unique_ptr<daemon>> m_daemons;
@@ -232,6 +243,31 @@
     CHECK(sendFor(fleet, 10, 40) <= 4 * 10 * 1.05 + 2);
 }
 
+TEST_CASE("Daemons that still reach a replica use its whole limit as soon as other data centres are cut off")
+{
+    for (const char* const id : { "shop-1", "shop-2", "shop-3", "shop-4" }) {
+        const replica_instance replica { id, 7 };
+        permit_fleet fleet(9, 0, 3);
+        fleet.state(0, replica, 10);
+        fleet.run(1s);
+        fleet.split(3);
+        for (const bool isNoticed : { false, true }) {
+            INFO(id << ", cut noticed: " << isNoticed);
+            if (isNoticed)
+                fleet.updateViews(3);
+            const int before = fleet.sent(replica);
+            const instant start = fleet.now();
+            for (int call = 0; call < 240; ++call) {
+                fleet.ask(static_cast<std::size_t>(call % 3) * 3, { replica }, 150ms);
+                fleet.runUntil(start + std::chrono::duration_cast<duration>(4s) * (call + 1) / 240);
+            }
+            const int sent = fleet.sent(replica) - before;
+            CHECK(sent >= 10 * 4 * 9 / 10);
+            CHECK(sent <= 10 * 4 * 21 / 20 + 2);
+        }
+    }
+}
+
 TEST_CASE("When the keeper of a replica dies, another daemon gives out permits before anyone has noticed")
 {
     permit_fleet fleet(3, 0);
--- a/tests/auto/rollout/tst_permitkeeper.cpp
+++ b/tests/auto/rollout/tst_permitkeeper.cpp
@@ -44,3 +44,25 @@
     CHECK_FALSE(keeper.decide(shop, 1, 100ms, at(0ms)).isGranted);
     CHECK(keeper.decide(shop, 1, 100ms, at(1000ms)).isGranted);
 }
+
+TEST_CASE("Turns that nobody took in the last second can be taken later, and no more of them")
+{
+    permit_keeper keeper;
+    keeper.decide(shop, 4, 0ms, at(0ms));
+    int granted = 0;
+    for (int request = 0; request < 20; ++request)
+        granted += keeper.decide(shop, 4, 0ms, at(10s)).isGranted ? 1 : 0;
+    CHECK(granted == 5);
+}
+
+TEST_CASE("A keeper that is asked only now and then gives out nine tenths of the limit all the same")
+{
+    permit_keeper keeper;
+    int granted = 0;
+    for (instant now = at(0ms); now < at(20s); now += 85ms) {
+        for (int request = 0; request < 3; ++request)
+            granted += keeper.decide(shop, 20, 0ms, now).isGranted ? 1 : 0;
+    }
+    CHECK(granted <= 20 * 20 * 1.05 + 1);
+    CHECK(granted >= 20 * 20 * 0.9);
+}
--- a/tests/auto/rollout/tst_replicapool.cpp
+++ b/tests/auto/rollout/tst_replicapool.cpp
@@ -98,3 +98,29 @@
     pool.update(draining);
     CHECK(pickedId(pool, { testService }, 0ms) == "far");
 }
+
+TEST_CASE("Replicas that failed are asked for permits only when all limited ones did")
+{
+    replica_pool pool = makePool();
+    for (const char* const id : { "near", "far" })
+        pool.limits().merge({ pool.instanceOf(id), 2, at(0ms) }, at(0ms));
+    CHECK(pool.limitedReplicas({ testService }, at(0ms)).size() == 2);
+    pool.finished("near", replica_outcome::Failed, {}, at(0ms));
+    REQUIRE(pool.limitedReplicas({ testService }, at(100ms)).size() == 1);
+    CHECK(pool.limitedReplicas({ testService }, at(100ms)).front().id == "far");
+    pool.finished("far", replica_outcome::Failed, {}, at(100ms));
+    CHECK(pool.limitedReplicas({ testService }, at(200ms)).size() == 2);
+}
+
+TEST_CASE("A permit is wanted for work that a limited replica has room for")
+{
+    replica_pool pool = makePool();
+    pool.limits().merge({ pool.instanceOf("near"), 2, at(0ms) }, at(0ms));
+    pool.started("near");
+    pool.wantPermit({ .service = testService, .maxInFlight = 1 }, at(0ms));
+    CHECK(pool.takeWants().empty());
+    pool.wantPermit({ .service = testService, .maxInFlight = 2 }, at(0ms));
+    const std::set<permit_want> wants = pool.takeWants();
+    REQUIRE(wants.size() == 1);
+    CHECK(wants.begin()->criteria().maxInFlight == 2);
+}
