--- a/src/libs/gateway/callrelay.cpp
+++ b/src/libs/gateway/callrelay.cpp
@@ -40,6 +40,7 @@
 
     http_exchange exchange;
     platform::caller_request caller;
+    request_digest digest;
     std::string routeName;
     std::string service;
     duration retryDelay {};
@@ -92,6 +93,7 @@
     std::unique_ptr<relayed_call> call = std::make_unique<relayed_call>(m_context, exchange);
     const route_target* const target = chooseTarget(route, std::hash<std::string> {}(caller.id));
     call->caller = caller;
+    call->digest = platform::digestOf(exchange.request());
     call->routeName = route.name;
     call->service = target ? target->service : std::string();
     call->retryDelay = retryAfter(route);
@@ -316,9 +318,25 @@
         end = call->answer.status >= firstServerErrorStatus ? attempt_end::AnsweredFailure : attempt_end::Answered;
     if (end == attempt_end::Answered && call->progress.kind == route_kind::Streaming && !call->reader.isBetweenEvents())
         end = attempt_end::Interrupted;
+    if (end == attempt_end::Interrupted)
+        logInterruption(*call, outcome);
     concludeAttempt(number, end, outcome.detail);
 }
 
+void call_relay::logInterruption(const relayed_call& call, const http_outcome& outcome) const
+{
+    const duration took = bootNow() - call.attemptStartedAt;
+    m_log.write(log_line(log_level::Info, "attempt_interrupted")
+                    .with("request", call.caller.id)
+                    .with("digest", toString(call.digest))
+                    .with("replica", call.replica.id)
+                    .with("started_at_ms", call.replica.startedAt)
+                    .with("code", static_cast<int>(outcome.code))
+                    .with("reason", outcome.detail)
+                    .with("tries", call.progress.tries)
+                    .with("took_us", took.count()));
+}
+
 void call_relay::concludeAttempt(std::uint64_t number, attempt_end end, std::string_view detail)
 {
     relayed_call& call = *find(number);
--- a/src/libs/gateway/callrelay.h
+++ b/src/libs/gateway/callrelay.h
@@ -82,6 +82,7 @@
     void fail(std::uint64_t number, int status, std::string_view reason);
     void onCallerGone(std::uint64_t number);
     void onTimeout(std::uint64_t number);
+    void logInterruption(const relayed_call& call, const http_outcome& outcome) const;
     void logOutcome(const relayed_call& call, std::string_view outcome, std::string_view reason);
     void remove(std::uint64_t number);
     relayed_call* find(std::uint64_t number);
