Gateway: Follow a stream that has begun with its next events or nothing

The caller found the error's text in the middle of its stream, and the stream ended as if it were complete.

Cause: the bytes of any answer were written once the caller's answer had begun, also those of an error, and an answered error of the last attempt counted as the end of the stream. A resumed stream whose first event was not the next one was passed on, too.

Change: only events of the replica's own success go to the caller; a stream that has begun ends as complete only after such a success; the first event after a resumption has to be the next one; an answer that was rejected never counts.

The other interface (service) never resumes callers' streams.

--- a/src/libs/gateway/callrelay.cpp
+++ b/src/libs/gateway/callrelay.cpp
@@ -73,6 +73,8 @@
     bool hasAnswerStarted = false;
     event_stream_reader reader;
     std::uint64_t lastEvent = 0;
+    /// The next event of the attempt has to be the one after lastEvent.
+    bool isResuming = false;
 };
 
 call_relay::call_relay(boost::asio::io_context& context, http_client& client, replica_pool& pool, replica_gate& gate, request_guard& guard, const route_table& routes, log& log)
@@ -245,6 +247,7 @@
     call.isAttemptOpen = true;
     call.isUnusable = false;
     call.hasProgress = false;
+    call.isResuming = call.lastEvent != 0;
     call.answer = {};
     call.bufferedAnswer = {};
     call.reader = event_stream_reader(platform::weightVersionField());
@@ -288,16 +291,18 @@
         endTrial(*call);
     }
     if (call->progress.kind == route_kind::Streaming && isForwardable) {
-        forwardEvents(*call, piece);
-        if (!call->reader.isValid())
+        if (!forwardEvents(*call, piece))
             rejectAnswer(*call, number);
         return;
     }
-    if (!isForwardable && call->bufferedAnswer.body.size() + piece.size() > maxFailureBytes) {
-        rejectAnswer(*call, number);
+    if (!isForwardable) {
+        if (call->bufferedAnswer.body.size() + piece.size() > maxFailureBytes)
+            rejectAnswer(*call, number);
+        else
+            call->bufferedAnswer.body += piece;
         return;
     }
-    if (!call->hasAnswerStarted && isForwardable && call->bufferedAnswer.body.size() + piece.size() > maxBufferedBodyBytes)
+    if (!call->hasAnswerStarted && call->bufferedAnswer.body.size() + piece.size() > maxBufferedBodyBytes)
         beginAnswer(*call);
     if (!call->hasAnswerStarted) {
         call->bufferedAnswer.body += piece;
@@ -340,34 +345,45 @@
 }
 
 /// Forwards complete events only, so that a stream can continue at another replica without a gap or a partial event.
-void call_relay::forwardEvents(relayed_call& call, std::string_view piece)
+bool call_relay::forwardEvents(relayed_call& call, std::string_view piece)
 {
     for (const stream_event& event : call.reader.read(piece)) {
         if (event.id <= call.lastEvent)
             continue;
+        if (std::exchange(call.isResuming, false) && event.id != call.lastEvent + 1)
+            return false;
         if (!call.hasAnswerStarted)
             beginAnswer(call);
         call.lastEvent = event.id;
         call.exchange.write(event.bytes);
     }
+    return call.reader.isValid();
+}
+
+attempt_end call_relay::classifyEnd(const relayed_call& call, const http_outcome& outcome)
+{
+    if (outcome.code == result_code::UpstreamUnreachable)
+        return attempt_end::NotSent;
+    if (outcome.code != result_code::Ok || call.isUnusable)
+        return attempt_end::Interrupted;
+    if (call.answer.isOtherReplica)
+        return attempt_end::OtherReplica;
+    if (call.answer.isNotRun)
+        return attempt_end::NotRun;
+    if (!call.answer.belongsTo(call.caller.id))
+        return attempt_end::Interrupted;
+    if (call.answer.status >= firstServerErrorStatus)
+        return attempt_end::AnsweredFailure;
+    const bool isWhole = call.progress.kind != route_kind::Streaming || call.reader.isBetweenEvents();
+    return isWhole ? attempt_end::Answered : attempt_end::Interrupted;
 }
 
 void call_relay::onAttemptDone(std::uint64_t number, const http_outcome& outcome)
 {
-    relayed_call* const call = find(number);
+    const relayed_call* const call = find(number);
     if (!call)
         return;
-    attempt_end end = attempt_end::Interrupted;
-    if (outcome.code == result_code::UpstreamUnreachable)
-        end = attempt_end::NotSent;
-    else if (outcome.code == result_code::Ok && call->answer.isOtherReplica)
-        end = attempt_end::OtherReplica;
-    else if (outcome.code == result_code::Ok && call->answer.isNotRun)
-        end = attempt_end::NotRun;
-    else if (outcome.code == result_code::Ok && call->answer.requestId == call->caller.id && call->answer.isStamped)
-        end = call->answer.status >= firstServerErrorStatus ? attempt_end::AnsweredFailure : attempt_end::Answered;
-    if (end == attempt_end::Answered && call->progress.kind == route_kind::Streaming && !call->reader.isBetweenEvents())
-        end = attempt_end::Interrupted;
+    const attempt_end end = classifyEnd(*call, outcome);
     if (end == attempt_end::Interrupted)
         logInterruption(*call, outcome);
     tellGuard(*call, end, outcome);
@@ -414,11 +430,13 @@
         call.progress.mayHaveRun = true;
     }
     call_step step = decideAfterAttempt(call.progress, end, now);
-    const bool mayResume = call.progress.kind == route_kind::Streaming && call.isResumable && end != attempt_end::Answered
+    // What follows a stream that has begun is its next events or nothing, whatever another replica answers.
+    const bool isAnswered = end == attempt_end::Answered && (!call.hasAnswerStarted || isSuccess(call.answer.status));
+    const bool mayResume = call.progress.kind == route_kind::Streaming && call.isResumable && !isAnswered
         && call.progress.attempts < call.progress.maxAttempts && now < call.progress.deadline;
     if (mayResume)
         step = call_step::Retry;
-    else if (call.hasAnswerStarted && step != call_step::Forward)
+    else if (call.hasAnswerStarted && !isAnswered)
         step = call_step::Fail;
     switch (step) {
     case call_step::Forward:
--- a/src/libs/gateway/callrelay.h
+++ b/src/libs/gateway/callrelay.h
@@ -75,12 +75,12 @@
     void readBody(std::uint64_t number, std::string_view piece);
     /// Cancels the attempt, since its bytes are not a valid answer to the call.
     void rejectAnswer(relayed_call& call, std::uint64_t number);
-    /// Classifies how the exchange with the replica ended.
+    static attempt_end classifyEnd(const relayed_call& call, const http_outcome& outcome);
     void onAttemptDone(std::uint64_t number, const http_outcome& outcome);
     /// Decides after an attempt whether the call is answered, retried, refused or failed.
     void concludeAttempt(std::uint64_t number, attempt_end end, std::string_view detail);
-    /// Sends the events completed by \a piece to the caller.
-    void forwardEvents(relayed_call& call, std::string_view piece);
+    /// Sends the events completed by \a piece to the caller; false when they do not follow the last one.
+    bool forwardEvents(relayed_call& call, std::string_view piece);
     /// Sends the head and the bytes buffered so far to the caller.
     void beginAnswer(relayed_call& call);
     /// Ends the call with the answer of the replica.
--- a/tests/auto/gateway/tst_callrelay.cpp
+++ b/tests/auto/gateway/tst_callrelay.cpp
@@ -6,8 +6,11 @@
 #include <support/log.h>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include <memory>
@@ -185,6 +188,67 @@
     int m_callerDisconnects = 0;
 };
 
+/// How a scripted replica ends the connection after its bytes.
+enum class connection_end {
+    Closed,
+    Reset,
+};
+
+/// Replica that answers each request with fixed bytes and ends the connection.
+class byte_replica {
+public:
+    byte_replica(boost::asio::io_context& context, std::string bytes, connection_end end)
+        : m_bytes(std::move(bytes))
+        , m_end(end)
+        , m_acceptor(context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
+        , m_socket(context)
+        , m_timer(context)
+    {
+        accept();
+    }
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()); }
+
+private:
+    using tcp = boost::asio::ip::tcp;
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
+            if (error)
+                return;
+            m_socket = std::move(socket);
+            m_request.clear();
+            boost::asio::async_read_until(m_socket, boost::asio::dynamic_buffer(m_request), "order",
+                [this](const boost::system::error_code& readError, std::size_t) {
+                    if (!readError)
+                        answer();
+                });
+        });
+    }
+
+    void answer()
+    {
+        boost::asio::async_write(m_socket, boost::asio::buffer(m_bytes), [this](const boost::system::error_code&, std::size_t) {
+            // The bytes of a connection that is reset at once may be lost.
+            m_timer.expires_after(std::chrono::milliseconds(50));
+            m_timer.async_wait([this](const boost::system::error_code&) {
+                if (m_end == connection_end::Reset)
+                    m_socket.set_option(tcp::socket::linger(true, 0));
+                m_socket.close();
+                accept();
+            });
+        });
+    }
+
+    std::string m_bytes;
+    connection_end m_end;
+    tcp::acceptor m_acceptor;
+    tcp::socket m_socket;
+    boost::asio::steady_timer m_timer;
+    std::string m_request;
+};
+
 /// Relay with two replicas; the one in its own data centre is tried first.
 struct relay_fixture {
     relay_fixture(behaviour first, behaviour second, route_kind kind)
@@ -231,6 +295,14 @@
         return received;
     }
 
+    /// Lets the first or the second replica be one at \a address.
+    void replace(std::size_t index, const std::string& address)
+    {
+        replica_entry entry = pool.find("r" + std::to_string(index))->entry;
+        entry.address = address;
+        pool.update(entry);
+    }
+
     int requests() const { return replicas[0]->requests() + replicas[1]->requests(); }
 
     const http_request request { "POST", "/shop/1", { { "Host", "lace.example" }, { "Request-Id", "mine" }, { "Deadline-Ms", "20000" } }, "order" };
@@ -393,6 +465,49 @@
     }
 }
 
+TEST_CASE("A stream that broke off never goes on with anything but its next events, and never ends as complete without them")
+{
+    struct row {
+        const char* name;
+        std::string second;
+        result_code outcome;
+        std::string body;
+    };
+    const std::string own = "Request-Id: mine\r\nServer-Stamp: s\r\n";
+    const std::string begin = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    const row rows[] = {
+        { "an error of the replica", "HTTP/1.1 500 Oops\r\n" + own + "Content-Length: 6\r\n\r\nfailed", result_code::UpstreamTruncated, begin },
+        { "an answer that it cannot run it", "HTTP/1.1 422 No\r\n" + own + "Content-Length: 6\r\n\r\nfailed", result_code::UpstreamTruncated, begin },
+        { "an error without a signature", "HTTP/1.1 500 Oops\r\nContent-Length: 6\r\n\r\nfailed", result_code::UpstreamTruncated, begin },
+        { "full", "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", result_code::UpstreamTruncated, begin },
+        { "a head that ends early", "HTTP/1.1 200 OK\r\n" + own, result_code::UpstreamTruncated, begin },
+        { "an event too far on", "HTTP/1.1 200 OK\r\n" + own + "Content-Length: 15\r\n\r\nid: 4\ndata: d\n\n", result_code::UpstreamTruncated, begin },
+        { "the next event", "HTTP/1.1 200 OK\r\n" + own + "Content-Length: 15\r\n\r\nid: 3\ndata: c\n\n", result_code::Ok, begin + "id: 3\ndata: c\n\n" },
+        { "all events again", "HTTP/1.1 200 OK\r\n" + own + "Content-Length: 45\r\n\r\n" + begin + "id: 3\ndata: c\n\n", result_code::Ok, begin + "id: 3\ndata: c\n\n" },
+    };
+    for (const row& row : rows) {
+        INFO(row.name);
+        relay_fixture fixture(behaviour::Complete, behaviour::Complete, route_kind::Streaming);
+        fixture.shop.isResumable = true;
+        byte_replica first(fixture.context, "HTTP/1.1 200 OK\r\n" + own + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n1e\r\n" + begin + "\r\n", connection_end::Closed);
+        byte_replica second(fixture.context, row.second, connection_end::Closed);
+        fixture.replace(0, first.address());
+        fixture.replace(1, second.address());
+        std::optional<http_outcome> outcome;
+        std::string body;
+        http_call_handlers handlers;
+        handlers.onBody = [&body](std::string_view piece) { body += piece; };
+        handlers.onDone = [&outcome](const http_outcome& ended) { outcome = ended; };
+        http_call_options options;
+        options.timeout = std::chrono::seconds(30);
+        fixture.client.call({ "127.0.0.1", fixture.server.port() }, fixture.request, options, std::move(handlers));
+        while (!outcome)
+            fixture.context.run_one();
+        CHECK(outcome->code == row.outcome);
+        CHECK(body == row.body);
+    }
+}
+
 TEST_CASE("When the caller disconnects, the connection to the replica is closed")
 {
     relay_fixture fixture(behaviour::Unresponsive, behaviour::Unresponsive, route_kind::NonIdempotent);
