Tests: A replica that stops in its head never gives a complete answer

Reported by other operators: a replica stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body.

--- a/tests/auto/gateway/tst_callrelay.cpp
+++ b/tests/auto/gateway/tst_callrelay.cpp
@@ -508,6 +508,45 @@
     }
 }
 
+TEST_CASE("An answer whose replica stopped in its head or its body is never passed on as complete")
+{
+    struct row {
+        const char* name;
+        std::string bytes;
+        connection_end end;
+        int status;
+    };
+    const std::string own = "Request-Id: mine\r\nServer-Stamp: s\r\n";
+    const row rows[] = {
+        { "nothing at all", "", connection_end::Closed, 502 },
+        { "in the status line", "HTTP/1.1 20", connection_end::Closed, 502 },
+        { "after the status line", "HTTP/1.1 200 OK\r\n", connection_end::Closed, 502 },
+        { "in the name of a header", "HTTP/1.1 200 OK\r\n" + own + "Content-Le", connection_end::Closed, 502 },
+        { "in the value of the length", "HTTP/1.1 200 OK\r\n" + own + "Content-Length: 1", connection_end::Closed, 502 },
+        { "before the empty line", "HTTP/1.1 200 OK\r\n" + own + "Content-Length: 0\r\n", connection_end::Closed, 502 },
+        { "in the empty line", "HTTP/1.1 200 OK\r\n" + own + "Content-Length: 0\r\n\r", connection_end::Closed, 502 },
+        { "after the head", "HTTP/1.1 200 OK\r\n" + own + "Content-Length: 7\r\n\r\n", connection_end::Closed, 502 },
+        { "in the body", "HTTP/1.1 200 OK\r\n" + own + "Content-Length: 7\r\n\r\npatt", connection_end::Closed, 502 },
+        { "before a chunk", "HTTP/1.1 200 OK\r\n" + own + "Transfer-Encoding: chunked\r\n\r\n", connection_end::Closed, 502 },
+        { "before the last chunk", "HTTP/1.1 200 OK\r\n" + own + "Transfer-Encoding: chunked\r\n\r\n4\r\npatt\r\n", connection_end::Closed, 502 },
+        { "reset in a body without a length", "HTTP/1.1 200 OK\r\n" + own + "\r\npatt", connection_end::Reset, 502 },
+        { "closed after a body without a length", "HTTP/1.1 200 OK\r\n" + own + "\r\npattern", connection_end::Closed, 200 },
+        { "closed after a whole body", "HTTP/1.1 200 OK\r\n" + own + "Content-Length: 7\r\n\r\npattern", connection_end::Closed, 200 },
+    };
+    for (const route_kind kind : { route_kind::NonIdempotent, route_kind::Idempotent }) {
+        for (const row& row : rows) {
+            INFO(row.name << (kind == route_kind::Idempotent ? ", may be repeated" : ""));
+            relay_fixture fixture(behaviour::Complete, behaviour::Complete, kind);
+            byte_replica first(fixture.context, row.bytes, row.end);
+            fixture.replace(0, first.address());
+            const http_response answer = fixture.answer();
+            CHECK(answer.status == (kind == route_kind::Idempotent ? 200 : row.status));
+            if (answer.status == 200)
+                CHECK(answer.body == "pattern");
+        }
+    }
+}
+
 TEST_CASE("When the caller disconnects, the connection to the replica is closed")
 {
     relay_fixture fixture(behaviour::Unresponsive, behaviour::Unresponsive, route_kind::NonIdempotent);
