Rollout, Gateway: Keep requests away from replicas that announced their leaving

What callers could see: a daemon that has lost the store, or whose list is stale, went on sending to a replica that had said in its answers that it leaves, and lost the calls when it was gone.

Cause: the header was read nowhere; only the list told of leaving replicas.

The announcement is final for the instance, in replica_pool, for every way to a replica; it is spread as a fact, counted where the list still says ready, and logged with source and age.

--- a/src/libs/gateway/answernotes.cpp
+++ b/src/libs/gateway/answernotes.cpp
@@ -6,6 +6,8 @@
 {
     if (answer.isOtherReplica)
         return;
+    if (answer.isLeaving)
+        gate.noteLeaving(replica);
     // Only an answer that is certainly the replica's own says by its silence that a limit has ended.
     if (answer.limit || answer.belongsTo(id))
         gate.noteLimit(replica, answer.limit);
--- a/src/libs/gateway/factexchange.cpp
+++ b/src/libs/gateway/factexchange.cpp
@@ -77,6 +77,7 @@
                               return m_quarantine.merge(crash, now);
                           },
                           [this, now](const request_success& success) { return m_quarantine.merge(success, now); },
+                          [this](const replica_leaving& leaving) { return m_pool.noteLeaving(leaving); },
                       },
         item);
 }
@@ -98,6 +99,7 @@
                                               [](const replica_limit& limit) { return limit.statedAt; },
                                               [](const request_crash& crash) { return crash.at; },
                                               [](const request_success& success) { return success.at; },
+                                              [](const replica_leaving& leaving) { return leaving.statedAt; },
                                           },
                              item);
     log_line line = std::visit(overloaded {
@@ -111,6 +113,7 @@
                                            .with("standing", toString(m_quarantine.standingOf(crash.request, now)));
                                    },
                                    [](const request_success& success) { return log_line(log_level::Info, "request_cleared").with("digest", toString(success.request)); },
+                                   [](const replica_leaving& leaving) { return log_line(log_level::Info, "replica_leaving").with("replica", leaving.replica.id); },
                                },
         item);
     m_logger.write(line.with("source", source).with("age_us", age.count()));
@@ -121,6 +124,11 @@
     learnFromAnswer(replica_limit { replica, perSecond, bootNow() });
 }
 
+void fact_exchange::noteLeaving(const replica_instance& replica)
+{
+    learnFromAnswer(replica_leaving { replica, bootNow() });
+}
+
 permit_number fact_exchange::ask(std::vector<replica_instance> replicas, duration maxWait, std::function<void(const permit_outcome&)> onOutcome)
 {
     const permit_number number = m_agent.ask(std::move(replicas), maxWait, bootNow());
@@ -166,6 +174,7 @@
     m_link.tick();
     m_pool.limits().forgetOld(now);
     m_quarantine.forgetOld(now);
+    m_pool.forgetOldLeaving(now);
     askForSchedulers(now);
     m_agent.tick(now);
     executeEffects();
@@ -182,6 +191,8 @@
         all.emplace_back(crash);
     for (const request_success& success : m_quarantine.successes())
         all.emplace_back(success);
+    for (const replica_leaving& leaving : m_pool.leaving())
+        all.emplace_back(leaving);
     return all;
 }
 
--- a/src/libs/gateway/factexchange.h
+++ b/src/libs/gateway/factexchange.h
@@ -42,6 +42,7 @@
     void leave() { m_link.leave(); }
 
     void noteLimit(const replica_instance& replica, std::optional<double> perSecond) override;
+    void noteLeaving(const replica_instance& replica) override;
     permit_number ask(std::vector<replica_instance> replicas, duration maxWait, std::function<void(const permit_outcome&)> onOutcome) override;
     void cancel(permit_number number) override;
 
--- a/src/libs/gateway/gatewayhost.cpp
+++ b/src/libs/gateway/gatewayhost.cpp
@@ -120,7 +120,7 @@
         , scheduler(batchJournal.ledger(), pool, routes)
         , progress(ioContext, store, daemonSettings.textPartitions, instance, batchJournal.ledger(), scheduler, daemonLog)
         , runner(ioContext, client, batchJournal, scheduler, pool, facts, daemonLog)
-        , orderer(client, leaseClient.agent(), pool, routes, daemonSettings.vm, daemonLog)
+        , orderer(client, leaseClient.agent(), pool, facts, routes, daemonSettings.vm, daemonLog)
         , relay(ioContext, client, pool, facts, crashes, routes, daemonLog)
         , batchHandler(batchJournal, routes, daemonLog)
         , callerServer(
@@ -305,7 +305,7 @@
 void gateway_host::state::answerMetrics(const http_exchange& exchange)
 {
     const gateway_readings readings { relay.counters(), batchHandler.counters(), loader.counters(), scheduler.counters(), scheduler.rewards(), runner.rewardLatency(), orderer.counters(), platformView.counters(), facts,
-        batchJournal.counters(), batchJournal.texts().counters(), progress.counters(), routes.version(), relay.openCalls(), scheduler.runs(), batchJournal.pendingWrites(), isReady() };
+        batchJournal.counters(), batchJournal.texts().counters(), progress.counters(), pool.keptAway(), routes.version(), relay.openCalls(), scheduler.runs(), batchJournal.pendingWrites(), isReady() };
     exchange.respond({ okStatus, { { "Content-Type", "text/plain; version=0.0.4" } }, metricsText(readings) });
 }
 
--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -124,6 +124,7 @@
         { counter("ragwortreach_weight_orders_accepted_total", "Orders of weights that were accepted"), from.weights.ordersAccepted },
         { counter("ragwortreach_weight_orders_unknown_total", "Orders of weights without an answer"), from.weights.ordersUnknown },
         { counter("ragwortreach_weight_orders_refused_total", "Orders of weights that were refused"), from.weights.ordersRefused },
+        { counter("ragwortreach_requests_kept_away_total", "Times that a replica was passed over since it had announced its leaving, though listed as ready"), from.keptAway },
         { counter("ragwortreach_configurations_total", "Configurations that came in force"), from.view.configurations },
         { counter("ragwortreach_replica_entries_total", "Entries of replicas that were read"), from.view.replicaEntries },
         { counter("ragwortreach_platform_records_unreadable_total", "Records of the platform that were skipped"), from.view.unreadable },
--- a/src/libs/gateway/weightorderer.cpp
+++ b/src/libs/gateway/weightorderer.cpp
@@ -1,5 +1,6 @@
 #include "weightorderer.h"
 
+#include "answernotes.h"
 #include "bootclock.h"
 
 #include <platform/requestcodec.h>
@@ -17,11 +18,12 @@
 
 }
 
-weight_orderer::weight_orderer(http_client& client, lease_agent& leases, replica_pool& pool, const route_table& routes, std::string owner,
-    log& log)
+weight_orderer::weight_orderer(http_client& client, lease_agent& leases, replica_pool& pool, replica_gate& gate, const route_table& routes,
+    std::string owner, log& log)
     : m_client(client)
     , m_leases(leases)
     , m_pool(pool)
+    , m_gate(gate)
     , m_routes(routes)
     , m_owner(std::move(owner))
     , m_log(log)
@@ -52,6 +54,7 @@
     options.timeout = reportTimeout;
     m_client.callBuffered(parseEndpoint(order.address).value_or(endpoint {}), platform::encodeReportRequest(order.replica), options,
         [this, order](const http_outcome& outcome, const http_response& response) {
+            noteAnswerOf(order.replica, response);
             std::optional<replica_report> report;
             if (outcome.code == result_code::Ok && response.status == okStatus)
                 report = platform::decodeReport(response.body);
@@ -86,8 +89,15 @@
         [this, order](const http_outcome& outcome, const http_response& response) { onOrderResponse(order, outcome, response); });
 }
 
+/// Notes what an answer to a report or an order says about the replica itself.
+void weight_orderer::noteAnswerOf(const std::string& replica, const http_response& response)
+{
+    noteAnswer(m_gate, m_pool.instanceOf(replica), {}, platform::decodeReplicaAnswer({ response.status, response.headers, std::nullopt }));
+}
+
 void weight_orderer::onOrderResponse(const weight_order& order, const http_outcome& outcome, const http_response& response)
 {
+    noteAnswerOf(order.replica, response);
     const order_outcome result = outcome.code == result_code::Ok ? platform::decodeOrderOutcome(response.status) : order_outcome::Unknown;
     switch (result) {
     case order_outcome::Accepted:
--- a/src/libs/gateway/weightorderer.h
+++ b/src/libs/gateway/weightorderer.h
@@ -2,6 +2,7 @@
 
 #include <net/httpclient.h>
 #include <rollout/leaseagent.h>
+#include <rollout/replicagate.h>
 #include <rollout/replicapool.h>
 #include <rollout/routetable.h>
 #include <rollout/weightplan.h>
@@ -25,7 +26,7 @@
 public:
     static constexpr std::string_view leaseName = "orders";
 
-    weight_orderer(http_client& client, lease_agent& leases, replica_pool& pool, const route_table& routes, std::string owner, log& log);
+    weight_orderer(http_client& client, lease_agent& leases, replica_pool& pool, replica_gate& gate, const route_table& routes, std::string owner, log& log);
 
     weight_plan& plan() { return m_plan; }
     /// To be called when the lease may have another holder. Clears the plan when this daemon became the holder or ceased to
@@ -39,11 +40,13 @@
     /// Asks the replica how many orders it has accepted, then sends the order, which is valid for that count only.
     void queryReplica(const weight_order& order);
     void send(const weight_order& order, const replica_report& report);
+    void noteAnswerOf(const std::string& replica, const http_response& response);
     void onOrderResponse(const weight_order& order, const http_outcome& outcome, const http_response& response);
 
     http_client& m_client;
     lease_agent& m_leases;
     replica_pool& m_pool;
+    replica_gate& m_gate;
     const route_table& m_routes;
     std::string m_owner;
     log& m_log;
--- a/src/libs/rollout/fact.h
+++ b/src/libs/rollout/fact.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "replicaleaving.h"
 #include "replicalimit.h"
 #include "requestcrash.h"
 
@@ -8,6 +9,6 @@
 namespace ragwortreach {
 
 /// What an answer told one daemon and others should know.
-using fact = std::variant<replica_limit, request_crash, request_success>;
+using fact = std::variant<replica_limit, request_crash, request_success, replica_leaving>;
 
 }
--- a/src/libs/rollout/replicagate.h
+++ b/src/libs/rollout/replicagate.h
@@ -27,6 +27,8 @@
 
     /// Notes the limit that an answer of \a replica stated, or that it stated none.
     virtual void noteLimit(const replica_instance& replica, std::optional<double> perSecond) = 0;
+    /// Notes that \a replica announced its leaving in an answer.
+    virtual void noteLeaving(const replica_instance& replica) = 0;
     /// Asks for a permit to send a request to one of \a replicas. \a onOutcome is called once from the event loop, unless
     /// the ask is cancelled.
     virtual permit_number ask(std::vector<replica_instance> replicas, duration maxWait, std::function<void(const permit_outcome&)> onOutcome) = 0;
--- a/src/libs/rollout/replicapool.cpp
+++ b/src/libs/rollout/replicapool.cpp
@@ -86,6 +86,7 @@
         }
     }
     known.entry = std::move(next);
+    known.hasAnnouncedLeaving = m_leaving.contains(known.instance());
     known.vanishedAt.reset();
 }
 
@@ -119,6 +120,32 @@
     known = std::max(known, version);
 }
 
+bool replica_pool::noteLeaving(const replica_leaving& leaving)
+{
+    if (m_leaving.size() >= maxLeaving || !m_leaving.emplace(leaving.replica, leaving.statedAt).second)
+        return false;
+    const auto found = m_replicas.find(leaving.replica.id);
+    if (found != m_replicas.end() && found->second.instance() == leaving.replica)
+        found->second.hasAnnouncedLeaving = true;
+    return true;
+}
+
+std::vector<replica_leaving> replica_pool::leaving() const
+{
+    std::vector<replica_leaving> all;
+    for (const std::pair<const replica_instance, instant>& item : m_leaving)
+        all.push_back({ item.first, item.second });
+    return all;
+}
+
+void replica_pool::forgetOldLeaving(instant now)
+{
+    std::erase_if(m_leaving, [this, now](const std::pair<const replica_instance, instant>& item) {
+        const replica* const listed = find(item.first.id);
+        return now - item.second > leavingRetention && !(listed && listed->instance() == item.first);
+    });
+}
+
 void replica_pool::noteEvent(std::string_view id, duration interval, instant now)
 {
     const auto found = m_replicas.find(id);
@@ -176,6 +203,10 @@
 {
     if (replica.entry.service != criteria.service || replica.entry.isDraining)
         return false;
+    if (replica.hasAnnouncedLeaving) {
+        ++m_keptAway;
+        return false;
+    }
     if (replica.inFlight >= criteria.maxInFlight || replica.fullUntil > now)
         return false;
     if (std::find(criteria.excluded.begin(), criteria.excluded.end(), replica.entry.id) != criteria.excluded.end())
@@ -284,7 +315,7 @@
     if (crashed == m_crashedAt.end() || now - crashed->second > calmTime)
         return true;
     const auto isSound = [this, service, now](const std::pair<const std::string, replica>& item) {
-        return item.second.entry.service == service && !item.second.entry.isDraining && !isLastResort(item.second, now);
+        return item.second.entry.service == service && !item.second.isLeaving() && !isLastResort(item.second, now);
     };
     return std::count_if(m_replicas.begin(), m_replicas.end(), isSound) >= 2;
 }
--- a/src/libs/rollout/replicapool.h
+++ b/src/libs/rollout/replicapool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "limittable.h"
+#include "replicaleaving.h"
 
 #include <core/instant.h>
 
@@ -12,6 +13,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -69,7 +71,10 @@
     std::uint64_t minVersion = 0;
     std::uint32_t maxInFlight = UINT32_MAX;
 
-    auto operator<=>(const permit_want&) const = default;
+    bool operator<(const permit_want& other) const
+    {
+        return std::tie(service, model, minVersion, maxInFlight) < std::tie(other.service, other.model, other.minVersion, other.maxInFlight);
+    }
     replica_criteria criteria() const;
 };
 
@@ -91,6 +96,8 @@
         std::uint32_t failures = 0;
         instant suspectUntil {};
         instant fullUntil {};
+        /// The replica announced in an answer that it is leaving, whatever the list says.
+        bool hasAnnouncedLeaving = false;
         /// Set when the replica vanished from the list during an outage of the list; it may reappear.
         std::optional<instant> vanishedAt;
         /// Smoothed latency of answers, in seconds; 0 before the first one.
@@ -107,6 +114,8 @@
         std::deque<instant> permits;
 
         replica_instance instance() const { return { entry.id, entry.startedAt }; }
+        /// Whether the replica takes no new requests.
+        bool isLeaving() const { return entry.isDraining || hasAnnouncedLeaving; }
     };
 
     /// \a dataCentre is the one of this process, whose replicas are preferred.
@@ -122,6 +131,18 @@
     /// Notes the version of a model's weights that an answer named.
     void noteVersion(std::string_view id, std::string_view model, std::uint64_t version);
 
+    /// Time for which a replica that is not listed, and that announced its leaving, is remembered.
+    static constexpr duration leavingRetention = std::chrono::minutes(10);
+    static constexpr std::size_t maxLeaving = 4096;
+
+    /// Notes that a replica announced its leaving; it is final for this instance. Returns whether it is news.
+    bool noteLeaving(const replica_leaving& leaving);
+    /// Replicas that announced their leaving.
+    std::vector<replica_leaving> leaving() const;
+    void forgetOldLeaving(instant now);
+    /// Number of times that a replica was passed over only because it had announced its leaving.
+    std::uint64_t keptAway() const { return m_keptAway; }
+
     /// Notes an event of a stream, \a interval after the one before it.
     void noteEvent(std::string_view id, duration interval, instant now);
     /// Updates the usual interval of each service; to be called periodically.
@@ -175,6 +196,9 @@
     std::map<std::string, double, std::less<>> m_usualIntervals;
     limit_table m_limits;
     std::set<permit_want> m_wants;
+    /// Times at which instances announced their leaving.
+    std::map<replica_instance, instant> m_leaving;
+    mutable std::uint64_t m_keptAway = 0;
     /// Time at which a replica of each service ended.
     std::map<std::string, instant, std::less<>> m_crashedAt;
 };
--- a/src/libs/rollout/rewardscheduler.cpp
+++ b/src/libs/rollout/rewardscheduler.cpp
@@ -118,7 +118,7 @@
     std::uint32_t slots = 0;
     for (const std::pair<const std::string, replica_pool::replica>& item : m_pool.replicas()) {
         const replica_entry& entry = item.second.entry;
-        slots += entry.service == service && !entry.isDraining ? entry.slots : 0;
+        slots += entry.service == service && !item.second.isLeaving() ? entry.slots : 0;
     }
     const std::uint32_t parts = static_cast<std::uint32_t>(m_routes.models().size()) + 1;
     return std::max(1U, slots / parts);
--- a/src/libs/rollout/weightplan.cpp
+++ b/src/libs/rollout/weightplan.cpp
@@ -229,7 +229,7 @@
 {
     std::erase_if(m_loads, [&pool, now](const std::pair<const std::string, load>& item) {
         const replica_pool::replica* const replica = pool.find(item.first);
-        if (!replica || replica->entry.isDraining || replica->vanishedAt)
+        if (!replica || replica->isLeaving() || replica->vanishedAt)
             return true;
         return versionOf(*replica, item.second.model) >= item.second.version;
     });
@@ -257,7 +257,7 @@
     replica_list limited;
     for (const std::pair<const std::string, replica_pool::replica>& item : pool.replicas()) {
         const replica_pool::replica& replica = item.second;
-        if (replica.entry.service != service.name || replica.entry.isDraining || replica.vanishedAt)
+        if (replica.entry.service != service.name || replica.isLeaving() || replica.vanishedAt)
             continue;
         (pool.limits().rate(replica.instance(), now) ? limited : unlimited).push_back(&replica);
     }
--- a/src/libs/wire/factcodec.cpp
+++ b/src/libs/wire/factcodec.cpp
@@ -62,6 +62,13 @@
         out.set_age_us(toMicroseconds(now - success.at));
     }
 
+    void write(const replica_leaving& leaving, instant now, wire::ReplicaLeaving& out)
+    {
+        out.set_replica(leaving.replica.id);
+        out.set_started_at_ms(leaving.replica.startedAt);
+        out.set_age_us(toMicroseconds(now - leaving.statedAt));
+    }
+
     /// Fact of the message, or nothing when it is malformed or of a kind that is not known here.
     std::optional<fact> read(const wire::Fact& in, instant now)
     {
@@ -80,6 +87,12 @@
             const wire::RequestSuccess& success = in.success();
             return request_success { { success.request_high(), success.request_low() }, now - toDuration(success.age_us()) };
         }
+        case wire::Fact::kLeaving: {
+            const wire::ReplicaLeaving& leaving = in.leaving();
+            if (leaving.replica().empty())
+                return std::nullopt;
+            return replica_leaving { { leaving.replica(), leaving.started_at_ms() }, now - toDuration(leaving.age_us()) };
+        }
         case wire::Fact::FACT_NOT_SET:
             return std::nullopt;
         }
@@ -116,6 +129,7 @@
                        [&added, now](const replica_limit& limit) { write(limit, now, *added.mutable_limit()); },
                        [&added, now](const request_crash& crash) { write(crash, now, *added.mutable_crash()); },
                        [&added, now](const request_success& success) { write(success, now, *added.mutable_success()); },
+                       [&added, now](const replica_leaving& leaving) { write(leaving, now, *added.mutable_leaving()); },
                    },
             item);
     }
--- a/tests/auto/gateway/tst_callrelay.cpp
+++ b/tests/auto/gateway/tst_callrelay.cpp
@@ -50,8 +50,9 @@
 /// Gate that answers each ask for a permit in the same way.
 class scripted_gate : public replica_gate {
 public:
-    explicit scripted_gate(boost::asio::io_context& context)
+    scripted_gate(boost::asio::io_context& context, replica_pool& pool)
         : m_context(context)
+        , m_pool(pool)
     {
     }
 
@@ -59,6 +60,7 @@
     int asks() const { return m_asks; }
 
     void noteLimit(const replica_instance&, std::optional<double>) override { }
+    void noteLeaving(const replica_instance& replica) override { m_pool.noteLeaving({ replica, bootNow() }); }
     permit_number ask(std::vector<replica_instance> replicas, duration, std::function<void(const permit_outcome&)> onOutcome) override
     {
         const std::string replica = m_isGranting ? replicas.front().id : std::string();
@@ -69,6 +71,7 @@
 
 private:
     boost::asio::io_context& m_context;
+    replica_pool& m_pool;
     bool m_isGranting = false;
     int m_asks = 0;
 };
@@ -208,6 +211,7 @@
     }
 
     std::string address() const { return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()); }
+    int requests() const { return m_requests; }
 
 private:
     using tcp = boost::asio::ip::tcp;
@@ -229,6 +233,7 @@
 
     void answer()
     {
+        ++m_requests;
         boost::asio::async_write(m_socket, boost::asio::buffer(m_bytes), [this](const boost::system::error_code&, std::size_t) {
             // The bytes of a connection that is reset at once may be lost.
             m_timer.expires_after(std::chrono::milliseconds(50));
@@ -247,6 +252,7 @@
     tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
     std::string m_request;
+    int m_requests = 0;
 };
 
 /// Relay with two replicas; the one in its own data centre is tried first.
@@ -256,7 +262,7 @@
         , pool("north-a")
         , replicas { std::make_unique<replica_standin>(context, first), std::make_unique<replica_standin>(context, second) }
         , client(context)
-        , gate(context)
+        , gate(context, pool)
         , relay(context, client, pool, gate, guard, routes, logger)
         , server(
               context, {}, [this](const http_exchange& exchange) { relay.serve(exchange, shop, platform::decodeCallerRequest(exchange.request())); },
@@ -547,6 +553,42 @@
     }
 }
 
+TEST_CASE("A replica that announced its leaving in any answer gets no further request, and the answer that said so ends whole")
+{
+    struct row {
+        const char* name;
+        route_kind kind;
+        std::string bytes;
+        int status;
+        /// Requests that the other replica gets for the first call.
+        int requestsAtOther;
+    };
+    const std::string own = "Request-Id: mine\r\nServer-Stamp: s\r\nServer-Leaving: 1\r\n";
+    const row rows[] = {
+        { "answer", route_kind::NonIdempotent, "HTTP/1.1 200 OK\r\n" + own + "Content-Length: 7\r\n\r\npattern", 200, 0 },
+        { "error", route_kind::NonIdempotent, "HTTP/1.1 500 Oops\r\n" + own + "Content-Length: 7\r\n\r\npattern", 500, 0 },
+        { "full", route_kind::NonIdempotent, "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n", 200, 1 },
+        { "error, repeated", route_kind::Idempotent, "HTTP/1.1 500 Oops\r\n" + own + "Content-Length: 7\r\n\r\npattern", 200, 1 },
+        { "interrupted after the head", route_kind::Idempotent, "HTTP/1.1 200 OK\r\n" + own + "Content-Length: 7\r\n\r\npat", 200, 1 },
+        { "stream", route_kind::Streaming, "HTTP/1.1 200 OK\r\n" + own + "Content-Length: 15\r\n\r\nid: 1\ndata: a\n\n", 200, 0 },
+    };
+    for (const row& row : rows) {
+        INFO(row.name);
+        relay_fixture fixture(behaviour::Complete, behaviour::Complete, row.kind);
+        byte_replica leaving(fixture.context, row.bytes, connection_end::Closed);
+        fixture.replace(0, leaving.address());
+        CHECK(fixture.answer().status == row.status);
+        CHECK(fixture.replicas[1]->requests() == row.requestsAtOther);
+        CHECK(leaving.requests() == 1);
+        // A stale list still names the replica as ready.
+        fixture.replace(0, leaving.address());
+        fixture.shop.kind = route_kind::NonIdempotent;
+        CHECK(fixture.answer().status == 200);
+        CHECK(leaving.requests() == 1);
+        CHECK(fixture.pool.keptAway() > 0);
+    }
+}
+
 TEST_CASE("When the caller disconnects, the connection to the replica is closed")
 {
     relay_fixture fixture(behaviour::Unresponsive, behaviour::Unresponsive, route_kind::NonIdempotent);
--- a/tests/auto/rollout/tst_replicapool.cpp
+++ b/tests/auto/rollout/tst_replicapool.cpp
@@ -160,3 +160,54 @@
     pool.endTrial("near");
     CHECK(pickedId(pool, { testService }, 0ms) == "near");
 }
+
+TEST_CASE("A replica that announced its leaving gets no request until another instance is listed, whatever the list says and in whatever order")
+{
+    const auto entryOf = [](const std::string& id, std::int64_t startedAt, bool isDraining) {
+        replica_entry entry = makeReplica(id, "north-a", 1);
+        entry.startedAt = startedAt;
+        entry.isDraining = isDraining;
+        return entry;
+    };
+    struct row {
+        const char* name;
+        /// Entries that are listed after the announcement.
+        std::vector<replica_entry> listed;
+        bool isPicked;
+    };
+    const row rows[] = {
+        { "nothing is listed anew", {}, false },
+        { "a stale list names it as ready", { entryOf("near", 7, false) }, false },
+        { "a list that it is draining, then a stale one", { entryOf("near", 7, true), entryOf("near", 7, false) }, false },
+        { "a restart under its id", { entryOf("near", 8, false) }, true },
+        { "a restart, then a stale list of the instance before", { entryOf("near", 8, false), entryOf("near", 7, false) }, false },
+        { "another replica at its address", { entryOf("third", 9, false) }, true },
+    };
+    for (const bool isAnnouncedFirst : { false, true }) {
+        for (const row& row : rows) {
+            INFO(row.name << ", announced before it was listed: " << isAnnouncedFirst);
+            replica_pool pool("north-a");
+            if (!isAnnouncedFirst)
+                pool.update(entryOf("near", 7, false));
+            CHECK(pool.noteLeaving({ { "near", 7 }, at(0ms) }));
+            CHECK_FALSE(pool.noteLeaving({ { "near", 7 }, at(5ms) }));
+            if (isAnnouncedFirst)
+                pool.update(entryOf("near", 7, false));
+            for (const replica_entry& entry : row.listed)
+                pool.update(entry);
+            CHECK(pickedId(pool, { testService }, 10ms).empty() != row.isPicked);
+        }
+    }
+}
+
+TEST_CASE("An announcement is forgotten once the instance is no longer listed")
+{
+    replica_pool pool = makePool();
+    pool.noteLeaving({ pool.instanceOf("near"), at(0ms) });
+    pool.noteLeaving({ { "gone", 3 }, at(0ms) });
+    pool.forgetOldLeaving(at(9min));
+    CHECK(pool.leaving().size() == 2);
+    pool.forgetOldLeaving(at(11min));
+    REQUIRE(pool.leaving().size() == 1);
+    CHECK(pool.leaving().front().replica.id == "near");
+}
--- a/tests/auto/system/platformfleet.cpp
+++ b/tests/auto/system/platformfleet.cpp
@@ -75,6 +75,16 @@
     });
 }
 
+int platform_fleet::runsAtMoreShops()
+{
+    return run([this] {
+        int runs = 0;
+        for (const std::unique_ptr<replica_standin>& shop : m_moreShops)
+            runs += shop->runs();
+        return runs;
+    });
+}
+
 int platform_fleet::shopCrashes()
 {
     return run([this] {
--- a/tests/auto/system/platformfleet.h
+++ b/tests/auto/system/platformfleet.h
@@ -44,6 +44,8 @@
     replica_standin& shop() { return *m_shop; }
     /// Adds \a count replicas of the shop.
     void addShops(int count);
+    /// Number of runs at the replicas that addShops() added.
+    int runsAtMoreShops();
     /// Number of times that requests ended replicas of the shop.
     int shopCrashes();
 
--- a/tests/auto/system/tst_platform.cpp
+++ b/tests/auto/system/tst_platform.cpp
@@ -149,6 +149,36 @@
     CHECK(callers.wrongAnswers() == 0);
 }
 
+TEST_CASE("A replica that announces its leaving while the store is silent gets no request from any daemon, and no caller loses anything")
+{
+    platform_fleet fleet(3);
+    fleet.addShops(2);
+    std::this_thread::sleep_for(1500ms);
+    fleet.run([&fleet] { fleet.store().setBehaviour(store_behaviour::Unresponsive); });
+    caller_group callers(fleet, 3);
+    std::this_thread::sleep_for(500ms);
+    const int runsBefore = fleet.run([&fleet] {
+        fleet.shop().setHolding(true);
+        return fleet.shop().runs();
+    });
+    // One call is under way at the replica when it answers another daemon's call with its announcement.
+    CHECK(waitUntil([&fleet] { return fleet.run([&fleet] { return fleet.shop().heldCount(); }) > 0; }));
+    fleet.run([&fleet] {
+        fleet.shop().setLeaving(true);
+        fleet.shop().setHolding(false);
+        fleet.shop().answerHeld();
+    });
+    std::this_thread::sleep_for(300ms);
+    const int runs = fleet.run([&fleet] { return fleet.shop().runs(); });
+    const int others = fleet.runsAtMoreShops();
+    std::this_thread::sleep_for(2s);
+    callers.stop();
+    CHECK(runs > runsBefore);
+    CHECK(fleet.run([&fleet] { return fleet.shop().runs(); }) == runs);
+    CHECK(fleet.runsAtMoreShops() > others + 60);
+    CHECK(callers.wrongAnswers() == 0);
+}
+
 TEST_CASE("All daemons list the same results in the same order, complete and with weight versions")
 {
     platform_fleet fleet(2);
--- a/tests/auto/wire/tst_factcodec.cpp
+++ b/tests/auto/wire/tst_factcodec.cpp
@@ -27,6 +27,15 @@
     }
 }
 
+TEST_CASE("An announcement of leaving is unchanged after encoding and decoding, but for its clock")
+{
+    const std::optional<fact_message> decoded = decodeFactMessage(encodeFactMessage({ { replica_leaving { { "shop-1", 7 }, sentAt - 2s } }, std::nullopt }, sentAt), receivedAt);
+    REQUIRE(decoded);
+    const replica_leaving& leaving = std::get<replica_leaving>(decoded->facts.at(0));
+    CHECK(leaving.replica == replica_instance { "shop-1", 7 });
+    CHECK(leaving.statedAt == receivedAt - 2s);
+}
+
 TEST_CASE("Facts about requests are unchanged after encoding and decoding, but for their clock")
 {
     const request_crash crash { { 1, 0xfffffffffffffffe }, { "shop-1", 7 }, sentAt - 2s };
--- a/tests/platform/replicastandin.cpp
+++ b/tests/platform/replicastandin.cpp
@@ -76,6 +76,8 @@
         { "Weight-Versions", std::to_string(m_version) } };
     if (m_limit)
         headers.push_back({ "Server-Limit", std::to_string(*m_limit) });
+    if (m_isLeaving)
+        headers.push_back({ "Server-Leaving", "1" });
     return headers;
 }
 
--- a/tests/platform/replicastandin.h
+++ b/tests/platform/replicastandin.h
@@ -46,6 +46,8 @@
     void setHolding(bool isHolding) { m_isHolding = isHolding; }
     /// Requests a second that the replica says in its answers to take from all daemons together; none when empty.
     void setLimit(std::optional<double> perSecond) { m_limit = perSecond; }
+    /// While set, the replica says in its answers that it is leaving; its entry does not change.
+    void setLeaving(bool isLeaving) { m_isLeaving = isLeaving; }
     /// Number of times that a request ended the replica.
     int crashes() const { return m_crashes; }
     /// Number of plain requests that are held now.
@@ -75,6 +77,7 @@
     std::vector<http_exchange> m_held;
     bool m_isHolding = false;
     std::optional<double> m_limit;
+    bool m_isLeaving = false;
     int m_resumed = 0;
     int m_orders = 0;
     int m_runs = 0;
