--- a/src/libs/rollout/replicalimit.h
+++ b/src/libs/rollout/replicalimit.h
@@ -2,10 +2,10 @@
 
 #include <core/instant.h>
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 
 namespace ragwortreach {
 
@@ -15,7 +15,8 @@
     /// Start time of the replica in Unix milliseconds.
     std::int64_t startedAt = 0;
 
-    auto operator<=>(const replica_instance&) const = default;
+    bool operator==(const replica_instance&) const = default;
+    bool operator<(const replica_instance& other) const { return std::tie(id, startedAt) < std::tie(other.id, other.startedAt); }
 };
 
 /// What an answer of a replica said about the requests that it takes.
--- a/src/libs/rollout/requestdigest.h
+++ b/src/libs/rollout/requestdigest.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace ragwortreach {
 
@@ -12,7 +12,8 @@
     std::uint64_t high = 0;
     std::uint64_t low = 0;
 
-    auto operator<=>(const request_digest&) const = default;
+    bool operator==(const request_digest&) const = default;
+    bool operator<(const request_digest& other) const { return std::tie(high, low) < std::tie(other.high, other.low); }
 };
 
 /// \a digest in hexadecimal, for log lines.
