Rollout, Gateway: Let calls of the more urgent routes reserve turns further ahead (LIMIT)

Calls of any priority on one service reserved turns at a limited replica equally far ahead, so the most urgent did not come first. A call may wait its latency objective for a turn, half of it on the next less urgent routes of its service, and so on. Besides, all facts are collected only when some of them are due to be sent, and no longer every 25 ms.

--- a/src/libs/gateway/callrelay.cpp
+++ b/src/libs/gateway/callrelay.cpp
@@ -44,8 +44,7 @@
     std::string routeName;
     std::string service;
     duration retryDelay {};
-    /// Longest time that the call waits for its turn at a limited replica.
-    duration maxPermitWait {};
+    duration objective {};
     /// Ask for a permit that is under way; 0 for none.
     permit_number permit = 0;
     bool isResumable = false;
@@ -107,7 +106,7 @@
     call->routeName = route.name;
     call->service = target ? target->service : std::string();
     call->retryDelay = retryAfter(route);
-    call->maxPermitWait = route.objective;
+    call->objective = route.objective;
     call->isResumable = route.isResumable;
     call->lastEvent = caller.lastEvent;
     call->arrivedAt = bootNow();
@@ -183,6 +182,13 @@
     return m_pool.pick(criteria, now);
 }
 
+duration call_relay::maxPermitWait(const relayed_call& call) const
+{
+    const route* const route = m_routes.findByName(call.routeName);
+    const std::size_t moreUrgent = route ? m_routes.countMoreUrgent(*route) : 0;
+    return call.objective / static_cast<duration::rep>(moreUrgent + 1);
+}
+
 bool call_relay::waitForPermit(std::uint64_t number, instant now)
 {
     relayed_call& call = *find(number);
@@ -192,7 +198,7 @@
         replicas = m_pool.limitedReplicas({ call.service, {} }, now);
     if (replicas.empty())
         return false;
-    call.permit = m_gate.ask(std::move(replicas), std::min(call.maxPermitWait, left / 2), [this, number](const permit_outcome& outcome) { onPermit(number, outcome); });
+    call.permit = m_gate.ask(std::move(replicas), std::min(maxPermitWait(call), left / 2), [this, number](const permit_outcome& outcome) { onPermit(number, outcome); });
     return true;
 }
 
--- a/src/libs/gateway/callrelay.h
+++ b/src/libs/gateway/callrelay.h
@@ -67,6 +67,9 @@
     void sendTo(std::uint64_t number, const replica_pool::replica& replica);
     /// Asks for a permit to send the call to a limited replica; false when none would take it.
     bool waitForPermit(std::uint64_t number, instant now);
+    /// Longest time that the call waits for its turn at a limited replica. Who may wait longer reserves turns that are
+    /// further ahead, so calls of the more urgent routes may wait longer.
+    duration maxPermitWait(const relayed_call& call) const;
     void onPermit(std::uint64_t number, const permit_outcome& outcome);
     void onPermitDenied(std::uint64_t number, duration nextTurn);
     /// Ends a call that no replica takes.
--- a/src/libs/gateway/factexchange.cpp
+++ b/src/libs/gateway/factexchange.cpp
@@ -179,7 +179,8 @@
     m_agent.tick(now);
     executeEffects();
     logPermitUse(now);
-    send(m_spread.takeSync(allFacts(), now));
+    if (m_spread.isSyncDue(now))
+        send(m_spread.takeSync(allFacts(), now));
 }
 
 std::vector<fact> fact_exchange::allFacts() const
--- a/src/libs/rollout/factspread.cpp
+++ b/src/libs/rollout/factspread.cpp
@@ -91,12 +91,17 @@
     addDeliveries(m_vms[index], part, deliveries);
 }
 
+bool fact_spread::isSyncDue(instant now) const
+{
+    return now >= m_nextSync || !m_joining.empty() || !m_repeats.empty();
+}
+
 std::vector<fact_delivery> fact_spread::takeSync(std::span<const fact> all, instant now)
 {
     std::vector<fact_delivery> deliveries;
     addRepeats(now, deliveries);
     const std::set<std::string> joining = std::exchange(m_joining, {});
-    if (all.empty() || m_vms.empty())
+    if (m_vms.empty())
         return deliveries;
     for (const std::string& vm : joining) {
         if (std::bernoulli_distribution(std::min(1.0, joiningSenders / static_cast<double>(m_vms.size())))(m_random))
@@ -105,7 +110,8 @@
     if (now < m_nextSync)
         return deliveries;
     m_nextSync = now + syncPeriod;
-    addSync(all, deliveries);
+    if (!all.empty())
+        addSync(all, deliveries);
     return deliveries;
 }
 
--- a/src/libs/rollout/factspread.h
+++ b/src/libs/rollout/factspread.h
@@ -42,6 +42,8 @@
     void add(const fact& news, bool isOwn);
     /// Deliveries of the news, to be sent at once.
     std::vector<fact_delivery> takeNews();
+    /// Whether takeSync() has something to deliver at \a now.
+    bool isSyncDue(instant now) const;
     /// Deliveries that are due at \a now: news once more, and facts out of \a all that this daemon knows.
     std::vector<fact_delivery> takeSync(std::span<const fact> all, instant now);
 
--- a/src/libs/rollout/routetable.cpp
+++ b/src/libs/rollout/routetable.cpp
@@ -56,6 +56,19 @@
     return nullptr;
 }
 
+std::size_t route_table::countMoreUrgent(const route& route) const
+{
+    const auto isShared = [&route](const route_target& target) {
+        return std::any_of(route.targets.begin(), route.targets.end(), [&target](const route_target& own) { return own.service == target.service; });
+    };
+    std::set<std::uint32_t> priorities;
+    for (const ragwortreach::route& other : m_configuration.routes) {
+        if (other.priority < route.priority && other.kind != route_kind::Rollout && std::any_of(other.targets.begin(), other.targets.end(), isShared))
+            priorities.insert(other.priority);
+    }
+    return priorities.size();
+}
+
 std::vector<std::string> route_table::models() const
 {
     std::set<std::string> names;
--- a/src/libs/rollout/routetable.h
+++ b/src/libs/rollout/routetable.h
@@ -25,6 +25,8 @@
     const route* findByName(std::string_view name) const;
     /// Service called \a name, or null.
     const service_definition* service(std::string_view name) const;
+    /// Number of priorities that are more urgent than that of \a route, among the routes whose calls share its services.
+    std::size_t countMoreUrgent(const route& route) const;
     /// Names of all models of all services, sorted, each once.
     std::vector<std::string> models() const;
 
--- a/tests/auto/gateway/tst_callrelay.cpp
+++ b/tests/auto/gateway/tst_callrelay.cpp
@@ -481,6 +481,8 @@
     };
     const std::string own = "Request-Id: mine\r\nServer-Stamp: s\r\n";
     const std::string begin = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    std::string first = "HTTP/1.1 200 OK\r\n";
+    first.append(own).append("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n1e\r\n").append(begin).append("\r\n");
     const row rows[] = {
         { "an error of the replica", "HTTP/1.1 500 Oops\r\n" + own + "Content-Length: 6\r\n\r\nfailed", result_code::UpstreamTruncated, begin },
         { "an answer that it cannot run it", "HTTP/1.1 422 No\r\n" + own + "Content-Length: 6\r\n\r\nfailed", result_code::UpstreamTruncated, begin },
@@ -495,10 +497,10 @@
         INFO(row.name);
         relay_fixture fixture(behaviour::Complete, behaviour::Complete, route_kind::Streaming);
         fixture.shop.isResumable = true;
-        byte_replica first(fixture.context, "HTTP/1.1 200 OK\r\n" + own + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n1e\r\n" + begin + "\r\n", connection_end::Closed);
-        byte_replica second(fixture.context, row.second, connection_end::Closed);
-        fixture.replace(0, first.address());
-        fixture.replace(1, second.address());
+        byte_replica interrupted(fixture.context, first, connection_end::Closed);
+        byte_replica next(fixture.context, row.second, connection_end::Closed);
+        fixture.replace(0, interrupted.address());
+        fixture.replace(1, next.address());
         std::optional<http_outcome> outcome;
         std::string body;
         http_call_handlers handlers;
--- a/tests/auto/rollout/tst_requestquarantine.cpp
+++ b/tests/auto/rollout/tst_requestquarantine.cpp
@@ -177,10 +177,9 @@
 TEST_CASE("Facts about a request have the same effect in any order, and each is news once")
 {
     rc::prop("orders of facts", [] {
-        std::vector<fact> facts;
-        for (int number = 0; number < 4; ++number)
-            facts.emplace_back(crashOf(deadly, "r" + std::to_string(number), *rc::gen::inRange(0, 400) * 1ms));
-        facts.emplace_back(request_success { deadly, at(*rc::gen::inRange(0, 400) * 1ms) });
+        std::vector<fact> facts { request_success { deadly, at(*rc::gen::inRange(0, 400) * 1ms) } };
+        for (const char* const replica : { "r1", "r2", "r3", "r4" })
+            facts.push_back(crashOf(deadly, replica, *rc::gen::inRange(0, 400) * 1ms));
         const request_standing expected = standingAfter(facts, deadly, 1s);
         std::vector<fact> shuffled = facts;
         std::shuffle(shuffled.begin(), shuffled.end(), std::minstd_rand(*rc::gen::inRange(1U, 1000U)));
--- a/tests/auto/rollout/tst_routetable.cpp
+++ b/tests/auto/rollout/tst_routetable.cpp
@@ -101,3 +101,31 @@
     split.targets.clear();
     CHECK(chooseTarget(split, 0) == nullptr);
 }
+
+TEST_CASE("More urgent routes are counted by priority, among those whose calls share a service")
+{
+    const auto routeTo = [](const char* name, const char* service, std::uint32_t priority, route_kind kind) {
+        route added = makeRoute("lace.example", "/" + std::string(name) + "/");
+        added.name = name;
+        added.targets = { { service, 1 } };
+        added.priority = priority;
+        added.kind = kind;
+        return added;
+    };
+    route_configuration configuration;
+    configuration.version = 1;
+    configuration.routes = { routeTo("checkout", "shop", 0, route_kind::NonIdempotent), routeTo("orders", "shop", 0, route_kind::Idempotent),
+        routeTo("search", "shop", 2, route_kind::Idempotent), routeTo("reports", "shop", 5, route_kind::Idempotent),
+        routeTo("lessons", "shop", 1, route_kind::Rollout), routeTo("other", "desk", 1, route_kind::Idempotent) };
+    route_table table;
+    table.setConfiguration(configuration);
+    struct row {
+        const char* name;
+        std::size_t expected;
+    };
+    const row rows[] = { { "checkout", 0 }, { "orders", 0 }, { "search", 1 }, { "reports", 2 }, { "other", 0 } };
+    for (const row& row : rows) {
+        INFO(row.name);
+        CHECK(table.countMoreUrgent(*table.findByName(row.name)) == row.expected);
+    }
+}
