Gateway: Pause a stream whose caller does not read; the answer to a caller in a class of its own

Cause: reading from the replica paused for large bodies only.

Change: all answers pause while 1 MiB waits for the caller.

--- a/src/libs/gateway/callrelay.cpp
+++ b/src/libs/gateway/callrelay.cpp
@@ -3,6 +3,7 @@
 #include "answernotes.h"
 #include "bootclock.h"
 #include "errorresponses.h"
+#include "relayedanswer.h"
 
 #include <support/log.h>
 #include <support/logline.h>
@@ -16,11 +17,6 @@
 
 namespace {
 
-    /// Answers up to this size are buffered until they are complete, so that a truncated one can be replaced by that of
-    /// another attempt.
-    constexpr std::size_t maxBufferedBodyBytes = std::size_t { 256 } * 1024;
-    /// Largest body of an error answer, or of an answer that does not belong to the call.
-    constexpr std::size_t maxFailureBytes = std::size_t { 1024 } * 1024;
     /// Reading from the replica pauses while the caller has not taken this many bytes.
     constexpr std::size_t maxCallerQueueBytes = std::size_t { 1024 } * 1024;
     constexpr duration connectTimeout = std::chrono::milliseconds(300);
@@ -30,16 +26,18 @@
 
 /// Open call, with its current attempt at a replica.
 struct call_relay::relayed_call {
-    relayed_call(boost::asio::io_context& context, const http_exchange& callerExchange)
+    relayed_call(boost::asio::io_context& context, const http_exchange& callerExchange, const platform::caller_request& callerRequest, route_kind kind)
         : exchange(callerExchange)
+        , caller(callerRequest)
+        , answer(callerExchange, callerRequest.id, kind == route_kind::Streaming, callerRequest.lastEvent)
         , timer(context)
         , permitTimer(context)
-        , reader(platform::weightVersionField())
     {
     }
 
     http_exchange exchange;
     platform::caller_request caller;
+    relayed_answer answer;
     request_digest digest;
     std::string routeName;
     std::string service;
@@ -66,14 +64,6 @@
     http_call_handle handle;
     boost::asio::steady_timer timer;
     boost::asio::steady_timer permitTimer;
-    platform::replica_answer answer;
-    http_response bufferedAnswer;
-    std::optional<std::uint64_t> length;
-    bool hasAnswerStarted = false;
-    event_stream_reader reader;
-    std::uint64_t lastEvent = 0;
-    /// The next event of the attempt has to be the one after lastEvent.
-    bool isResuming = false;
 };
 
 call_relay::call_relay(boost::asio::io_context& context, http_client& client, replica_pool& pool, replica_gate& gate, request_guard& guard, const route_table& routes, log& log)
@@ -99,16 +89,14 @@
 {
     ++m_counters.arrived;
     const std::uint64_t number = ++m_lastNumber;
-    std::unique_ptr<relayed_call> call = std::make_unique<relayed_call>(m_context, exchange);
+    std::unique_ptr<relayed_call> call = std::make_unique<relayed_call>(m_context, exchange, caller, route.kind);
     const route_target* const target = chooseTarget(route, std::hash<std::string> {}(caller.id));
-    call->caller = caller;
     call->digest = platform::digestOf(exchange.request());
     call->routeName = route.name;
     call->service = target ? target->service : std::string();
     call->retryDelay = retryAfter(route);
     call->objective = route.objective;
     call->isResumable = route.isResumable;
-    call->lastEvent = caller.lastEvent;
     call->arrivedAt = bootNow();
     call->progress.kind = route.kind;
     call->progress.maxAttempts = route.maxAttempts;
@@ -253,12 +241,9 @@
     call.isAttemptOpen = true;
     call.isUnusable = false;
     call.hasProgress = false;
-    call.isResuming = call.lastEvent != 0;
-    call.answer = {};
-    call.bufferedAnswer = {};
-    call.reader = event_stream_reader(platform::weightVersionField());
+    call.answer.beginAttempt();
     ++m_counters.attempts;
-    platform::replica_request_options sent { call.replica.id, call.progress.deadline - now, call.lastEvent };
+    platform::replica_request_options sent { call.replica.id, call.progress.deadline - now, call.answer.lastEvent() };
     http_call_options options;
     options.timeout = call.progress.kind == route_kind::Streaming ? call.progress.deadline - now : attemptTime(call.progress, hasAlternative, now);
     options.connectTimeout = std::min(connectTimeout, options.timeout);
@@ -278,11 +263,8 @@
     relayed_call* const call = find(number);
     if (!call)
         return;
-    call->answer = platform::decodeReplicaAnswer(head);
-    noteAnswer(m_gate, call->replica, call->caller.id, call->answer);
-    call->bufferedAnswer.status = head.status;
-    call->bufferedAnswer.headers = platform::forwardedAnswerHeaders(head.headers);
-    call->length = head.contentLength;
+    call->answer.setHead(platform::decodeReplicaAnswer(head), head);
+    noteAnswer(m_gate, call->replica, call->caller.id, call->answer.head());
 }
 
 void call_relay::readBody(std::uint64_t number, std::string_view piece)
@@ -290,35 +272,21 @@
     relayed_call* const call = find(number);
     if (!call)
         return;
-    const bool isForwardable = call->answer.isStamped && call->answer.requestId == call->caller.id && isSuccess(call->answer.status);
-    if (isForwardable && !std::exchange(call->hasProgress, true)) {
+    if (call->answer.isOwnSuccess() && !std::exchange(call->hasProgress, true)) {
         // What ends replicas ends them before their answer begins.
         m_guard.noteAnswered(call->digest);
         endTrial(*call);
     }
-    if (call->progress.kind == route_kind::Streaming && isForwardable) {
-        if (!forwardEvents(*call, piece))
-            rejectAnswer(*call, number);
-        return;
-    }
-    if (!isForwardable) {
-        if (call->bufferedAnswer.body.size() + piece.size() > maxFailureBytes)
-            rejectAnswer(*call, number);
-        else
-            call->bufferedAnswer.body += piece;
-        return;
-    }
-    if (!call->hasAnswerStarted && call->bufferedAnswer.body.size() + piece.size() > maxBufferedBodyBytes)
-        beginAnswer(*call);
-    if (!call->hasAnswerStarted) {
-        call->bufferedAnswer.body += piece;
-        return;
-    }
-    call->exchange.write(piece);
-    if (call->exchange.queuedBytes() < maxCallerQueueBytes)
-        return;
-    call->handle.setPaused(true);
-    call->exchange.setDrainedHandler([this, number] {
+    if (!call->answer.read(piece))
+        rejectAnswer(*call, number);
+    else if (call->exchange.queuedBytes() >= maxCallerQueueBytes)
+        pauseUntilDrained(*call, number);
+}
+
+void call_relay::pauseUntilDrained(relayed_call& call, std::uint64_t number)
+{
+    call.handle.setPaused(true);
+    call.exchange.setDrainedHandler([this, number] {
         relayed_call* const drained = find(number);
         if (drained)
             drained->handle.setPaused(false);
@@ -341,47 +309,22 @@
     });
 }
 
-void call_relay::beginAnswer(relayed_call& call)
-{
-    call.hasAnswerStarted = true;
-    const bool isStream = call.progress.kind == route_kind::Streaming;
-    call.exchange.beginStream({ call.bufferedAnswer.status, call.bufferedAnswer.headers, isStream ? std::nullopt : call.length });
-    call.exchange.write(call.bufferedAnswer.body);
-    call.bufferedAnswer.body.clear();
-}
-
-/// Forwards complete events only, so that a stream can continue at another replica without a gap or a partial event.
-bool call_relay::forwardEvents(relayed_call& call, std::string_view piece)
-{
-    for (const stream_event& event : call.reader.read(piece)) {
-        if (event.id <= call.lastEvent)
-            continue;
-        if (std::exchange(call.isResuming, false) && event.id != call.lastEvent + 1)
-            return false;
-        if (!call.hasAnswerStarted)
-            beginAnswer(call);
-        call.lastEvent = event.id;
-        call.exchange.write(event.bytes);
-    }
-    return call.reader.isValid();
-}
-
 attempt_end call_relay::classifyEnd(const relayed_call& call, const http_outcome& outcome)
 {
     if (outcome.code == result_code::UpstreamUnreachable)
         return attempt_end::NotSent;
     if (outcome.code != result_code::Ok || call.isUnusable)
         return attempt_end::Interrupted;
-    if (call.answer.isOtherReplica)
+    const platform::replica_answer& head = call.answer.head();
+    if (head.isOtherReplica)
         return attempt_end::OtherReplica;
-    if (call.answer.isNotRun)
+    if (head.isNotRun)
         return attempt_end::NotRun;
-    if (!call.answer.belongsTo(call.caller.id))
+    if (!head.belongsTo(call.caller.id))
         return attempt_end::Interrupted;
-    if (call.answer.status >= firstServerErrorStatus)
+    if (head.status >= firstServerErrorStatus)
         return attempt_end::AnsweredFailure;
-    const bool isWhole = call.progress.kind != route_kind::Streaming || call.reader.isBetweenEvents();
-    return isWhole ? attempt_end::Answered : attempt_end::Interrupted;
+    return call.answer.isWhole() ? attempt_end::Answered : attempt_end::Interrupted;
 }
 
 void call_relay::onAttemptDone(std::uint64_t number, const http_outcome& outcome)
@@ -437,12 +380,12 @@
     }
     call_step step = decideAfterAttempt(call.progress, end, now);
     // What follows a stream that has begun is its next events or nothing, whatever another replica answers.
-    const bool isAnswered = end == attempt_end::Answered && (!call.hasAnswerStarted || isSuccess(call.answer.status));
+    const bool isAnswered = end == attempt_end::Answered && (!call.answer.hasStarted() || isSuccess(call.answer.head().status));
     const bool mayResume = call.progress.kind == route_kind::Streaming && call.isResumable && !isAnswered
         && call.progress.attempts < call.progress.maxAttempts && now < call.progress.deadline;
     if (mayResume)
         step = call_step::Retry;
-    else if (call.hasAnswerStarted && !isAnswered)
+    else if (call.answer.hasStarted() && !isAnswered)
         step = call_step::Fail;
     switch (step) {
     case call_step::Forward:
@@ -465,10 +408,7 @@
 {
     relayed_call& call = *find(number);
     ++m_counters.answered;
-    if (call.hasAnswerStarted)
-        call.exchange.endStream();
-    else
-        call.exchange.respond(std::move(call.bufferedAnswer));
+    call.answer.finish();
     remove(number);
 }
 
@@ -499,7 +439,7 @@
 {
     relayed_call& call = *find(number);
     logOutcome(call, "failed", reason);
-    if (call.hasAnswerStarted) {
+    if (call.answer.hasStarted()) {
         ++m_counters.truncated;
         call.exchange.abort();
     } else {
--- a/src/libs/gateway/callrelay.h
+++ b/src/libs/gateway/callrelay.h
@@ -76,16 +76,14 @@
     void endWithoutReplica(std::uint64_t number, std::string_view reason);
     void readHead(std::uint64_t number, const http_response_head& head);
     void readBody(std::uint64_t number, std::string_view piece);
+    /// Stops reading from the replica until the caller has taken what is queued.
+    void pauseUntilDrained(relayed_call& call, std::uint64_t number);
     /// Cancels the attempt, since its bytes are not a valid answer to the call.
     void rejectAnswer(relayed_call& call, std::uint64_t number);
     static attempt_end classifyEnd(const relayed_call& call, const http_outcome& outcome);
     void onAttemptDone(std::uint64_t number, const http_outcome& outcome);
     /// Decides after an attempt whether the call is answered, retried, refused or failed.
     void concludeAttempt(std::uint64_t number, attempt_end end, std::string_view detail);
-    /// Sends the events completed by \a piece to the caller; false when they do not follow the last one.
-    bool forwardEvents(relayed_call& call, std::string_view piece);
-    /// Sends the head and the bytes buffered so far to the caller.
-    void beginAnswer(relayed_call& call);
     /// Ends the call with the answer of the replica.
     void forward(std::uint64_t number);
     /// Ends the call with 503: it has not run.
--- a/tests/auto/gateway/tst_callrelay.cpp
+++ b/tests/auto/gateway/tst_callrelay.cpp
@@ -33,6 +33,8 @@
     EndlessBody,
     /// A signed stream of events whose first event is endless.
     EndlessEvent,
+    /// A signed stream of events without end.
+    EndlessStream,
     /// The connection is reset before the head, as if the process had ended.
     Ends,
     /// The same after a part of the answer has arrived.
@@ -120,6 +122,7 @@
     std::string address() const { return "127.0.0.1:" + std::to_string(m_server.port()); }
     int requests() const { return m_requests; }
     int callerDisconnects() const { return m_callerDisconnects; }
+    std::size_t writtenBytes() const { return m_writtenBytes; }
 
 private:
     void answer(const http_exchange& exchange)
@@ -159,6 +162,10 @@
             exchange.beginStream({ 200, response.headers, std::nullopt });
             writeEndlessly(exchange);
             return;
+        case behaviour::EndlessStream:
+            exchange.beginStream({ 200, response.headers, std::nullopt });
+            writeEvents(exchange);
+            return;
         case behaviour::Ends:
             exchange.abort();
             return;
@@ -183,12 +190,24 @@
         exchange.setDrainedHandler([this, exchange] { writeEndlessly(exchange); });
     }
 
+    void writeEvents(const http_exchange& exchange)
+    {
+        constexpr std::size_t eventBytes = std::size_t { 64 } * 1024;
+        for (int event = 0; event < 4 && exchange.isOpen(); ++event) {
+            exchange.write("id: " + std::to_string(++m_events) + "\ndata: " + std::string(eventBytes, 'x') + "\n\n");
+            m_writtenBytes += eventBytes;
+        }
+        exchange.setDrainedHandler([this, exchange] { writeEvents(exchange); });
+    }
+
     behaviour m_kind;
     boost::asio::steady_timer m_endTimer;
     http_server m_server;
     std::vector<http_exchange> m_openExchanges;
     int m_requests = 0;
     int m_callerDisconnects = 0;
+    int m_events = 0;
+    std::size_t m_writtenBytes = 0;
 };
 
 /// How a scripted replica ends the connection after its bytes.
@@ -591,6 +610,26 @@
     }
 }
 
+TEST_CASE("A stream whose caller does not read is not buffered without end")
+{
+    relay_fixture fixture(behaviour::EndlessStream, behaviour::Complete, route_kind::Streaming);
+    http_call_handle handle;
+    http_call_handlers handlers;
+    handlers.onHead = [&handle](const http_response_head&) { handle.setPaused(true); };
+    http_call_options options;
+    options.timeout = std::chrono::seconds(30);
+    handle = fixture.client.call({ "127.0.0.1", fixture.server.port() }, fixture.request, options, std::move(handlers));
+    fixture.context.run_for(std::chrono::seconds(2));
+    // The relay queues 1 MiB; the rest is in the buffers of the sockets.
+    constexpr std::size_t mostBytes = std::size_t { 64 } * 1024 * 1024;
+    const std::size_t written = fixture.replicas[0]->writtenBytes();
+    CHECK(written < mostBytes);
+    handle.setPaused(false);
+    fixture.context.run_for(std::chrono::milliseconds(500));
+    CHECK(fixture.replicas[0]->writtenBytes() > written);
+    handle.cancel();
+}
+
 TEST_CASE("When the caller disconnects, the connection to the replica is closed")
 {
     relay_fixture fixture(behaviour::Unresponsive, behaviour::Unresponsive, route_kind::NonIdempotent);
