Gateway: Name an honest time to callers whose request cannot be tried alone now

The refusal named half of the latency objective, 75 ms on the users' sites, while replicas that ended take seconds to come back. It names a second now. Besides, the parts of fact_exchange are in order.

--- a/src/libs/gateway/callrelay.cpp
+++ b/src/libs/gateway/callrelay.cpp
@@ -20,6 +20,8 @@
     /// Reading from the replica pauses while the caller has not taken this many bytes.
     constexpr std::size_t maxCallerQueueBytes = std::size_t { 1024 } * 1024;
     constexpr duration connectTimeout = std::chrono::milliseconds(300);
+    /// Time after which a call that cannot be tried alone now should come back: replicas that ended take seconds to return.
+    constexpr duration isolationRetryDelay = std::chrono::seconds(1);
     constexpr int firstServerErrorStatus = 500;
 
 }
@@ -42,6 +44,7 @@
     std::string routeName;
     std::string service;
     duration retryDelay {};
+    /// Latency objective of the route.
     duration objective {};
     /// Ask for a permit that is under way; 0 for none.
     permit_number permit = 0;
@@ -121,6 +124,7 @@
         return;
     }
     if (call.standing == request_standing::Isolated && !mayTryAlone(call, now)) {
+        call.retryDelay = std::max(call.retryDelay, isolationRetryDelay);
         endWithoutReplica(number, "replicas ended under the same request, and it cannot be tried alone now");
         return;
     }
--- a/src/libs/gateway/factexchange.h
+++ b/src/libs/gateway/factexchange.h
@@ -58,11 +58,12 @@
     std::size_t daemons() const { return m_link.others().size() + 1; }
 
 private:
+    /// Source of what an answer to this daemon told.
+    static constexpr std::string_view answerSource = "answer";
+
     void updateDaemons();
     permit_agent::replica_sight sightOf(const replica_instance& replica) const;
     void receive(const std::string& vm, std::string_view payload);
-    static constexpr std::string_view answerSource = "answer";
-
     /// Merges \a item and passes it on if it is news. \a source: answerSource, or the VM that passed it on.
     void learn(const fact& item, std::string_view source);
     bool merge(const fact& item, instant now);
@@ -71,6 +72,7 @@
     void askForSchedulers(instant now);
     void onSchedulerPermit(const permit_want& want, const permit_outcome& outcome);
     void logPermitUse(instant now);
+    /// Calls executeEffects() from the event loop, once for all that was learned or asked for until then.
     void scheduleEffects();
     /// Sends what is news and carries out the effects of the agent.
     void executeEffects();
