--- a/src/libs/gateway/answernotes.cpp
+++ b/src/libs/gateway/answernotes.cpp
@@ -13,4 +13,11 @@
         gate.noteLimit(replica, answer.limit);
 }
 
+platform::replica_answer noteResponse(replica_gate& gate, const replica_instance& replica, std::string_view id, const http_response& response)
+{
+    platform::replica_answer answer = platform::decodeReplicaAnswer({ response.status, response.headers, std::nullopt });
+    noteAnswer(gate, replica, id, answer);
+    return answer;
+}
+
 }
--- a/src/libs/gateway/callrelay.cpp
+++ b/src/libs/gateway/callrelay.cpp
@@ -435,7 +435,7 @@
     ++m_counters.quarantined;
     constexpr std::string_view reason = "replicas ended whenever they ran the same request";
     logOutcome(call, "quarantined", reason);
-    call.exchange.respond(failureResponse(resultCodeInfo(result_code::RequestQuarantined).httpStatus, result_code::RequestQuarantined, reason));
+    call.exchange.respond(failureResponse(result_code::RequestQuarantined, reason));
     remove(number);
 }
 
--- a/src/libs/gateway/callrelay.h
+++ b/src/libs/gateway/callrelay.h
@@ -4,7 +4,6 @@
 #include <net/httpserver.h>
 #include <platform/requestcodec.h>
 #include <rollout/callpolicy.h>
-#include <rollout/eventstreamreader.h>
 #include <rollout/replicagate.h>
 #include <rollout/replicapool.h>
 #include <rollout/requestguard.h>
--- a/src/libs/gateway/errorresponses.cpp
+++ b/src/libs/gateway/errorresponses.cpp
@@ -30,6 +30,11 @@
     return response;
 }
 
+http_response failureResponse(result_code code, std::string_view reason)
+{
+    return problem(resultCodeInfo(code).httpStatus, code, reason);
+}
+
 http_response failureResponse(int status, result_code code, std::string_view reason)
 {
     return problem(status, code, reason);
--- a/src/libs/gateway/errorresponses.h
+++ b/src/libs/gateway/errorresponses.h
@@ -12,6 +12,9 @@
 /// as the header Retry-After.
 http_response refusalResponse(result_code code, std::string_view reason, duration retryAfter);
 
+/// Response with the status of \a code.
+http_response failureResponse(result_code code, std::string_view reason);
+
 /// Response with \a status that leaves open whether the request ran.
 http_response failureResponse(int status, result_code code, std::string_view reason);
 
--- a/src/libs/gateway/factexchange.h
+++ b/src/libs/gateway/factexchange.h
@@ -55,7 +55,7 @@
     const permit_counters& permits() const { return m_agent.counters(); }
     const fact_counters& counters() const { return m_counters; }
     const gossip_socket_counters& traffic() const { return m_link.counters(); }
-    std::size_t daemons() const { return m_link.others().size() + 1; }
+    std::size_t daemons() const { return m_link.visibleCount(); }
 
 private:
     /// Source of what an answer to this daemon told.
--- a/src/libs/gateway/fleetlink.cpp
+++ b/src/libs/gateway/fleetlink.cpp
@@ -149,6 +149,13 @@
     return vms;
 }
 
+std::size_t fleet_link::visibleCount() const
+{
+    std::size_t count = 1;
+    m_view.visitMembers([this, &count](const member& known) { count += known.isEligible() && known.vm != m_local.vm ? 1 : 0; });
+    return count;
+}
+
 std::string fleet_link::dataCentreOf(std::string_view vm) const
 {
     const auto found = m_entries.find(vm);
--- a/src/libs/gateway/fleetlink.h
+++ b/src/libs/gateway/fleetlink.h
@@ -41,6 +41,8 @@
     void send(const std::string& vm, std::string payload);
     /// The daemons that are alive, except this one.
     std::vector<std::string> others() const;
+    /// Number of daemons that are alive, this one included.
+    std::size_t visibleCount() const;
     const membership& view() const { return m_view; }
     /// Whether a daemon was lost sight of in the last lostRetention.
     bool hasLost() const { return !m_lost.empty(); }
--- a/src/libs/gateway/gatewayhost.cpp
+++ b/src/libs/gateway/gatewayhost.cpp
@@ -94,8 +94,7 @@
 
     http_response malformedResponse(std::error_code code)
     {
-        const result_code result = static_cast<result_code>(code.value());
-        return failureResponse(resultCodeInfo(result).httpStatus, result, "The request is malformed or exceeds a limit.");
+        return failureResponse(static_cast<result_code>(code.value()), "The request is malformed or exceeds a limit.");
     }
 
 }
--- a/src/libs/gateway/itemrunner.cpp
+++ b/src/libs/gateway/itemrunner.cpp
@@ -163,7 +163,7 @@
     if (found == m_streams.end())
         return;
     stream& stream = *found->second;
-    const bool isOwnAnswer = stream.answer.status == okStatus && stream.answer.isStamped && stream.answer.requestId == stream.item;
+    const bool isOwnAnswer = stream.answer.status == okStatus && stream.answer.belongsTo(stream.item);
     if (!isOwnAnswer)
         return;
     for (const stream_event& event : stream.reader.read(piece)) {
--- a/src/libs/gateway/rewardcaller.cpp
+++ b/src/libs/gateway/rewardcaller.cpp
@@ -76,9 +76,7 @@
 {
     if (outcome.code == result_code::UpstreamUnreachable)
         return { reward_end::Unreachable, {} };
-    // The head counts also when the body is not complete.
-    const platform::replica_answer answer = platform::decodeReplicaAnswer({ response.status, response.headers, std::nullopt });
-    noteAnswer(m_gate, call.replica, call.id, answer);
+    const platform::replica_answer answer = noteResponse(m_gate, call.replica, call.id, response);
     if (outcome.code != result_code::Ok)
         return { reward_end::Interrupted, {} };
     if (answer.isNotRun)
--- a/src/libs/gateway/weightorderer.cpp
+++ b/src/libs/gateway/weightorderer.cpp
@@ -54,7 +54,7 @@
     options.timeout = reportTimeout;
     m_client.callBuffered(parseEndpoint(order.address).value_or(endpoint {}), platform::encodeReportRequest(order.replica), options,
         [this, order](const http_outcome& outcome, const http_response& response) {
-            noteAnswerOf(order.replica, response);
+            noteResponse(m_gate, m_pool.instanceOf(order.replica), {}, response);
             std::optional<replica_report> report;
             if (outcome.code == result_code::Ok && response.status == okStatus)
                 report = platform::decodeReport(response.body);
@@ -89,15 +89,9 @@
         [this, order](const http_outcome& outcome, const http_response& response) { onOrderResponse(order, outcome, response); });
 }
 
-/// Notes what an answer to a report or an order says about the replica itself.
-void weight_orderer::noteAnswerOf(const std::string& replica, const http_response& response)
-{
-    noteAnswer(m_gate, m_pool.instanceOf(replica), {}, platform::decodeReplicaAnswer({ response.status, response.headers, std::nullopt }));
-}
-
 void weight_orderer::onOrderResponse(const weight_order& order, const http_outcome& outcome, const http_response& response)
 {
-    noteAnswerOf(order.replica, response);
+    noteResponse(m_gate, m_pool.instanceOf(order.replica), {}, response);
     const order_outcome result = outcome.code == result_code::Ok ? platform::decodeOrderOutcome(response.status) : order_outcome::Unknown;
     switch (result) {
     case order_outcome::Accepted:
--- a/src/libs/gateway/weightorderer.h
+++ b/src/libs/gateway/weightorderer.h
@@ -40,7 +40,6 @@
     /// Asks the replica how many orders it has accepted, then sends the order, which is valid for that count only.
     void queryReplica(const weight_order& order);
     void send(const weight_order& order, const replica_report& report);
-    void noteAnswerOf(const std::string& replica, const http_response& response);
     void onOrderResponse(const weight_order& order, const http_outcome& outcome, const http_response& response);
 
     http_client& m_client;
--- a/src/libs/rollout/factspread.cpp
+++ b/src/libs/rollout/factspread.cpp
@@ -101,8 +101,6 @@
     std::vector<fact_delivery> deliveries;
     addRepeats(now, deliveries);
     const std::set<std::string> joining = std::exchange(m_joining, {});
-    if (m_vms.empty())
-        return deliveries;
     for (const std::string& vm : joining) {
         if (std::bernoulli_distribution(std::min(1.0, joiningSenders / static_cast<double>(m_vms.size())))(m_random))
             addDeliveries(vm, all.first(std::min(all.size(), maxFactsForJoining)), deliveries);
@@ -110,7 +108,7 @@
     if (now < m_nextSync)
         return deliveries;
     m_nextSync = now + syncPeriod;
-    if (!all.empty())
+    if (!all.empty() && !m_vms.empty())
         addSync(all, deliveries);
     return deliveries;
 }
--- a/src/libs/rollout/factspread.h
+++ b/src/libs/rollout/factspread.h
@@ -20,8 +20,9 @@
 /// Decides which facts are sent to which daemons.
 ///
 /// A daemon passes each fact that is news to it on, to all other daemons of a small fleet and to a random few of a large
-/// one; what it learned itself it sends once more, since messages get lost. Besides, it sends some of the facts that it knows to one random daemon in each syncPeriod, which reaches
-/// daemons that missed a message. A daemon that joins gets all facts from a few of the others.
+/// one; what it learned itself it sends once more, since messages get lost. Besides, it sends some of the facts that it
+/// knows to one random daemon in each syncPeriod, which reaches daemons that missed a message. A daemon that joins gets all
+/// facts from a few of the others.
 class fact_spread {
 public:
     static constexpr duration syncPeriod = std::chrono::seconds(1);
--- a/src/libs/rollout/permitkeeper.h
+++ b/src/libs/rollout/permitkeeper.h
@@ -17,8 +17,9 @@
 
 /// Gives out the permits for requests to limited replicas at a given rate.
 ///
-/// Turns that nobody took can be taken later, up to maxCredit of them. A permit may be reserved ahead: whoever may wait longer gets a turn that is further away. So requests that may wait
-/// are served before those that may not while there are more of them than the replica takes.
+/// Turns that nobody took can be taken later, up to maxCredit of them. A permit may be reserved ahead: whoever may wait
+/// longer gets a turn that is further away. So requests that may wait are served before those that may not while there are
+/// more of them than the replica takes.
 class permit_keeper {
 public:
     /// Longest time for which a permit can be reserved ahead.
--- a/tests/auto/gateway/tst_callrelay.cpp
+++ b/tests/auto/gateway/tst_callrelay.cpp
@@ -378,20 +378,13 @@
         DYNAMIC_SECTION(row.name)
         {
             relay_fixture fixture(row.first, behaviour::Complete, row.kind);
-            int status = 0;
-            std::string body;
-            fixture.call([&status, &body](const http_outcome&, const http_response& response) {
-                status = response.status;
-                body = response.body;
-            });
-            while (status == 0)
-                fixture.context.run_one();
-            CHECK(status == row.status);
+            const http_response answer = fixture.answer();
+            CHECK(answer.status == row.status);
             CHECK(fixture.gate.asks() == 0);
             CHECK(fixture.replicas[0]->requests() == 1);
             CHECK(fixture.replicas[1]->requests() == row.requestsAtSecond);
-            if (status == 200)
-                CHECK(body == "pattern");
+            if (answer.status == 200)
+                CHECK(answer.body == "pattern");
         }
     }
 }
@@ -399,11 +392,7 @@
 TEST_CASE("A call that no replica ran is refused with a Retry-After header")
 {
     relay_fixture fixture(behaviour::Full, behaviour::Full, route_kind::NonIdempotent);
-    http_response answer;
-    answer.status = 0;
-    fixture.call([&answer](const http_outcome&, const http_response& response) { answer = response; });
-    while (answer.status == 0)
-        fixture.context.run_one();
+    const http_response answer = fixture.answer();
     CHECK(answer.status == 503);
     CHECK(headerValue(answer.headers, "Retry-After"));
 }
@@ -422,11 +411,7 @@
         fixture.gate.setGranting(row.isGranting);
         fixture.pool.finished("r0", replica_outcome::Failed, {}, bootNow());
         fixture.pool.limits().merge({ fixture.pool.instanceOf("r1"), 2, bootNow() }, bootNow());
-        int status = 0;
-        fixture.call([&status](const http_outcome&, const http_response& response) { status = response.status; });
-        while (status == 0)
-            fixture.context.run_one();
-        CHECK(status == 200);
+        CHECK(fixture.answer().status == 200);
         CHECK(fixture.gate.asks() == 1);
         CHECK(fixture.replicas[0]->requests() == row.requestsAtFailed);
         CHECK(fixture.replicas[1]->requests() == row.requestsAtLimited);
