--- a/review/standins/fleet.cpp
+++ b/review/standins/fleet.cpp
@@ -112,6 +112,14 @@
     return false;
 }
 
+std::size_t fleet::memoryBytes(std::size_t daemon) const
+{
+    std::size_t total = 0;
+    std::size_t resident = 0;
+    std::ifstream("/proc/" + std::to_string(m_daemons[daemon].process) + "/statm") >> total >> resident;
+    return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
 std::string fleet::output(std::size_t daemon) const
 {
     std::stringstream text;
@@ -133,9 +141,11 @@
     return result;
 }
 
-json engineService(const std::string& name, const std::string& model, int slots)
+json engineService(const std::string& name, const std::vector<std::string>& models, int slots)
 {
-    const json engine { { "slots", slots }, { "kv_capacity", 45343 }, { "models", json::array({ { { "name", model } } }) } };
+    json engine { { "slots", slots }, { "kv_capacity", 45343 }, { "models", json::array() } };
+    for (const std::string& model : models)
+        engine["models"].push_back({ { "name", model } });
     return { { "name", name }, { "health_path", "/healthz" }, { "max_conns", 150 }, { "protocol", "h1" }, { "tls", false }, { "engine", engine } };
 }
 
--- a/review/standins/fleet.h
+++ b/review/standins/fleet.h
@@ -29,6 +29,8 @@
     /// Asks the daemon for its readiness, as the platform does.
     bool isReady(std::size_t daemon) const;
     bool awaitReady(std::size_t daemon, milliseconds longest) const;
+    /// Resident memory of the daemon's process.
+    std::size_t memoryBytes(std::size_t daemon) const;
     /// What the daemon has written to its standard output.
     std::string output(std::size_t daemon) const;
 
@@ -47,7 +49,7 @@
 
 /// Route of the configuration.
 nlohmann::json route(const std::string& name, const std::string& prefix, const std::string& kind, const std::string& service, int timeoutMs);
-nlohmann::json engineService(const std::string& name, const std::string& model, int slots);
+nlohmann::json engineService(const std::string& name, const std::vector<std::string>& models, int slots);
 nlohmann::json plainService(const std::string& name);
 /// Writes the configuration as the operator; returns when the store has acknowledged it.
 void configure(store& platform, int version, const nlohmann::json& routes, const nlohmann::json& services);
--- a/review/standins/new_route.cpp
+++ b/review/standins/new_route.cpp
@@ -54,14 +54,14 @@
 int run()
 {
     store& platform = *new store(daemons);
-    const json services = json::array({ engineService("engines", model, 12) });
+    const json services = json::array({ engineService("engines", { model }, 12) });
     configure(platform, 3, routes(0), services);
     std::vector<std::unique_ptr<replica>>& replicas = *new std::vector<std::unique_ptr<replica>>;
     for (int number = 0; number < 3; ++number) {
         replica_options options;
         options.id = "i-engine" + std::to_string(number);
         options.service = "engines";
-        options.model = model;
+        options.models = { model };
         options.eventPause = milliseconds(5);
         replicas.push_back(std::make_unique<replica>(platform, options));
     }
--- a/review/standins/replica.cpp
+++ b/review/standins/replica.cpp
@@ -14,7 +14,8 @@
 namespace {
 
     constexpr milliseconds heartbeat { 1200 };
-    constexpr milliseconds loadTime { 900 };
+    /// 800 Mbit/s; the link of a machine has 1,000.
+    constexpr std::size_t linkBytesPerMicrosecond = 100;
 
     std::string chunk(const std::string& bytes)
     {
@@ -56,13 +57,19 @@
 
 void replica::beat()
 {
-    json entry { { "service", m_options.service }, { "address", m_server->address() }, { "zone", "zone-a" }, { "version", "v1" }, { "slots", m_options.slots },
-        { "state", "ready" }, { "cold_left_ms", 0 }, { "phase", "both" }, { "models", json::array() }, { "seq_no", ++m_beats }, { "born", m_born } };
-    if (!m_options.model.empty())
-        entry["models"].push_back({ { "name", m_options.model }, { "version", m_version.load() }, { "adapter_ids", json::array() } });
+    const json entry { { "service", m_options.service }, { "address", m_server->address() }, { "zone", "zone-a" }, { "version", "v1" }, { "slots", m_options.slots },
+        { "state", "ready" }, { "cold_left_ms", 0 }, { "phase", "both" }, { "models", json::parse(modelsAsJson()) }, { "seq_no", ++m_beats }, { "born", m_born } };
     m_platform.put("keyed.servers", m_options.id, entry.dump());
 }
 
+std::string replica::modelsAsJson() const
+{
+    json list = json::array();
+    for (const std::string& model : m_options.models)
+        list.push_back({ { "name", model }, { "version", m_version.load() }, { "adapter_ids", json::array() } });
+    return list.dump();
+}
+
 std::vector<std::pair<std::string, std::string>> replica::headersFor(const http_message& request) const
 {
     const std::string id = request.header("Request-Id");
@@ -77,8 +84,7 @@
     if (request.path() == "/healthz")
         return peer.send(responseText(200, { { "Instance-Id", m_options.id } }, ""));
     if (request.path() == "/api/report") {
-        const json models = json::array({ { { "name", m_options.model }, { "version", m_version.load() }, { "adapter_ids", json::array() } } });
-        const json report { { "phase", "both" }, { "models", models }, { "busy", false }, { "seq_no", m_orders.load() }, { "queued", 0 }, { "active", m_active.load() },
+        const json report { { "phase", "both" }, { "models", json::parse(modelsAsJson()) }, { "busy", false }, { "seq_no", m_orders.load() }, { "queued", 0 }, { "active", m_active.load() },
             { "kv_used", 0 }, { "kv_total", 90000 }, { "supported", 0 } };
         return peer.send(responseText(200, { { "Content-Type", "application/json" } }, report.dump()));
     }
@@ -91,7 +97,7 @@
         const std::lock_guard lock(m_mutex);
         ++m_begun[request.header("Request-Id")];
     }
-    const bool goesOn = m_options.model.empty() ? runPlain(peer, request) : runItem(peer, request);
+    const bool goesOn = isSpoiled(m_endlessShare) ? sendEndless(peer, request) : m_options.models.empty() ? runPlain(peer, request) : runItem(peer, request);
     --m_active;
     return goesOn;
 }
@@ -100,11 +106,7 @@
 {
     const std::string item = request.header("Request-Id");
     const std::string after = request.header("Last-Event-Id");
-    bool isUnframed = false;
-    {
-        const std::lock_guard lock(m_mutex);
-        isUnframed = std::uniform_real_distribution<double>(0, 1)(m_random) < m_unframedShare;
-    }
+    const bool isUnframed = isSpoiled(m_unframedShare);
     m_unframed += isUnframed ? 1 : 0;
     std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nWeight-Versions: " + std::to_string(m_version.load()) + "\r\n";
     for (const auto& [name, value] : headersFor(request))
@@ -122,6 +124,42 @@
     return isSent && !isUnframed && peer.send("0\r\n\r\n");
 }
 
+bool replica::isSpoiled(double share)
+{
+    const std::lock_guard lock(m_mutex);
+    return std::uniform_real_distribution<double>(0, 1)(m_random) < share;
+}
+
+/// Sends a chunk whose size line does not end. All replicas together stay within the link of one machine.
+bool replica::sendEndless(connection& peer, const http_message& request)
+{
+    constexpr std::size_t pieceBytes = 65536;
+    constexpr std::chrono::microseconds pieceTime { pieceBytes / linkBytesPerMicrosecond };
+    static std::mutex link;
+    static clock::time_point linkFreeAt;
+    ++m_endlessAnswers;
+    std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nWeight-Versions: " + std::to_string(m_version.load()) + "\r\n";
+    for (const auto& [name, value] : headersFor(request))
+        head += name + ": " + value + "\r\n";
+    record("replica " + m_options.id + " begins bytes without end to item " + request.header("Request-Id"));
+    bool isSent = peer.send(head + "Transfer-Encoding: chunked\r\n\r\n5;");
+    const std::string piece(pieceBytes, 'x');
+    std::size_t sent = 0;
+    while (isSent) {
+        clock::time_point mayBegin;
+        {
+            const std::lock_guard lock(link);
+            mayBegin = std::max(clock::now(), linkFreeAt);
+            linkFreeAt = mayBegin + pieceTime;
+        }
+        std::this_thread::sleep_until(mayBegin);
+        isSent = peer.send(piece);
+        sent += piece.size();
+    }
+    record("replica " + m_options.id + " sees the connection of item " + request.header("Request-Id") + " closed after " + std::to_string(sent) + " bytes");
+    return false;
+}
+
 bool replica::runPlain(connection& peer, const http_message& request)
 {
     const clock::time_point end = clock::now() + milliseconds(std::atoi(request.body.c_str()));
--- a/review/standins/replica.h
+++ b/review/standins/replica.h
@@ -14,8 +14,8 @@
 struct replica_options {
     std::string id;
     std::string service;
-    /// Set for a model engine; empty for a plain service.
-    std::string model;
+    /// Models of an engine; empty for a plain service.
+    std::vector<std::string> models;
     int slots = 12;
     /// Of an engine.
     int eventsPerItem = 24;
@@ -30,6 +30,9 @@
 
     /// Part of the answers to items that have no length and end with their connection.
     void setUnframedShare(double share) { m_unframedShare = share; }
+    /// Part of the answers to items that have a valid head and then bytes without end, until the caller closes.
+    void setEndlessShare(double share) { m_endlessShare = share; }
+    int endlessAnswers() const { return m_endlessAnswers; }
     int unframedAnswers() const { return m_unframed; }
     int runs() const { return m_runs; }
     /// Ids of the requests that were begun, with the number of runs.
@@ -37,8 +40,11 @@
 
 private:
     void beat();
+    std::string modelsAsJson() const;
     bool answer(connection& peer, const http_message& request);
     bool runItem(connection& peer, const http_message& request);
+    bool sendEndless(connection& peer, const http_message& request);
+    bool isSpoiled(double share);
     bool runPlain(connection& peer, const http_message& request);
     std::vector<std::pair<std::string, std::string>> headersFor(const http_message& request) const;
 
@@ -53,6 +59,8 @@
     std::atomic<int> m_runs = 0;
     std::atomic<int> m_unframed = 0;
     std::atomic<double> m_unframedShare = 0;
+    std::atomic<double> m_endlessShare = 0;
+    std::atomic<int> m_endlessAnswers = 0;
     std::mutex m_mutex;
     std::mt19937 m_random;
     std::map<std::string, int> m_begun;
--- a/review/standins/unframed_text.cpp
+++ b/review/standins/unframed_text.cpp
@@ -57,13 +57,13 @@
 {
     // The stand-ins serve until the process ends.
     store& platform = *new store(daemons);
-    configure(platform, 3, nlohmann::json::array({ route("lots", prefix, "rollout", "engines", 10000) }), nlohmann::json::array({ engineService("engines", model, 12) }));
+    configure(platform, 3, nlohmann::json::array({ route("lots", prefix, "rollout", "engines", 10000) }), nlohmann::json::array({ engineService("engines", { model }, 12) }));
     std::vector<std::unique_ptr<replica>>& replicas = *new std::vector<std::unique_ptr<replica>>;
     for (int number = 0; number < 5; ++number) {
         replica_options options;
         options.id = "i-engine" + std::to_string(number);
         options.service = "engines";
-        options.model = model;
+        options.models = { model };
         options.eventsPerItem = events;
         options.eventPause = milliseconds(1);
         replicas.push_back(std::make_unique<replica>(platform, options));
