Rollout: Abandon items only by a configuration as new as their batch

Ruled out: retention and failures of replicas.

Change: the record of a batch names the configuration under which it was accepted, and the batch waits for it; records of former releases wait for a configuration that was read after them. route_table::confirmedAt() says until when configurations are known, only after they have been applied, and not while the newest one cannot be read. Looked for elsewhere, and mended: the retention time, saved texts at a take-over, and 404 for the end of a batch or for an item by a ledger of up to 0.85 s ago.

--- a/src/libs/gateway/batchhandler.cpp
+++ b/src/libs/gateway/batchhandler.cpp
@@ -18,11 +18,19 @@
     constexpr int timeoutStatus = 504;
     /// A ledger confirmed longer ago may lack records that another daemon has already shown to the trainer.
     constexpr duration maxLedgerAge = std::chrono::milliseconds(850);
-    /// Time after which a read of the log must have shown whether the batch exists.
+    /// Time within which a read of the log has to show whether a batch exists.
     constexpr duration confirmationTime = std::chrono::milliseconds(1000);
     constexpr duration maxWait = std::chrono::milliseconds(1000);
     constexpr duration retryDelay = std::chrono::milliseconds(300);
 
+    /// Id of the batch that a call is about; empty for no call.
+    class batch_id_visitor {
+    public:
+        std::string operator()(std::monostate) const { return {}; }
+        template <typename call>
+        std::string operator()(const call& received) const { return received.batch; }
+    };
+
     http_response jsonAnswer(int status, std::string body)
     {
         return { status, { { "Content-Type", "application/json" } }, std::move(body) };
@@ -38,22 +46,23 @@
 /// Dispatches a decoded call to its handler function.
 class batch_handler::call_visitor {
 public:
-    call_visitor(batch_handler& handler, const http_exchange& exchange, const platform::caller_request& caller)
+    call_visitor(batch_handler& handler, const received_call& received)
         : m_handler(handler)
-        , m_exchange(exchange)
-        , m_caller(caller)
+        , m_received(received)
     {
     }
 
-    void operator()(std::monostate) const { m_exchange.respond(failureResponse(notFoundStatus, result_code::UnknownRoute, "There is no such call.")); }
-    void operator()(const platform::read_results_call& call) const { m_handler.readResults(m_exchange, m_caller, call); }
-    void operator()(const platform::read_item_call& call) const { m_handler.readItem(m_exchange, call); }
-    void operator()(const platform::end_batch_call& call) const { m_handler.endBatch(m_exchange, call); }
+    void operator()(std::monostate) const { m_received.exchange.respond(failureResponse(notFoundStatus, result_code::UnknownRoute, "There is no such call.")); }
+    void operator()(const platform::read_results_call& call) const
+    {
+        m_handler.readResults({ m_received.exchange, call, m_received.arrivedAt + m_received.wait });
+    }
+    void operator()(const platform::read_item_call& call) const { m_handler.readItem(m_received.exchange, call); }
+    void operator()(const platform::end_batch_call& call) const { m_handler.endBatch(m_received.exchange, call); }
 
 private:
     batch_handler& m_handler;
-    const http_exchange& m_exchange;
-    const platform::caller_request& m_caller;
+    const received_call& m_received;
 };
 
 batch_handler::batch_handler(journal& journal, const route_table& routes, log& log)
@@ -79,6 +88,7 @@
     }
     submission->id = caller.id;
     submission->host = caller.host;
+    submission->configuration = m_routes.version();
     const std::string id = caller.id;
     m_journal.write(batch_accepted { std::move(*submission) }, write_mode::FailOnRefusal, [this, exchange, id](const append_report& report) {
         switch (report.status) {
@@ -105,7 +115,25 @@
 
 void batch_handler::answer(const http_exchange& exchange, const platform::caller_request& caller, const platform::batch_call& call)
 {
-    std::visit(call_visitor(*this, exchange, caller), call);
+    const received_call received { exchange, std::min(caller.wait, maxWait), call, std::visit(batch_id_visitor(), call), bootNow() };
+    if (!tryResolve(received))
+        m_unknownBatchCalls.push_back(received);
+}
+
+bool batch_handler::tryResolve(const received_call& received)
+{
+    if (m_journal.ledger().find(received.batch)) {
+        std::visit(call_visitor(*this, received), received.call);
+        return true;
+    }
+    if (m_journal.isReady() && m_journal.confirmedAt(received.batch) >= received.arrivedAt) {
+        received.exchange.respond(failureResponse(notFoundStatus, result_code::UnknownBatch, "There is no such batch."));
+        return true;
+    }
+    if (bootNow() < received.arrivedAt + confirmationTime)
+        return false;
+    refuseStaleRead(received.exchange, received.batch, "the ledger is behind the log");
+    return true;
 }
 
 bool batch_handler::isUpToDate(std::string_view batch) const
@@ -113,26 +141,18 @@
     return m_journal.isReady() && bootNow() - m_journal.confirmedAt(batch) < maxLedgerAge;
 }
 
-void batch_handler::readResults(const http_exchange& exchange, const platform::caller_request& caller, const platform::read_results_call& call)
+void batch_handler::readResults(const pending_read& read)
 {
     ++m_counters.reads;
-    const instant now = bootNow();
-    const pending_read read { exchange, call, now, now + std::min(caller.wait, maxWait) };
-    if (tryAnswer(read))
-        return;
-    m_pendingReads.push_back(read);
+    if (!tryAnswer(read))
+        m_pendingReads.push_back(read);
 }
 
 bool batch_handler::tryAnswer(const pending_read& read)
 {
     const ledger_batch* const batch = m_journal.ledger().find(read.call.batch);
-    if (!batch) {
-        // Only a read of the log that began after the call arrived proves that there is no such batch.
-        if (!m_journal.isReady() || m_journal.confirmedAt(read.call.batch) < read.arrivedAt)
-            return false;
-        read.exchange.respond(failureResponse(notFoundStatus, result_code::UnknownBatch, "There is no such batch."));
-        return true;
-    }
+    if (!batch)
+        return false;
     const bool isAllListed = batch->results.size() == batch->items.size();
     if (read.call.position >= batch->results.size() && !isAllListed)
         return false;
@@ -207,10 +227,7 @@
         exchange.respond(bytesAnswer(batch->submission.items[*index].body));
         return;
     }
-    if (batch || isUpToDate(call.batch))
-        exchange.respond(failureResponse(notFoundStatus, result_code::UnknownBatch, "There is no such item."));
-    else
-        refuseStaleRead(exchange, call.batch, "the ledger is behind the log");
+    exchange.respond(failureResponse(notFoundStatus, result_code::UnknownBatch, "There is no such item."));
 }
 
 void batch_handler::readStoredItem(const http_exchange& exchange, const platform::read_item_call& call, const text_reference& contents)
@@ -226,15 +243,7 @@
 
 void batch_handler::endBatch(const http_exchange& exchange, const platform::end_batch_call& call)
 {
-    const ledger_batch* const batch = m_journal.ledger().find(call.batch);
-    if (!batch) {
-        if (isUpToDate(call.batch))
-            exchange.respond(failureResponse(notFoundStatus, result_code::UnknownBatch, "There is no such batch."));
-        else
-            refuseStaleRead(exchange, call.batch, "the ledger is behind the log");
-        return;
-    }
-    if (batch->isEnded) {
+    if (m_journal.ledger().find(call.batch)->isEnded) {
         exchange.respond(jsonAnswer(okStatus, "{}"));
         return;
     }
@@ -248,17 +257,18 @@
 void batch_handler::onChanged(const ledger_batch& batch)
 {
     const std::string& id = batch.submission.id;
+    std::erase_if(m_unknownBatchCalls, [this, &id](const received_call& waiting) { return waiting.batch == id && tryResolve(waiting); });
     std::erase_if(m_pendingReads, [this, &id](const pending_read& read) { return read.call.batch == id && tryAnswer(read); });
 }
 
 void batch_handler::tick()
 {
+    std::erase_if(m_unknownBatchCalls, [this](const received_call& waiting) { return !waiting.exchange.isOpen() || tryResolve(waiting); });
     const instant now = bootNow();
     std::erase_if(m_pendingReads, [this, now](const pending_read& read) {
         if (!read.exchange.isOpen() || tryAnswer(read))
             return true;
-        const bool isUnknown = !m_journal.ledger().find(read.call.batch);
-        if (now < read.deadline || (isUnknown && now < read.arrivedAt + confirmationTime))
+        if (now < read.deadline)
             return false;
         answerAfterWait(read);
         return true;
--- a/src/libs/gateway/batchhandler.h
+++ b/src/libs/gateway/batchhandler.h
@@ -29,19 +29,20 @@
 
 /// Serves the batch requests of trainers: submitting a batch, listing its results, reading the body of an item, ending it.
 ///
-/// Any daemon can answer for any batch from its ledger. A daemon whose ledger may be behind the journal refuses the read
-/// with 503, so that the trainer repeats it.
+/// Any daemon can answer for any batch from its ledger. A call on a batch that the ledger lacks waits for a read of the
+/// journal that began after the call arrived: only that proves that there is no such batch. A daemon whose ledger may be
+/// behind the journal refuses the call with 503, so that the trainer repeats it.
 class batch_handler {
 public:
     batch_handler(journal& journal, const route_table& routes, log& log);
 
     /// Writes the submitted batch to the journal and responds with 202 once its record is appended.
     void submit(const http_exchange& exchange, const platform::caller_request& caller);
-    /// Serves a call on an accepted batch.
+    /// Serves a call on a batch.
     void answer(const http_exchange& exchange, const platform::caller_request& caller, const platform::batch_call& call);
-    /// Answers pending reads of \a batch that can be answered now. To be called after each change of the batch.
+    /// Answers pending calls on \a batch that can be answered now. To be called after each change of the batch.
     void onChanged(const ledger_batch& batch);
-    /// Answers pending reads that can be answered or whose deadline has passed. To be called periodically.
+    /// Answers pending calls that can be answered or whose deadline has passed. To be called periodically.
     void tick();
 
     const batch_counters& counters() const { return m_counters; }
@@ -51,12 +52,21 @@
     struct pending_read {
         http_exchange exchange;
         platform::read_results_call call;
-        instant arrivedAt {};
         instant deadline {};
     };
+    /// Call on a batch as it arrived.
+    struct received_call {
+        http_exchange exchange;
+        duration wait {};
+        platform::batch_call call;
+        std::string batch;
+        instant arrivedAt {};
+    };
     class call_visitor;
 
-    void readResults(const http_exchange& exchange, const platform::caller_request& caller, const platform::read_results_call& call);
+    /// Serves the call once it is known whether its batch exists, or refuses it after a while; false while it has to wait.
+    bool tryResolve(const received_call& received);
+    void readResults(const pending_read& read);
     void readItem(const http_exchange& exchange, const platform::read_item_call& call);
     /// Responds with the body of an item whose batch is not loaded in this process, read from the log.
     void readStoredItem(const http_exchange& exchange, const platform::read_item_call& call, const text_reference& contents);
@@ -78,6 +88,7 @@
     const route_table& m_routes;
     log& m_log;
     std::list<pending_read> m_pendingReads;
+    std::list<received_call> m_unknownBatchCalls;
     batch_counters m_counters;
 };
 
--- a/src/libs/gateway/gatewayhost.cpp
+++ b/src/libs/gateway/gatewayhost.cpp
@@ -270,7 +270,7 @@
         return;
     }
     const route* const found = routes.find(caller.host, targetPath(request.target));
-    if (!found && bootNow() - platformView.configurationConfirmedAt() > maxConfigurationAge) {
+    if (!found && bootNow() - routes.confirmedAt() > maxConfigurationAge) {
         exchange.respond(refusalResponse(result_code::NoUpstream, "No route matches, but the configuration may have changed; retry later.", retryDelay));
         return;
     }
--- a/src/libs/gateway/itemrunner.cpp
+++ b/src/libs/gateway/itemrunner.cpp
@@ -49,7 +49,7 @@
     void operator()(const cancel_run& effect) const { m_runner.cancel(effect); }
     void operator()(const start_reward& effect) const { m_runner.m_rewards.start(effect); }
     void operator()(const cancel_reward& effect) const { m_runner.m_rewards.cancel(effect); }
-    void operator()(const write_record& effect) const { m_runner.m_journal.write(effect.record, write_mode::RetryOnRefusal, {}); }
+    void operator()(const write_record& effect) const { m_runner.write(effect); }
 
 private:
     item_runner& m_runner;
@@ -142,6 +142,20 @@
     m_streams.erase(found);
 }
 
+void item_runner::write(const write_record& effect)
+{
+    const item_finished* const finished = std::get_if<item_finished>(&effect.record);
+    const ledger_batch* const batch = finished ? m_journal.ledger().find(finished->batch) : nullptr;
+    if (batch && effect.abandoned)
+        m_log.write(log_line(log_level::Warning, "item_abandoned")
+                        .with("batch", finished->batch)
+                        .with("item", finished->item)
+                        .with("reason", toString(*effect.abandoned))
+                        .with("configuration", m_scheduler.configurationVersion())
+                        .with("batch_age_us", (bootNow() - batch->learnedAt).count()));
+    m_journal.write(effect.record, write_mode::RetryOnRefusal, {});
+}
+
 void item_runner::readHead(run_number run, const http_response_head& head)
 {
     const auto found = m_streams.find(run);
--- a/src/libs/gateway/itemrunner.h
+++ b/src/libs/gateway/itemrunner.h
@@ -33,6 +33,7 @@
     void executeEffects();
     void start(const start_run& effect);
     void cancel(const cancel_run& effect);
+    void write(const write_record& effect);
     void readHead(run_number run, const http_response_head& head);
     void readBody(run_number run, std::string_view piece);
     /// Ends a run whose stream cannot be parsed.
--- a/src/libs/gateway/platformview.cpp
+++ b/src/libs/gateway/platformview.cpp
@@ -34,10 +34,17 @@
 
     void operator()(const std::monostate&) const { m_view.reportUnreadable(m_record); }
 
+    void operator()(const platform::unreadable_configuration&) const
+    {
+        m_view.m_isConfigurationReadable = false;
+        m_view.reportUnreadable(m_record);
+    }
+
     void operator()(const platform::named_version& named) const { m_view.m_handlers.onVersionNamed(named.model, named.version); }
 
     void operator()(const route_configuration& configuration) const
     {
+        m_view.m_isConfigurationReadable = true;
         if (!m_view.m_routes.setConfiguration(configuration))
             return;
         ++m_view.m_counters.configurations;
@@ -61,7 +68,8 @@
     , m_handlers(std::move(handlers))
     , m_operators(context, log, { platform::operatorTopic(), operatorWait, operatorPollInterval },
           { [this](std::span<const keyed_record> all, std::span<const keyed_record>) { applyOperatorRecords(all); },
-              [this](std::span<const keyed_record> records) { applyOperatorRecords(records); } })
+              [this](std::span<const keyed_record> records) { applyOperatorRecords(records); },
+              [this] { confirmConfiguration(); } })
     , m_replicas(context, log, { platform::replicaTopic(), replicaWait, activePollIntervals.replicas },
           { [this](std::span<const keyed_record> all, std::span<const keyed_record>) { applyReplicaSnapshot(all); },
               [this](std::span<const keyed_record> records) { applyReplicaRecords(records); } })
@@ -80,6 +88,12 @@
         std::visit(operator_visitor(*this, record), platform::decodeOperatorRecord(record));
 }
 
+void platform_view::confirmConfiguration()
+{
+    if (m_routes.isReady() && m_isConfigurationReadable)
+        m_routes.setConfirmedAt(m_operators.confirmedAt());
+}
+
 void platform_view::applyReplicaSnapshot(std::span<const keyed_record> all)
 {
     std::set<std::string, std::less<>> listed;
--- a/src/libs/gateway/platformview.h
+++ b/src/libs/gateway/platformview.h
@@ -35,8 +35,6 @@
     /// Whether a configuration is in force and the list of replicas was read.
     bool isReady() const { return m_routes.isReady() && m_replicas.isReady(); }
     void setReplicaPollInterval(duration pollInterval) { m_replicas.setPollInterval(pollInterval); }
-    /// All configurations that the operators wrote until this time have been read; the epoch while nothing was read.
-    instant configurationConfirmedAt() const { return m_operators.confirmedAt(); }
     /// Removes replicas that were not listed again after an outage of the list. To be called periodically.
     void tick();
     const view_counters& counters() const { return m_counters; }
@@ -45,6 +43,8 @@
     class operator_visitor;
 
     void applyOperatorRecords(std::span<const keyed_record> records);
+    /// Tells the route table that its configuration is current, unless there is none or the newest one cannot be read.
+    void confirmConfiguration();
     void applyReplicaSnapshot(std::span<const keyed_record> all);
     void applyReplicaRecords(std::span<const keyed_record> records);
     void applyReplicaRecord(const keyed_record& record);
@@ -58,6 +58,7 @@
     handlers m_handlers;
     topic_follower m_operators;
     topic_follower m_replicas;
+    bool m_isConfigurationReadable = true;
     view_counters m_counters;
 };
 
--- a/src/libs/gateway/topicfollower.cpp
+++ b/src/libs/gateway/topicfollower.cpp
@@ -58,8 +58,8 @@
     const std::vector<keyed_record>::iterator begin = std::lower_bound(all.begin(), end, m_next, isBefore);
     m_next = std::max(m_next, newest.end);
     m_isReady = true;
-    m_confirmedAt = m_sentAt;
     m_handlers.onSnapshot(all, std::span<const keyed_record>(begin, end));
+    confirm(m_sentAt);
     readTail();
 }
 
@@ -125,6 +125,14 @@
     }
 }
 
+/// To be called once the records that a read sent at \a sentAt returned have been delivered.
+void topic_follower::confirm(instant sentAt)
+{
+    m_confirmedAt = sentAt;
+    if (m_handlers.onConfirmed)
+        m_handlers.onConfirmed();
+}
+
 void topic_follower::learnPatience(instant sentAt, bool isOvertaken)
 {
     if (!isOvertaken)
@@ -136,10 +144,10 @@
 void topic_follower::applyTail(instant sentAt, const read_outcome& outcome)
 {
     m_next += outcome.records.size();
-    if (m_next >= outcome.end)
-        m_confirmedAt = sentAt;
     if (!outcome.records.empty())
         m_handlers.onRecords(outcome.records);
+    if (m_next >= outcome.end)
+        confirm(sentAt);
     const duration remaining = m_options.pollInterval - (bootNow() - sentAt);
     if (remaining <= duration::zero()) {
         readTail();
--- a/src/libs/gateway/topicfollower.h
+++ b/src/libs/gateway/topicfollower.h
@@ -42,6 +42,8 @@
         std::function<void(std::span<const keyed_record> all, std::span<const keyed_record> newRecords)> onSnapshot;
         /// Next records of the tail.
         std::function<void(std::span<const keyed_record>)> onRecords;
+        /// Optional: confirmedAt() has advanced. All records that it covers have been delivered.
+        std::function<void()> onConfirmed {};
     };
 
     topic_follower(boost::asio::io_context& context, shared_log& log, topic_follower_options options, handlers handlers);
@@ -65,6 +67,7 @@
     void onOverdue();
     void onReadDone(std::uint64_t number, instant sentAt, const read_outcome& outcome);
     void applyTail(instant sentAt, const read_outcome& outcome);
+    void confirm(instant sentAt);
     void learnPatience(instant sentAt, bool isOvertaken);
     void recordReadResult(bool isDone);
     void retryLater(void (topic_follower::*step)());
--- a/src/libs/rollout/itemscheduler.cpp
+++ b/src/libs/rollout/itemscheduler.cpp
@@ -52,6 +52,23 @@
     return "unknown";
 }
 
+std::string_view toString(abandon_reason reason)
+{
+    switch (reason) {
+    case abandon_reason::NoRoute:
+        return "no_route";
+    case abandon_reason::RetentionOver:
+        return "retention_over";
+    case abandon_reason::Failed:
+        return "failed";
+    case abandon_reason::Impossible:
+        return "impossible";
+    case abandon_reason::RewardFailed:
+        return "reward_failed";
+    }
+    return "unknown";
+}
+
 item_scheduler::item_scheduler(const batch_ledger& ledger, replica_pool& pool, const route_table& routes)
     : m_ledger(ledger)
     , m_pool(pool)
@@ -78,7 +95,9 @@
 bool item_scheduler::hasAllowedVersions(const ledger_batch& batch, std::size_t item, const item_text& text) const
 {
     const route* const itemRoute = routeOf(batch, item);
-    if (!itemRoute || text.versions.empty() || (itemRoute->isSingleVersion && text.versions.size() > 1))
+    // A route that is not known yet may want a single version.
+    const bool isSingleVersion = !itemRoute || itemRoute->isSingleVersion;
+    if (text.versions.empty() || (isSingleVersion && text.versions.size() > 1))
         return false;
     return *std::min_element(text.versions.begin(), text.versions.end()) >= batch.submission.minVersion;
 }
@@ -143,7 +162,7 @@
         // The text can be reused with another reward call; the reward cannot.
         if (before->submission.items[earlier->item].reward != batch.submission.items[item].reward)
             return false;
-        finish({ batch.submission.id, item }, state, true, result.reward);
+        finish({ batch.submission.id, item }, state, result.reward);
         return true;
     }
     const auto known = m_items.find({ earlier->batch, earlier->item });
@@ -160,6 +179,17 @@
     return m_routes.find(batch.submission.host, batch.submission.items[item].path);
 }
 
+/// Whether the configuration in force is at least as new as the one under which \a batch was accepted. An older one may
+/// lack its route, and abandoning is final.
+bool item_scheduler::knowsConfigurationOf(const ledger_batch& batch) const
+{
+    const std::uint64_t accepted = batch.submission.configuration;
+    if (accepted != 0)
+        return m_routes.version() >= accepted;
+    // The record does not name the configuration, which was written before this process learned of the batch.
+    return m_routes.confirmedAt() >= batch.learnedAt;
+}
+
 void item_scheduler::schedule(instant now)
 {
     if (now - m_maintainedAt >= maintenanceInterval) {
@@ -187,6 +217,8 @@
     const auto owned = m_owned.find(batch.submission.model);
     if (!batch.isLoaded || owned == m_owned.end() || now - owned->second.since < (owned->second.isRecovered ? handoverDelay : recoveryTimeout))
         return;
+    if (!knowsConfigurationOf(batch))
+        return;
     bool hasRoom = true;
     for (const std::size_t item : orderOf(batch)) {
         const item_text& progress = batch.items[item].progress;
@@ -199,8 +231,9 @@
         if (known.second && adoptEarlier(batch, item, state))
             continue;
         const route* const itemRoute = routeOf(batch, item);
-        if (!itemRoute || now - batch.learnedAt > itemRoute->retention) {
-            finish({ batch.submission.id, item }, state, false);
+        // The retention that counts is that of a configuration which was read after the item's time was over.
+        if (!itemRoute || m_routes.confirmedAt() - batch.learnedAt > itemRoute->retention) {
+            abandon({ batch.submission.id, item }, state, itemRoute ? abandon_reason::RetentionOver : abandon_reason::NoRoute);
             continue;
         }
         if (progress.lastEvent > state.output.lastEvent || (progress.isComplete && !state.output.isComplete))
@@ -436,11 +469,11 @@
         endRun(run, replica_outcome::Answered, now);
         item.notBefore = now + failurePause;
         if (++item.failures >= (itemRoute ? itemRoute->maxAttempts : 1))
-            finish(ended.key, item, false);
+            abandon(ended.key, item, abandon_reason::Failed);
         return;
     case run_end::Impossible:
         endRun(run, replica_outcome::Answered, now);
-        finish(ended.key, item, false);
+        abandon(ended.key, item, abandon_reason::Impossible);
         return;
     }
 }
@@ -477,29 +510,35 @@
     if (batch->submission.items[key.item].reward)
         m_rewards.add(key, now);
     else
-        finish(key, state, true);
+        finish(key, state);
 }
 
-void item_scheduler::finish(const item_key& key, item_state& state, bool isCompleted, std::string reward)
+void item_scheduler::finish(const item_key& key, item_state& state, std::string reward)
 {
     const ledger_batch* const batch = m_ledger.find(key.batch);
     if (!batch || state.isRecorded)
         return;
-    item_finished record { key.batch, batch->submission.items[key.item].id, isCompleted, {}, {}, std::move(reward) };
-    if (isCompleted) {
-        record.output = std::move(state.output);
-        record.reference = std::move(state.reference);
-    }
-    writeResult(std::move(record), state);
+    item_finished record { key.batch, batch->submission.items[key.item].id, true, std::move(state.output), std::move(state.reference), std::move(reward) };
+    markRecorded(state);
+    ++m_counters.itemsCompleted;
+    m_effects.emplace_back(write_record { std::move(record) });
+}
+
+void item_scheduler::abandon(const item_key& key, item_state& state, abandon_reason reason)
+{
+    const ledger_batch* const batch = m_ledger.find(key.batch);
+    if (!batch || state.isRecorded)
+        return;
+    markRecorded(state);
+    ++m_counters.itemsAbandoned;
+    m_effects.emplace_back(write_record { item_finished { key.batch, batch->submission.items[key.item].id, false, {} }, reason });
 }
 
-void item_scheduler::writeResult(item_finished record, item_state& state)
+void item_scheduler::markRecorded(item_state& state)
 {
     state.isRecorded = true;
     state.output = {};
     state.reference.reset();
-    ++(record.isCompleted ? m_counters.itemsCompleted : m_counters.itemsAbandoned);
-    m_effects.emplace_back(write_record { std::move(record) });
 }
 
 void item_scheduler::handOver(run_number run, instant now)
@@ -539,7 +578,11 @@
     const std::optional<reward_outcome> outcome = m_rewards.onEnd(call, answer, now);
     if (!outcome)
         return;
-    finish(outcome->key, m_items[outcome->key], outcome->signature.has_value(), outcome->signature.value_or(std::string()));
+    item_state& item = m_items[outcome->key];
+    if (outcome->signature)
+        finish(outcome->key, item, *outcome->signature);
+    else
+        abandon(outcome->key, item, abandon_reason::RewardFailed);
 }
 
 void item_scheduler::takeRewardEffects()
--- a/src/libs/rollout/itemscheduler.h
+++ b/src/libs/rollout/itemscheduler.h
@@ -35,9 +35,28 @@
     std::string reason;
 };
 
+/// Why an item has no text as its result.
+enum class abandon_reason {
+    /// No route of the configuration in force matches the item.
+    NoRoute,
+    /// The retention time of the route is over.
+    RetentionOver,
+    /// Replicas answered the item with failures, as often as the route allows.
+    Failed,
+    /// A replica answered that the item can never be completed.
+    Impossible,
+    /// The reward call failed, as often as its route allows.
+    RewardFailed,
+};
+
+/// Name of \a reason in log lines.
+std::string_view toString(abandon_reason reason);
+
 /// Effect: append a record to the journal.
 struct write_record {
     journal_record record;
+    /// Set when the record abandons an item.
+    std::optional<abandon_reason> abandoned {};
 };
 
 using scheduler_effect = std::variant<start_run, cancel_run, start_reward, cancel_reward, write_record>;
@@ -91,6 +110,9 @@
 /// items take most of the time that a training step has, and processing a prompt again is cheap. Batches whose trainer
 /// has all groups that it waits for come last: after an outage the end of a batch may arrive late, and its remaining
 /// items would delay the next step. An item with a reward call has its result only once the reward has arrived.
+///
+/// The batches and the configuration are read apart, so a batch can be known before the route that was added for it. A
+/// batch waits until the configuration is at least as new as the one under which it was accepted.
 class item_scheduler {
 public:
     /// Texts of a closed batch are kept for this time, since trainers resubmit its groups soon after they ended it.
@@ -132,6 +154,8 @@
     const scheduler_counters& counters() const { return m_counters; }
     const reward_scheduler& rewards() const { return m_rewards; }
     std::size_t runs() const { return m_runs.size(); }
+    /// Version of the configuration by which items are scheduled.
+    std::uint64_t configurationVersion() const { return m_routes.version(); }
 
 private:
     struct item_state {
@@ -178,13 +202,16 @@
     bool addVersion(item_state& state, run_state& run, std::uint64_t version);
     void dropText(item_state& state);
     void complete(const item_key& key, item_state& state, instant now);
-    void finish(const item_key& key, item_state& state, bool isCompleted, std::string reward = {});
-    void writeResult(item_finished record, item_state& state);
+    /// Records the text of \a state as the result of the item.
+    void finish(const item_key& key, item_state& state, std::string reward = {});
+    void abandon(const item_key& key, item_state& state, abandon_reason reason);
+    void markRecorded(item_state& state);
     void handOver(run_number run, instant now);
     void handOverText(const item_key& key);
     void handOverRewards(instant now);
     void takeRewardEffects();
     const route* routeOf(const ledger_batch& batch, std::size_t item) const;
+    bool knowsConfigurationOf(const ledger_batch& batch) const;
     void forgetItems(instant now);
     bool isOpen(std::string_view batch) const;
     void collectText(const item_key& key, item_state& state, std::vector<item_progressed>& texts) const;
--- a/src/libs/rollout/journalrecord.h
+++ b/src/libs/rollout/journalrecord.h
@@ -65,6 +65,8 @@
     /// Number of complete groups that the trainer waits for.
     std::uint32_t wantedGroups = 0;
     std::vector<batch_item> items;
+    /// Version of the configuration under which the batch was accepted; 0 in records of releases that did not write it.
+    std::uint64_t configuration = 0;
     /// Location of the complete submission, if the items lack the contents that only a run needs: path, headers, body
     /// and reward call.
     std::optional<text_reference> contents {};
--- a/src/libs/rollout/routetable.h
+++ b/src/libs/rollout/routetable.h
@@ -14,6 +14,10 @@
     /// Replaces the configuration; returns false, without a change, unless \a configuration has a higher version.
     bool setConfiguration(route_configuration configuration);
 
+    /// All configurations that the operators wrote until this time have been set; the epoch while none was read.
+    instant confirmedAt() const { return m_confirmedAt; }
+    void setConfirmedAt(instant confirmedAt) { m_confirmedAt = confirmedAt; }
+
     /// Whether any configuration was set.
     bool isReady() const { return m_configuration.version != 0; }
     std::uint64_t version() const { return m_configuration.version; }
@@ -34,6 +38,7 @@
     void index();
 
     route_configuration m_configuration;
+    instant m_confirmedAt {};
     std::map<std::string, std::map<std::string, const route*, std::less<>>, std::less<>> m_byHost;
     std::map<std::string, const route*, std::less<>> m_byName;
 };
--- a/src/libs/wire/journalcodec.cpp
+++ b/src/libs/wire/journalcodec.cpp
@@ -87,6 +87,7 @@
             accepted.set_wanted_groups(record.submission.wantedGroups);
             for (const batch_item& item : record.submission.items)
                 writeItem(item, *accepted.add_items());
+            accepted.set_configuration(record.submission.configuration);
             if (record.submission.contents)
                 writeReference(*record.submission.contents, *accepted.mutable_contents());
         }
@@ -128,6 +129,7 @@
         record.submission.wantedGroups = from.wanted_groups();
         for (const wire::JournalItem& item : from.items())
             record.submission.items.push_back(readItem(item));
+        record.submission.configuration = from.configuration();
         if (from.has_contents())
             record.submission.contents = readReference(from.contents());
         return record;
--- a/tests/auto/gateway/tst_topicfollower.cpp
+++ b/tests/auto/gateway/tst_topicfollower.cpp
@@ -14,7 +14,8 @@
         : log(context)
         , follower(context, log, { { "topic", 0 }, {}, std::chrono::milliseconds(1), maxTimeoutDoublings },
               { [this](std::span<const keyed_record> all, std::span<const keyed_record> newRecords) { applySnapshot(all, newRecords); },
-                  [this](std::span<const keyed_record> records) { apply(records); } })
+                  [this](std::span<const keyed_record> records) { apply(records); },
+                  [this] { deliveredAtConfirmation = deliveredOffsets.size(); } })
     {
     }
 
@@ -52,6 +53,7 @@
     std::map<std::string, std::string> values;
     std::vector<std::uint64_t> deliveredOffsets;
     int snapshots = 0;
+    std::size_t deliveredAtConfirmation = 0;
 };
 
 }
@@ -65,6 +67,7 @@
     fixture.runReads(1);
     CHECK(fixture.follower.isReady());
     CHECK(fixture.values.size() == 10);
+    CHECK(fixture.deliveredAtConfirmation == 10);
     fixture.log.put("key3", "new");
     fixture.log.erase("key4");
     fixture.runReads(3);
--- a/tests/auto/platform/tst_listcodec.cpp
+++ b/tests/auto/platform/tst_listcodec.cpp
@@ -89,7 +89,8 @@
     const operator_record named = decodeOperatorRecord({ "version/lace", R"({"model_id":"lace","version":3})", 0 });
     REQUIRE(std::holds_alternative<named_version>(named));
     CHECK(std::get<named_version>(named).version == 3);
-    for (const keyed_record& record : { keyed_record { "config", "{", 0 }, keyed_record { "config", R"({"version":"x"})", 0 },
-             keyed_record { "config", std::nullopt, 0 }, keyed_record { "version/lace", R"({"model_id":3})", 0 }, keyed_record { "other", "{}", 0 } })
+    for (const keyed_record& record : { keyed_record { "version/lace", R"({"model_id":3})", 0 }, keyed_record { "other", "{}", 0 } })
         CHECK(std::holds_alternative<std::monostate>(decodeOperatorRecord(record)));
+    for (const keyed_record& record : { keyed_record { "config", "{", 0 }, keyed_record { "config", R"({"version":"x"})", 0 }, keyed_record { "config", std::nullopt, 0 } })
+        CHECK(std::holds_alternative<unreadable_configuration>(decodeOperatorRecord(record)));
 }
--- a/tests/auto/rollout/rolloutfixture.cpp
+++ b/tests/auto/rollout/rolloutfixture.cpp
@@ -47,6 +47,7 @@
     batch.host = "lots.example";
     batch.model = testModel;
     batch.minVersion = 1;
+    batch.configuration = 1;
     batch.wantedGroups = static_cast<std::uint32_t>(groups);
     for (std::size_t group = 0; group < groups; ++group) {
         for (std::size_t index = 0; index < size; ++index) {
--- a/tests/auto/rollout/tst_itemscheduler.cpp
+++ b/tests/auto/rollout/tst_itemscheduler.cpp
@@ -25,6 +25,13 @@
 
     template <typename effect>
     std::vector<effect> take(std::chrono::milliseconds time)
+    {
+        routes.setConfirmedAt(at(time));
+        return takeWithoutConfirming<effect>(time);
+    }
+
+    template <typename effect>
+    std::vector<effect> takeWithoutConfirming(std::chrono::milliseconds time)
     {
         scheduler.schedule(at(time));
         std::vector<effect> taken;
@@ -233,6 +240,80 @@
     }
 }
 
+// A batch on a route that was just added was abandoned by a daemon that had not read the configuration yet.
+TEST_CASE("A batch waits for a configuration as new as the one under which it was accepted, and is not abandoned for its route")
+{
+    struct view_case {
+        const char* name;
+        /// Named by the record; 0 in records of former releases.
+        std::uint64_t accepted;
+        /// In force at this daemon.
+        std::uint64_t version;
+        bool hasRoute;
+        /// Time at which the configuration was confirmed, relative to that of learning of the batch.
+        std::chrono::milliseconds confirmed;
+        std::size_t runs;
+        std::size_t abandoned;
+    };
+    const view_case cases[] = {
+        { "route not known yet", 5, 3, false, 10ms, 0, 0 },
+        { "route known, its change not", 5, 3, true, 10ms, 0, 0 },
+        { "same configuration", 5, 5, true, -10ms, 1, 0 },
+        { "newer configuration", 5, 7, true, -10ms, 1, 0 },
+        { "route removed since", 5, 7, false, -10ms, 0, 1 },
+        { "former release, configuration read before", 0, 3, false, -1ms, 0, 0 },
+        { "former release, configuration read after", 0, 3, false, 0ms, 0, 1 },
+        { "former release, route known", 0, 3, true, 0ms, 1, 0 },
+    };
+    for (const view_case& row : cases) {
+        DYNAMIC_SECTION(row.name)
+        {
+            scheduler_fixture fixture(4);
+            route_configuration configuration = makeConfiguration({ testModel }, 4);
+            configuration.version = row.version;
+            if (!row.hasRoute)
+                configuration.routes.clear();
+            fixture.routes.setConfiguration(configuration);
+            fixture.routes.setConfirmedAt(at(row.confirmed));
+            batch_submission batch = makeBatch("b", 1, 1);
+            batch.configuration = row.accepted;
+            fixture.ledger.apply(batch_accepted { batch }, at(0ms));
+            fixture.scheduler.schedule(at(20ms));
+            std::size_t runs = 0;
+            std::size_t abandoned = 0;
+            for (const scheduler_effect& effect : fixture.scheduler.takeEffects()) {
+                runs += std::holds_alternative<start_run>(effect) ? 1 : 0;
+                const write_record* const written = std::get_if<write_record>(&effect);
+                abandoned += written && written->abandoned == abandon_reason::NoRoute ? 1 : 0;
+            }
+            CHECK(runs == row.runs);
+            CHECK(abandoned == row.abandoned);
+        }
+    }
+}
+
+// The retention time of a configuration that had been replaced could end an item early.
+TEST_CASE("An item is not abandoned by a retention time that was read before the time was over")
+{
+    scheduler_fixture fixture(0);
+    fixture.ledger.apply(batch_accepted { makeBatch("b", 1, 1) }, at(0ms));
+    fixture.routes.setConfirmedAt(at(39s));
+    CHECK(fixture.takeWithoutConfirming<write_record>(41s).empty());
+    CHECK(fixture.take<write_record>(41s).size() == 1);
+}
+
+// A text was lost when its route was not known yet to the daemon that took it over.
+TEST_CASE("A saved text of one version is adopted before the route of its batch is known")
+{
+    scheduler_fixture fixture(4);
+    batch_submission batch = makeBatch("b", 1, 1);
+    batch.configuration = 2;
+    batch.items[0].path = "/more/1";
+    fixture.ledger.apply(batch_accepted { batch }, at(0ms));
+    CHECK(fixture.scheduler.adoptText(*fixture.ledger.find("b"), 0, { "one", 1, { 1 } }, at(0ms)));
+    CHECK_FALSE(fixture.scheduler.adoptText(*fixture.ledger.find("b"), 0, { "one\ntwo", 2, { 1, 2 } }, at(0ms)));
+}
+
 TEST_CASE("An item is abandoned after the retention time of its route, not before")
 {
     scheduler_fixture fixture(4);
--- a/tests/auto/system/platformfleet.cpp
+++ b/tests/auto/system/platformfleet.cpp
@@ -20,19 +20,26 @@
             { "gateway", gateway } };
     }
 
-    /// Routes "lots" (rollouts), "orders" (not idempotent) and "rewards" (idempotent) to the services "engines" and
-    /// "shop".
-    json configuration(int version)
+    json rolloutRoute(const std::string& name)
     {
-        const json rollouts { { "name", "lots" }, { "host", "lace.example" }, { "path_prefix", "/lots/" }, { "route_kind", "rollout" },
+        return { { "name", name }, { "host", "lace.example" }, { "path_prefix", "/" + name + "/" }, { "route_kind", "rollout" },
             { "timeout_ms", 10000 }, { "full_value_ms", 400 }, { "service", "engines" }, { "max_attempts", 3 }, { "retention_s", 600.0 } };
+    }
+
+    /// Routes "lots" and \a addedRollouts (rollouts), "orders" (not idempotent) and "rewards" (idempotent) to the services
+    /// "engines" and "shop".
+    json configuration(int version, const std::vector<std::string>& addedRollouts)
+    {
         const json orders { { "name", "orders" }, { "host", "lace.example" }, { "path_prefix", "/orders/" }, { "route_kind", "non_idempotent" },
             { "timeout_ms", 60000 }, { "full_value_ms", 400 }, { "service", "shop" }, { "max_attempts", 2 } };
         const json rewards { { "name", "rewards" }, { "host", "lace.example" }, { "path_prefix", "/score/" }, { "route_kind", "idempotent" },
             { "timeout_ms", 20000 }, { "full_value_ms", 400 }, { "service", "shop" }, { "max_attempts", 3 } };
         const json engine { { "slots", 8 }, { "kv_capacity", 90000 }, { "models", json::array({ { { "name", "lace-7b" } } }) } };
         const json services = json::array({ { { "name", "engines" }, { "engine", engine } }, { { "name", "shop" } } });
-        return { { "version", version }, { "routes", json::array({ rollouts, orders, rewards }) }, { "services", services } };
+        json routes = json::array({ rolloutRoute("lots"), orders, rewards });
+        for (const std::string& name : addedRollouts)
+            routes.push_back(rolloutRoute(name));
+        return { { "version", version }, { "routes", routes }, { "services", services } };
     }
 
 }
@@ -48,7 +55,7 @@
     REQUIRE(mkdtemp(pattern.data()) != nullptr);
     m_folder = pattern;
     for (std::size_t index = 0; index < daemons; ++index)
-        m_settings.push_back(daemonSettings(index, m_store->address()));
+        m_settings.push_back(daemonSettings(index, m_store->addAddress()));
     m_thread = std::thread([this] { m_context.run(); });
     if (hasConfiguration)
         configure(1);
@@ -95,9 +102,19 @@
     });
 }
 
-void platform_fleet::configure(int version)
+void platform_fleet::configure(int version, const std::vector<std::string>& addedRollouts)
+{
+    run([this, version, &addedRollouts] { m_store->put("keyed.op", "config", configuration(version, addedRollouts).dump()); });
+}
+
+void platform_fleet::refuseConfiguration(std::size_t daemon)
+{
+    run([this, daemon] { m_store->refuseReads(m_settings[daemon]["gateway"]["store"], "keyed.op"); });
+}
+
+void platform_fleet::refuseNothing()
 {
-    run([this, version] { m_store->put("keyed.op", "config", configuration(version).dump()); });
+    run([this] { m_store->refuseReads({}, {}); });
 }
 
 void platform_fleet::start(std::size_t daemon)
--- a/tests/auto/system/platformfleet.h
+++ b/tests/auto/system/platformfleet.h
@@ -60,8 +60,12 @@
     /// Whether /api/readyz of a daemon has status 200.
     bool isReady(std::size_t daemon) const;
     void waitReady(std::size_t daemon) const;
-    /// Writes the configuration of routes and services, with \a version, to the store.
-    void configure(int version);
+    /// Writes the configuration of routes and services, with \a version, to the store. \a addedRollouts: names of rollout
+    /// routes besides "lots", each with its name as its path prefix.
+    void configure(int version, const std::vector<std::string>& addedRollouts = {});
+    /// From now on the store refuses \a daemon, and no other one, to read the configuration.
+    void refuseConfiguration(std::size_t daemon);
+    void refuseNothing();
 
 private:
     boost::asio::io_context m_context;
--- a/tests/auto/system/tst_platform.cpp
+++ b/tests/auto/system/tst_platform.cpp
@@ -23,12 +23,13 @@
     return { { "Host", "lace.example" }, { "Request-Id", id }, { "Deadline-Ms", "60000" } };
 }
 
-/// Batch of three short items and a long one, each in a group of its own. Item ids start with \a prefix.
-json batch(const std::string& prefix)
+/// Batch of three short items and a long one, each in a group of its own. Item ids start with \a prefix, and the items
+/// are for the rollout route called \a route.
+json batch(const std::string& prefix, const std::string& route = "lots")
 {
     json items = json::array();
     for (const char* name : { "i-1", "i-2", "i-3", longItem })
-        items.push_back({ { "id", prefix + name }, { "path", "/lots/1" }, { "headers", json::object() }, { "body", "bGFjZQ==" }, { "token_count", 90 }, { "group_id", prefix + name } });
+        items.push_back({ { "id", prefix + name }, { "path", "/" + route + "/1" }, { "headers", json::object() }, { "body", "bGFjZQ==" }, { "token_count", 90 }, { "group_id", prefix + name } });
     return { { "train_step", 1 }, { "model_id", "lace-7b" }, { "min_version", 1 }, { "group_count", 4 }, { "items", items } };
 }
 
@@ -206,6 +207,28 @@
     CHECK(send(fleet.caller(0), "DELETE", "/api/lots/b", nullptr, hostHeader).status == 200);
 }
 
+// A daemon abandoned all items of a batch whose route it had not read yet.
+TEST_CASE("A batch on a route that was just added is not abandoned by a daemon that cannot read the configuration")
+{
+    platform_fleet fleet(2);
+    // One of the two daemons runs the items of the model.
+    std::vector<std::string> added;
+    for (std::size_t daemon = 0; daemon < 2; ++daemon) {
+        const std::string route = "added-" + std::to_string(daemon);
+        added.push_back(route);
+        fleet.refuseConfiguration(daemon);
+        // A read under way still gets its answer, after half a second at most.
+        std::this_thread::sleep_for(800ms);
+        fleet.configure(static_cast<int>(2 + daemon), added);
+        REQUIRE(waitUntil([&fleet, daemon, &route] { return send(fleet.caller(1 - daemon), "POST", "/" + route + "/b", batch(route, route), headersFor(route)).status == 202; }));
+        std::this_thread::sleep_for(1s);
+        fleet.refuseNothing();
+        REQUIRE(hasResults(fleet, 1 - daemon, route, 4));
+        for (const json& result : results(fleet, 1 - daemon, route))
+            CHECK(result["state"] == "completed");
+    }
+}
+
 TEST_CASE("After all daemons were killed, results keep their positions and a long item resumes from its partial text")
 {
     platform_fleet fleet(2);
--- a/tests/platform/storestandin.cpp
+++ b/tests/platform/storestandin.cpp
@@ -73,19 +73,28 @@
 }
 
 store_standin::store_standin(boost::asio::io_context& context)
-    : m_server(
-        context, { 65536, std::size_t { 8 } * 1024 * 1024 }, [this](const http_exchange& exchange) { answer(exchange); },
-        [](std::error_code) { return http_response { 400, {}, {} }; })
+    : m_context(context)
     , m_timer(context)
 {
-    if (m_server.listen({ "127.0.0.1", 0 }))
-        throw std::runtime_error("store stand-in: no free port on 127.0.0.1");
     tick();
 }
 
-std::string store_standin::address() const
+std::string store_standin::addAddress()
+{
+    const std::shared_ptr<std::string> address = std::make_shared<std::string>();
+    m_servers.push_back(std::make_unique<http_server>(
+        m_context, http_server_limits { 65536, std::size_t { 8 } * 1024 * 1024 }, [this, address](const http_exchange& exchange) { answer(exchange, *address); },
+        [](std::error_code) { return http_response { 400, {}, {} }; }));
+    if (m_servers.back()->listen({ "127.0.0.1", 0 }))
+        throw std::runtime_error("store stand-in: no free port on 127.0.0.1");
+    *address = "127.0.0.1:" + std::to_string(m_servers.back()->port());
+    return *address;
+}
+
+void store_standin::refuseReads(std::string address, std::string topic)
 {
-    return "127.0.0.1:" + std::to_string(m_server.port());
+    m_refusingAddress = std::move(address);
+    m_refusedTopic = std::move(topic);
 }
 
 void store_standin::put(const std::string& topic, const std::string& key, const std::string& value)
@@ -111,10 +120,11 @@
     return count;
 }
 
-void store_standin::answer(const http_exchange& exchange)
+void store_standin::answer(const http_exchange& exchange, const std::string& address)
 {
     const std::string_view path = targetPath(exchange.request().target);
-    if (m_behaviour == store_behaviour::Refusing) {
+    const bool isRefusedRead = path != "/api/log-append" && address == m_refusingAddress && partitionKey(exchange.request()).starts_with(m_refusedTopic + "/");
+    if (m_behaviour == store_behaviour::Refusing || isRefusedRead) {
         exchange.respond({ 503, {}, {} });
         return;
     }
--- a/tests/platform/storestandin.h
+++ b/tests/platform/storestandin.h
@@ -7,6 +7,7 @@
 
 #include <list>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -27,7 +28,10 @@
 public:
     explicit store_standin(boost::asio::io_context& context);
 
-    std::string address() const;
+    /// Opens a further address of the same store, and returns it.
+    std::string addAddress();
+    /// Answers reads of \a topic with status 503 at \a address; at none when the address is empty.
+    void refuseReads(std::string address, std::string topic);
     void setBehaviour(store_behaviour behaviour) { m_behaviour = behaviour; }
     /// Delays the pages of newest values of \a topic by half a second from now on.
     void setSlowPages(const std::string& topic) { m_slowTopic = topic; }
@@ -54,7 +58,7 @@
         std::chrono::steady_clock::time_point deadline;
     };
 
-    void answer(const http_exchange& exchange);
+    void answer(const http_exchange& exchange, const std::string& address);
     void append(const http_exchange& exchange);
     void read(const http_exchange& exchange);
     void newest(const http_exchange& exchange);
@@ -65,7 +69,10 @@
     /// Every 10 ms: answers late pages and long polls, and drops held requests when the store is responsive again.
     void tick();
 
-    http_server m_server;
+    boost::asio::io_context& m_context;
+    std::vector<std::unique_ptr<http_server>> m_servers;
+    std::string m_refusingAddress;
+    std::string m_refusedTopic;
     boost::asio::steady_timer m_timer;
     store_behaviour m_behaviour = store_behaviour::Serving;
     std::map<std::string, partition> m_partitions;
