Net: Bound each part of a message, and refuse what cannot be sent

A batch with a header value of 70,000 bytes got its 202 and ended each daemon that ran it.

Cause: the parser needs a size line, its extensions and a trailer whole, and the buffer that holds them had no limit. Ruled out by a table of endless parts: the readers of events, and heads, which were bounded. The reverse is of the same class: the library throws for values over 64 KB that it is to send.

Change: 64 KiB for what is read and not parsed, in both directions; memory is taken as bytes arrive, not as a head announces (a length of 9 EB ended the process); interim answers are skipped, 16 at most (the first one counted as the answer); buffered calls end at a limit of their own; an event has 256 KiB at most, and the text of an item what its tokens can need. Items that cannot be sent as requests are rejected with their batch, and cannot set the headers that frame a message.

--- a/src/libs/gateway/callrelay.cpp
+++ b/src/libs/gateway/callrelay.cpp
@@ -315,7 +315,7 @@
 
 attempt_end call_relay::classifyEnd(const relayed_call& call, const http_outcome& outcome)
 {
-    if (outcome.code == result_code::UpstreamUnreachable)
+    if (outcome.code == result_code::UpstreamUnreachable || outcome.code == result_code::MalformedRequest)
         return attempt_end::NotSent;
     if (outcome.code != result_code::Ok || call.isUnusable)
         return attempt_end::Interrupted;
--- a/src/libs/gateway/itemrunner.cpp
+++ b/src/libs/gateway/itemrunner.cpp
@@ -206,6 +206,8 @@
 {
     if (outcome.code == result_code::UpstreamUnreachable)
         return run_end::Unreachable;
+    if (outcome.code == result_code::MalformedRequest)
+        return run_end::Impossible;
     if (outcome.code != result_code::Ok)
         return run_end::Interrupted;
     if (stream.answer.isNotRun)
--- a/src/libs/gateway/relayedanswer.cpp
+++ b/src/libs/gateway/relayedanswer.cpp
@@ -8,8 +8,10 @@
 
     /// Answers up to this size are kept until they are complete.
     constexpr std::size_t maxKeptBytes = std::size_t { 256 } * 1024;
-    /// Largest body of an error answer, or of an answer that does not belong to the call.
+    /// Largest body of an error answer.
     constexpr std::size_t maxFailureBytes = std::size_t { 1024 } * 1024;
+    /// Largest body of an answer that does not belong to the call; it is never passed on.
+    constexpr std::size_t maxForeignBytes = std::size_t { 64 } * 1024;
 
 }
 
@@ -55,7 +57,8 @@
 
 bool relayed_answer::keepFailure(std::string_view piece)
 {
-    if (m_kept.body.size() + piece.size() > maxFailureBytes)
+    const std::size_t limit = m_head.belongsTo(m_requestId) ? maxFailureBytes : maxForeignBytes;
+    if (m_kept.body.size() + piece.size() > limit)
         return false;
     m_kept.body += piece;
     return true;
--- a/src/libs/gateway/rewardcaller.cpp
+++ b/src/libs/gateway/rewardcaller.cpp
@@ -76,6 +76,8 @@
 {
     if (outcome.code == result_code::UpstreamUnreachable)
         return { reward_end::Unreachable, {} };
+    if (outcome.code == result_code::MalformedRequest)
+        return { reward_end::Failed, {} };
     const platform::replica_answer answer = noteResponse(m_gate, call.replica, call.id, response);
     if (outcome.code != result_code::Ok)
         return { reward_end::Interrupted, {} };
--- a/src/libs/gateway/weightorderer.cpp
+++ b/src/libs/gateway/weightorderer.cpp
@@ -15,6 +15,8 @@
 
     constexpr int okStatus = 200;
     constexpr duration reportTimeout = std::chrono::milliseconds(700);
+    /// Largest report of a replica, or answer to an order.
+    constexpr std::size_t maxAnswerBytes = std::size_t { 256 } * 1024;
 
 }
 
@@ -52,6 +54,7 @@
 {
     http_call_options options;
     options.timeout = reportTimeout;
+    options.bodyLimit = maxAnswerBytes;
     m_client.callBuffered(parseEndpoint(order.address).value_or(endpoint {}), platform::encodeReportRequest(order.replica), options,
         [this, order](const http_outcome& outcome, const http_response& response) {
             noteResponse(m_gate, m_pool.instanceOf(order.replica), {}, response);
@@ -83,6 +86,7 @@
     m_leases.noteOrder(order.replica, bootNow());
     http_call_options options;
     options.timeout = lease_agent::maxOrderTransitTime;
+    options.bodyLimit = maxAnswerBytes;
     const platform::order_authority authority { m_owner, m_leases.fencingToken(leaseName) };
     m_client.callBuffered(parseEndpoint(order.address).value_or(endpoint {}),
         platform::encodeWeightOrder(order, report.ordersAccepted, authority), options,
--- a/src/libs/net/engineclient.cpp
+++ b/src/libs/net/engineclient.cpp
@@ -11,6 +11,7 @@
     using nlohmann::json;
 
     constexpr std::chrono::seconds controlTimeout { 2 };
+    constexpr std::size_t maxControlAnswerBytes = std::size_t { 256 } * 1024;
 
     /// State of one completion while its stream is read.
     struct completion_stream {
@@ -94,6 +95,7 @@
     {
         http_call_options options;
         options.timeout = controlTimeout;
+        options.bodyLimit = maxControlAnswerBytes;
         return options;
     }
 
--- a/src/libs/net/httpcall.cpp
+++ b/src/libs/net/httpcall.cpp
@@ -6,8 +6,6 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include <limits>
-
 namespace ragwortreach::Internal {
 
 namespace {
@@ -19,7 +17,8 @@
 
     constexpr std::chrono::seconds maxIdleTime { 15 };
     constexpr std::size_t maxIdlePerAddress = 64;
-    constexpr std::size_t maxHeadBytes = std::size_t { 64 } * 1024;
+    /// Limit for the interim answers (1xx) before the final one.
+    constexpr int maxInterimHeads = 16;
 
     bool isStillOpen(beast::tcp_stream& stream)
     {
@@ -30,6 +29,11 @@
         return error == boost::asio::error::would_block;
     }
 
+    bool isInterim(http::status_class status)
+    {
+        return status == http::status_class::informational;
+    }
+
     bool maySendBody(const std::string& method)
     {
         return method == "POST" || method == "PUT" || method == "PATCH";
@@ -80,6 +84,14 @@
 
 void http_call::start(http_request request)
 {
+    const std::string_view fault = unsendablePart(request, maxUnparsedBytes);
+    if (!fault.empty()) {
+        boost::asio::post(m_state->context, [self = self_pointer(this), fault] {
+            if (!self->m_isDone)
+                self->finish({ result_code::MalformedRequest, "The request cannot be sent: " + std::string(fault) + "." });
+        });
+        return;
+    }
     buildRequest(std::move(request));
     m_startedAt = std::chrono::steady_clock::now();
     if (m_options.mayReuseConnection)
@@ -176,8 +188,8 @@
 void http_call::readHead()
 {
     m_parser.emplace();
-    m_parser->header_limit(maxHeadBytes);
-    m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+    m_parser->header_limit(maxUnparsedBytes);
+    m_parser->body_limit(m_options.bodyLimit);
     m_parser->skip(m_request.method() == http::verb::head);
     http::async_read_header(*m_stream, m_buffer, *m_parser, [self = self_pointer(this)](const error_code& error, std::size_t) {
         if (self->m_isDone)
@@ -186,10 +198,23 @@
             self->fail(error);
             return;
         }
-        self->reportHead();
+        self->onHeadRead();
     });
 }
 
+/// Skips interim answers, of which an upstream may send some before the final one.
+void http_call::onHeadRead()
+{
+    if (!isInterim(http::to_status_class(m_parser->get().result_int()))) {
+        reportHead();
+        return;
+    }
+    if (++m_interimHeads > maxInterimHeads)
+        fail(http::error::header_limit);
+    else
+        readHead();
+}
+
 void http_call::reportHead()
 {
     m_isHeadRead = true;
@@ -253,7 +278,8 @@
         finish({ result_code::UpstreamTimeout, "No complete answer in time from " + addressAndError });
         return;
     }
-    const result_code code = m_isHeadRead ? result_code::UpstreamTruncated : result_code::UpstreamBroken;
+    const bool isCutShort = m_isHeadRead || error == http::error::body_limit;
+    const result_code code = isCutShort ? result_code::UpstreamTruncated : result_code::UpstreamBroken;
     finish({ code, "The connection was closed before the answer was complete, " + addressAndError });
 }
 
--- a/src/libs/net/httpcall.h
+++ b/src/libs/net/httpcall.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "httpclient.h"
+#include "messagelimits.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -54,6 +55,7 @@
     void connect();
     void write();
     void readHead();
+    void onHeadRead();
     void reportHead();
     void readBody();
     void onBodyRead(const boost::system::error_code& error);
@@ -67,9 +69,10 @@
     http_call_handlers m_handlers;
     boost::asio::steady_timer m_timer;
     std::unique_ptr<boost::beast::tcp_stream> m_stream;
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer { maxUnparsedBytes };
     boost::beast::http::request<boost::beast::http::string_body> m_request;
-    std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> m_parser;
+    std::optional<boost::beast::http::response_parser<growing_body>> m_parser;
+    int m_interimHeads = 0;
     std::chrono::steady_clock::time_point m_startedAt;
     bool m_isWritten = false;
     bool m_isReused = false;
--- a/src/libs/net/httpclient.cpp
+++ b/src/libs/net/httpclient.cpp
@@ -2,17 +2,9 @@
 
 #include "httpcall.h"
 
-namespace ragwortreach {
-
-namespace {
-
-    struct buffered_response {
-        http_response response;
-        std::size_t limit = 0;
-        bool isTooLarge = false;
-    };
+#include <limits>
 
-}
+namespace ragwortreach {
 
 http_call_handle::http_call_handle() = default;
 http_call_handle::http_call_handle(boost::intrusive_ptr<Internal::http_call> call)
@@ -45,6 +37,14 @@
 
 http_call_handle http_client::call(const endpoint& address, http_request request, const http_call_options& options,
     http_call_handlers handlers)
+{
+    http_call_options unlimited = options;
+    unlimited.bodyLimit = std::numeric_limits<std::uint64_t>::max();
+    return start(address, std::move(request), unlimited, std::move(handlers));
+}
+
+http_call_handle http_client::start(const endpoint& address, http_request request, const http_call_options& options,
+    http_call_handlers handlers)
 {
     const boost::intrusive_ptr<Internal::http_call> call(
         new Internal::http_call(m_state, address, options, std::move(handlers)));
@@ -55,26 +55,15 @@
 http_call_handle http_client::callBuffered(const endpoint& address, http_request request,
     const http_call_options& options, std::function<void(const http_outcome&, const http_response&)> handler)
 {
-    const std::shared_ptr<buffered_response> answer = std::make_shared<buffered_response>();
-    answer->limit = options.bodyLimit;
+    const std::shared_ptr<http_response> answer = std::make_shared<http_response>();
     http_call_handlers handlers;
     handlers.onHead = [answer](const http_response_head& head) {
-        answer->response.status = head.status;
-        answer->response.headers = head.headers;
-    };
-    handlers.onBody = [answer](std::string_view piece) {
-        answer->isTooLarge = answer->isTooLarge || answer->response.body.size() + piece.size() > answer->limit;
-        if (!answer->isTooLarge)
-            answer->response.body += piece;
-    };
-    handlers.onDone = [answer, whenDone = std::move(handler)](const http_outcome& outcome) {
-        if (answer->isTooLarge) {
-            whenDone({ result_code::UpstreamTruncated, "The answer is larger than the limit." }, answer->response);
-            return;
-        }
-        whenDone(outcome, answer->response);
+        answer->status = head.status;
+        answer->headers = head.headers;
     };
-    return call(address, std::move(request), options, std::move(handlers));
+    handlers.onBody = [answer](std::string_view piece) { answer->body += piece; };
+    handlers.onDone = [answer, whenDone = std::move(handler)](const http_outcome& outcome) { whenDone(outcome, *answer); };
+    return start(address, std::move(request), options, std::move(handlers));
 }
 
 }
--- a/src/libs/net/httpclient.h
+++ b/src/libs/net/httpclient.h
@@ -32,15 +32,16 @@
     /// Whether a pooled connection may be used. A call that must not run twice needs a new connection, since the peer may
     /// close a pooled one while the request is written, which leaves the outcome unknown.
     bool mayReuseConnection = true;
-    /// Largest body that callBuffered() accepts, in bytes.
-    std::size_t bodyLimit = std::size_t { 16 } * 1024 * 1024;
+    /// Largest body that callBuffered() accepts, in bytes. The call ends as soon as the answer goes beyond it.
+    std::uint64_t bodyLimit = std::uint64_t { 16 } * 1024 * 1024;
 };
 
 /// Outcome of a call. \c code is Ok only if a complete answer arrived, whatever its status.
 ///
 /// UpstreamUnreachable: no byte of the request was written. UpstreamTimeout: no complete answer in time.
-/// UpstreamBroken: the connection failed before the head of the answer. UpstreamTruncated: it failed after the head, or
-/// the body is larger than \c bodyLimit.
+/// MalformedRequest: the request cannot be sent, and no byte of it was. UpstreamBroken: the connection failed before the
+/// head of the answer, or that is invalid. UpstreamTruncated: it failed after the head, or the body is larger than
+/// \c bodyLimit.
 struct http_outcome {
     result_code code = result_code::Ok;
     std::string detail;
@@ -90,6 +91,8 @@
         std::function<void(const http_outcome&, const http_response&)> handler);
 
 private:
+    http_call_handle start(const endpoint& address, http_request request, const http_call_options& options, http_call_handlers handlers);
+
     std::shared_ptr<Internal::http_client_state> m_state;
 };
 
--- a/src/libs/net/httpmessage.cpp
+++ b/src/libs/net/httpmessage.cpp
@@ -14,6 +14,20 @@
         "te", "trailer", "transfer-encoding", "upgrade"
     };
 
+    bool isControl(char byte)
+    {
+        const unsigned char value = static_cast<unsigned char>(byte);
+        return value < 0x20 || value == 0x7f;
+    }
+
+    bool isToken(std::string_view text)
+    {
+        constexpr std::string_view separators = "\"(),/:;<=>?@[\\]{}";
+        return !text.empty() && std::none_of(text.begin(), text.end(), [&separators](char byte) {
+            return isControl(byte) || byte == ' ' || static_cast<unsigned char>(byte) > 0x7f || separators.find(byte) != std::string_view::npos;
+        });
+    }
+
     int hexDigit(char c)
     {
         if (c >= '0' && c <= '9')
@@ -56,6 +70,23 @@
     return it->value;
 }
 
+std::string_view unsendablePart(const http_request& request, std::size_t maxHeadBytes)
+{
+    const auto isControlOrBlank = [](char byte) { return isControl(byte) || byte == ' '; };
+    if (request.target.empty() || std::any_of(request.target.begin(), request.target.end(), isControlOrBlank))
+        return "the path is empty or has a blank or a control character";
+    std::size_t bytes = request.method.size() + request.target.size();
+    for (const http_header& header : request.headers) {
+        if (!isToken(header.name))
+            return "the name of a header is no token";
+        if (std::any_of(header.value.begin(), header.value.end(), [](char byte) { return isControl(byte) && byte != '\t'; }))
+            return "the value of a header has a line break or another control character";
+        constexpr std::size_t separatorBytes = 4;
+        bytes += header.name.size() + header.value.size() + separatorBytes;
+    }
+    return bytes > maxHeadBytes ? "the path and the headers together are too large" : std::string_view();
+}
+
 bool isHopByHop(std::string_view name)
 {
     return std::any_of(hopByHopHeaders.begin(), hopByHopHeaders.end(),
--- a/src/libs/net/httpmessage.h
+++ b/src/libs/net/httpmessage.h
@@ -48,6 +48,10 @@
 /// Value of the first header called \a name, compared without regard to case.
 std::optional<std::string_view> headerValue(std::span<const http_header> headers, std::string_view name);
 
+/// What keeps \a request from being sent, or empty: a line break, blank or control character that would change what the
+/// peer reads, an empty name, or a head of more than \a maxHeadBytes.
+std::string_view unsendablePart(const http_request& request, std::size_t maxHeadBytes);
+
 /// True for headers that belong to one connection and are not forwarded (RFC 9110, section 7.6.1).
 bool isHopByHop(std::string_view name);
 
--- a/src/libs/net/httpserver.h
+++ b/src/libs/net/httpserver.h
@@ -24,6 +24,7 @@
 
 /// Limits on the requests and connections of callers.
 struct http_server_limits {
+    /// At most 64 KiB; a larger limit has no effect.
     std::size_t headerBytes = std::size_t { 16 } * 1024;
     std::size_t bodyBytes = std::size_t { 8 } * 1024 * 1024;
     /// Time a caller has to send the body of a request, from the end of its header.
--- a/src/libs/net/httpsession.cpp
+++ b/src/libs/net/httpsession.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 
@@ -19,7 +20,6 @@
 
     /// Time that a caller has to read the last answer on a connection and close it.
     constexpr std::chrono::seconds closeTimeout { 2 };
-    constexpr std::size_t discardBufferBytes = std::size_t { 64 } * 1024;
 
     std::string headText(const http_response_head& head, bool isKeepAlive)
     {
@@ -125,7 +125,7 @@
     if (m_server->limits.headerTimeout != duration::zero())
         startCloseTimer(m_server->limits.headerTimeout);
     m_parser.emplace();
-    m_parser->header_limit(static_cast<std::uint32_t>(m_server->limits.headerBytes));
+    m_parser->header_limit(static_cast<std::uint32_t>(std::min(m_server->limits.headerBytes, maxUnparsedBytes)));
     m_parser->body_limit(m_server->limits.bodyBytes);
     http::async_read_header(m_socket, m_buffer, *m_parser, [self = self_pointer(this)](const error_code& error, std::size_t) {
         if (error) {
@@ -172,7 +172,7 @@
 
 void http_session::openExchange()
 {
-    http::request<http::string_body> message = m_parser->release();
+    http::request<growing_body> message = m_parser->release();
     m_isKeepAlive = message.keep_alive();
     m_isHead = message.method() == http::verb::head;
     m_request = {};
@@ -314,7 +314,7 @@
 void http_session::discardInput()
 {
     m_buffer.clear();
-    m_socket.async_read_some(m_buffer.prepare(discardBufferBytes), [self = self_pointer(this)](const error_code& error, std::size_t) {
+    m_socket.async_read_some(m_buffer.prepare(maxUnparsedBytes), [self = self_pointer(this)](const error_code& error, std::size_t) {
         if (error)
             self->close();
         else
--- a/src/libs/net/httpsession.h
+++ b/src/libs/net/httpsession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "httpserver.h"
+#include "messagelimits.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -63,8 +64,8 @@
     std::shared_ptr<http_server_state> m_server;
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_readTimer;
-    boost::beast::flat_buffer m_buffer;
-    std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
+    boost::beast::flat_buffer m_buffer { maxUnparsedBytes };
+    std::optional<boost::beast::http::request_parser<growing_body>> m_parser;
     http_request m_request;
     std::function<void()> m_onDisconnect;
     std::function<void()> m_onDrained;
--- a/src/libs/net/scorerclient.cpp
+++ b/src/libs/net/scorerclient.cpp
@@ -10,6 +10,8 @@
 
     using nlohmann::json;
 
+    constexpr std::size_t maxAnswerBytes = std::size_t { 256 } * 1024;
+
     std::optional<double> parseReward(const http_outcome& outcome, const http_response& response, std::string_view sampleId)
     {
         if (outcome.code != result_code::Ok || response.status != 200)
@@ -36,6 +38,7 @@
     http_request message { "POST", "/score", { { "Content-Type", "application/json" } }, body.dump() };
     http_call_options options;
     options.timeout = timeout;
+    options.bodyLimit = maxAnswerBytes;
     m_client.callBuffered(address, std::move(message), options,
         [whenDone = std::move(handler), id = request.sampleId](const http_outcome& outcome, const http_response& response) {
             whenDone(parseReward(outcome, response, id));
--- a/src/libs/rollout/eventstreamreader.cpp
+++ b/src/libs/rollout/eventstreamreader.cpp
@@ -8,7 +8,7 @@
 
     constexpr std::string_view eventEnd = "\n\n";
     /// Size limit of an event; more bytes without an event end are not taken for an event stream.
-    constexpr std::size_t maxEventBytes = std::size_t { 1024 } * 1024;
+    constexpr std::size_t maxEventBytes = std::size_t { 256 } * 1024;
 
     std::optional<std::uint64_t> parseNumber(std::string_view text)
     {
--- a/src/libs/rollout/itemscheduler.cpp
+++ b/src/libs/rollout/itemscheduler.cpp
@@ -30,6 +30,16 @@
     /// further one. The first such run is repeated at once, at another replica.
     constexpr duration fruitlessPause = std::chrono::milliseconds(25);
     constexpr std::uint32_t maxFruitlessDoublings = 5;
+    /// Limit for the text of an item: what its tokens can need, and what a list of results can hold.
+    constexpr std::size_t baseTextBytes = std::size_t { 256 } * 1024;
+    constexpr std::size_t textBytesPerToken = 64;
+    constexpr std::size_t maxTextBytes = std::size_t { 1024 } * 1024;
+
+    std::size_t textLimit(const batch_item& item)
+    {
+        const std::uint64_t tokens = std::min<std::uint64_t>(item.tokens, maxTextBytes / textBytesPerToken);
+        return std::min(maxTextBytes, baseTextBytes + tokens * textBytesPerToken);
+    }
 
 }
 
@@ -302,6 +312,7 @@
     run.lastEventAt = now;
     run.minVersion = batch.submission.minVersion;
     run.isSingleVersion = route.isSingleVersion;
+    run.maxTextBytes = textLimit(batch.submission.items[item]);
     m_effects.emplace_back(start_run { state.run, key.batch, item, run.replica, replica->entry.address, state.output.lastEvent });
     m_runs.emplace(state.run, run);
     m_pool.started(run.replica, true);
@@ -401,6 +412,12 @@
         endRun(run, replica_outcome::Cancelled, now);
         return;
     }
+    if (item.output.text.size() + event.data.size() > state.maxTextBytes) {
+        dropText(item);
+        m_effects.emplace_back(cancel_run { run, "text without end" });
+        onEnd(run, run_end::Interrupted, now);
+        return;
+    }
     if (state.hasEvents)
         m_pool.noteEvent(state.replica, now - state.lastEventAt, now);
     if (item.output.lastEvent != 0)
--- a/src/libs/rollout/itemscheduler.h
+++ b/src/libs/rollout/itemscheduler.h
@@ -93,7 +93,7 @@
     std::uint64_t runsInterrupted = 0;
     std::uint64_t itemsCompleted = 0;
     std::uint64_t itemsAbandoned = 0;
-    /// Texts that were dropped because of a version that is not allowed.
+    /// Texts that were dropped because of a version that is not allowed, or since they were too large.
     std::uint64_t textsDropped = 0;
     /// Texts that were journalled for another owner.
     std::uint64_t handedOver = 0;
@@ -136,7 +136,7 @@
     /// Notes the head of a replica's answer with the version of its weights, if it names one.
     void onHead(run_number run, std::optional<std::uint64_t> weightVersion);
     /// Appends an event to the text of the item. An event that is out of order or of a version that is unknown or not
-    /// allowed ends the run.
+    /// allowed, or one that makes the text larger than the item's tokens can need, ends the run.
     void onEvent(run_number run, const stream_event& event, instant now);
     /// Notes the end of a run's connection.
     void onEnd(run_number run, run_end end, instant now);
@@ -154,6 +154,8 @@
     const scheduler_counters& counters() const { return m_counters; }
     const reward_scheduler& rewards() const { return m_rewards; }
     std::size_t runs() const { return m_runs.size(); }
+    /// Whether \a run has not ended.
+    bool isRunning(run_number run) const { return m_runs.contains(run); }
     /// Version of the configuration by which items are scheduled.
     std::uint64_t configurationVersion() const { return m_routes.version(); }
 
@@ -185,6 +187,7 @@
         std::optional<std::uint64_t> version;
         std::uint64_t minVersion = 0;
         bool isSingleVersion = false;
+        std::size_t maxTextBytes = 0;
         bool hasEvents = false;
     };
 
--- a/tests/auto/net/tst_httpclient.cpp
+++ b/tests/auto/net/tst_httpclient.cpp
@@ -3,11 +3,181 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 using namespace ragwortreach;
 using boost::asio::ip::tcp;
 
+namespace {
+
+/// Peer that answers each request with \a head and then with \a pattern, again and again, up to 64 MiB. It keeps the
+/// connection open.
+class endless_peer {
+public:
+    endless_peer(boost::asio::io_context& context, std::string head, const std::string& pattern)
+        : m_acceptor(context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
+        , m_socket(context)
+        , m_head(std::move(head))
+    {
+        while (m_piece.size() < pieceBytes && !pattern.empty())
+            m_piece += pattern;
+        m_acceptor.async_accept(m_socket, [this](const boost::system::error_code& error) {
+            if (!error)
+                readRequest();
+        });
+    }
+
+    endpoint address() const { return { "127.0.0.1", m_acceptor.local_endpoint().port() }; }
+
+private:
+    static constexpr std::size_t pieceBytes = std::size_t { 64 } * 1024;
+    static constexpr std::size_t mostBytes = std::size_t { 64 } * 1024 * 1024;
+
+    void readRequest()
+    {
+        boost::asio::async_read_until(m_socket, boost::asio::dynamic_buffer(m_request), "\r\n\r\n", [this](const boost::system::error_code& error, std::size_t) {
+            if (!error)
+                boost::asio::async_write(m_socket, boost::asio::buffer(m_head), [this](const boost::system::error_code&, std::size_t) { writePiece(); });
+        });
+    }
+
+    void writePiece()
+    {
+        if (m_piece.empty() || m_written >= mostBytes)
+            return;
+        boost::asio::async_write(m_socket, boost::asio::buffer(m_piece), [this](const boost::system::error_code& error, std::size_t bytes) {
+            m_written += bytes;
+            if (!error)
+                writePiece();
+        });
+    }
+
+    tcp::acceptor m_acceptor;
+    tcp::socket m_socket;
+    std::string m_head;
+    std::string m_piece;
+    std::string m_request;
+    std::size_t m_written = 0;
+};
+
+struct peer_outcome {
+    http_outcome outcome;
+    http_response response;
+};
+
+/// Outcome of a buffered call to \a address.
+peer_outcome callPeer(boost::asio::io_context& context, const endpoint& address, http_request request = {})
+{
+    http_client client(context);
+    http_call_options options;
+    options.timeout = std::chrono::seconds(2);
+    std::optional<peer_outcome> ended;
+    client.callBuffered(address, std::move(request), options,
+        [&ended](const http_outcome& outcome, const http_response& response) { ended = peer_outcome { outcome, response }; });
+    while (!ended)
+        context.run_one();
+    return *ended;
+}
+
+struct endless_case {
+    const char* name;
+    std::string head;
+    std::string pattern;
+};
+
+const std::string chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+const endless_case endlessCases[] = {
+    { "status line", "HTTP/1.1 200 ", "x" },
+    { "header line", "HTTP/1.1 200 OK\r\nX: ", "x" },
+    { "headers", "HTTP/1.1 200 OK\r\n", "X: y\r\n" },
+    { "interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n" },
+    { "size line of a chunk", chunkedHead + "5", "0" },
+    { "extension of a chunk", chunkedHead + "5;", "x" },
+    { "size line of the last chunk", chunkedHead + "0;", "x" },
+    { "trailer line", chunkedHead + "0\r\nX: ", "x" },
+    { "trailer fields", chunkedHead + "0\r\n", "X: y\r\n" },
+    { "chunks", chunkedHead, "5\r\nhello\r\n" },
+    { "body up to the end of the connection", "HTTP/1.1 200 OK\r\n\r\n", "x" },
+    { "announced body", "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n", "x" },
+};
+
+struct unsendable_case {
+    const char* name;
+    http_request request;
+};
+
+const unsendable_case unsendableCases[] = {
+    { "header value over 64 KiB", { "POST", "/", { { "X", std::string(70000, 'x') } }, {} } },
+    { "headers over 64 KiB together", { "POST", "/", { { "X", std::string(40000, 'x') }, { "Y", std::string(40000, 'x') } }, {} } },
+    { "header name over 64 KiB", { "POST", "/", { { std::string(70000, 'x'), "x" } }, {} } },
+    { "line break in a header value", { "POST", "/", { { "X", "a\r\nHost: b" } }, {} } },
+    { "line break in the path", { "POST", "/ HTTP/1.1\r\n\r\nGET /", {}, {} } },
+    { "header without a name", { "POST", "/", { { "", "x" } }, {} } },
+};
+
+}
+
+// Bytes without end before the body is delivered filled the memory: no bound covered the size line of a chunk.
+TEST_CASE("An answer with a part that does not end is given up at a bound, not at the time-out")
+{
+    for (const endless_case& row : endlessCases) {
+        DYNAMIC_SECTION(row.name)
+        {
+            boost::asio::io_context context;
+            endless_peer peer(context, row.head, row.pattern);
+            const result_code code = callPeer(context, peer.address()).outcome.code;
+            CHECK(code != result_code::Ok);
+            CHECK(code != result_code::UpstreamTimeout);
+        }
+    }
+}
+
+// An announced length was reserved at once, and a length beyond all memory ended the process.
+TEST_CASE("A head that announces more than any memory does not end the process")
+{
+    boost::asio::io_context context;
+    endless_peer peer(context, "HTTP/1.1 200 OK\r\nContent-Length: 9000000000000000000\r\n\r\nabc", {});
+    http_client client(context);
+    http_call_options options;
+    options.timeout = std::chrono::milliseconds(300);
+    std::string body;
+    std::optional<http_outcome> ended;
+    http_call_handlers handlers;
+    handlers.onBody = [&body](std::string_view piece) { body += piece; };
+    handlers.onDone = [&ended](const http_outcome& outcome) { ended = outcome; };
+    client.call(peer.address(), {}, options, std::move(handlers));
+    while (!ended)
+        context.run_one();
+    CHECK(body == "abc");
+    CHECK(ended->code == result_code::UpstreamTimeout);
+}
+
+TEST_CASE("Interim answers before the final one are skipped, and a long sound answer arrives whole")
+{
+    boost::asio::io_context context;
+    const std::string body(900000, 'b');
+    endless_peer peer(context, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n" + body, {});
+    const peer_outcome ended = callPeer(context, peer.address());
+    CHECK(ended.outcome.code == result_code::Ok);
+    CHECK(ended.response.status == 200);
+    CHECK(ended.response.body == body);
+}
+
+// A header value over 64 KB of an item was accepted and ended each daemon that sent it.
+TEST_CASE("A request that cannot be sent fails alone, without a connection")
+{
+    for (const unsendable_case& row : unsendableCases) {
+        DYNAMIC_SECTION(row.name)
+        {
+            boost::asio::io_context context;
+            CHECK(callPeer(context, { "127.0.0.1", 1 }, row.request).outcome.code == result_code::MalformedRequest);
+        }
+    }
+}
+
 TEST_CASE("A call that times out resets its connection, so that no part of its request arrives later")
 {
     boost::asio::io_context context;
--- a/tests/auto/net/tst_httpserver.cpp
+++ b/tests/auto/net/tst_httpserver.cpp
@@ -158,3 +158,47 @@
         }
     }
 }
+
+// A caller's chunk size line or trailer without end filled the memory, and a trailer over 64 KB ended the process.
+TEST_CASE("A request with a part that does not end is rejected at a bound")
+{
+    struct endless_case {
+        const char* name;
+        std::string head;
+        std::string pattern;
+    };
+    const std::string chunkedHead = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const endless_case cases[] = {
+        { "request line", "GET /", "x" },
+        { "headers", "GET / HTTP/1.1\r\n", "X: y\r\n" },
+        { "size line of a chunk", chunkedHead + "5", "0" },
+        { "extension of a chunk", chunkedHead + "5;", "x" },
+        { "trailer line", chunkedHead + "0\r\nX: ", "x" },
+        { "trailer fields", chunkedHead + "0\r\n", "X: y\r\n" },
+    };
+    for (const endless_case& row : cases) {
+        DYNAMIC_SECTION(row.name)
+        {
+            boost::asio::io_context context;
+            int requests = 0;
+            http_server server(
+                context, {}, [&requests](const http_exchange&) { ++requests; }, answerError);
+            REQUIRE_FALSE(server.listen({ "127.0.0.1", 0 }));
+            tcp::socket caller(context);
+            caller.connect({ boost::asio::ip::address_v4::loopback(), server.port() });
+            std::string sent = row.head;
+            while (sent.size() < std::size_t { 1024 } * 1024)
+                sent += row.pattern;
+            boost::asio::async_write(caller, boost::asio::buffer(sent), [](const boost::system::error_code&, std::size_t) {});
+            std::string received;
+            bool isClosed = false;
+            boost::asio::async_read(caller, boost::asio::dynamic_buffer(received), [&isClosed](const boost::system::error_code&, std::size_t) { isClosed = true; });
+            const std::chrono::steady_clock::time_point deadline = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+            while (!isClosed && std::chrono::steady_clock::now() < deadline)
+                context.run_one_for(std::chrono::seconds(1));
+            CHECK(isClosed);
+            CHECK(received.starts_with("HTTP/1.1 4"));
+            CHECK(requests == 0);
+        }
+    }
+}
--- a/tests/auto/platform/tst_batchcodec.cpp
+++ b/tests/auto/platform/tst_batchcodec.cpp
@@ -10,10 +10,16 @@
 
 struct submission_case {
     const char* name;
-    const char* body;
+    std::string body;
     const char* detail;
 };
 
+/// Submission of one item with \a headers.
+std::string itemWithHeaders(const std::string& headers)
+{
+    return R"({"items":[{"id":"a","path":"/1","headers":)" + headers + "}]}";
+}
+
 const submission_case badSubmissions[] = {
     { "not JSON", "{", "not a JSON object" },
     { "no list", R"({"items":3})", "not a JSON object" },
@@ -27,6 +33,13 @@
     { "reward call without a path", R"({"items":[{"id":"a","path":"/1","scorer":{"id":"s","host":"h"}}]})", "The field path" },
     { "reward call whose body is not base64", R"({"items":[{"id":"a","path":"/1","scorer":{"id":"s","host":"h","path":"/s","body":"?"}}]})", "The field body" },
     { "id of another type", R"({"items":[{"id":7,"path":"/1"}]})", "another type" },
+    { "header value that no request can have", itemWithHeaders(R"({"Long":")" + std::string(70000, 'x') + "\"}"), "too large" },
+    { "headers too large together", itemWithHeaders(R"({"A":")" + std::string(40000, 'x') + R"(","B":")" + std::string(40000, 'x') + "\"}"), "too large" },
+    { "header value with a line break", itemWithHeaders(R"({"A":"x\r\nHost: other"})"), "line break" },
+    { "header name with a colon", itemWithHeaders(R"({"A:b":"x"})"), "no token" },
+    { "path with a line break", R"({"items":[{"id":"a","path":"/1 HTTP/1.1\r\n\r\nGET /"}]})", "path is empty or has a blank" },
+    { "id with a line break", R"({"items":[{"id":"a\r\n","path":"/1"}]})", "line break" },
+    { "reward call with a line break", R"({"items":[{"id":"a","path":"/1","scorer":{"id":"s","host":"h\r\n","path":"/s"}}]})", "line break" },
 };
 
 }
@@ -49,6 +62,7 @@
     CHECK(batch->items[1].group == "b");
 }
 
+// Nested headers and header values over 64 KB were accepted, and ended the daemon that read or ran the item.
 TEST_CASE("The fault of an invalid submission is described")
 {
     for (const submission_case& row : badSubmissions) {
--- a/tests/auto/platform/tst_requestcodec.cpp
+++ b/tests/auto/platform/tst_requestcodec.cpp
@@ -77,6 +77,24 @@
     CHECK(header(sent, "Deadline-Ms") == "(none)");
 }
 
+// Headers that frame a message came from the item as well as from the connection.
+TEST_CASE("An item cannot replace the headers that each request gets, nor those that frame it")
+{
+    batch_submission batch;
+    batch.host = "lace.example";
+    batch_item item;
+    item.id = "i-1";
+    item.path = "/lots/1";
+    for (const char* const name : { "Transfer-Encoding", "content-length", "Connection", "host", "Request-Id", "Expect-Instance", "Last-Event-Id", "Token-Usage" })
+        item.headers.push_back({ name, "odd" });
+    const http_request request = encodeItemRequest(batch, item, { "r1", std::nullopt, 0 });
+    const std::vector<std::string> names { "Host", "Request-Id", "Token-Usage", "Expect-Instance" };
+    REQUIRE(request.headers.size() == names.size());
+    for (std::size_t index = 0; index < names.size(); ++index)
+        CHECK(request.headers[index].name == names[index]);
+    CHECK(headerValue(request.headers, "Host") == "lace.example");
+}
+
 TEST_CASE("A reward call has its own request id, a deadline and the id of the expected replica")
 {
     const reward_call call { "s-1", "rewards.example", "/score/1", "body" };
--- a/tests/auto/rollout/tst_itemscheduler.cpp
+++ b/tests/auto/rollout/tst_itemscheduler.cpp
@@ -240,6 +240,23 @@
     }
 }
 
+// Valid events without end filled the memory with the text of one item.
+TEST_CASE("A text that is larger than its item's tokens can need is dropped, and the item starts anew at another replica")
+{
+    scheduler_fixture fixture(4);
+    fixture.ledger.apply(batch_accepted { makeBatch("b", 1, 1) }, at(0ms));
+    const start_run first = fixture.startOne(0ms);
+    fixture.scheduler.onHead(first.run, 1);
+    std::uint64_t event = 0;
+    while (fixture.scheduler.isRunning(first.run) && event < 1000)
+        fixture.feed(first.run, ++event, std::string(10000, 'x'));
+    CHECK(event > 20);
+    CHECK(event < 100);
+    const start_run second = fixture.startOne(10ms);
+    CHECK(second.afterEvent == 0);
+    CHECK(second.replica != first.replica);
+}
+
 // A batch on a route that was just added was abandoned by a daemon that had not read the configuration yet.
 TEST_CASE("A batch waits for a configuration as new as the one under which it was accepted, and is not abandoned for its route")
 {
