Core, Platform: Parse what comes from outside with bounds of depth and range

What callers saw (operators' report): after one odd entry in the list of replicas all daemons ended by a segmentation fault, again at each start. It happens here: an entry with 130,930 nested lists in a field ends each daemon that reads it, and so does an item's headers of that kind. Slots of 1e300 or -1 became 4,294,967,295, and ports out of range passed for replicas.

Cause: the parser needs no stack for a level, but copying, comparing, printing and freeing a value does, and value(name, default) copies. Numbers were converted without a look at their range. Ruled out: fields that nobody reads, and depth as such; deep values as a whole were skipped before.

Change: parseJson() bounds the depth of all JSON from outside, wholeNumber() type and range, for the codecs of platform/ and the product's own interface. An entry with an odd number or an unusable address names no replica; an odd entry under the id of a known one makes that a last resort until it writes again. On the way: answers of the store, of engines and of scorers with a field of another type threw out of their handlers and ended the process.

Failed first: tst_jsonreader and tst_listcodec (segmentation fault), tst_batchcodec, tst_system "Odd entries in the list of replicas" (no order answered) and "A batch whose items cannot be read or sent".

--- a/src/libs/commandline/adminclient.cpp
+++ b/src/libs/commandline/adminclient.cpp
@@ -2,7 +2,7 @@
 
 #include "adminjson.h"
 
-#include <nlohmann/json.hpp>
+#include <core/jsonreader.h>
 
 #include <cctype>
 #include <exception>
@@ -29,7 +29,7 @@
     /// Error answer in \a body; all members are empty when it cannot be parsed.
     problem_details readProblem(const std::string& body)
     {
-        const json document = json::parse(body, nullptr, false);
+        const json document = parseJson(body);
         if (!document.is_object())
             return {};
         try {
@@ -76,7 +76,7 @@
         if (const command_failure* failure = std::get_if<command_failure>(&text))
             return *failure;
         try {
-            return reader(json::parse(std::get<std::string>(text)));
+            return reader(parseJson(std::get<std::string>(text)));
         } catch (const std::exception& error) {
             return command_failure { exit_code::Unreachable,
                 "The answer of the daemon at " + address + " cannot be read: " + error.what()
--- a/src/libs/commandline/applycommand.cpp
+++ b/src/libs/commandline/applycommand.cpp
@@ -2,7 +2,7 @@
 
 #include "entrydiff.h"
 
-#include <nlohmann/json.hpp>
+#include <core/jsonreader.h>
 
 #include <algorithm>
 #include <ostream>
@@ -198,7 +198,7 @@
     if (m_environment.format == output_format::Json) {
         json document { { "entry", submission.entry }, { "record", submission.record }, { "accepted", false }, { "code", rejected.code }, { "title", rejected.title }, { "detail", rejected.detail } };
         if (theirs)
-            document["current"] = { { "revision", theirs->revision }, { "operator", theirs->operatorName }, { "body", json::parse(theirs->body, nullptr, false) } };
+            document["current"] = { { "revision", theirs->revision }, { "operator", theirs->operatorName }, { "body", parseJson(theirs->body) } };
         m_environment.output << document << '\n';
     }
     m_environment.errors << "Rejected: the edit of entry " << quoted(submission.entry) << " (" << rejected.title << ", result code "
--- a/src/libs/commandline/cataloguecommand.cpp
+++ b/src/libs/commandline/cataloguecommand.cpp
@@ -8,7 +8,7 @@
 
 #include <core/catalogueentry.h>
 
-#include <nlohmann/json.hpp>
+#include <core/jsonreader.h>
 
 #include <ostream>
 
@@ -29,7 +29,7 @@
 
     json bodyJson(const std::string& body)
     {
-        return body.empty() ? json() : json::parse(body, nullptr, false);
+        return body.empty() ? json() : parseJson(body);
     }
 
     json itemJson(const entry_row& item)
--- a/src/libs/commandline/customerload.cpp
+++ b/src/libs/commandline/customerload.cpp
@@ -3,7 +3,7 @@
 #include "loadanswer.h"
 
 #include <boost/asio/io_context.hpp>
-#include <nlohmann/json.hpp>
+#include <core/jsonreader.h>
 
 #include <utility>
 
@@ -24,7 +24,7 @@
     /// path are not checked.
     bool isWrongAnswer(const std::string& body, const std::string& key)
     {
-        const json document = json::parse(body, nullptr, false);
+        const json document = parseJson(body);
         const bool isEcho = document.is_object() && document.contains("path") && document["path"].is_string();
         return isEcho && document["path"].get<std::string>().find(key) == std::string::npos;
     }
--- a/src/libs/commandline/entrydiff.cpp
+++ b/src/libs/commandline/entrydiff.cpp
@@ -1,6 +1,6 @@
 #include "entrydiff.h"
 
-#include <nlohmann/json.hpp>
+#include <core/jsonreader.h>
 
 #include <map>
 #include <set>
@@ -25,7 +25,7 @@
     flat_body flatBody(std::string_view text)
     {
         flat_body flat;
-        const nlohmann::json body = nlohmann::json::parse(text.begin(), text.end(), nullptr, false);
+        const nlohmann::json body = parseJson(text);
         if (body.is_object())
             flatten(body, "", flat);
         return flat;
--- a/src/libs/commandline/entryfile.cpp
+++ b/src/libs/commandline/entryfile.cpp
@@ -2,7 +2,7 @@
 
 #include <core/catalogueentry.h>
 
-#include <nlohmann/json.hpp>
+#include <core/jsonreader.h>
 
 #include <fstream>
 #include <iterator>
@@ -77,7 +77,7 @@
 
 std::variant<std::vector<entry_file_item>, command_failure> parseEntryFile(const std::string& path, std::string_view text)
 {
-    const json document = json::parse(text.begin(), text.end(), nullptr, false);
+    const json document = parseJson(text);
     if (document.is_discarded())
         return invalid(path, "The file is not JSON in UTF-8; correct the text.");
     const json items = document.is_array() ? document : json::array({ document });
--- a/src/libs/commandline/loadanswer.cpp
+++ b/src/libs/commandline/loadanswer.cpp
@@ -1,6 +1,6 @@
 #include "loadanswer.h"
 
-#include <nlohmann/json.hpp>
+#include <core/jsonreader.h>
 
 #include <algorithm>
 #include <cstdlib>
@@ -19,7 +19,7 @@
 {
     if (outcome.code != result_code::Ok || response.status < firstErrorStatus)
         return outcome.code;
-    const nlohmann::json problem = nlohmann::json::parse(response.body, nullptr, false);
+    const nlohmann::json problem = parseJson(response.body);
     const bool hasCode = problem.is_object() && problem.contains("code") && problem["code"].is_number_integer() && problem["code"] != 0;
     return hasCode ? static_cast<result_code>(problem["code"].get<int>()) : result_code::Internal;
 }
--- a/src/libs/commandline/trainerload.cpp
+++ b/src/libs/commandline/trainerload.cpp
@@ -3,7 +3,7 @@
 #include "loadanswer.h"
 
 #include <boost/asio/io_context.hpp>
-#include <nlohmann/json.hpp>
+#include <core/jsonreader.h>
 
 #include <algorithm>
 #include <utility>
@@ -101,7 +101,7 @@
     http_call_options options;
     options.timeout = callTimeout;
     m_client.callBuffered(*m_plan.weightStore, std::move(request), options, [this](const http_outcome& outcome, const http_response& response) {
-        const json document = json::parse(response.body, nullptr, false);
+        const json document = parseJson(response.body);
         const bool isRead = answerCode(outcome, response) == result_code::Ok && document.is_object() && !document.value("versions", json::array()).empty();
         if (isRead)
             m_version = readVersion(document["versions"].back());
@@ -154,7 +154,7 @@
 
 void trainer_load::onFetched(const http_response& response)
 {
-    const json document = json::parse(response.body, nullptr, false);
+    const json document = parseJson(response.body);
     const json samples = document.is_object() ? document.value("samples", json::array()) : json::array();
     for (const json& sample : samples) {
         const std::uint32_t slot = sample.at("slot");
--- a/src/libs/core/batchindextable.cpp
+++ b/src/libs/core/batchindextable.cpp
@@ -1,6 +1,6 @@
 #include "batchindextable.h"
 
-#include <nlohmann/json.hpp>
+#include "jsonreader.h"
 
 namespace ragwortreach {
 
@@ -59,7 +59,7 @@
 
 std::optional<batch_index_record> parseBatchIndexRecord(std::string_view text)
 {
-    const json document = json::parse(text, nullptr, false);
+    const json document = parseJson(text);
     if (!document.is_object() || document.value("schema", json()) != recordSchema)
         return std::nullopt;
     const std::optional<batch_state> state = parseState(stringAt(document, "state"));
--- a/src/libs/core/batchrecord.cpp
+++ b/src/libs/core/batchrecord.cpp
@@ -1,6 +1,6 @@
 #include "batchrecord.h"
 
-#include <nlohmann/json.hpp>
+#include "jsonreader.h"
 
 #include <string>
 #include <utility>
@@ -42,7 +42,7 @@
 
 std::optional<batch_spec> parseSpecRecord(const restored_record& record)
 {
-    const json document = json::parse(record.data, nullptr, false);
+    const json document = parseJson(record.data);
     if (!hasKey(document, "spec"))
         return std::nullopt;
     const std::variant<batch_spec, batch_spec_error> spec = parseBatchSpec(document["spec"].dump());
@@ -53,7 +53,7 @@
 
 std::optional<recorded_sample> parseSampleRecord(const restored_record& record)
 {
-    const json document = json::parse(record.data, nullptr, false);
+    const json document = parseJson(record.data);
     if (!hasKey(document, "sample"))
         return std::nullopt;
     std::optional<batch_sample> sample = parseSample(document["sample"].dump());
--- a/src/libs/core/batchsample.cpp
+++ b/src/libs/core/batchsample.cpp
@@ -1,6 +1,6 @@
 #include "batchsample.h"
 
-#include <nlohmann/json.hpp>
+#include "jsonreader.h"
 
 #include <utility>
 
@@ -24,7 +24,7 @@
         document.at("begin").get_to(span.begin);
         document.at("end").get_to(span.end);
         for (const json& weights : document.at("weights"))
-            span.versions.push_back({ weights.at("base").get<std::uint64_t>(), weights.at("adapter").get<std::uint64_t>() });
+            span.versions.push_back({ wholeNumber<std::uint64_t>(weights.at("base")), wholeNumber<std::uint64_t>(weights.at("adapter")) });
         return span;
     }
 
@@ -71,7 +71,7 @@
 std::optional<batch_sample> parseSample(std::string_view text)
 {
     try {
-        const json document = json::parse(text);
+        const json document = parseJson(text);
         batch_sample sample = sampleOf(document);
         if (sample.label.isInvalid() || sample.tokenIds.empty() || sample.label.tokens() != sample.tokenIds.size())
             return std::nullopt;
--- a/src/libs/core/batchspec.cpp
+++ b/src/libs/core/batchspec.cpp
@@ -1,6 +1,7 @@
 #include "batchspec.h"
 
-#include <nlohmann/json.hpp>
+#include "jsonreader.h"
+
 #include <xxhash.h>
 
 #include <array>
@@ -157,7 +158,7 @@
 
 std::variant<batch_spec, batch_spec_error> parseBatchSpec(std::string_view text)
 {
-    const json document = json::parse(text, nullptr, false);
+    const json document = parseJson(text);
     if (!document.is_object())
         return batch_spec_error { result_code::MalformedRequest, "The body must be a JSON object." };
     spec_reader reader(document);
--- a/src/libs/core/catalogueentry.cpp
+++ b/src/libs/core/catalogueentry.cpp
@@ -1,11 +1,10 @@
 #include "catalogueentry.h"
 
 #include "catalogueschema.h"
+#include "jsonreader.h"
 #include "resultcode.h"
 #include "schemacheck.h"
 
-#include <nlohmann/json.hpp>
-
 namespace ragwortreach {
 
 namespace {
@@ -85,7 +84,7 @@
     detail = check.firstError(text);
     if (!detail.empty())
         return result_code::EditInvalid;
-    const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+    const nlohmann::json json = parseJson(text);
     if (json.is_discarded()) {
         detail = "the body is not JSON in UTF-8, expected an object";
         return result_code::EditInvalid;
--- a/src/libs/core/cataloguesnapshot.cpp
+++ b/src/libs/core/cataloguesnapshot.cpp
@@ -2,8 +2,8 @@
 
 #include "cataloguestatecodec.h"
 #include "cataloguetable.h"
+#include "jsonreader.h"
 
-#include <nlohmann/json.hpp>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -65,7 +65,7 @@
 
 std::optional<catalogue_snapshot> decodeSnapshot(std::string_view text)
 {
-    const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+    const nlohmann::json json = parseJson(text);
     if (!json.is_object() || !json.contains("schema") || json.at("schema") != knownSchema)
         return std::nullopt;
     if (!json.contains("covered") || !json.at("covered").is_number_unsigned())
--- a/src/libs/core/cataloguestatecodec.cpp
+++ b/src/libs/core/cataloguestatecodec.cpp
@@ -1,8 +1,7 @@
 #include "cataloguestatecodec.h"
 
 #include "cataloguetable.h"
-
-#include <nlohmann/json.hpp>
+#include "jsonreader.h"
 
 #include <stdexcept>
 
@@ -187,7 +186,7 @@
 bool catalogue_state_codec::decode(std::string_view text, catalogue_table& table)
 {
     try {
-        table = parts::decode(json::parse(text));
+        table = parts::decode(parseJson(text));
         return true;
     } catch (const std::exception&) {
         return false;
--- a/src/libs/core/claimrecord.cpp
+++ b/src/libs/core/claimrecord.cpp
@@ -1,9 +1,8 @@
 #include "claimrecord.h"
 
+#include "jsonreader.h"
 #include "logrecord.h"
 
-#include <nlohmann/json.hpp>
-
 #include <stdexcept>
 
 namespace ragwortreach {
@@ -112,7 +111,7 @@
     if (text.size() > maxRecordBytes)
         return std::nullopt;
     try {
-        return recordFromJson(json::parse(text));
+        return recordFromJson(parseJson(text));
     } catch (const std::exception&) {
         return std::nullopt;
     }
--- a/src/libs/core/fetchrequest.cpp
+++ b/src/libs/core/fetchrequest.cpp
@@ -1,6 +1,6 @@
 #include "fetchrequest.h"
 
-#include <nlohmann/json.hpp>
+#include "jsonreader.h"
 
 #include <algorithm>
 
@@ -17,7 +17,7 @@
     {
         std::vector<slot_range> ranges;
         for (auto it = list.begin(); it != list.end(); ++it) {
-            const slot_range range { it->at(0).get<std::uint32_t>(), it->at(1).get<std::uint32_t>() };
+            const slot_range range { wholeNumber<std::uint32_t>(it->at(0)), wholeNumber<std::uint32_t>(it->at(1)) };
             if (range.last < range.first)
                 throw json::other_error::create(501, "a range in 'held' has its last slot before its first", nullptr);
             ranges.push_back(range);
@@ -28,14 +28,15 @@
     fetch_request parseBody(const json& body)
     {
         fetch_request request;
-        request.fetch = body.at("fetch").get<std::uint64_t>();
-        request.version.base = body.at("version").at("base").get<std::uint64_t>();
-        request.version.adapter = body.at("version").at("adapter").get<std::uint64_t>();
+        request.fetch = wholeNumber<std::uint64_t>(body.at("fetch"));
+        request.version.base = wholeNumber<std::uint64_t>(body.at("version").at("base"));
+        request.version.adapter = wholeNumber<std::uint64_t>(body.at("version").at("adapter"));
         if (body.contains("held"))
             request.held = parseRanges(body.at("held"));
-        request.max = std::clamp(body.value("max", defaultSamplesPerFetch), 1U, maxSamplesPerFetch);
-        const std::int64_t waitMs = body.value("wait_ms", std::int64_t { 0 });
-        request.wait = std::clamp(duration(std::chrono::milliseconds(std::min<std::int64_t>(waitMs, 1000000))), duration::zero(), maxFetchWait);
+        request.max = std::clamp(wholeNumberAt(body, "max", defaultSamplesPerFetch), 1U, maxSamplesPerFetch);
+        constexpr double maxWaitMs = 1000000;
+        const std::chrono::duration<double, std::milli> wait(std::clamp(body.value("wait_ms", 0.0), 0.0, maxWaitMs));
+        request.wait = std::min(std::chrono::duration_cast<duration>(wait), maxFetchWait);
         return request;
     }
 
@@ -44,7 +45,7 @@
 std::optional<fetch_request> parseFetchRequest(std::string_view body, std::string& detail)
 {
     try {
-        fetch_request request = parseBody(json::parse(body));
+        fetch_request request = parseBody(parseJson(body));
         if (request.held.size() <= maxHeldRanges)
             return request;
         detail = "The list 'held' has more ranges than a batch may have slots; merge adjacent ranges.";
--- a/src/libs/core/holdertable.cpp
+++ b/src/libs/core/holdertable.cpp
@@ -1,6 +1,6 @@
 #include "holdertable.h"
 
-#include <nlohmann/json.hpp>
+#include "jsonreader.h"
 
 #include <algorithm>
 
@@ -26,7 +26,7 @@
     if (text.size() > maxRecordBytes)
         return std::nullopt;
     try {
-        const nlohmann::json json = nlohmann::json::parse(text);
+        const nlohmann::json json = parseJson(text);
         if (json.at("schema") != knownSchema)
             return std::nullopt;
         return holder_record { json.at("data_centre"), json.at("model"), { json.at("vm"), json.at("incarnation") } };
--- /dev/null
+++ b/src/libs/core/jsonreader.cpp
@@ -0,0 +1,30 @@
+#include "jsonreader.h"
+
+namespace ragwortreach {
+
+using nlohmann::json;
+
+json parseJson(std::string_view text)
+{
+    bool isTooDeep = false;
+    const json::parser_callback_t limitDepth = [&isTooDeep](int depth, json::parse_event_t, json&) {
+        isTooDeep = isTooDeep || depth > maxJsonDepth;
+        return !isTooDeep;
+    };
+    json value = json::parse(text.begin(), text.end(), limitDepth, false);
+    return isTooDeep ? json(json::value_t::discarded) : value;
+}
+
+std::string optionalText(const json& object, const char* name)
+{
+    const auto found = object.find(name);
+    return found != object.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+
+std::uint64_t optionalNumber(const json& object, const char* name)
+{
+    const auto found = object.find(name);
+    return found != object.end() && found->is_number_unsigned() ? found->get<std::uint64_t>() : 0;
+}
+
+}
--- a/src/libs/gateway/platformview.cpp
+++ b/src/libs/gateway/platformview.cpp
@@ -125,6 +125,9 @@
     const std::optional<replica_entry> entry = platform::decodeReplicaEntry(record.key, *record.value);
     if (!entry) {
         reportUnreadable(record);
+        // Another writer has overwritten the entry. A replica that is alive writes the next one soon.
+        if (m_pool.find(record.key))
+            m_pool.markVanished(record.key, bootNow());
         return;
     }
     ++m_counters.replicaEntries;
--- a/src/libs/net/engineclient.cpp
+++ b/src/libs/net/engineclient.cpp
@@ -2,7 +2,7 @@
 
 #include "ssereader.h"
 
-#include <nlohmann/json.hpp>
+#include <core/jsonreader.h>
 
 namespace ragwortreach {
 
@@ -31,7 +31,7 @@
 
     weight_version parseVersion(const json& value)
     {
-        return { value.at("base").get<std::uint64_t>(), value.at("adapter").get<std::uint64_t>() };
+        return { wholeNumber<std::uint64_t>(value.at("base")), wholeNumber<std::uint64_t>(value.at("adapter")) };
     }
 
     std::vector<weight_version> parseVersions(const json& event)
@@ -68,7 +68,7 @@
         if (data == "[DONE]" || stream.failure.code != result_code::Ok)
             return;
         try {
-            completion_chunk chunk = parseChunk(json::parse(data));
+            completion_chunk chunk = parseChunk(parseJson(data));
             stream.isFinished = stream.isFinished || chunk.isFinished;
             stream.onChunk(std::move(chunk));
         } catch (const json::exception&) {
@@ -104,13 +104,13 @@
         if (outcome.code != result_code::Ok || response.status != 200)
             return std::nullopt;
         try {
-            const json body = json::parse(response.body);
+            const json body = parseJson(response.body);
             engine_state state;
             state.weights = parseVersion(body.at("weights"));
             state.isLoading = body.value("loading", false);
-            state.fencing = body.value("fencing", std::uint64_t { 0 });
-            state.running = body.value("running", std::uint32_t { 0 });
-            state.waiting = body.value("waiting", std::uint32_t { 0 });
+            state.fencing = wholeNumberAt<std::uint64_t>(body, "fencing", 0);
+            state.running = wholeNumberAt<std::uint32_t>(body, "running", 0);
+            state.waiting = wholeNumberAt<std::uint32_t>(body, "waiting", 0);
             return state;
         } catch (const json::exception&) {
             return std::nullopt;
@@ -121,8 +121,8 @@
     {
         if (outcome.code != result_code::Ok)
             return { outcome.code, 0 };
-        const json body = json::parse(response.body, nullptr, false);
-        const std::uint64_t fencing = body.is_object() ? body.value("fencing", std::uint64_t { 0 }) : 0;
+        const json body = parseJson(response.body);
+        const std::uint64_t fencing = optionalNumber(body, "fencing");
         const bool isAccepted = response.status == 202 || response.status == 200;
         return { isAccepted ? result_code::Ok : result_code::UpstreamRefused, fencing };
     }
--- a/src/libs/net/logclient.cpp
+++ b/src/libs/net/logclient.cpp
@@ -2,7 +2,7 @@
 
 #include "httpclient.h"
 
-#include <nlohmann/json.hpp>
+#include <core/jsonreader.h>
 
 namespace ragwortreach {
 
@@ -33,14 +33,14 @@
     log_page parsePage(const json& body)
     {
         log_page page;
-        page.firstRetained = body.value("first_retained", std::uint64_t { 0 });
-        page.next = body.value("next", std::uint64_t { 0 });
-        page.end = body.value("end", page.next);
+        page.firstRetained = wholeNumberAt<std::uint64_t>(body, "first_retained", 0);
+        page.next = wholeNumberAt<std::uint64_t>(body, "next", 0);
+        page.end = wholeNumberAt<std::uint64_t>(body, "end", page.next);
         if (!body.contains("records"))
             return page;
         const json& records = body.at("records");
         for (auto it = records.begin(); it != records.end(); ++it)
-            page.records.push_back({ it->at("offset").get<std::uint64_t>(), it->at("id").get<std::string>(), it->at("data").dump() });
+            page.records.push_back({ wholeNumber<std::uint64_t>(it->at("offset")), it->at("id").get<std::string>(), it->at("data").dump() });
         return page;
     }
 
@@ -53,7 +53,7 @@
         }
         log_page page;
         try {
-            page = parsePage(json::parse(response.body));
+            page = parsePage(parseJson(response.body));
         } catch (const json::exception&) {
             handler(result_code::LogUnavailable, {});
             return;
@@ -78,8 +78,8 @@
     m_client.callBuffered(m_address, std::move(request), options,
         [whenDone = std::move(handler)](const http_outcome& outcome, const http_response& response) {
             const result_code code = appendResult(outcome, response.status);
-            const json body = json::parse(response.body, nullptr, false);
-            const bool hasOffset = code == result_code::Ok && body.is_object() && body.contains("first");
+            const json body = parseJson(response.body);
+            const bool hasOffset = code == result_code::Ok && body.is_object() && body.contains("first") && body["first"].is_number_unsigned();
             if (code == result_code::Ok && !hasOffset) {
                 whenDone(result_code::AppendUnknown, 0);
                 return;
--- a/src/libs/net/platformclient.cpp
+++ b/src/libs/net/platformclient.cpp
@@ -2,7 +2,7 @@
 
 #include "httpclient.h"
 
-#include <nlohmann/json.hpp>
+#include <core/jsonreader.h>
 
 namespace ragwortreach {
 
@@ -16,7 +16,7 @@
     {
         listed_vm vm;
         vm.vm = item.at("vm").get<std::string>();
-        vm.incarnation = item.at("incarnation").get<std::uint64_t>();
+        vm.incarnation = wholeNumber<std::uint64_t>(item.at("incarnation"));
         vm.dataCentre = item.at("data_centre").get<std::string>();
         vm.region = item.value("region", std::string());
         vm.role = item.at("role").get<std::string>() == "upstream" ? vm_role::Upstream : vm_role::Entry;
@@ -32,9 +32,9 @@
     std::optional<vm_list> parseList(std::string_view text)
     {
         try {
-            const json body = json::parse(text);
+            const json body = parseJson(text);
             vm_list list;
-            list.revision = body.at("revision").get<std::uint64_t>();
+            list.revision = wholeNumber<std::uint64_t>(body.at("revision"));
             const json& vms = body.at("vms");
             for (auto it = vms.begin(); it != vms.end(); ++it)
                 list.vms.push_back(parseVm(*it));
@@ -47,11 +47,11 @@
     std::optional<std::vector<weight_version>> parseVersions(std::string_view text)
     {
         try {
-            const json body = json::parse(text);
+            const json body = parseJson(text);
             const json& list = body.at("versions");
             std::vector<weight_version> versions;
             for (auto it = list.begin(); it != list.end(); ++it)
-                versions.push_back({ it->at("base").get<std::uint64_t>(), it->at("adapter").get<std::uint64_t>() });
+                versions.push_back({ wholeNumber<std::uint64_t>(it->at("base")), wholeNumber<std::uint64_t>(it->at("adapter")) });
             return versions;
         } catch (const json::exception&) {
             return std::nullopt;
--- a/src/libs/net/scorerclient.cpp
+++ b/src/libs/net/scorerclient.cpp
@@ -2,7 +2,7 @@
 
 #include "httpclient.h"
 
-#include <nlohmann/json.hpp>
+#include <core/jsonreader.h>
 
 namespace ragwortreach {
 
@@ -16,10 +16,10 @@
     {
         if (outcome.code != result_code::Ok || response.status != 200)
             return std::nullopt;
-        const json body = json::parse(response.body, nullptr, false);
+        const json body = parseJson(response.body);
         if (!body.is_object() || !body.contains("reward") || !body.at("reward").is_number())
             return std::nullopt;
-        if (body.value("sample_id", std::string()) != sampleId)
+        if (optionalText(body, "sample_id") != sampleId)
             return std::nullopt;
         return body.at("reward").get<double>();
     }
--- a/src/libs/service/adminroutes.cpp
+++ b/src/libs/service/adminroutes.cpp
@@ -7,7 +7,7 @@
 #include <core/cataloguereader.h>
 #include <core/daemoncore.h>
 
-#include <nlohmann/json.hpp>
+#include <core/jsonreader.h>
 
 #include <charconv>
 
@@ -32,7 +32,7 @@
     /// Edit in the body \a text; nothing when it is not a JSON object with a valid id.
     std::optional<submitted_edit> parseEdit(std::string_view text)
     {
-        json body = json::parse(text, nullptr, false);
+        json body = parseJson(text);
         if (!body.is_object() || !body.contains("id") || !body["id"].is_string())
             return std::nullopt;
         submitted_edit edit;
--- a/src/libs/service/callerroutes.cpp
+++ b/src/libs/service/callerroutes.cpp
@@ -5,7 +5,7 @@
 
 #include <core/cataloguetable.h>
 
-#include <nlohmann/json.hpp>
+#include <core/jsonreader.h>
 #include <xxhash.h>
 
 #include <charconv>
@@ -114,7 +114,7 @@
         refuse(exchange, result_code::MethodNotAllowed, {});
         return;
     }
-    json body = json::parse(exchange.request().body, nullptr, false);
+    json body = parseJson(exchange.request().body);
     const bool isValid = body.is_object() && body.contains("model") && body["model"].is_string() && body.contains("prompt") && body["prompt"].is_string();
     if (!isValid) {
         refuse(exchange, result_code::MalformedRequest, "The body is not a JSON object with the strings model and prompt.");
--- a/tests/auto/platform/tst_batchcodec.cpp
+++ b/tests/auto/platform/tst_batchcodec.cpp
@@ -33,6 +33,7 @@
     { "reward call without a path", R"({"items":[{"id":"a","path":"/1","scorer":{"id":"s","host":"h"}}]})", "The field path" },
     { "reward call whose body is not base64", R"({"items":[{"id":"a","path":"/1","scorer":{"id":"s","host":"h","path":"/s","body":"?"}}]})", "The field body" },
     { "id of another type", R"({"items":[{"id":7,"path":"/1"}]})", "another type" },
+    { "headers nested very deeply", itemWithHeaders(std::string(131000, '[') + std::string(131000, ']')), "not a JSON object" },
     { "header value that no request can have", itemWithHeaders(R"({"Long":")" + std::string(70000, 'x') + "\"}"), "too large" },
     { "headers too large together", itemWithHeaders(R"({"A":")" + std::string(40000, 'x') + R"(","B":")" + std::string(40000, 'x') + "\"}"), "too large" },
     { "header value with a line break", itemWithHeaders(R"({"A":"x\r\nHost: other"})"), "line break" },
--- a/tests/auto/platform/tst_listcodec.cpp
+++ b/tests/auto/platform/tst_listcodec.cpp
@@ -3,6 +3,8 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <map>
+
 using namespace ragwortreach;
 using namespace ragwortreach::platform;
 
@@ -29,6 +31,52 @@
     { "no sequence number", R"({"service":"llm","address":"127.0.0.1:9","zone":"a","slots":1,"state":"ready"})" },
 };
 
+/// Entry that is complete but for \a field, which has \a value.
+std::string entryWith(const std::string& field, const std::string& value)
+{
+    std::map<std::string, std::string> fields { { "service", "\"llm\"" }, { "address", "\"127.0.0.1:9\"" }, { "zone", "\"a\"" }, { "slots", "12" },
+        { "state", "\"ready\"" }, { "seq_no", "1" }, { "born", "17" }, { "models", "[]" } };
+    fields[field] = value;
+    std::string entry;
+    for (const std::pair<const std::string, std::string>& item : fields)
+        entry += (entry.empty() ? "{\"" : ",\"") + item.first + "\":" + item.second;
+    return entry + "}";
+}
+
+std::string nestedLists(std::size_t levels)
+{
+    return std::string(levels, '[') + std::string(levels, ']');
+}
+
+struct odd_value_case {
+    const char* name;
+    const char* field;
+    std::string value;
+};
+
+const odd_value_case oddValues[] = {
+    { "models nested very deeply", "models", nestedLists(130930) },
+    { "models nested deeply", "models", nestedLists(1000) },
+    { "an unknown field nested very deeply", "more", nestedLists(130930) },
+    { "slots beyond all numbers", "slots", "1e300" },
+    { "slots beyond their type", "slots", "4294967296" },
+    { "more slots than any replica has", "slots", "4294967295" },
+    { "negative slots", "slots", "-1" },
+    { "start beyond all numbers", "born", "1e300" },
+    { "start beyond its type", "born", "18446744073709551615" },
+    { "negative start", "born", "-1" },
+    { "start of another type", "born", "\"17\"" },
+    { "sequence number beyond all numbers", "seq_no", "1e30" },
+    { "negative sequence number", "seq_no", "-1" },
+    { "version beyond all numbers", "models", R"([{"name":"lace","version":1e300}])" },
+    { "port out of range", "address", "\"127.0.0.1:99999\"" },
+    { "negative port", "address", "\"127.0.0.1:-1\"" },
+    { "port zero", "address", "\"127.0.0.1:0\"" },
+    { "no port", "address", "\"127.0.0.1\"" },
+    { "a name in place of an address", "address", "\"replica.example:80\"" },
+    { "a number beyond JSON", "slots", "1e999" },
+};
+
 constexpr const char* completeConfiguration = R"({"version":7,"routes":[
     {"name":"r1","host":"h","path_prefix":"/a/","route_kind":"rollout","timeout_ms":10000,"full_value_ms":400,"priority":1,"service":"llm",
      "max_attempts":3,"retention_s":40.5,"result_target_ms":7500,"single_version":true,"resumable":true},
@@ -57,6 +105,16 @@
     }
 }
 
+// Odd entries of other writers ended the daemons that read them, or were taken for replicas of four billion slots.
+TEST_CASE("An entry with an odd value names no replica")
+{
+    REQUIRE(decodeReplicaEntry("i-1", entryWith("slots", "12")));
+    REQUIRE(decodeReplicaEntry("i-1", entryWith("more", "[[1]]")));
+    for (const odd_value_case& row : oddValues) {
+        DYNAMIC_SECTION(row.name) { CHECK_FALSE(decodeReplicaEntry("i-1", entryWith(row.field, row.value))); }
+    }
+}
+
 TEST_CASE("Decoding a corrupted or truncated entry does not crash")
 {
     REQUIRE(rc::check([] {
@@ -91,6 +149,6 @@
     CHECK(std::get<named_version>(named).version == 3);
     for (const keyed_record& record : { keyed_record { "version/lace", R"({"model_id":3})", 0 }, keyed_record { "other", "{}", 0 } })
         CHECK(std::holds_alternative<std::monostate>(decodeOperatorRecord(record)));
-    for (const keyed_record& record : { keyed_record { "config", "{", 0 }, keyed_record { "config", R"({"version":"x"})", 0 }, keyed_record { "config", std::nullopt, 0 } })
+    for (const keyed_record& record : { keyed_record { "config", "{", 0 }, keyed_record { "config", R"({"version":"x"})", 0 }, keyed_record { "config", std::nullopt, 0 }, keyed_record { "config", nestedLists(130930), 0 }, keyed_record { "config", R"({"version":1e300,"routes":[],"services":[]})", 0 } })
         CHECK(std::holds_alternative<unreadable_configuration>(decodeOperatorRecord(record)));
 }
--- a/tests/auto/platform/tst_requestcodec.cpp
+++ b/tests/auto/platform/tst_requestcodec.cpp
@@ -136,7 +136,8 @@
     REQUIRE(report);
     CHECK(report->ordersAccepted == 2);
     CHECK(report->weights.at("lace") == 5);
-    for (const char* malformed : { "", "[]", R"({"busy":1,"seq_no":2,"models":[]})", R"({"busy":true})" })
+    for (const char* malformed : { "", "[]", R"({"busy":1,"seq_no":2,"models":[]})", R"({"busy":true})", R"({"busy":false,"seq_no":-1,"models":[]})", R"({"busy":false,"seq_no":1e300,"models":[]})",
+             R"({"busy":false,"seq_no":2,"models":[{"name":"lace","version":1.5}]})" })
         CHECK_FALSE(decodeReport(malformed));
 }
 
--- a/tests/auto/system/tst_platform.cpp
+++ b/tests/auto/system/tst_platform.cpp
@@ -277,6 +277,46 @@
     CHECK(hasAllEvents(results(fleet, 1, "b")[3]["output"], replica_standin::longEvents));
 }
 
+// Odd entries in the list of replicas ended every daemon that read them, again at each start.
+TEST_CASE("Odd entries in the list of replicas end no daemon, and the sound replicas are used")
+{
+    platform_fleet fleet(2);
+    const std::string deep = std::string(130930, '[') + std::string(130930, ']');
+    const std::string begin = R"({"service":"shop","address":"127.0.0.1:1","zone":"north-a","state":"ready","seq_no":1,"born":1,)";
+    fleet.run([&fleet, &deep, &begin] {
+        fleet.store().put("keyed.servers", "odd-1", begin + R"("slots":8,"models":)" + deep + "}");
+        fleet.store().put("keyed.servers", "odd-2", begin + R"("slots":1e300})");
+        fleet.store().put("keyed.servers", "odd-3", deep);
+        fleet.store().put("keyed.servers", "odd-4", R"({"service":"shop","address":"127.0.0.1:99999","zone":"north-a","slots":8,"state":"ready","seq_no":1})");
+        // Another writer overwrites the entry of a replica that is alive and writes it again.
+        fleet.store().put("keyed.servers", "shop-1", begin + R"("slots":-1})");
+        fleet.shop().writeEntry();
+    });
+    for (int number = 0; number < 40; ++number)
+        CHECK(send(fleet.caller(static_cast<std::size_t>(number) % 2), "POST", "/orders/1", "linen", headersFor("order-" + std::to_string(number))).status == 200);
+    fleet.killAll();
+    fleet.start(0);
+    fleet.waitReady(0);
+    CHECK(send(fleet.caller(0), "POST", "/orders/1", "linen", headersFor("order-again")).status == 200);
+}
+
+// Nested or unsendable headers of an item ended the daemon that took or ran its batch.
+TEST_CASE("A batch whose items cannot be read or sent is rejected, and the daemon serves on")
+{
+    platform_fleet fleet(1);
+    json unsendable = batch("a-");
+    unsendable["items"][0]["headers"]["Long"] = std::string(70000, 'x');
+    CHECK(send(fleet.caller(0), "POST", "/lots/b", unsendable, headersFor("unsendable")).status == 400);
+    json nested = json::array();
+    for (int level = 0; level < 100; ++level)
+        nested = json::array({ nested });
+    json deep = batch("a-");
+    deep["items"][0]["headers"] = nested;
+    CHECK(send(fleet.caller(0), "POST", "/lots/b", deep, headersFor("deep")).status == 400);
+    CHECK(send(fleet.caller(0), "POST", "/lots/b", batch("a-"), headersFor("sound")).status == 202);
+    CHECK(hasResults(fleet, 0, "sound", 4));
+}
+
 TEST_CASE("Items with reward calls are listed only once they have their reward, each with its own")
 {
     platform_fleet fleet(2);
