Gateway: Read all events of a piece unless their own run has ended

Cause: item_runner::readBody() left its loop over the events of a piece as soon as the scheduler had any effect waiting, also for another item. When the events dropped were the last ones, the orderly end of the stream made the short text final. Ruled out: the reader of events (its test splits bodies at all places) and broken connections (the replicas had sent all).

Change: only the end of the run itself ends the loop.

--- a/src/libs/gateway/itemrunner.cpp
+++ b/src/libs/gateway/itemrunner.cpp
@@ -181,11 +181,12 @@
     if (!isOwnAnswer)
         return;
     for (const stream_event& event : stream.reader.read(piece)) {
+        // Only the end of this run ends the loop; effects that wait may concern other items.
+        if (!m_scheduler.isRunning(run))
+            break;
         if (event.weightVersion)
             m_pool.noteVersion(stream.replica.id, stream.model, *event.weightVersion);
         m_scheduler.onEvent(run, event, bootNow());
-        if (m_scheduler.hasEffects())
-            break;
     }
     if (!stream.reader.isValid() && !std::exchange(stream.isMalformed, true))
         boost::asio::post(m_context, [this, run] { abortMalformedStream(run); });
