Gateway: Give an answer that is being passed on all the time of its call

Cause: the first attempt of a call that may be repeated gets 0.45 of the time, so that another replica can be tried after it. A larger answer is passed on while it arrives, and then no other replica can take over, but the attempt's time stayed. Ruled out: the new time-out for calls that began before it; the cuts come at 0.45 of the time for every call after the change.

Change: once a part of an answer was sent to the caller, its attempt has all the time of the call.

--- a/src/libs/gateway/callrelay.cpp
+++ b/src/libs/gateway/callrelay.cpp
@@ -59,6 +59,9 @@
     bool isOnTrial = false;
     /// A part of the replica's own answer has arrived in this attempt.
     bool hasProgress = false;
+    /// A part of the replica's answer was sent to the caller, so that no other replica can take over, and the attempt has
+    /// all the time of the call.
+    bool isBoundToReplica = false;
     instant arrivedAt {};
     instant attemptStartedAt {};
     bool isAttemptOpen = false;
@@ -265,6 +268,7 @@
     call.isAttemptOpen = true;
     call.isUnusable = false;
     call.hasProgress = false;
+    call.isBoundToReplica = false;
     call.answer.beginAttempt();
     ++m_counters.attempts;
     platform::replica_request_options sent { call.replica.id, call.progress.deadline - now, call.answer.lastEvent() };
@@ -301,9 +305,13 @@
         m_guard.noteAnswered(call->digest);
         endTrial(*call);
     }
-    if (!call->answer.read(piece))
+    if (!call->answer.read(piece)) {
         rejectAnswer(*call, number);
-    else if (call->exchange.queuedBytes() >= maxCallerQueueBytes)
+        return;
+    }
+    if (call->answer.hasStarted() && !std::exchange(call->isBoundToReplica, true))
+        call->handle.setTimeout(call->progress.deadline - call->attemptStartedAt);
+    if (call->exchange.queuedBytes() >= maxCallerQueueBytes)
         pauseUntilDrained(*call, number);
 }
 
--- a/src/libs/net/httpcall.cpp
+++ b/src/libs/net/httpcall.cpp
@@ -115,6 +115,12 @@
     release();
 }
 
+void http_call::setTimeout(duration timeout)
+{
+    if (!m_isDone)
+        startTimer(timeout);
+}
+
 void http_call::setPaused(bool isPaused)
 {
     m_isPaused = isPaused;
--- a/src/libs/net/httpcall.h
+++ b/src/libs/net/httpcall.h
@@ -45,6 +45,7 @@
 
     void start(http_request request);
     void cancel();
+    void setTimeout(duration timeout);
     void setPaused(bool isPaused);
 
 private:
--- a/src/libs/net/httpclient.cpp
+++ b/src/libs/net/httpclient.cpp
@@ -22,6 +22,12 @@
     m_call = nullptr;
 }
 
+void http_call_handle::setTimeout(duration timeout)
+{
+    if (m_call)
+        m_call->setTimeout(timeout);
+}
+
 void http_call_handle::setPaused(bool isPaused)
 {
     if (m_call)
--- a/src/libs/net/httpclient.h
+++ b/src/libs/net/httpclient.h
@@ -65,6 +65,8 @@
 
     /// Closes the connection; no handler is called afterwards.
     void cancel();
+    /// Replaces the time until the answer has to be complete, counted from the start of the call.
+    void setTimeout(duration timeout);
     /// Pauses or resumes reading the body, for back-pressure.
     void setPaused(bool isPaused);
 
