--- a/src/libs/core/jsonreader.cpp
+++ b/src/libs/core/jsonreader.cpp
@@ -15,6 +15,12 @@
     return isTooDeep ? json(json::value_t::discarded) : value;
 }
 
+void throwInvalid(const char* what, const json& value)
+{
+    constexpr int userDefinedError = 501;
+    throw json::other_error::create(userDefinedError, what, &value);
+}
+
 std::string optionalText(const json& object, const char* name)
 {
     const auto found = object.find(name);
--- a/src/libs/core/jsonreader.h
+++ b/src/libs/core/jsonreader.h
@@ -18,12 +18,15 @@
 /// more than maxJsonDepth levels: copying, comparing and printing a value take stack for each of its levels.
 nlohmann::json parseJson(std::string_view text);
 
+/// Throws a json::exception that says \a what is wrong with \a value.
+[[noreturn]] void throwInvalid(const char* what, const nlohmann::json& value);
+
 /// \a value as a whole number from 0 to \a max; throws a json::exception when it is anything else.
 template <std::unsigned_integral number>
 number wholeNumber(const nlohmann::json& value, number max = std::numeric_limits<number>::max())
 {
     if (!value.is_number_unsigned() || value.get<std::uint64_t>() > max)
-        throw nlohmann::json::other_error::create(501, "not a whole number of the expected range", &value);
+        throwInvalid("not a whole number of the expected range", value);
     return static_cast<number>(value.get<std::uint64_t>());
 }
 
