Tests: Wait for what a connection does in place of 50 ms

The tests of idle connections and final answers let the server run for 50 ms a step, which a busy machine may not keep. They wait for each step now, up to 20 s; what they check is the same.

--- a/tests/auto/net/tst_httpserver.cpp
+++ b/tests/auto/net/tst_httpserver.cpp
@@ -225,11 +225,21 @@
             exchange.respond({ 200, {}, "ok" });
     }
 
+    /// Sends a request and waits until the server has it, or has answered it.
     void send(std::string_view path)
     {
         const std::string request = "GET " + std::string(path) + " HTTP/1.1\r\n\r\n";
         boost::asio::write(caller, boost::asio::buffer(request));
-        context.run_for(std::chrono::milliseconds(50));
+        runUntil([this] { return !held.empty() || (hasReceived("ok") && server.openExchanges() == 0); });
+    }
+
+    bool hasReceived(std::string_view text) const { return received.find(text) != std::string::npos; }
+
+    void runUntil(const std::function<bool()>& condition)
+    {
+        const std::chrono::steady_clock::time_point deadline = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+        while (!condition() && std::chrono::steady_clock::now() < deadline)
+            context.run_one_for(std::chrono::milliseconds(100));
     }
 
     boost::asio::io_context context;
@@ -247,7 +257,7 @@
     held_fixture idle;
     idle.send("/");
     idle.server.closeIdle();
-    idle.context.run_for(std::chrono::milliseconds(50));
+    idle.runUntil([&idle] { return idle.closeError.has_value(); });
     REQUIRE(idle.closeError);
     CHECK(*idle.closeError == boost::asio::error::eof);
 
@@ -257,8 +267,8 @@
     busy.context.run_for(std::chrono::milliseconds(50));
     CHECK_FALSE(busy.closeError);
     busy.held.at(0).respond({ 200, {}, "late" });
-    busy.context.run_for(std::chrono::milliseconds(50));
-    CHECK(busy.received.find("late") != std::string::npos);
+    busy.runUntil([&busy] { return busy.hasReceived("late"); });
+    CHECK(busy.hasReceived("late"));
 }
 
 TEST_CASE("Requests without an answer get a final one, once, and those with a begun answer keep theirs")
@@ -267,10 +277,10 @@
     open.send("/held");
     open.server.answerOpen({ 504, {}, "ends" });
     open.held.at(0).respond({ 200, {}, "late" });
-    open.context.run_for(std::chrono::milliseconds(50));
+    open.runUntil([&open] { return open.hasReceived("ends") && open.server.openExchanges() == 0; });
     CHECK(open.received.starts_with("HTTP/1.1 504"));
-    CHECK(open.received.find("ends") != std::string::npos);
-    CHECK(open.received.find("late") == std::string::npos);
+    CHECK(open.hasReceived("ends"));
+    CHECK_FALSE(open.hasReceived("late"));
     CHECK(open.server.openExchanges() == 0);
 
     held_fixture begun;
@@ -280,7 +290,7 @@
     begun.server.answerOpen({ 504, {}, "ends" });
     begun.held.at(0).write("end");
     begun.held.at(0).endStream();
-    begun.context.run_for(std::chrono::milliseconds(50));
-    CHECK(begun.received.find("firstend") != std::string::npos);
-    CHECK(begun.received.find("504") == std::string::npos);
+    begun.runUntil([&begun] { return begun.hasReceived("firstend"); });
+    CHECK(begun.hasReceived("firstend"));
+    CHECK_FALSE(begun.hasReceived("504"));
 }
