Tests: Choose ports that no outgoing connection can take

Once of four whole runs of the suite a daemon of a fleet never became ready: "Cannot listen on the address 127.0.0.1:36121". Its port had been chosen from those that the system gives to outgoing connections, and was taken before the daemon started.

--- a/tests/auto/system/freeaddresses.cpp
+++ b/tests/auto/system/freeaddresses.cpp
@@ -3,18 +3,35 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <random>
+
 namespace ragwortreach::Tests {
 
 using boost::asio::ip::tcp;
 
+namespace {
+
+    /// Below the ports that the system gives to outgoing connections, which could take one before its daemon has started.
+    constexpr unsigned short firstPort = 10000;
+    constexpr unsigned short lastPort = 32000;
+
+}
+
 std::vector<std::string> freeAddresses(std::size_t count)
 {
+    std::random_device device;
+    std::uniform_int_distribution<unsigned short> ports(firstPort, lastPort);
     boost::asio::io_context context;
     std::vector<tcp::acceptor> acceptors;
     std::vector<std::string> addresses;
-    for (std::size_t index = 0; index < count; ++index) {
-        acceptors.emplace_back(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-        addresses.push_back("127.0.0.1:" + std::to_string(acceptors.back().local_endpoint().port()));
+    while (addresses.size() < count) {
+        tcp::acceptor acceptor(context, tcp::v4());
+        boost::system::error_code error;
+        acceptor.bind({ boost::asio::ip::address_v4::loopback(), ports(device) }, error);
+        if (error)
+            continue;
+        addresses.push_back("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
+        acceptors.push_back(std::move(acceptor));
     }
     return addresses;
 }
