Core, Rollout: Use one bounded parser, one reader of texts and one longest time

The edits of operators had a parser with a bound of depth of their own, the twin of the new parseJson(); they call it with their bound of 16 levels now. stringAt() of the index of batches was optionalText(). The longest time of a call was worked out in the relay and again for the question whether a stopping daemon takes it.

--- a/src/libs/core/batchindextable.cpp
+++ b/src/libs/core/batchindextable.cpp
@@ -32,12 +32,6 @@
         return std::nullopt;
     }
 
-    std::string stringAt(const json& document, const char* key)
-    {
-        const auto it = document.find(key);
-        return it != document.end() && it->is_string() ? it->get<std::string>() : std::string();
-    }
-
 }
 
 batch_index_record openingRecord(const batch_spec& spec)
@@ -62,18 +56,18 @@
     const json document = parseJson(text);
     if (!document.is_object() || document.value("schema", json()) != recordSchema)
         return std::nullopt;
-    const std::optional<batch_state> state = parseState(stringAt(document, "state"));
+    const std::optional<batch_state> state = parseState(optionalText(document, "state"));
     batch_index_record record;
-    record.batch = stringAt(document, "batch");
+    record.batch = optionalText(document, "batch");
     if (!state || !isValidName(record.batch))
         return std::nullopt;
     record.state = *state;
     if (record.state != batch_state::Opened)
         return record;
-    record.entry = stringAt(document, "entry");
-    record.trainer = stringAt(document, "trainer");
-    record.dataCentre = stringAt(document, "data_centre");
-    record.contentHash = stringAt(document, "hash");
+    record.entry = optionalText(document, "entry");
+    record.trainer = optionalText(document, "trainer");
+    record.dataCentre = optionalText(document, "data_centre");
+    record.contentHash = optionalText(document, "hash");
     const bool isComplete = isValidName(record.entry) && isValidName(record.trainer) && isValidName(record.contentHash);
     if (!isComplete || record.dataCentre.size() > maxNameBytes)
         return std::nullopt;
--- a/src/libs/core/catalogueedit.cpp
+++ b/src/libs/core/catalogueedit.cpp
@@ -1,9 +1,8 @@
 #include "catalogueedit.h"
 
+#include "jsonreader.h"
 #include "resultcode.h"
 
-#include <nlohmann/json.hpp>
-
 namespace ragwortreach {
 
 namespace {
@@ -15,15 +14,10 @@
 
     nlohmann::json parseObject(std::string_view text)
     {
-        bool isTooDeep = false;
-        const nlohmann::json::parser_callback_t limitDepth = [&isTooDeep](int depth, nlohmann::json::parse_event_t, nlohmann::json&) {
-            isTooDeep = isTooDeep || depth > maxNesting;
-            return !isTooDeep;
-        };
         if (text.size() > maxEditBytes)
             return {};
-        nlohmann::json json = nlohmann::json::parse(text, limitDepth, false);
-        return json.is_object() && !isTooDeep ? json : nlohmann::json();
+        nlohmann::json json = parseJson(text, maxNesting);
+        return json.is_object() ? json : nlohmann::json();
     }
 
     bool isRevision(const nlohmann::json& json)
--- a/src/libs/core/jsonreader.cpp
+++ b/src/libs/core/jsonreader.cpp
@@ -4,11 +4,11 @@
 
 using nlohmann::json;
 
-json parseJson(std::string_view text)
+json parseJson(std::string_view text, int maxDepth)
 {
     bool isTooDeep = false;
-    const json::parser_callback_t limitDepth = [&isTooDeep](int depth, json::parse_event_t, json&) {
-        isTooDeep = isTooDeep || depth > maxJsonDepth;
+    const json::parser_callback_t limitDepth = [&isTooDeep, maxDepth](int depth, json::parse_event_t, json&) {
+        isTooDeep = isTooDeep || depth > maxDepth;
         return !isTooDeep;
     };
     json value = json::parse(text.begin(), text.end(), limitDepth, false);
--- a/src/libs/core/jsonreader.h
+++ b/src/libs/core/jsonreader.h
@@ -15,8 +15,8 @@
 inline constexpr int maxJsonDepth = 32;
 
 /// Parses JSON that another process wrote. The value is discarded (is_discarded()) when \a text is not valid JSON or has
-/// more than maxJsonDepth levels: copying, comparing and printing a value take stack for each of its levels.
-nlohmann::json parseJson(std::string_view text);
+/// more than \a maxDepth levels: copying, comparing and printing a value take stack for each of its levels.
+nlohmann::json parseJson(std::string_view text, int maxDepth = maxJsonDepth);
 
 /// Throws a json::exception that says \a what is wrong with \a value.
 [[noreturn]] void throwInvalid(const char* what, const nlohmann::json& value);
--- a/src/libs/gateway/callrelay.cpp
+++ b/src/libs/gateway/callrelay.cpp
@@ -106,7 +106,7 @@
     call->arrivedAt = bootNow();
     call->progress.kind = route.kind;
     call->progress.maxAttempts = route.maxAttempts;
-    const duration longest = std::min(caller.timeRemaining.value_or(route.timeout), route.timeout);
+    const duration longest = longestTime(route, caller.timeRemaining);
     call->progress.deadline = std::min(call->arrivedAt + longest, m_end);
     exchange.setDisconnectHandler([this, number] { onCallerGone(number); });
     call->timer.expires_after(longest);
--- a/src/libs/gateway/gatewayhost.cpp
+++ b/src/libs/gateway/gatewayhost.cpp
@@ -21,6 +21,7 @@
 #include <net/httpserver.h>
 #include <platform/requestcodec.h>
 #include <platform/storeclient.h>
+#include <rollout/callpolicy.h>
 #include <rollout/drainplan.h>
 #include <support/log.h>
 #include <support/logline.h>
@@ -301,7 +302,7 @@
 void gateway_host::state::serveRoute(const http_exchange& exchange, const platform::caller_request& caller, const route& route)
 {
     const bool isBatch = route.kind == route_kind::Rollout;
-    const duration longest = isBatch ? batchCallTime : std::min(caller.timeRemaining.value_or(route.timeout), route.timeout);
+    const duration longest = isBatch ? batchCallTime : longestTime(route, caller.timeRemaining);
     if (refuseLate(exchange, caller, longest, usualTime(route)))
         return;
     if (isBatch)
--- a/src/libs/rollout/callpolicy.cpp
+++ b/src/libs/rollout/callpolicy.cpp
@@ -83,6 +83,11 @@
     return replica_outcome::Failed;
 }
 
+duration longestTime(const route& route, std::optional<duration> timeRemaining)
+{
+    return std::min(timeRemaining.value_or(route.timeout), route.timeout);
+}
+
 duration retryAfter(const route& route)
 {
     constexpr duration shortest = std::chrono::milliseconds(50);
--- a/src/libs/rollout/callpolicy.h
+++ b/src/libs/rollout/callpolicy.h
@@ -5,6 +5,8 @@
 
 #include <core/instant.h>
 
+#include <optional>
+
 namespace ragwortreach {
 
 /// How one attempt of a call ended.
@@ -59,6 +61,9 @@
 /// Outcome for the replica's health record that follows from the end of an attempt.
 replica_outcome replicaOutcome(attempt_end end);
 
+/// Longest time that a call of \a route takes: the smaller of its time-out and \a timeRemaining, which its caller allows.
+duration longestTime(const route& route, std::optional<duration> timeRemaining);
+
 /// Time after which a refused caller should retry, derived from the objective of \a route.
 duration retryAfter(const route& route);
 
