--- a/src/libs/gateway/gatewayhost.cpp
+++ b/src/libs/gateway/gatewayhost.cpp
@@ -150,7 +150,9 @@
     duration usualTime(const route& route) const;
     void answerReadiness(const http_exchange& exchange);
     void answerMetrics(const http_exchange& exchange);
-    bool isReady() const;
+    bool isReady() const { return unreadyReason().empty(); }
+    /// Why callers should not be routed to this daemon; empty when they should.
+    std::string_view unreadyReason() const;
     void logReadinessChange();
     void loadBatches();
     void tick();
@@ -187,7 +189,8 @@
     std::string ownedModelNames;
     /// Models that were taken over, whose batches are not loaded yet; their saved texts are recovered once they are.
     std::set<std::string, std::less<>> modelsToRecover;
-    bool wasReady = false;
+    instant startedAt = bootNow();
+    std::string_view loggedUnreadyReason = "not started";
     bool wasLedgerReady = false;
     bool hasReleasedLeases = false;
     bool hasClosedIdle = false;
@@ -335,11 +338,15 @@
     return longest;
 }
 
-/// Whether callers should be routed to this daemon.
-bool gateway_host::state::isReady() const
+std::string_view gateway_host::state::unreadyReason() const
 {
-    const bool isCurrent = bootNow() - batchJournal.confirmedAt() < maxLedgerAge;
-    return platformView.isReady() && batchJournal.isReady() && isCurrent && !drain.hasBegun();
+    if (drain.hasBegun())
+        return "stopping";
+    if (!platformView.isReady())
+        return "no configuration or list of replicas has been read";
+    if (!batchJournal.isReady())
+        return "the journal has not been read";
+    return bootNow() - batchJournal.confirmedAt() < maxLedgerAge ? "" : "the ledger is behind the log";
 }
 
 void gateway_host::state::answerReadiness(const http_exchange& exchange)
@@ -355,15 +362,26 @@
 void gateway_host::state::answerMetrics(const http_exchange& exchange)
 {
     const gateway_readings readings { relay.counters(), batchHandler.counters(), loader.counters(), scheduler.counters(), scheduler.rewards(), runner.rewardLatency(), orderer.counters(), platformView.counters(), facts,
-        batchJournal.counters(), batchJournal.texts().counters(), progress.counters(), pool.keptAway(), lateRefusals, routes.version(), relay.openCalls(), scheduler.runs(), batchJournal.pendingWrites(), isReady() };
+        batchJournal.counters(), batchJournal.snapshots(), batchJournal.texts().counters(), progress.counters(), pool.keptAway(), lateRefusals, routes.version(), relay.openCalls(), scheduler.runs(), batchJournal.pendingWrites(), isReady() };
     exchange.respond({ okStatus, { { "Content-Type", "text/plain; version=0.0.4" } }, metricsText(readings) });
 }
 
 void gateway_host::state::logReadinessChange()
 {
-    const bool isReadyNow = isReady();
-    if (isReadyNow != std::exchange(wasReady, isReadyNow))
-        logger.write(log_line(log_level::Info, "readiness_changed").with("ready", isReadyNow).with("configuration", routes.version()));
+    const std::string_view reason = unreadyReason();
+    if (reason == std::exchange(loggedUnreadyReason, reason))
+        return;
+    const snapshot_counters snapshots = batchJournal.snapshots();
+    const duration sinceStart = bootNow() - startedAt;
+    logger.write(log_line(log_level::Info, "readiness_changed")
+                     .with("ready", reason.empty())
+                     .with("reason", reason)
+                     .with("configuration", routes.version())
+                     .with("since_start_us", sinceStart.count())
+                     .with("journal_snapshots", snapshots.snapshots)
+                     .with("journal_pages", snapshots.pages)
+                     .with("journal_bytes", snapshots.bytes)
+                     .with("journal_failed_pages", snapshots.failedPages));
 }
 
 /// Loads the batches of the models that this daemon owns. Closed batches stay loaded for the reuse time, since a trainer
--- a/src/libs/gateway/gatewaymetrics.h
+++ b/src/libs/gateway/gatewaymetrics.h
@@ -28,6 +28,7 @@
     const view_counters& view;
     const fact_exchange& facts;
     const journal_counters& journal;
+    snapshot_counters journalSnapshots;
     const text_counters& texts;
     const progress_counters& progress;
     std::uint64_t keptAway = 0;
--- a/src/libs/gateway/journal.cpp
+++ b/src/libs/gateway/journal.cpp
@@ -260,6 +260,18 @@
     return oldest;
 }
 
+snapshot_counters journal::snapshots() const
+{
+    snapshot_counters sum;
+    for (const std::unique_ptr<topic_follower>& follower : m_followers) {
+        sum.snapshots += follower->snapshots().snapshots;
+        sum.pages += follower->snapshots().pages;
+        sum.bytes += follower->snapshots().bytes;
+        sum.failedPages += follower->snapshots().failedPages;
+    }
+    return sum;
+}
+
 std::size_t journal::pendingWrites() const
 {
     return m_texts.pendingWrites() + m_writers.pendingWrites();
--- a/src/libs/gateway/journal.h
+++ b/src/libs/gateway/journal.h
@@ -68,6 +68,8 @@
     /// Writes that are not appended yet, to the journal or the text store.
     std::size_t pendingWrites() const;
     const journal_counters& counters() const { return m_counters; }
+    /// What the snapshots of all partitions have cost.
+    snapshot_counters snapshots() const;
 
 private:
     /// Keys of the records of a batch, for their removal from the log.
--- a/src/libs/gateway/newestpages.cpp
+++ b/src/libs/gateway/newestpages.cpp
@@ -39,8 +39,10 @@
             }
             if (!std::exchange(m_result.hasEnd, true))
                 m_result.end = page.end;
+            ++m_result.pages;
             std::string lastKey;
             for (const keyed_record& record : page.records) {
+                m_result.bytes += record.key.size() + record.value.value_or("").size();
                 lastKey = std::max(lastKey, record.key);
                 if (record.key.starts_with(m_prefix))
                     m_result.records.push_back(record);
--- a/src/libs/gateway/newestpages.h
+++ b/src/libs/gateway/newestpages.h
@@ -21,6 +21,9 @@
     bool hasEnd = false;
     /// Last key of the pages read; the next page begins after it.
     std::string lastKey;
+    /// Number of pages read, and bytes of all their keys and values.
+    std::uint64_t pages = 0;
+    std::uint64_t bytes = 0;
 };
 
 /// Reads the newest records of all keys that begin with \a prefix.
--- a/src/libs/gateway/topicfollower.cpp
+++ b/src/libs/gateway/topicfollower.cpp
@@ -46,10 +46,14 @@
 {
     recordReadResult(newest.isDone);
     if (!newest.isDone) {
+        ++m_snapshots.failedPages;
         m_partial = std::move(newest);
         retryLater(&topic_follower::readSnapshot);
         return;
     }
+    ++m_snapshots.snapshots;
+    m_snapshots.pages += newest.pages;
+    m_snapshots.bytes += newest.bytes;
     std::vector<keyed_record>& all = newest.records;
     std::sort(all.begin(), all.end(), [](const keyed_record& left, const keyed_record& right) { return left.offset < right.offset; });
     const auto isBefore = [](const keyed_record& record, std::uint64_t offset) { return record.offset < offset; };
--- a/src/libs/gateway/topicfollower.h
+++ b/src/libs/gateway/topicfollower.h
@@ -24,6 +24,16 @@
     std::uint32_t maxTimeoutDoublings = 0;
 };
 
+/// What the snapshots of a follower have cost since the start of the process.
+struct snapshot_counters {
+    std::uint64_t snapshots = 0;
+    std::uint64_t pages = 0;
+    /// Bytes of keys and values in the pages.
+    std::uint64_t bytes = 0;
+    /// Pages that were requested and not received.
+    std::uint64_t failedPages = 0;
+};
+
 /// Follows a partition of a topic that keeps the newest record of each key.
 ///
 /// It reads the pages of newest records (the snapshot), then the records after them in order (the tail). It reads the
@@ -58,6 +68,7 @@
     /// Last time at which a read succeeded after a failed one; the epoch while there was none.
     instant regainedAt() const { return m_regainedAt; }
     std::uint64_t readFailures() const { return m_readFailures; }
+    const snapshot_counters& snapshots() const { return m_snapshots; }
 
 private:
     void applySnapshot(newest_records newest);
@@ -93,6 +104,7 @@
     instant m_confirmedAt {};
     instant m_regainedAt {};
     std::uint64_t m_readFailures = 0;
+    snapshot_counters m_snapshots;
 };
 
 }
