--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -35,6 +35,18 @@
         };
     }
 
+    std::vector<reading> journalReadings(const journal_counters& journal, const snapshot_counters& snapshots)
+    {
+        return {
+            { counter("ragwortreach_journal_records_total", "Records of the journal that were applied"), journal.recordsApplied },
+            { counter("ragwortreach_journal_records_unreadable_total", "Records of the journal that were skipped"), journal.recordsUnreadable },
+            { counter("ragwortreach_journal_snapshots_total", "Snapshots of the journal that were read"), snapshots.snapshots },
+            { counter("ragwortreach_journal_snapshot_pages_total", "Pages of these snapshots"), snapshots.pages },
+            { counter("ragwortreach_journal_snapshot_bytes_total", "Bytes of keys and values in these pages"), snapshots.bytes },
+            { counter("ragwortreach_journal_snapshot_pages_failed_total", "Pages that were requested and not received"), snapshots.failedPages },
+        };
+    }
+
     std::vector<reading> factReadings(const fact_exchange& facts)
     {
         const permit_counters& permits = facts.permits();
@@ -129,12 +141,6 @@
         { counter("ragwortreach_configurations_total", "Configurations that came in force"), from.view.configurations },
         { counter("ragwortreach_replica_entries_total", "Entries of replicas that were read"), from.view.replicaEntries },
         { counter("ragwortreach_platform_records_unreadable_total", "Records of the platform that were skipped"), from.view.unreadable },
-        { counter("ragwortreach_journal_records_total", "Records of the journal that were applied"), from.journal.recordsApplied },
-        { counter("ragwortreach_journal_records_unreadable_total", "Records of the journal that were skipped"), from.journal.recordsUnreadable },
-        { counter("ragwortreach_journal_snapshots_total", "Snapshots of the journal that were read"), from.journalSnapshots.snapshots },
-        { counter("ragwortreach_journal_snapshot_pages_total", "Pages of these snapshots"), from.journalSnapshots.pages },
-        { counter("ragwortreach_journal_snapshot_bytes_total", "Bytes of keys and values in these pages"), from.journalSnapshots.bytes },
-        { counter("ragwortreach_journal_snapshot_pages_failed_total", "Pages that were requested and not received"), from.journalSnapshots.failedPages },
         { gauge("ragwortreach_configuration_version", "Version of the configuration in force"), from.configuration },
         { gauge("ragwortreach_calls_open", "Calls under way"), from.openCalls },
         { gauge("ragwortreach_item_runs_open", "Runs of items under way"), from.runs },
@@ -143,6 +149,7 @@
     };
     metrics all;
     add(all, readings);
+    add(all, journalReadings(from.journal, from.journalSnapshots));
     add(all, loadReadings(from.loads));
     add(all, factReadings(from.facts));
     add(all, rewardReadings(from.rewards, from.rewardLatency));
--- a/tests/auto/system/platformfleet.h
+++ b/tests/auto/system/platformfleet.h
@@ -49,6 +49,8 @@
     /// Number of times that requests ended replicas of the shop.
     int shopCrashes();
 
+    /// Address at which a daemon reaches the store.
+    std::string storeAddress(std::size_t daemon) const { return m_settings[daemon]["gateway"]["store"]; }
     /// Address of the caller port of a daemon.
     std::string caller(std::size_t daemon) const { return m_settings[daemon]["gateway"]["caller"]; }
     /// Address of the readiness port of a daemon.
--- a/tests/platform/storestandin.cpp
+++ b/tests/platform/storestandin.cpp
@@ -19,8 +19,10 @@
     constexpr std::chrono::milliseconds tickInterval { 10 };
     /// Delay of the pages of a topic that is set to slow.
     constexpr std::chrono::milliseconds latePageDelay { 500 };
-    /// Keys on one page of newest values.
-    constexpr std::size_t pageSize = 20;
+    /// Keys on one page of newest values; few, so that tests read several pages.
+    constexpr std::size_t smallPageSize = 20;
+    /// Keys on one page of the users' platform.
+    constexpr std::size_t platformPageSize = 500;
 
     /// Key of a partition in the store: "topic/part".
     std::string partitionKey(const http_request& request)
@@ -75,6 +77,7 @@
 store_standin::store_standin(boost::asio::io_context& context)
     : m_context(context)
     , m_timer(context)
+    , m_pageSize(smallPageSize)
 {
     tick();
 }
@@ -97,6 +100,12 @@
     m_refusedTopic = std::move(topic);
 }
 
+void store_standin::setReadRate(double bytesPerSecond)
+{
+    m_readRate = bytesPerSecond;
+    m_pageSize = platformPageSize;
+}
+
 void store_standin::put(const std::string& topic, const std::string& key, const std::string& value)
 {
     std::vector<keyed_record>& records = m_partitions[topic + "/0"].records;
@@ -200,7 +209,7 @@
     std::string body = bigEndian(source.records.size()) + bigEndian(source.firstRetained);
     if (waiting.from < source.records.size())
         body += platform::encodeRecords(std::span(source.records).subspan(waiting.from));
-    waiting.exchange.respond({ 200, {}, std::move(body) });
+    respondToRead(waiting.exchange, { 200, {}, std::move(body) });
 }
 
 void store_standin::newest(const http_exchange& exchange)
@@ -213,12 +222,31 @@
     for (const std::pair<const std::string, keyed_record>& item : newestByKey(source.records)) {
         if (item.first <= after)
             continue;
-        hasMore = items.size() == pageSize;
+        hasMore = items.size() == m_pageSize;
         if (hasMore)
             break;
         items.push_back({ { "key", item.first }, { "value", platform::encodeBase64(*item.second.value) }, { "offset", item.second.offset } });
     }
-    exchange.respond({ 200, {}, json { { "items", items }, { "more_pages", hasMore }, { "end", source.records.size() } }.dump() });
+    respondToRead(exchange, { 200, {}, json { { "items", items }, { "more_pages", hasMore }, { "end", source.records.size() } }.dump() });
+}
+
+void store_standin::respondToRead(const http_exchange& exchange, http_response response)
+{
+    if (m_readRate == 0) {
+        exchange.respond(std::move(response));
+        return;
+    }
+    const std::chrono::duration<double> time(static_cast<double>(response.body.size()) / m_readRate);
+    m_readsDoneAt = std::max(m_readsDoneAt, std::chrono::steady_clock::now()) + std::chrono::duration_cast<std::chrono::steady_clock::duration>(time);
+    m_lateAnswers.push_back({ exchange, std::move(response), m_readsDoneAt });
+}
+
+void store_standin::sendLateAnswers()
+{
+    while (!m_lateAnswers.empty() && m_lateAnswers.front().sendAt <= std::chrono::steady_clock::now()) {
+        m_lateAnswers.front().exchange.respond(std::move(m_lateAnswers.front().response));
+        m_lateAnswers.pop_front();
+    }
 }
 
 void store_standin::answerLatePages()
@@ -242,6 +270,7 @@
             m_unanswered.clear();
         answerWaiting(false);
         answerLatePages();
+        sendLateAnswers();
         tick();
     });
 }
--- a/tests/platform/storestandin.h
+++ b/tests/platform/storestandin.h
@@ -35,6 +35,9 @@
     void setBehaviour(store_behaviour behaviour) { m_behaviour = behaviour; }
     /// Delays the pages of newest values of \a topic by half a second from now on.
     void setSlowPages(const std::string& topic) { m_slowTopic = topic; }
+    /// From now on all answers to reads together get this rate, in the order of the requests and whether or not their
+    /// callers still wait, and a page of newest values has as many keys as on the users' platform.
+    void setReadRate(double bytesPerSecond);
     /// Appends a record to partition 0 of \a topic, as another writer would.
     void put(const std::string& topic, const std::string& key, const std::string& value);
     /// Compacts all topics: only the newest value of each key stays readable, and reads of older offsets get status
@@ -63,6 +66,9 @@
     void read(const http_exchange& exchange);
     void newest(const http_exchange& exchange);
     void answerLatePages();
+    /// Responds to a read, at the reading rate if one is set.
+    void respondToRead(const http_exchange& exchange, http_response response);
+    void sendLateAnswers();
     /// Answers long polls that have records or whose deadline has passed; all of them when \a answersAll is set.
     void answerWaiting(bool answersAll);
     void respondRecords(const waiting_read& read);
@@ -84,6 +90,16 @@
         std::chrono::steady_clock::time_point answerAt;
     };
     std::list<late_page> m_latePages;
+    /// Answer that waits for its turn at the reading rate.
+    struct late_answer {
+        http_exchange exchange;
+        http_response response;
+        std::chrono::steady_clock::time_point sendAt;
+    };
+    std::list<late_answer> m_lateAnswers;
+    double m_readRate = 0;
+    std::chrono::steady_clock::time_point m_readsDoneAt {};
+    std::size_t m_pageSize;
     std::string m_slowTopic;
 };
 
