Net: Hold the bodies of callers within one bound

What callers saw: nothing yet. Bodies were bounded one by one (40 MiB at most), not together: twelve callers with bodies of 8 MB let a server allocate 192 MB, more than a VM has. It kept them even after it had answered, as long as the connections stayed open. A daemon that runs out of memory ends with the requests of all its other callers.

Cause: no count of what is held in all. A string that is assigned an empty one keeps its memory, so an idle connection kept its last body and answer.

Change: byte_budget counts the bodies of callers and the answers that wait for them: 48 MiB for each server. Large bodies (more than 64 KiB) may take three quarters of it; beyond that they are refused before their bytes are read, with 503, Retry-After and the new code 209 (MemoryFull): they have not run. Small bodies find the last quarter free. The room of an announced length is taken at the head, so a body that was begun is not refused for one that came later; a chunked body may be refused while it arrives. One body of the configured size always fits into an empty budget. Memory of bodies and answers is given back when the answer is sent.

--- a/src/libs/core/resultcode.cpp
+++ b/src/libs/core/resultcode.cpp
@@ -28,6 +28,7 @@
         result_code_info { result_code::RetryBudgetSpent, run_state::No, 503, "RetryBudgetSpent", "The upstream failed and the retry budget is spent; retry later." },
         result_code_info { result_code::ShedForCapacity, run_state::No, 503, "ShedForCapacity", "Capacity is short and the class of the entry gives way; retry later." },
         result_code_info { result_code::RequestQuarantined, run_state::No, 400, "RequestQuarantined", "Upstreams ended whenever they ran this request; do not send it again, and tell the owner of the upstream." },
+        result_code_info { result_code::MemoryFull, run_state::No, 503, "MemoryFull", "The daemon holds too many bytes for other callers; retry after the time in Retry-After." },
         result_code_info { result_code::UpstreamUnreachable, run_state::No, 502, "UpstreamUnreachable", "No connection to an upstream could be made; check the upstream." },
         result_code_info { result_code::UpstreamBroken, run_state::Unknown, 502, "UpstreamBroken", "The upstream closed the connection before its answer was whole; the call may have run." },
         result_code_info { result_code::UpstreamTimeout, run_state::Unknown, 504, "UpstreamTimeout", "The upstream did not answer within the due time; the call may have run." },
--- a/src/libs/core/resultcode.h
+++ b/src/libs/core/resultcode.h
@@ -31,6 +31,7 @@
     RetryBudgetSpent = 206,
     ShedForCapacity = 207,
     RequestQuarantined = 208,
+    MemoryFull = 209,
 
     UpstreamUnreachable = 300,
     UpstreamBroken = 301,
--- a/src/libs/gateway/gatewayhost.cpp
+++ b/src/libs/gateway/gatewayhost.cpp
@@ -47,6 +47,8 @@
     constexpr duration retryDelay = std::chrono::milliseconds(200);
     /// Other daemons can serve at once what a stopping one refuses.
     constexpr duration drainRetryDelay = std::chrono::milliseconds(10);
+    /// Large bodies that are held for others go on to replicas within seconds.
+    constexpr duration memoryRetryDelay = std::chrono::seconds(1);
     /// Limits until a configuration is in force. They only bound the memory used.
     constexpr std::size_t headerBytes = std::size_t { 64 } * 1024;
     constexpr std::size_t bodyBytes = std::size_t { 40 } * 1024 * 1024;
@@ -97,6 +99,8 @@
 
     http_response malformedResponse(std::error_code code)
     {
+        if (code == result_code::MemoryFull)
+            return refusalResponse(result_code::MemoryFull, "The daemon holds too many bytes for other callers.", memoryRetryDelay);
         return failureResponse(static_cast<result_code>(code.value()), "The request is malformed or exceeds a limit.");
     }
 
--- a/src/libs/net/httpserver.cpp
+++ b/src/libs/net/httpserver.cpp
@@ -58,6 +58,11 @@
     return isOpen() ? m_session->queuedBytes() : 0;
 }
 
+bool http_exchange::isMemoryScarce() const
+{
+    return m_session->isMemoryScarce();
+}
+
 void http_exchange::setDisconnectHandler(std::function<void()> handler) const
 {
     if (isOpen())
@@ -95,6 +100,7 @@
 void http_server::setLimits(const http_server_limits& limits)
 {
     m_state->limits = limits;
+    m_state->budget.setLargestBody(limits.bodyBytes);
 }
 
 void http_server::setDraining(bool isDraining)
@@ -117,6 +123,11 @@
     m_state->stopAccepting();
 }
 
+std::size_t http_server::heldBytes() const
+{
+    return m_state->budget.held();
+}
+
 std::size_t http_server::openExchanges() const
 {
     return m_state->openExchanges;
--- a/src/libs/net/httpserver.h
+++ b/src/libs/net/httpserver.h
@@ -59,6 +59,8 @@
     bool isOpen() const;
     /// Bytes of the answer that have not been sent yet, because the caller reads slowly.
     std::size_t queuedBytes() const;
+    /// Whether the server holds so many bytes for its callers that nothing should be read for those who do not take it.
+    bool isMemoryScarce() const;
     /// \a handler is called when the caller closes its connection before the answer is complete.
     void setDisconnectHandler(std::function<void()> handler) const;
     /// \a handler is called whenever all queued bytes have been sent and the answer is not complete.
@@ -73,7 +75,7 @@
 class http_server {
 public:
     using request_handler = std::function<void(http_exchange)>;
-    /// Makes the response to a request that exceeds a limit or cannot be parsed.
+    /// Makes the response to a request that exceeds a limit or cannot be parsed, or whose body finds no room (MemoryFull).
     using error_handler = std::function<http_response(std::error_code)>;
 
     http_server(boost::asio::io_context& context, const http_server_limits& limits, request_handler onRequest,
@@ -96,6 +98,8 @@
     void answerOpen(const http_response& response);
     /// Accepts no further connections and closes the idle ones.
     void stopAccepting();
+    /// Bytes of bodies and answers that are held for callers, beside one another.
+    std::size_t heldBytes() const;
     /// Requests whose answers are not complete.
     std::size_t openExchanges() const;
 
--- a/src/libs/net/httpsession.cpp
+++ b/src/libs/net/httpsession.cpp
@@ -45,6 +45,12 @@
         return std::string(digits.data(), end.ptr) + "\r\n";
     }
 
+    /// Clears \a text and gives its memory back, which neither clear() nor an assignment does.
+    void freeMemory(std::string& text)
+    {
+        std::string().swap(text);
+    }
+
     result_code readResult(const error_code& error)
     {
         if (error == http::error::header_limit)
@@ -66,6 +72,8 @@
     : m_server(std::move(server))
     , m_socket(std::move(socket))
     , m_readTimer(m_socket.get_executor())
+    , m_heldBody(m_server->budget)
+    , m_heldAnswer(m_server->budget)
 {
     m_server->sessions.push_back(*this);
 }
@@ -163,11 +171,51 @@
             return;
         }
         self->startReadTimer();
-        http::async_read(self->m_socket, self->m_buffer, *self->m_parser,
-            [self](const error_code& bodyError, std::size_t) { self->onRequestRead(bodyError); });
+        self->readBody();
     });
 }
 
+void http_session::readBody()
+{
+    if (!holdBody()) {
+        refuseBody();
+        return;
+    }
+    if (m_parser->is_done()) {
+        onRequestRead({});
+        return;
+    }
+    http::async_read_some(m_socket, m_buffer, *m_parser, [self = self_pointer(this)](const error_code& error, std::size_t) {
+        if (error)
+            self->onRequestRead(error);
+        else
+            self->readBody();
+    });
+}
+
+/// The room of an announced body is held from the begin, so that a body that was begun is not refused for one that came
+/// after it. Its memory is taken up as bytes arrive.
+bool http_session::holdBody()
+{
+    std::string& body = m_parser->get().body();
+    const std::size_t announced = static_cast<std::size_t>(m_parser->content_length().value_or(0));
+    if (!m_heldBody.setBody(std::max(announced, body.size())))
+        return false;
+    if (announced > byte_budget::maxSmallBytes)
+        body.reserve(announced);
+    return true;
+}
+
+void http_session::refuseBody()
+{
+    if (m_isClosing) {
+        close();
+        return;
+    }
+    m_readTimer.cancel();
+    rejectRequest(result_code::MemoryFull);
+}
+
 void http_session::startReadTimer()
 {
     m_readTimer.expires_after(m_server->limits.readTimeout);
@@ -189,20 +237,22 @@
         return;
     }
     if (isParseError(error)) {
-        rejectRequest(error);
+        rejectRequest(readResult(error));
         return;
     }
     close();
 }
 
-void http_session::rejectRequest(const error_code& error)
+void http_session::rejectRequest(result_code code)
 {
+    m_parser.reset();
+    m_heldBody.set(0);
     m_isKeepAlive = false;
     m_isExchangeOpen = true;
     m_isAnswerBegun = false;
     ++m_server->openExchanges;
     ++m_number;
-    respond(m_server->onError(readResult(error)));
+    respond(m_server->onError(code));
 }
 
 void http_session::openExchange()
@@ -216,6 +266,7 @@
     for (auto it = message.begin(); it != message.end(); ++it)
         m_request.headers.push_back({ std::string(it->name_string()), std::string(it->value()) });
     m_request.body = std::move(message.body());
+    m_request.body.shrink_to_fit();
     m_isExchangeOpen = true;
     m_isAnswerBegun = false;
     m_isAnswerComplete = false;
@@ -238,6 +289,11 @@
     });
 }
 
+bool http_session::isMemoryScarce() const
+{
+    return m_server->budget.isScarce();
+}
+
 void http_session::respond(http_response response)
 {
     http_response_head head { response.status, std::move(response.headers), response.body.size() };
@@ -293,16 +349,19 @@
 
 void http_session::flush()
 {
-    if (!m_sending.empty() || m_pending.empty())
+    if (!m_sending.empty() || m_pending.empty()) {
+        m_heldAnswer.set(queuedBytes());
         return;
+    }
     std::swap(m_sending, m_pending);
+    m_heldAnswer.set(queuedBytes());
     boost::asio::async_write(m_socket, boost::asio::buffer(m_sending),
         [self = self_pointer(this)](const error_code& error, std::size_t) { self->onFlushed(error); });
 }
 
 void http_session::onFlushed(const error_code& error)
 {
-    m_sending.clear();
+    releaseSent();
     if (error) {
         handleDisconnect();
         return;
@@ -319,11 +378,22 @@
         m_onDrained();
 }
 
+void http_session::releaseSent()
+{
+    // The connection may stay open for long.
+    if (m_sending.capacity() > byte_budget::maxSmallBytes)
+        freeMemory(m_sending);
+    m_sending.clear();
+    m_heldAnswer.set(queuedBytes());
+}
+
 void http_session::completeExchange()
 {
     if (!m_isExchangeOpen)
         return;
     m_isExchangeOpen = false;
+    freeMemory(m_request.body);
+    m_heldBody.set(0);
     --m_server->openExchanges;
     m_onDisconnect = nullptr;
     m_onDrained = nullptr;
@@ -390,6 +460,7 @@
     , onRequest(std::move(requestHandler))
     , onError(std::move(errorHandler))
     , acceptor(context)
+    , budget(byte_budget::defaultLimit, serverLimits.bodyBytes)
 {
 }
 
--- a/src/libs/net/httpsession.h
+++ b/src/libs/net/httpsession.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include "bytebudget.h"
 #include "httpserver.h"
 #include "messagelimits.h"
 
+#include <core/resultcode.h>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -35,6 +38,7 @@
 
     const http_request& request() const { return m_request; }
     bool isCurrent(std::uint64_t number) const { return number == m_number && m_isExchangeOpen; }
+    bool isMemoryScarce() const;
     void respond(http_response response);
     void beginStream(const http_response_head& head);
     void write(std::string_view piece);
@@ -51,14 +55,21 @@
     void awaitRequest();
     void startCloseTimer(duration timeout);
     void startReadTimer();
+    /// Reads the rest of the request, unless its body does not fit into what the server may hold.
+    void readBody();
+    /// Holds what is announced of the body, or what has arrived of it; false when that is too much beside other bytes.
+    bool holdBody();
+    void refuseBody();
     void onRequestRead(const boost::system::error_code& error);
-    void rejectRequest(const boost::system::error_code& error);
+    void rejectRequest(result_code code);
     void openExchange();
     /// Watches the socket while an exchange is open, to learn when the caller closes its connection.
     void watchForDisconnect();
     void queue(std::string_view bytes);
     void flush();
     void onFlushed(const boost::system::error_code& error);
+    /// Frees the strings that were sent.
+    void releaseSent();
     void completeExchange();
     /// Shuts down sending, then waits for the caller to close the connection.
     void closeGracefully();
@@ -77,6 +88,9 @@
     http_request m_request;
     std::function<void()> m_onDisconnect;
     std::function<void()> m_onDrained;
+    /// Room that the body of the request takes, and the part of the answer that waits for the caller.
+    held_bytes m_heldBody;
+    held_bytes m_heldAnswer;
     std::string m_pending;
     std::string m_sending;
     std::uint64_t m_number = 0;
@@ -107,6 +121,7 @@
     http_server::error_handler onError;
     boost::asio::ip::tcp::acceptor acceptor;
     boost::intrusive::list<http_session, boost::intrusive::constant_time_size<false>> sessions;
+    byte_budget budget;
     std::size_t openExchanges = 0;
     bool isDraining = false;
 };
--- a/tests/auto/net/tst_httpserver.cpp
+++ b/tests/auto/net/tst_httpserver.cpp
@@ -8,6 +8,13 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <malloc.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <memory>
+
 using namespace ragwortreach;
 using boost::asio::ip::tcp;
 
@@ -294,3 +301,166 @@
     CHECK(begun.hasReceived("firstend"));
     CHECK_FALSE(begun.hasReceived("504"));
 }
+
+namespace {
+
+/// How a caller sends a large body, and what becomes of its request.
+struct large_body_case {
+    const char* name;
+    bool isChunked;
+    /// Whether the request is answered at once, while its connection stays open.
+    bool isAnswered;
+    /// Bytes that may be allocated for the bodies together.
+    std::size_t maxBytes;
+};
+
+constexpr std::size_t maxBytesTogether = std::size_t { 48 } * 1024 * 1024;
+/// While a body without an announced length arrives, its string grows by doubling.
+constexpr std::size_t maxGrowingBytesTogether = std::size_t { 80 } * 1024 * 1024;
+
+const large_body_case largeBodyCases[] = {
+    { "announced lengths, requests under way", false, false, maxBytesTogether },
+    { "chunked bodies, requests under way", true, false, maxGrowingBytesTogether },
+    { "announced lengths, answered requests on open connections", false, true, maxBytesTogether },
+    { "chunked bodies, answered requests on open connections", true, true, maxBytesTogether },
+};
+
+constexpr std::size_t largeBodyBytes = 8000000;
+constexpr int largeBodyCallers = 12;
+
+std::size_t allocatedBytes()
+{
+    const struct mallinfo2 info = mallinfo2();
+    return info.uordblks + info.hblkhd;
+}
+
+/// Caller that sends one request with a body and keeps its connection.
+class body_caller {
+public:
+    body_caller(boost::asio::io_context& context, std::uint16_t port, const std::string& body, bool isChunked)
+        : m_socket(context)
+    {
+        const std::string size = std::to_string(body.size());
+        m_head = "POST /large HTTP/1.1\r\nContent-Length: " + size + "\r\n\r\n";
+        if (isChunked)
+            m_head = "POST /large HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + hexadecimal(body.size()) + "\r\n";
+        m_tail = isChunked ? "\r\n0\r\n\r\n" : "";
+        m_socket.connect({ boost::asio::ip::address_v4::loopback(), port });
+        const std::array<boost::asio::const_buffer, 3> parts { boost::asio::buffer(m_head), boost::asio::buffer(body), boost::asio::buffer(m_tail) };
+        boost::asio::async_write(m_socket, parts, [](const boost::system::error_code&, std::size_t) {});
+        boost::asio::async_read(m_socket, boost::asio::dynamic_buffer(m_received), [](const boost::system::error_code&, std::size_t) {});
+    }
+
+    bool hasStatus(int status) const { return m_received.starts_with("HTTP/1.1 " + std::to_string(status)); }
+
+private:
+    static std::string hexadecimal(std::size_t value)
+    {
+        std::array<char, 20> digits {};
+        const std::to_chars_result end = std::to_chars(digits.data(), digits.data() + digits.size(), value, 16);
+        return { digits.data(), end.ptr };
+    }
+
+    tcp::socket m_socket;
+    std::string m_head;
+    std::string m_tail;
+    std::string m_received;
+};
+
+/// Server that holds or answers requests to /large and answers the others.
+struct large_body_fixture {
+    explicit large_body_fixture(bool answersAtOnce)
+        : isAnswered(answersAtOnce)
+        , server(
+              context, {}, [this](const http_exchange& exchange) { serve(exchange); }, answerError)
+        , client(context)
+    {
+        REQUIRE_FALSE(server.listen({ "127.0.0.1", 0 }));
+    }
+
+    void serve(const http_exchange& exchange)
+    {
+        const bool isLarge = exchange.request().target == "/large";
+        if (isLarge) {
+            ++run;
+            areWhole = areWhole && exchange.request().body == body;
+        }
+        if (isLarge && !isAnswered)
+            held.push_back(exchange);
+        else
+            exchange.respond({ 200, {}, "ok" });
+    }
+
+    int count(int status) const
+    {
+        int found = 0;
+        for (const std::unique_ptr<body_caller>& caller : callers)
+            found += caller->hasStatus(status) ? 1 : 0;
+        return found;
+    }
+
+    /// Runs until \a condition, or for 20 s; returns the most that was allocated.
+    std::size_t runUntil(const std::function<bool()>& condition)
+    {
+        std::size_t most = allocatedBytes();
+        const std::chrono::steady_clock::time_point deadline = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+        while (!condition() && std::chrono::steady_clock::now() < deadline) {
+            context.run_one_for(std::chrono::milliseconds(100));
+            most = std::max(most, allocatedBytes());
+        }
+        return most;
+    }
+
+    int smallStatus()
+    {
+        int status = 0;
+        http_call_options options;
+        options.timeout = std::chrono::seconds(20);
+        client.callBuffered({ "127.0.0.1", server.port() }, { "POST", "/small", {}, std::string(16 * 1024, 's') }, options,
+            [&status](const http_outcome&, const http_response& response) { status = response.status; });
+        runUntil([&status] { return status != 0; });
+        return status;
+    }
+
+    const std::string body = std::string(largeBodyBytes, 'b');
+    bool isAnswered;
+    int run = 0;
+    bool areWhole = true;
+    boost::asio::io_context context;
+    http_server server;
+    http_client client;
+    std::vector<http_exchange> held;
+    std::vector<std::unique_ptr<body_caller>> callers;
+};
+
+}
+
+TEST_CASE("Large bodies of many callers are held within one bound, and small requests are served beside them")
+{
+    for (const large_body_case& row : largeBodyCases) {
+        DYNAMIC_SECTION(row.name)
+        {
+            large_body_fixture fixture(row.isAnswered);
+            const std::size_t before = allocatedBytes();
+            std::size_t most = 0;
+            for (int number = 0; number < largeBodyCallers; ++number) {
+                fixture.callers.push_back(std::make_unique<body_caller>(fixture.context, fixture.server.port(), fixture.body, row.isChunked));
+                if (row.isAnswered)
+                    most = std::max(most, fixture.runUntil([&fixture] { return fixture.callers.back()->hasStatus(200); }));
+            }
+            most = std::max(most, fixture.runUntil([&fixture] { return fixture.run + fixture.count(503) == largeBodyCallers; }));
+            INFO("bytes at most " << most - before << ", run " << fixture.run << ", refused " << fixture.count(503));
+            CHECK(most - before <= row.maxBytes);
+            CHECK(fixture.run >= 1);
+            CHECK(fixture.run + fixture.count(503) == largeBodyCallers);
+            CHECK(fixture.areWhole);
+            if (row.isAnswered)
+                CHECK(fixture.run == largeBodyCallers);
+            CHECK(fixture.smallStatus() == 200);
+            for (const http_exchange& exchange : fixture.held)
+                exchange.respond({ 200, {}, "ok" });
+            fixture.runUntil([&fixture] { return fixture.count(200) == fixture.run; });
+            CHECK(fixture.count(200) == fixture.run);
+        }
+    }
+}
