Gateway: Read no more for slow callers while memory is scarce

What callers saw: nothing yet. Of an answer without end up to 1 MiB was kept for each caller that reads nothing: 80 of them had 134 MB allocated (84 MB for streams), with what the replicas of the test keep.

Cause: the bound for what waits for a caller was for each caller, not for all.

Change: while the budget of held bytes has no room for large bodies, reading from the replica pauses at 64 KiB that the caller has not taken. Also, the other daemon says when to come back after a refusal with MemoryFull.

Evidence: tst_callrelay "Answers without end to callers that read nothing ..." failed in two of four rows on the former code (134 and 84 MB; bounds 101 and 67 MB) and passed twice now (71 and 42 MB). For one caller the back-pressure bounded both before (2.7 and 2.0 MB). A first form of the test started all callers at once and failed once of twice on open calls; it now starts one after the other, since the connect time-out of 0.3 s is not what it tests.

--- a/src/libs/gateway/callrelay.cpp
+++ b/src/libs/gateway/callrelay.cpp
@@ -19,11 +19,19 @@
 
     /// Reading from the replica pauses while the caller has not taken this many bytes.
     constexpr std::size_t maxCallerQueueBytes = std::size_t { 1024 } * 1024;
+    /// The same while the daemon holds so many bytes that memory is scarce.
+    constexpr std::size_t maxScarceQueueBytes = std::size_t { 64 } * 1024;
     constexpr duration connectTimeout = std::chrono::milliseconds(300);
     /// Time after which a call that cannot be tried alone now should come back: replicas that ended take seconds to return.
     constexpr duration isolationRetryDelay = std::chrono::seconds(1);
     constexpr int firstServerErrorStatus = 500;
 
+    /// Whether \a exchange has so much of its answer to send that nothing more should be read for it.
+    bool isCallerBehind(const http_exchange& exchange)
+    {
+        return exchange.queuedBytes() >= (exchange.isMemoryScarce() ? maxScarceQueueBytes : maxCallerQueueBytes);
+    }
+
 }
 
 /// Open call, with its current attempt at a replica.
@@ -311,7 +319,7 @@
     }
     if (call->answer.hasStarted() && !std::exchange(call->isBoundToReplica, true))
         call->handle.setTimeout(call->progress.deadline - call->attemptStartedAt);
-    if (call->exchange.queuedBytes() >= maxCallerQueueBytes)
+    if (isCallerBehind(call->exchange))
         pauseUntilDrained(*call, number);
 }
 
--- a/src/libs/service/daemonhost.cpp
+++ b/src/libs/service/daemonhost.cpp
@@ -30,6 +30,8 @@
     constexpr std::chrono::milliseconds tickPeriod { 50 };
     /// Time that the final answers at the end of a drain get to reach their callers.
     constexpr std::chrono::milliseconds finalAnswerTime { 300 };
+    /// Large bodies that are held for others go on to replicas within seconds.
+    constexpr std::chrono::seconds memoryRetryDelay { 1 };
     /// Numbers of peer requests and of requests about batches and edits start here; those of calls start at 1.
     constexpr request_number firstRequestNumber = request_number { 1 } << 40U;
 
@@ -72,7 +74,8 @@
 
     http_response answerError(std::error_code error)
     {
-        return problemResponse(static_cast<result_code>(error.value()), {}, {});
+        const bool isMemoryFull = error == result_code::MemoryFull;
+        return problemResponse(static_cast<result_code>(error.value()), {}, {}, isMemoryFull ? memoryRetryDelay : std::chrono::seconds {});
     }
 
 }
--- a/tests/auto/gateway/tst_callrelay.cpp
+++ b/tests/auto/gateway/tst_callrelay.cpp
@@ -13,6 +13,8 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <malloc.h>
+
 #include <memory>
 
 using namespace ragwortreach;
@@ -31,6 +33,8 @@
     Unresponsive,
     /// An endless body without the headers of an answer to the request.
     EndlessBody,
+    /// A signed success whose body is endless.
+    EndlessSuccess,
     /// A signed stream of events whose first event is endless.
     EndlessEvent,
     /// A signed stream of events without end.
@@ -172,6 +176,7 @@
             exchange.beginStream({ 200, {}, std::nullopt });
             writeEndlessly(exchange);
             return;
+        case behaviour::EndlessSuccess:
         case behaviour::EndlessEvent:
             exchange.beginStream({ 200, response.headers, std::nullopt });
             writeEndlessly(exchange);
@@ -717,3 +722,75 @@
     CHECK(fixture.relay.openCalls() == 0);
     CHECK(fixture.replicas[1]->requests() == 0);
 }
+
+namespace {
+
+/// Endless answer, and the bytes that may be kept for each of the callers that read nothing.
+struct slow_caller_case {
+    const char* name;
+    route_kind kind;
+    behaviour replica;
+    int callers;
+    std::size_t maxBytes;
+};
+
+constexpr std::size_t mebibyte = std::size_t { 1024 } * 1024;
+
+const slow_caller_case slowCallerCases[] = {
+    { "one caller, body without end", route_kind::NonIdempotent, behaviour::EndlessSuccess, 1, 6 * mebibyte },
+    { "one caller, stream without end", route_kind::Streaming, behaviour::EndlessStream, 1, 6 * mebibyte },
+    { "many callers, bodies without end", route_kind::NonIdempotent, behaviour::EndlessSuccess, 80, 96 * mebibyte },
+    { "many callers, streams without end", route_kind::Streaming, behaviour::EndlessStream, 80, 64 * mebibyte },
+};
+
+std::size_t allocatedBytes()
+{
+    const struct mallinfo2 info = mallinfo2();
+    return info.uordblks + info.hblkhd;
+}
+
+/// Connects to \a port and sends a call whose answer is not read.
+std::unique_ptr<boost::asio::ip::tcp::socket> startUnreadCall(boost::asio::io_context& context, std::uint16_t port, int number)
+{
+    using boost::asio::ip::tcp;
+    std::unique_ptr<tcp::socket> socket = std::make_unique<tcp::socket>(context);
+    socket->connect(tcp::endpoint(boost::asio::ip::address_v4::loopback(), port));
+    const std::string request = "POST /shop/1 HTTP/1.1\r\nHost: lace.example\r\nRequest-Id: slow-" + std::to_string(number)
+        + "\r\nDeadline-Ms: 20000\r\nContent-Length: 5\r\n\r\norder";
+    boost::asio::write(*socket, boost::asio::buffer(request));
+    return socket;
+}
+
+}
+
+TEST_CASE("Answers without end to callers that read nothing are held within one bound, and other callers are served")
+{
+    for (const slow_caller_case& row : slowCallerCases) {
+        DYNAMIC_SECTION(row.name)
+        {
+            relay_fixture fixture(row.replica, row.replica, row.kind);
+            const replica_standin sound(fixture.context, behaviour::Complete);
+            const std::size_t before = allocatedBytes();
+            std::size_t most = before;
+            std::vector<std::unique_ptr<boost::asio::ip::tcp::socket>> callers;
+            for (int number = 0; number < row.callers; ++number) {
+                callers.push_back(startUnreadCall(fixture.context, fixture.server.port(), number));
+                const std::chrono::steady_clock::time_point latest = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+                while (fixture.requests() <= number && std::chrono::steady_clock::now() < latest)
+                    fixture.context.run_one_for(std::chrono::milliseconds(10));
+            }
+            const std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + std::chrono::seconds(4);
+            while (std::chrono::steady_clock::now() < end) {
+                fixture.context.run_one_for(std::chrono::milliseconds(10));
+                most = std::max(most, allocatedBytes());
+            }
+            INFO("bytes at most " << most - before);
+            CHECK(most - before <= row.maxBytes);
+            CHECK(fixture.relay.openCalls() == static_cast<std::size_t>(row.callers));
+            fixture.shop.kind = route_kind::NonIdempotent;
+            fixture.replace(0, sound.address());
+            fixture.replace(1, sound.address());
+            CHECK(fixture.answer().status == 200);
+        }
+    }
+}
