--- a/tests/auto/net/tst_httpserver.cpp
+++ b/tests/auto/net/tst_httpserver.cpp
@@ -416,7 +416,7 @@
         int status = 0;
         http_call_options options;
         options.timeout = std::chrono::seconds(20);
-        client.callBuffered({ "127.0.0.1", server.port() }, { "POST", "/small", {}, std::string(16 * 1024, 's') }, options,
+        client.callBuffered({ "127.0.0.1", server.port() }, { "POST", "/small", {}, std::string(std::size_t { 16 } * 1024, 's') }, options,
             [&status](const http_outcome&, const http_response& response) { status = response.status; });
         runUntil([&status] { return status != 0; });
         return status;
