Gateway, Net, Tests: Compute what owners lack once a tick, and share three pieces

- The predicate of batch_loader asked for each batch of an owned model that is not loaded, closed ones included, whether the model is complete, and each answer sorted the directory: about 60 times a tick of 25 ms at an owner (worked out, not measured).
It is computed once a tick now, by fetchBatchesOf().
- sortByOffset() serves topic_follower and batch_fetch, which both cut pages at the end that the first one named; keyed_record::bytes() serves partition_writer and the count of pages, which copied each value to measure it.
- Dead: http_server::heldBytes(), setting followed again for a known batch.
- tst_fleetstart calls waitUntil() with its deadline; the checks are the same.

--- a/src/libs/gateway/batchfetch.cpp
+++ b/src/libs/gateway/batchfetch.cpp
@@ -51,9 +51,8 @@
 
 std::vector<keyed_record> batch_fetch::takeRecords()
 {
-    std::vector<keyed_record> records = std::exchange(m_newest.records, {});
-    std::erase_if(records, [this](const keyed_record& record) { return record.offset >= m_newest.end; });
-    std::sort(records.begin(), records.end(), [](const keyed_record& left, const keyed_record& right) { return left.offset < right.offset; });
+    const std::span<keyed_record> paged = sortByOffset(m_newest);
+    std::vector<keyed_record> records(std::make_move_iterator(paged.begin()), std::make_move_iterator(paged.end()));
     std::copy_if(m_tail.begin(), m_tail.end(), std::back_inserter(records), [this](const keyed_record& record) { return record.offset >= m_newest.end; });
     return records;
 }
--- a/src/libs/gateway/gatewayhost.cpp
+++ b/src/libs/gateway/gatewayhost.cpp
@@ -393,10 +393,10 @@
 void gateway_host::state::loadBatches()
 {
     const instant now = bootNow();
-    batchJournal.fetchBatchesOf(heldModels);
-    loader.tick([this, now](const ledger_batch& batch) {
+    const std::set<std::string, std::less<>> incompleteModels = batchJournal.fetchBatchesOf(heldModels);
+    loader.tick([this, now, &incompleteModels](const ledger_batch& batch) {
         const std::string& model = batch.submission.model;
-        return scheduler.owns(model) && (batch.isLoaded || batchJournal.hasBatchesOf(model)) && (batch.isOpen() || now - batch.learnedAt < item_scheduler::reuseTime);
+        return scheduler.owns(model) && (batch.isLoaded || !incompleteModels.contains(model)) && (batch.isOpen() || now - batch.learnedAt < item_scheduler::reuseTime);
     },
         now);
     std::erase_if(modelsToRecover, [this, now](const std::string& model) {
--- a/src/libs/gateway/journal.cpp
+++ b/src/libs/gateway/journal.cpp
@@ -221,16 +221,17 @@
             forget(name);
         return;
     }
-    const std::optional<journal_record> decoded = decode(*record.value);
+    const std::optional<journal_record> decoded = decode(std::string_view(*record.value).substr(1));
     if (!decoded)
         return;
     addKeys(name, *decoded, { record.key });
     ++m_counters.recordsApplied;
     const batch_listed* const listed = std::get_if<batch_listed>(&*decoded);
     if (listed) {
-        const directory_entry* const added = m_directory.add(name, *listed, record.offset, bootNow());
-        m_directory.setFollowed(name, added ? isFollowed : known->isFollowed);
-        if (added && m_onListed)
+        if (!m_directory.add(name, *listed, record.offset, bootNow()))
+            return;
+        m_directory.setFollowed(name, isFollowed);
+        if (m_onListed)
             m_onListed(*listed);
         return;
     }
@@ -268,7 +269,7 @@
         return nullptr;
     const partial_record complete = std::move(partial);
     m_chunks.erase(recordName);
-    const std::optional<journal_record> decoded = decode(finalMarker + complete.bytes);
+    const std::optional<journal_record> decoded = decode(complete.bytes);
     if (!decoded)
         return nullptr;
     addKeys(name, *decoded, complete.keys);
@@ -277,10 +278,9 @@
     return m_ledger.apply(*decoded, entry.learnedAt, entry.offset);
 }
 
-/// Decodes the value of a record that is not split.
-std::optional<journal_record> journal::decode(std::string_view value)
+std::optional<journal_record> journal::decode(std::string_view bytes)
 {
-    std::optional<journal_record> decoded = decodeJournalRecord(value.substr(1));
+    std::optional<journal_record> decoded = decodeJournalRecord(bytes);
     if (!decoded)
         ++m_counters.recordsUnreadable;
     return decoded;
@@ -365,10 +365,14 @@
     keys.contents.clear();
 }
 
-void journal::fetchBatchesOf(const std::set<std::string, std::less<>>& models)
+std::set<std::string, std::less<>> journal::fetchBatchesOf(const std::set<std::string, std::less<>>& models)
 {
-    for (const std::string& name : m_directory.missing(models))
+    std::set<std::string, std::less<>> incomplete;
+    for (const std::string& name : m_directory.missing(models)) {
+        incomplete.insert(m_directory.find(name)->listed.model);
         fetchNamed(name);
+    }
+    return incomplete;
 }
 
 bool journal::hasBatchesOf(const std::string& model) const
--- a/src/libs/gateway/journal.h
+++ b/src/libs/gateway/journal.h
@@ -78,8 +78,9 @@
     /// Reads the records of a listed batch into the ledger, or resumes doing so after a failure; does nothing for a batch
     /// that is followed already.
     void fetch(std::string_view batch);
-    /// Fetches what the owner of \a models needs: their open batches, and the last ended ones.
-    void fetchBatchesOf(const std::set<std::string, std::less<>>& models);
+    /// Fetches what the owner of \a models needs: their open batches, and the last ended ones. Returns the models of which
+    /// not all of that is in the ledger yet.
+    std::set<std::string, std::less<>> fetchBatchesOf(const std::set<std::string, std::less<>>& models);
     /// Whether all that the owner of \a model needs is in the ledger.
     bool hasBatchesOf(const std::string& model) const;
     /// Forgets the batches that are closed and older than \a limit. Those of the models for which \a removesFromLog
@@ -139,7 +140,8 @@
     void applyBatchRecord(const keyed_record& record);
     /// Applies one record of the batch called \a name to the ledger; returns the batch if that changed it, else null.
     const ledger_batch* applyChunk(std::string_view name, const keyed_record& record);
-    std::optional<journal_record> decode(std::string_view value);
+    /// Decodes a record and counts it if it cannot be decoded.
+    std::optional<journal_record> decode(std::string_view bytes);
     void addKeys(std::string_view name, const journal_record& record, std::vector<std::string> keys);
     void fetchNamed(const std::string& name);
     void applyFetched(const std::string& name);
--- a/src/libs/gateway/newestpages.cpp
+++ b/src/libs/gateway/newestpages.cpp
@@ -42,7 +42,7 @@
             ++m_result.pages;
             std::string lastKey;
             for (const keyed_record& record : page.records) {
-                m_result.bytes += record.key.size() + record.value.value_or("").size();
+                m_result.bytes += record.bytes();
                 lastKey = std::max(lastKey, record.key);
                 if (record.key.starts_with(m_prefix))
                     m_result.records.push_back(record);
@@ -64,6 +64,14 @@
 
 }
 
+std::span<keyed_record> sortByOffset(newest_records& newest)
+{
+    std::vector<keyed_record>& all = newest.records;
+    std::sort(all.begin(), all.end(), [](const keyed_record& left, const keyed_record& right) { return left.offset < right.offset; });
+    const auto isBefore = [](const keyed_record& record, std::uint64_t offset) { return record.offset < offset; };
+    return { all.begin(), std::lower_bound(all.begin(), all.end(), newest.end, isBefore) };
+}
+
 void readNewestPages(shared_log& log, const topic_partition& topicPartition, const std::string& prefix, std::function<void(newest_records)> onDone)
 {
     continueNewestPages(log, topicPartition, prefix, {}, std::move(onDone));
--- a/src/libs/gateway/newestpages.h
+++ b/src/libs/gateway/newestpages.h
@@ -3,6 +3,7 @@
 #include <rollout/sharedlog.h>
 
 #include <functional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,9 @@
     std::uint64_t bytes = 0;
 };
 
+/// Sorts the records by their offsets, and returns those before the end that the first page named. The later ones come with
+/// the tail, in order.
+std::span<keyed_record> sortByOffset(newest_records& newest);
 /// Reads the newest records of all keys that begin with \a prefix.
 void readNewestPages(shared_log& log, const topic_partition& topicPartition, const std::string& prefix, std::function<void(newest_records)> onDone);
 /// Resumes a read of the keys that begin with \a prefix after the pages in \a previous.
--- a/src/libs/gateway/partitionwriter.cpp
+++ b/src/libs/gateway/partitionwriter.cpp
@@ -20,7 +20,7 @@
     {
         std::size_t bytes = 0;
         for (const keyed_record& record : records)
-            bytes += record.key.size() + (record.value ? record.value->size() : 0);
+            bytes += record.bytes();
         return bytes;
     }
 
--- a/src/libs/gateway/topicfollower.cpp
+++ b/src/libs/gateway/topicfollower.cpp
@@ -54,15 +54,12 @@
     ++m_snapshots.snapshots;
     m_snapshots.pages += newest.pages;
     m_snapshots.bytes += newest.bytes;
-    std::vector<keyed_record>& all = newest.records;
-    std::sort(all.begin(), all.end(), [](const keyed_record& left, const keyed_record& right) { return left.offset < right.offset; });
+    const std::span<keyed_record> paged = sortByOffset(newest);
     const auto isBefore = [](const keyed_record& record, std::uint64_t offset) { return record.offset < offset; };
-    // The pages are not a consistent snapshot. Records written after the first page was read come with the tail, in order.
-    const std::vector<keyed_record>::iterator end = std::lower_bound(all.begin(), all.end(), newest.end, isBefore);
-    const std::vector<keyed_record>::iterator begin = std::lower_bound(all.begin(), end, m_next, isBefore);
+    const std::span<keyed_record>::iterator begin = std::lower_bound(paged.begin(), paged.end(), m_next, isBefore);
     m_next = std::max(m_next, newest.end);
     m_isReady = true;
-    m_handlers.onSnapshot(all, std::span<const keyed_record>(begin, end));
+    m_handlers.onSnapshot(newest.records, std::span<const keyed_record>(begin, paged.end()));
     confirm(m_sentAt);
     readTail();
 }
--- a/src/libs/gateway/topicfollower.h
+++ b/src/libs/gateway/topicfollower.h
@@ -38,8 +38,8 @@
 
 /// Follows a partition of a topic that keeps the newest record of each key.
 ///
-/// It reads the pages of newest records of all keys, or of those with a prefix (the snapshot), then the records after them in order (the tail). It reads the
-/// pages again when the log has dropped records of the tail that were not read yet.
+/// It reads the pages of newest records of all keys, or of those with a prefix (the snapshot), then the records after them
+/// in order (the tail). It reads the pages again when the log has dropped records of the tail that were not read yet.
 ///
 /// After an outage, or once the log has dropped its history, all daemons of a fleet read again at once, while the capacity
 /// of the log is limited. So a follower resumes after the pages that it already has, and randomises its retry delays.
--- a/src/libs/net/httpserver.cpp
+++ b/src/libs/net/httpserver.cpp
@@ -123,11 +123,6 @@
     m_state->stopAccepting();
 }
 
-std::size_t http_server::heldBytes() const
-{
-    return m_state->budget.held();
-}
-
 std::size_t http_server::openExchanges() const
 {
     return m_state->openExchanges;
--- a/src/libs/net/httpserver.h
+++ b/src/libs/net/httpserver.h
@@ -98,8 +98,6 @@
     void answerOpen(const http_response& response);
     /// Accepts no further connections and closes the idle ones.
     void stopAccepting();
-    /// Bytes of bodies and answers that are held for callers, beside one another.
-    std::size_t heldBytes() const;
     /// Requests whose answers are not complete.
     std::size_t openExchanges() const;
 
--- a/src/libs/rollout/sharedlog.h
+++ b/src/libs/rollout/sharedlog.h
@@ -18,6 +18,8 @@
     /// Empty when the record removes the key.
     std::optional<std::string> value;
     std::uint64_t offset = 0;
+
+    std::size_t bytes() const { return key.size() + (value ? value->size() : 0); }
 };
 
 /// Partition of a topic of the log.
--- a/tests/auto/client/testclient.cpp
+++ b/tests/auto/client/testclient.cpp
@@ -84,8 +84,12 @@
 
 bool waitUntil(const std::function<bool()>& condition)
 {
-    const std::chrono::steady_clock::time_point limit = std::chrono::steady_clock::now() + overallTimeout;
-    while (std::chrono::steady_clock::now() < limit) {
+    return waitUntil(condition, std::chrono::steady_clock::now() + overallTimeout);
+}
+
+bool waitUntil(const std::function<bool()>& condition, std::chrono::steady_clock::time_point deadline)
+{
+    while (std::chrono::steady_clock::now() < deadline) {
         if (condition())
             return true;
         std::this_thread::sleep_for(pollPeriod);
--- a/tests/auto/client/testclient.h
+++ b/tests/auto/client/testclient.h
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <string>
@@ -34,7 +35,8 @@
 http_reply send(const std::string& address, const std::string& method, const std::string& target,
     const nlohmann::json& body = nullptr, const header_map& headers = {});
 
-/// Polls \a condition until it holds. Returns false if it did not hold within 60 seconds.
+/// Polls \a condition until it holds. Returns false if it did not hold within 60 seconds, or until \a deadline.
 bool waitUntil(const std::function<bool()>& condition);
+bool waitUntil(const std::function<bool()>& condition, std::chrono::steady_clock::time_point deadline);
 
 }
--- a/tests/auto/system/tst_fleetstart.cpp
+++ b/tests/auto/system/tst_fleetstart.cpp
@@ -82,16 +82,6 @@
     return reply.status == 200 && reply.json()["results"].size() == itemCount;
 }
 
-bool isTrueBefore(std::chrono::steady_clock::time_point deadline, const std::function<bool()>& condition)
-{
-    while (std::chrono::steady_clock::now() < deadline) {
-        if (condition())
-            return true;
-        std::this_thread::sleep_for(200ms);
-    }
-    return false;
-}
-
 struct start_case {
     const char* name;
     /// Signal before the batches are written.
@@ -130,9 +120,9 @@
             }
             std::this_thread::sleep_for(noticeTime);
             for (std::size_t daemon = 0; daemon < daemons; ++daemon)
-                CHECK(isTrueBefore(deadline, [&fleet, daemon] { return fleet.isReady(daemon); }));
+                CHECK(waitUntil([&fleet, daemon] { return fleet.isReady(daemon); }, deadline));
             for (const int batch : { 0, batchCount / 2 })
-                CHECK(isTrueBefore(deadline, [&fleet, batch] { return listsBatch(fleet, static_cast<std::size_t>(batch) % daemons, batch); }));
+                CHECK(waitUntil([&fleet, batch] { return listsBatch(fleet, static_cast<std::size_t>(batch) % daemons, batch); }, deadline));
         }
     }
 }
