Gateway: Log which topic a daemon is behind, and what became of its reads

The lines of the incident showed that every ledger was last confirmed at 40.0 to 40.2 s and that each daemon had eight calls a second that failed at the log, but not which topic was behind, by how many records, and whether its reads were answered, overdue or given up.

Followers count the reads of their tails, the ones that were sent while another was overdue, those without an answer, and bytes received. A topic that was not read up to its end for 2 s gets a line, another one every 5 s while that lasts, and one when it is regained. No change of logic.

--- a/src/libs/gateway/gatewayhost.cpp
+++ b/src/libs/gateway/gatewayhost.cpp
@@ -15,6 +15,7 @@
 #include "platformview.h"
 #include "pollintervals.h"
 #include "progressstore.h"
+#include "topicwatch.h"
 #include "weightorderer.h"
 
 #include <net/httpclient.h>
@@ -138,8 +139,14 @@
               ioContext, {}, [this](const http_exchange& exchange) { answerReadiness(exchange); }, malformedResponse)
         , metricsServer(
               ioContext, {}, [this](const http_exchange& exchange) { answerMetrics(exchange); }, malformedResponse)
+        , topics(daemonLog)
         , timer(ioContext)
     {
+        topics.add(platformView.operators());
+        topics.add(platformView.replicas());
+        topics.add(leaseClient.follower());
+        for (const std::unique_ptr<topic_follower>& follower : batchJournal.followers())
+            topics.add(*follower);
         orderer.plan().setLoadShare(daemonSettings.loadShare);
     }
 
@@ -189,6 +196,7 @@
     http_server callerServer;
     http_server readinessServer;
     http_server metricsServer;
+    topic_watch topics;
     boost::asio::steady_timer timer;
     drain_plan drain;
     std::uint64_t lateRefusals = 0;
@@ -415,6 +423,7 @@
         if (error)
             return;
         logReadinessChange();
+        topics.tick(bootNow());
         if (heldModels.size() != scheduler.ownedModelCount() || (batchJournal.isReady() && !std::exchange(wasLedgerReady, true)))
             assignWork();
         platformView.tick();
--- a/src/libs/gateway/journal.h
+++ b/src/libs/gateway/journal.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -100,6 +101,8 @@
     const journal_counters& counters() const { return m_counters; }
     /// What the snapshots of all partitions have cost.
     snapshot_counters snapshots() const;
+    /// Followers of all partitions.
+    std::span<const std::unique_ptr<topic_follower>> followers() const { return m_followers; }
 
 private:
     /// Keys of the records of a batch, for their removal from the log.
--- a/src/libs/gateway/leaseclient.h
+++ b/src/libs/gateway/leaseclient.h
@@ -32,6 +32,7 @@
     lease_agent& agent() { return m_agent; }
     const lease_agent& agent() const { return m_agent; }
     std::uint64_t recordsUnreadable() const { return m_unreadable; }
+    const topic_follower& follower() const { return m_follower; }
 
 private:
     void logClaims(const std::vector<lease_record>& records);
--- a/src/libs/gateway/platformview.h
+++ b/src/libs/gateway/platformview.h
@@ -38,6 +38,8 @@
     /// Removes replicas that were not listed again after an outage of the list. To be called periodically.
     void tick();
     const view_counters& counters() const { return m_counters; }
+    const topic_follower& operators() const { return m_operators; }
+    const topic_follower& replicas() const { return m_replicas; }
 
 private:
     class operator_visitor;
--- a/src/libs/gateway/topicfollower.cpp
+++ b/src/libs/gateway/topicfollower.cpp
@@ -77,6 +77,7 @@
 void topic_follower::sendRead(const read_range& range)
 {
     ++m_openReads;
+    ++m_tail.reads;
     m_log.read(m_options.topicPartition, range, [this, number = m_readNumber, sentAt = bootNow()](const read_outcome& outcome) { onReadDone(number, sentAt, outcome); });
 }
 
@@ -92,6 +93,7 @@
 void topic_follower::onOverdue()
 {
     m_isFailing = true;
+    ++m_tail.overdueReads;
     read_range range { m_next, {}, overdueReadBytes };
     range.mayReuseConnection = false;
     sendRead(range);
@@ -102,6 +104,9 @@
 {
     const bool isAnswered = outcome.status != read_status::Unavailable;
     const bool isOvertaken = number != m_readNumber;
+    m_tail.unansweredReads += isAnswered ? 0U : 1U;
+    for (const keyed_record& record : outcome.records)
+        m_tail.receivedBytes += record.bytes();
     if (isAnswered)
         learnPatience(sentAt, isOvertaken);
     if (isOvertaken)
@@ -145,6 +150,7 @@
 void topic_follower::applyTail(instant sentAt, const read_outcome& outcome)
 {
     m_next += outcome.records.size();
+    m_end = outcome.end;
     if (!outcome.records.empty())
         m_handlers.onRecords(outcome.records);
     if (m_next >= outcome.end)
--- a/src/libs/gateway/topicfollower.h
+++ b/src/libs/gateway/topicfollower.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <random>
@@ -36,6 +37,17 @@
     std::uint64_t failedPages = 0;
 };
 
+/// What the reads of the tail have cost since the start of the process.
+struct tail_counters {
+    std::uint64_t reads = 0;
+    /// Of these, reads that were sent while another one was overdue.
+    std::uint64_t overdueReads = 0;
+    /// Reads without an answer in time.
+    std::uint64_t unansweredReads = 0;
+    /// Bytes of keys and values in the answers.
+    std::uint64_t receivedBytes = 0;
+};
+
 /// Follows a partition of a topic that keeps the newest record of each key.
 ///
 /// It reads the pages of newest records of all keys, or of those with a prefix (the snapshot), then the records after them
@@ -71,6 +83,10 @@
     instant regainedAt() const { return m_regainedAt; }
     std::uint64_t readFailures() const { return m_readFailures; }
     const snapshot_counters& snapshots() const { return m_snapshots; }
+    const tail_counters& tail() const { return m_tail; }
+    /// Records that the partition had after the last one that was delivered, when the last answer was sent.
+    std::uint64_t backlog() const { return m_end - std::min(m_next, m_end); }
+    const topic_partition& topicPartition() const { return m_options.topicPartition; }
 
 private:
     void applySnapshot(newest_records newest);
@@ -91,6 +107,8 @@
     handlers m_handlers;
     boost::asio::steady_timer m_timer;
     std::uint64_t m_next = 0;
+    /// End of the partition according to the last answer.
+    std::uint64_t m_end = 0;
     /// Number of the present read; the further ones sent while it is overdue share it.
     std::uint64_t m_readNumber = 0;
     std::size_t m_openReads = 0;
@@ -107,6 +125,7 @@
     instant m_regainedAt {};
     std::uint64_t m_readFailures = 0;
     snapshot_counters m_snapshots;
+    tail_counters m_tail;
 };
 
 }
--- /dev/null
+++ b/src/libs/gateway/topicwatch.cpp
@@ -0,0 +1,69 @@
+#include "topicwatch.h"
+
+#include <support/log.h>
+#include <support/logline.h>
+
+namespace ragwortreach {
+
+namespace {
+
+    /// A follower that was confirmed longer ago is behind.
+    constexpr duration maxAge = std::chrono::milliseconds(2000);
+    /// Time between two lines on a topic that stays behind.
+    constexpr duration repeatInterval = std::chrono::seconds(5);
+
+}
+
+topic_watch::topic_watch(log& logger)
+    : m_logger(logger)
+{
+}
+
+void topic_watch::add(const topic_follower& follower)
+{
+    m_topics.push_back({ &follower });
+}
+
+void topic_watch::tick(instant now)
+{
+    for (watched_topic& topic : m_topics) {
+        if (topic.follower->isReady())
+            check(topic, now);
+    }
+}
+
+void topic_watch::check(watched_topic& topic, instant now)
+{
+    const instant confirmedAt = topic.follower->confirmedAt();
+    const bool isBehind = now - confirmedAt > maxAge;
+    if (!isBehind && !topic.isBehind)
+        return;
+    if (!topic.isBehind) {
+        topic.behindSince = confirmedAt;
+        topic.logged = topic.follower->tail();
+    }
+    const bool isChange = isBehind != topic.isBehind;
+    topic.isBehind = isBehind;
+    if (isChange || now - topic.loggedAt >= repeatInterval)
+        write(topic, now);
+}
+
+void topic_watch::write(watched_topic& topic, instant now)
+{
+    const topic_follower& follower = *topic.follower;
+    const tail_counters& tail = follower.tail();
+    const duration behind = now - topic.behindSince;
+    m_logger.write(log_line(log_level::Info, topic.isBehind ? "topic_behind" : "topic_regained")
+                       .with("topic", follower.topicPartition().topic)
+                       .with("partition", follower.topicPartition().partition)
+                       .with("behind_us", behind.count())
+                       .with("records_waiting", follower.backlog())
+                       .with("reads", tail.reads - topic.logged.reads)
+                       .with("overdue_reads", tail.overdueReads - topic.logged.overdueReads)
+                       .with("unanswered_reads", tail.unansweredReads - topic.logged.unansweredReads)
+                       .with("received_bytes", tail.receivedBytes - topic.logged.receivedBytes));
+    topic.loggedAt = now;
+    topic.logged = tail;
+}
+
+}
