--- a/tests/auto/gateway/memorylog.cpp
+++ b/tests/auto/gateway/memorylog.cpp
@@ -108,6 +108,7 @@
 void memory_log::read(const topic_partition& topicPartition, const read_range& range, std::function<void(const read_outcome&)> onDone)
 {
     ++m_reads;
+    m_askedBytes += range.maxBytes;
     m_lastSlack = range.slack;
     const partition& from = partitionOf(topicPartition);
     read_outcome outcome;
--- a/tests/auto/gateway/memorylog.h
+++ b/tests/auto/gateway/memorylog.h
@@ -59,6 +59,8 @@
     const std::vector<keyed_record>& records(const topic_partition& topicPartition) { return partitionOf(topicPartition).records; }
     /// Reads by offset so far.
     std::size_t reads() const { return m_reads; }
+    /// Bytes that the reads by offset asked for so far.
+    std::size_t askedBytes() const { return m_askedBytes; }
     /// Time that the last read allowed for its answer beyond its wait.
     duration lastSlack() const { return m_lastSlack; }
 
@@ -85,6 +87,7 @@
     std::deque<pending_append> m_lateAppends;
     std::map<std::string, append_identity> m_producers;
     std::size_t m_reads = 0;
+    std::size_t m_askedBytes = 0;
     duration m_lastSlack {};
     std::size_t m_pages = 0;
     std::optional<std::size_t> m_pagesUntilFailure;
--- a/tests/auto/gateway/tst_topicfollower.cpp
+++ b/tests/auto/gateway/tst_topicfollower.cpp
@@ -27,6 +27,8 @@
         for (const keyed_record& record : newRecords)
             deliveredOffsets.push_back(record.offset);
         ++snapshots;
+        if (whenSnapshotRead)
+            whenSnapshotRead();
     }
 
     void apply(std::span<const keyed_record> records)
@@ -53,6 +55,7 @@
     std::map<std::string, std::string> values;
     std::vector<std::uint64_t> deliveredOffsets;
     int snapshots = 0;
+    std::function<void()> whenSnapshotRead;
     std::size_t deliveredAtConfirmation = 0;
 };
 
@@ -194,3 +197,37 @@
         }
     }
 }
+
+// Followers whose reads were overdue asked for 128 KB each 0.3 s and gave up after 0.9 s, which kept the log busy for good.
+TEST_CASE("While the log does not answer, a follower asks for little, more and more rarely, and waits for a busy log", "[.known-red]")
+{
+    follower_fixture fixture;
+    fixture.follower.start();
+    fixture.runReads(1);
+    fixture.log.setSilent(true);
+    const std::size_t before = fixture.log.reads();
+    const std::size_t bytesBefore = fixture.log.askedBytes();
+    fixture.context.run_for(std::chrono::seconds(3));
+    const std::size_t reads = fixture.log.reads() - before;
+    CHECK(reads >= 5);
+    CHECK(reads <= 7);
+    CHECK(fixture.log.askedBytes() - bytesBefore <= std::size_t { 100 } * 1024);
+    CHECK(fixture.log.lastSlack() >= std::chrono::seconds(3));
+    CHECK(fixture.follower.tail().overdueReads + 1 >= reads);
+}
+
+TEST_CASE("A follower that is behind reads on at once, in answers of a bounded size, until it has reached the end", "[.known-red]")
+{
+    constexpr std::size_t records = 300;
+    follower_fixture fixture;
+    fixture.follower.setPollInterval(std::chrono::hours(1));
+    fixture.whenSnapshotRead = [&fixture] {
+        for (std::size_t number = 0; number < records; ++number)
+            fixture.log.put("key-" + std::to_string(number), std::string(1000, 'v'));
+    };
+    fixture.follower.start();
+    while (fixture.deliveredOffsets.size() < records)
+        REQUIRE(fixture.context.run_one_for(std::chrono::seconds(10)) == 1);
+    CHECK(fixture.log.reads() == 5);
+    CHECK(fixture.follower.backlog() == 0);
+}
