Gateway: Keep the reads of a fleet within what a busy log gives out

Reads of batches were refused 2,660 times, some batches could not be read at all (LOST), daemons that were restarted never became ready.

Cause: a read of the tail whose answer was overdue was followed by a further one of up to 128 KB each 0.3 s, over a new connection, and all were given up after 0.9 s beyond their wait. The log sends what was asked for whether or not anybody waits. A follower that was behind also asked for up to 1 MB at once, and read on only after its poll interval.

Change: an answer of the tail has 64 KB, so that one for each of 400 daemons takes a third of a second, and a follower that is behind reads on at once. Further reads ask for 4 KB, which is enough to show that the log answers, and become rarer, down to one each 0.6 s. Reads are waited for 3 s, longer than a round of a fleet takes. So what a fleet asks for at any time is bounded by its size, not by how long the log has been busy.

The table of time-outs of a follower of large answers is replaced: time-outs no longer grow, since none is shorter than a busy log needs.

--- a/src/libs/gateway/journal.cpp
+++ b/src/libs/gateway/journal.cpp
@@ -16,8 +16,6 @@
     constexpr std::string_view topicName = "keyed.ragwortreach.journal";
     /// Short enough that the ledger is confirmed often enough to answer that there are no new results.
     constexpr duration readWait = std::chrono::milliseconds(400);
-    /// An answer with the records of many seconds takes longer than the usual time-out.
-    constexpr std::uint32_t maxTimeoutDoublings = 1;
     /// Longer texts are stored apart from the journal; a shorter one is not worth a record of its own.
     constexpr std::size_t maxInlineBytes = 600;
     /// Name under which the contents of a batch are stored among its texts; ids of items do not contain this character.
@@ -78,7 +76,7 @@
         topic_follower::handlers handlers;
         handlers.onSnapshot = [this, number](std::span<const keyed_record>, std::span<const keyed_record> newRecords) { applySnapshot(number, newRecords); };
         handlers.onRecords = [this](std::span<const keyed_record> records) { applyTail(records); };
-        const topic_follower_options following { m_writers.topicPartition(number), readWait, activePollIntervals.journal, maxTimeoutDoublings, std::string(directoryPrefix) };
+        const topic_follower_options following { m_writers.topicPartition(number), readWait, activePollIntervals.journal, std::string(directoryPrefix) };
         m_followers.push_back(std::make_unique<topic_follower>(context, log, following, std::move(handlers)));
     }
 }
--- a/src/libs/gateway/topicfollower.cpp
+++ b/src/libs/gateway/topicfollower.cpp
@@ -16,8 +16,13 @@
     constexpr duration maxPatience = std::chrono::milliseconds(2400);
     /// Factor for the patience after each read that was answered in time.
     constexpr double patienceDecay = 0.98;
-    /// Size of the answer to a read that is sent while another one is overdue.
-    constexpr std::size_t overdueReadBytes = std::size_t { 128 } * 1024;
+    constexpr duration maxOverdueInterval = std::chrono::milliseconds(600);
+    /// Time-out of an answer, beyond the wait of its read. A log that is busy with a fleet needs as long.
+    constexpr duration answerTime = std::chrono::milliseconds(3000);
+    /// Size of an answer.
+    constexpr std::size_t tailReadBytes = std::size_t { 64 } * 1024;
+    /// Size of the answer to a read that is sent while another one is overdue: it only has to show that the log answers.
+    constexpr std::size_t overdueReadBytes = std::size_t { 4 } * 1024;
 }
 
 topic_follower::topic_follower(boost::asio::io_context& context, shared_log& log, topic_follower_options options, handlers handlers)
@@ -68,8 +73,9 @@
 {
     ++m_readNumber;
     m_openReads = 0;
-    read_range range { m_next, m_options.wait };
-    range.slack *= 1U << std::min(m_failuresInRow, m_options.maxTimeoutDoublings);
+    m_overdueInterval = m_patience;
+    read_range range { m_next, m_options.wait, tailReadBytes };
+    range.slack = answerTime;
     sendRead(range);
     awaitAnswer(m_options.wait + m_patience);
 }
@@ -95,9 +101,11 @@
     m_isFailing = true;
     ++m_tail.overdueReads;
     read_range range { m_next, {}, overdueReadBytes };
+    range.slack = answerTime;
     range.mayReuseConnection = false;
     sendRead(range);
-    awaitAnswer(m_patience);
+    awaitAnswer(m_overdueInterval);
+    m_overdueInterval = std::max(m_patience, std::min(2 * m_overdueInterval, maxOverdueInterval));
 }
 
 void topic_follower::onReadDone(std::uint64_t number, instant sentAt, const read_outcome& outcome)
@@ -153,10 +161,11 @@
     m_end = outcome.end;
     if (!outcome.records.empty())
         m_handlers.onRecords(outcome.records);
-    if (m_next >= outcome.end)
+    const bool isAtEnd = m_next >= outcome.end;
+    if (isAtEnd)
         confirm(sentAt);
     const duration remaining = m_options.pollInterval - (bootNow() - sentAt);
-    if (remaining <= duration::zero()) {
+    if (!isAtEnd || remaining <= duration::zero()) {
         readTail();
         return;
     }
--- a/src/libs/gateway/topicfollower.h
+++ b/src/libs/gateway/topicfollower.h
@@ -20,9 +20,6 @@
     duration wait = std::chrono::milliseconds(1000);
     /// Least time between two reads, so that a burst of records is read in few answers.
     duration pollInterval = std::chrono::milliseconds(20);
-    /// How often the time-out of a read may double while reads fail. Only for topics with large answers, which may be slow
-    /// without being lost; for all others a longer time-out only delays the next attempt after an outage.
-    std::uint32_t maxTimeoutDoublings = 0;
     /// The snapshot has only the keys that begin with this; the tail has all records.
     std::string snapshotPrefix {};
 };
@@ -54,11 +51,15 @@
 /// in order (the tail). It reads the pages again when the log has dropped records of the tail that were not read yet.
 ///
 /// After an outage, or once the log has dropped its history, all daemons of a fleet read again at once, while the capacity
-/// of the log is limited. So a follower resumes after the pages that it already has, and randomises its retry delays.
+/// of the log is limited. So a follower resumes after the pages that it already has, and randomises its retry delays. It
+/// reads the tail in answers so small that the log can send one to each daemon of a fleet within the time-out, and reads on
+/// at once until it has reached the end.
 ///
 /// During an outage, reads may remain without any answer, also after the log is back. So a follower does not wait for the
-/// time-out of an overdue read: it sends further ones over new connections, and the first answer counts. When the answer
-/// to a read that was overtaken arrives after all, the log was only slow, and the follower becomes more patient.
+/// time-out of an overdue read: it sends further ones over new connections, and the first answer counts. The log may also
+/// be busy with the reads of the fleet, and sends each answer whether or not its reader still waits. So further reads ask
+/// for little, ever more rarely, and no read is given up before a busy log has answered. When the answer to a read that
+/// was overtaken arrives after all, the log was only slow, and the follower becomes more patient.
 class topic_follower {
 public:
     struct handlers {
@@ -114,6 +115,8 @@
     std::size_t m_openReads = 0;
     /// Time beyond its wait after which a read is overdue.
     duration m_patience;
+    /// Time until the next further read while the present one is overdue.
+    duration m_overdueInterval {};
     bool m_isReady = false;
     bool m_isFailing = false;
     std::uint32_t m_failuresInRow = 0;
