--- a/src/libs/gateway/topicfollower.h
+++ b/src/libs/gateway/topicfollower.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <random>
@@ -19,9 +20,6 @@
     duration wait = std::chrono::milliseconds(1000);
     /// Least time between two reads, so that a burst of records is read in few answers.
     duration pollInterval = std::chrono::milliseconds(20);
-    /// How often the time-out of a read may double while reads fail. Only for topics with large answers, which may be slow
-    /// without being lost; for all others a longer time-out only delays the next attempt after an outage.
-    std::uint32_t maxTimeoutDoublings = 0;
     /// The snapshot has only the keys that begin with this; the tail has all records.
     std::string snapshotPrefix {};
 };
@@ -36,17 +34,32 @@
     std::uint64_t failedPages = 0;
 };
 
+/// What the reads of the tail have cost since the start of the process.
+struct tail_counters {
+    std::uint64_t reads = 0;
+    /// Of these, reads that were sent while another one was overdue.
+    std::uint64_t overdueReads = 0;
+    /// Reads without an answer in time.
+    std::uint64_t unansweredReads = 0;
+    /// Bytes of keys and values in the answers.
+    std::uint64_t receivedBytes = 0;
+};
+
 /// Follows a partition of a topic that keeps the newest record of each key.
 ///
 /// It reads the pages of newest records of all keys, or of those with a prefix (the snapshot), then the records after them
 /// in order (the tail). It reads the pages again when the log has dropped records of the tail that were not read yet.
 ///
 /// After an outage, or once the log has dropped its history, all daemons of a fleet read again at once, while the capacity
-/// of the log is limited. So a follower resumes after the pages that it already has, and randomises its retry delays.
+/// of the log is limited. So a follower resumes after the pages that it already has, and randomises its retry delays. It
+/// reads the tail in answers so small that the log can send one to each daemon of a fleet within the time-out, and reads on
+/// at once until it has reached the end.
 ///
 /// During an outage, reads may remain without any answer, also after the log is back. So a follower does not wait for the
-/// time-out of an overdue read: it sends further ones over new connections, and the first answer counts. When the answer
-/// to a read that was overtaken arrives after all, the log was only slow, and the follower becomes more patient.
+/// time-out of an overdue read: it sends further ones over new connections, and the first answer counts. The log may also
+/// be busy with the reads of the fleet, and sends each answer whether or not its reader still waits. So further reads ask
+/// for little, ever more rarely, and no read is given up before a busy log has answered. When the answer to a read that
+/// was overtaken arrives after all, the log was only slow, and the follower becomes more patient.
 class topic_follower {
 public:
     struct handlers {
@@ -71,6 +84,10 @@
     instant regainedAt() const { return m_regainedAt; }
     std::uint64_t readFailures() const { return m_readFailures; }
     const snapshot_counters& snapshots() const { return m_snapshots; }
+    const tail_counters& tail() const { return m_tail; }
+    /// Records that the partition had after the last one that was delivered, when the last answer was sent.
+    std::uint64_t backlog() const { return m_end - std::min(m_next, m_end); }
+    const topic_partition& topicPartition() const { return m_options.topicPartition; }
 
 private:
     void applySnapshot(newest_records newest);
@@ -91,11 +108,15 @@
     handlers m_handlers;
     boost::asio::steady_timer m_timer;
     std::uint64_t m_next = 0;
+    /// End of the partition according to the last answer.
+    std::uint64_t m_end = 0;
     /// Number of the present read; the further ones sent while it is overdue share it.
     std::uint64_t m_readNumber = 0;
     std::size_t m_openReads = 0;
     /// Time beyond its wait after which a read is overdue.
     duration m_patience;
+    /// Time until the next further read while the present one is overdue.
+    duration m_overdueInterval {};
     bool m_isReady = false;
     bool m_isFailing = false;
     std::uint32_t m_failuresInRow = 0;
@@ -107,6 +128,7 @@
     instant m_regainedAt {};
     std::uint64_t m_readFailures = 0;
     snapshot_counters m_snapshots;
+    tail_counters m_tail;
 };
 
 }
