Gateway: Wait for what a busy log has accepted, and let one stall cost one step of patience

- The log of the incident answered a read after exactly 3.0 s (a daemon that started at 40.47 s) and from then on refused reads at once (the first page of all ten daemons that started later failed within 30 ms).
So its queue of answers seems to be bounded at 3 s, and a reader that waits for 3 s or less gets nothing from it once it is full.
Reads of tails, of pages and of texts now all wait for 5 s: what the log has accepted is used, and a full queue empties by itself.
- Each answer that came after it was overtaken doubled the patience.
One stall of 3 s, with five further reads, took it to 2.4 s for 40 to 50 s, in which a connection that has gone silent is noticed later than before.
It now grows once for a read, up to 0.9 s.
- A follower reads on at once only after an answer with records; an answer without any, though the partition has more, was to be repeated without a pause.
- The end of an outage is the time at which what was missed has been read: replicas removed in the backlog may be listed again further on.
- topic_behind tells refused reads from those that were given up, and covers the addresses of the other daemons.

--- a/src/libs/gateway/factexchange.h
+++ b/src/libs/gateway/factexchange.h
@@ -56,6 +56,7 @@
     const fact_counters& counters() const { return m_counters; }
     const gossip_socket_counters& traffic() const { return m_link.counters(); }
     std::size_t daemons() const { return m_link.visibleCount(); }
+    const topic_follower& announcements() const { return m_link.announcements(); }
 
 private:
     /// Source of what an answer to this daemon told.
--- a/src/libs/gateway/fleetlink.h
+++ b/src/libs/gateway/fleetlink.h
@@ -44,6 +44,7 @@
     /// Number of daemons that are alive, this one included.
     std::size_t visibleCount() const;
     const membership& view() const { return m_view; }
+    const topic_follower& announcements() const { return m_announcements; }
     /// Whether a daemon was lost sight of in the last lostRetention.
     bool hasLost() const { return !m_lost.empty(); }
     /// Data centres of the daemons that were lost sight of in the last lostRetention.
--- a/src/libs/gateway/gatewayhost.cpp
+++ b/src/libs/gateway/gatewayhost.cpp
@@ -145,6 +145,7 @@
         topics.add(platformView.operators());
         topics.add(platformView.replicas());
         topics.add(leaseClient.follower());
+        topics.add(facts.announcements());
         for (const std::unique_ptr<topic_follower>& follower : batchJournal.followers())
             topics.add(*follower);
         orderer.plan().setLoadShare(daemonSettings.loadShare);
--- a/src/libs/gateway/textread.cpp
+++ b/src/libs/gateway/textread.cpp
@@ -10,8 +10,6 @@
 
     /// Bytes that the key and the framing of a record take in an answer.
     constexpr std::size_t recordOverhead = 256;
-    /// Time-out of an answer. One that comes too late for its caller is kept for the next call on the batch.
-    constexpr duration rangeTimeout = std::chrono::milliseconds(2500);
     /// Largest answer of the log.
     constexpr std::size_t maxRangeBytes = std::size_t { 1024 } * 1024;
 
@@ -67,7 +65,7 @@
             bytes += rangeBytes(m_references[index]);
     }
     read_range range { begin.offset, {}, std::clamp(bytes, rangeBytes(begin), std::max(maxRangeBytes, rangeBytes(begin))) };
-    range.slack = rangeTimeout;
+    range.slack = longestAnswerTime;
     m_store.m_log.read(m_store.m_writers.topicPartition(begin.partition), range,
         [self = shared_from_this(), first](const read_outcome& outcome) { self->applyRange(first, outcome); });
 }
--- a/src/libs/gateway/topicfollower.cpp
+++ b/src/libs/gateway/topicfollower.cpp
@@ -13,12 +13,10 @@
     constexpr duration firstRetryPause = std::chrono::milliseconds(150);
     constexpr std::uint32_t maxRetryDoublings = 2;
     constexpr duration minPatience = std::chrono::milliseconds(300);
-    constexpr duration maxPatience = std::chrono::milliseconds(2400);
+    constexpr duration maxPatience = std::chrono::milliseconds(900);
     /// Factor for the patience after each read that was answered in time.
     constexpr double patienceDecay = 0.98;
     constexpr duration maxOverdueInterval = std::chrono::milliseconds(600);
-    /// Time-out of an answer, beyond the wait of its read. A log that is busy with a fleet needs as long.
-    constexpr duration answerTime = std::chrono::milliseconds(3000);
     /// Size of an answer.
     constexpr std::size_t tailReadBytes = std::size_t { 64 } * 1024;
     /// Size of the answer to a read that is sent while another one is overdue: it only has to show that the log answers.
@@ -75,7 +73,7 @@
     m_openReads = 0;
     m_overdueInterval = m_patience;
     read_range range { m_next, m_options.wait, tailReadBytes };
-    range.slack = answerTime;
+    range.slack = longestAnswerTime;
     sendRead(range);
     awaitAnswer(m_options.wait + m_patience);
 }
@@ -101,7 +99,7 @@
     m_isFailing = true;
     ++m_tail.overdueReads;
     read_range range { m_next, {}, overdueReadBytes };
-    range.slack = answerTime;
+    range.slack = longestAnswerTime;
     range.mayReuseConnection = false;
     sendRead(range);
     awaitAnswer(m_overdueInterval);
@@ -112,11 +110,12 @@
 {
     const bool isAnswered = outcome.status != read_status::Unavailable;
     const bool isOvertaken = number != m_readNumber;
-    m_tail.unansweredReads += isAnswered ? 0U : 1U;
+    if (!isAnswered)
+        ++(bootNow() - sentAt < longestAnswerTime ? m_tail.refusedReads : m_tail.unansweredReads);
     for (const keyed_record& record : outcome.records)
         m_tail.receivedBytes += record.bytes();
     if (isAnswered)
-        learnPatience(sentAt, isOvertaken);
+        learnPatience(number, sentAt);
     if (isOvertaken)
         return;
     --m_openReads;
@@ -143,16 +142,23 @@
 void topic_follower::confirm(instant sentAt)
 {
     m_confirmedAt = sentAt;
+    if (std::exchange(m_isRegaining, false))
+        m_regainedAt = bootNow();
     if (m_handlers.onConfirmed)
         m_handlers.onConfirmed();
 }
 
-void topic_follower::learnPatience(instant sentAt, bool isOvertaken)
+/// Becomes more patient at most once for each read, however many further reads were sent while it was overdue.
+void topic_follower::learnPatience(std::uint64_t number, instant sentAt)
 {
-    if (!isOvertaken)
+    if (number == m_readNumber) {
         m_patience = std::max(minPatience, std::chrono::duration_cast<duration>(m_patience * patienceDecay));
-    else if (bootNow() - sentAt > m_patience)
-        m_patience = std::min(maxPatience, m_patience * 2);
+        return;
+    }
+    if (number <= m_lastLate || bootNow() - sentAt <= m_patience)
+        return;
+    m_lastLate = number;
+    m_patience = std::min(maxPatience, m_patience * 2);
 }
 
 void topic_follower::applyTail(instant sentAt, const read_outcome& outcome)
@@ -165,7 +171,8 @@
     if (isAtEnd)
         confirm(sentAt);
     const duration remaining = m_options.pollInterval - (bootNow() - sentAt);
-    if (!isAtEnd || remaining <= duration::zero()) {
+    const bool readsOn = !isAtEnd && !outcome.records.empty();
+    if (readsOn || remaining <= duration::zero()) {
         readTail();
         return;
     }
@@ -181,6 +188,8 @@
     if (!isDone)
         ++m_readFailures;
     else if (m_isFailing)
+        m_isRegaining = true;
+    if (m_isRegaining)
         m_regainedAt = bootNow();
     m_isFailing = !isDone;
     m_failuresInRow = isDone ? 0 : m_failuresInRow + 1;
--- a/src/libs/gateway/topicfollower.h
+++ b/src/libs/gateway/topicfollower.h
@@ -41,6 +41,8 @@
     std::uint64_t overdueReads = 0;
     /// Reads without an answer in time.
     std::uint64_t unansweredReads = 0;
+    /// Reads that failed before: the log refused them, or could not be reached.
+    std::uint64_t refusedReads = 0;
     /// Bytes of keys and values in the answers.
     std::uint64_t receivedBytes = 0;
 };
@@ -80,7 +82,8 @@
     bool isReady() const { return m_isReady; }
     /// All records that were in the partition at this time have been delivered; the epoch while nothing was read.
     instant confirmedAt() const { return m_confirmedAt; }
-    /// Last time at which a read succeeded after a failed one; the epoch while there was none.
+    /// Last time at which a read succeeded after a failed one, or the records missed meanwhile had been read; the epoch
+    /// while there was none.
     instant regainedAt() const { return m_regainedAt; }
     std::uint64_t readFailures() const { return m_readFailures; }
     const snapshot_counters& snapshots() const { return m_snapshots; }
@@ -98,7 +101,7 @@
     void onReadDone(std::uint64_t number, instant sentAt, const read_outcome& outcome);
     void applyTail(instant sentAt, const read_outcome& outcome);
     void confirm(instant sentAt);
-    void learnPatience(instant sentAt, bool isOvertaken);
+    void learnPatience(std::uint64_t number, instant sentAt);
     void recordReadResult(bool isDone);
     void retryLater(void (topic_follower::*step)());
     void readSnapshot();
@@ -119,6 +122,10 @@
     duration m_overdueInterval {};
     bool m_isReady = false;
     bool m_isFailing = false;
+    /// Reads succeed again after a failure, and the end of the partition has not been reached since.
+    bool m_isRegaining = false;
+    /// Number of the last read whose answer came after it was overtaken.
+    std::uint64_t m_lastLate = 0;
     std::uint32_t m_failuresInRow = 0;
     /// Pages read before reading one failed.
     newest_records m_partial;
--- a/src/libs/rollout/sharedlog.h
+++ b/src/libs/rollout/sharedlog.h
@@ -12,6 +12,10 @@
 
 namespace ragwortreach {
 
+/// Time within which a log that is busy with a fleet answers each read that it has accepted. A read that is given up sooner
+/// has cost the log as much and helps nobody.
+inline constexpr duration longestAnswerTime = std::chrono::seconds(5);
+
 /// Record of a topic that keeps the newest record of each key.
 struct keyed_record {
     std::string key;
