Gateway: Let followers and writers run on a clock that can be replaced

bootNow() read the clock of the VM, and the timers of topic_follower and partition_writer another one, so that what a fleet of daemons asks of the log could only be tested in real time, with few daemons. Both use one clock_source now.

--- a/src/libs/gateway/bootclock.cpp
+++ b/src/libs/gateway/bootclock.cpp
@@ -4,11 +4,38 @@
 
 namespace ragwortreach {
 
+namespace {
+
+    class vm_clock : public clock_source {
+    public:
+        instant now() const override
+        {
+            timespec time {};
+            clock_gettime(CLOCK_BOOTTIME, &time);
+            return instant(std::chrono::duration_cast<duration>(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
+        }
+
+        duration realTime(duration time) const override { return time; }
+    };
+
+    const vm_clock vmClock;
+    const clock_source* currentSource = &vmClock;
+
+}
+
+void setClockSource(const clock_source* source)
+{
+    currentSource = source ? source : &vmClock;
+}
+
 instant bootNow()
 {
-    timespec time {};
-    clock_gettime(CLOCK_BOOTTIME, &time);
-    return instant(std::chrono::duration_cast<duration>(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
+    return currentSource->now();
+}
+
+duration boot_wait_traits::to_wait_duration(duration time)
+{
+    return currentSource->realTime(time);
 }
 
 }
--- a/src/libs/gateway/partitionwriter.cpp
+++ b/src/libs/gateway/partitionwriter.cpp
@@ -1,7 +1,5 @@
 #include "partitionwriter.h"
 
-#include "bootclock.h"
-
 #include <boost/asio/io_context.hpp>
 
 #include <algorithm>
--- a/src/libs/gateway/partitionwriter.h
+++ b/src/libs/gateway/partitionwriter.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <rollout/sharedlog.h>
+#include "bootclock.h"
 
-#include <boost/asio/steady_timer.hpp>
+#include <rollout/sharedlog.h>
 
 #include <deque>
 #include <functional>
@@ -67,7 +67,7 @@
     shared_log& m_log;
     topic_partition m_topicPartition;
     append_identity m_identity;
-    boost::asio::steady_timer m_timer;
+    boot_timer m_timer;
     std::deque<pending_write> m_queue;
     std::vector<pending_write> m_sending;
     std::vector<keyed_record> m_records;
--- a/src/libs/gateway/topicfollower.cpp
+++ b/src/libs/gateway/topicfollower.cpp
@@ -1,7 +1,5 @@
 #include "topicfollower.h"
 
-#include "bootclock.h"
-
 #include <boost/asio/io_context.hpp>
 
 #include <algorithm>
--- a/src/libs/gateway/topicfollower.h
+++ b/src/libs/gateway/topicfollower.h
@@ -1,11 +1,10 @@
 #pragma once
 
+#include "bootclock.h"
 #include "newestpages.h"
 
 #include <rollout/sharedlog.h>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <cstdint>
 #include <functional>
 #include <random>
@@ -89,7 +88,7 @@
     shared_log& m_log;
     topic_follower_options m_options;
     handlers m_handlers;
-    boost::asio::steady_timer m_timer;
+    boot_timer m_timer;
     std::uint64_t m_next = 0;
     /// Number of the present read; the further ones sent while it is overdue share it.
     std::uint64_t m_readNumber = 0;
