--- a/src/libs/gateway/topicfollower.h
+++ b/src/libs/gateway/topicfollower.h
@@ -1,13 +1,13 @@
 #pragma once
 
+#include "bootclock.h"
 #include "newestpages.h"
 
 #include <rollout/sharedlog.h>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <algorithm>
 #include <cstdint>
+#include <cstdint>
 #include <functional>
 #include <random>
 #include <span>
@@ -109,7 +109,7 @@
     shared_log& m_log;
     topic_follower_options m_options;
     handlers m_handlers;
-    boost::asio::steady_timer m_timer;
+    boot_timer m_timer;
     std::uint64_t m_next = 0;
     /// End of the partition according to the last answer.
     std::uint64_t m_end = 0;
