Tests: Show what a slow log does to readers of lists, bodies and contents

Ten reads of a text_store: 10 ranges and 40 pages in place of 1 and 4. - Texts beyond the history: five pages for any text of the batch, also for one and for the contents; after a failed page they are read from the first one again (3 and 5 pages in place of 2 and 4). - A list of 0.9 MB and contents of 1.4 MB are read from the log twice. - Of two batches the contents of one are gone: neither is loaded, also when they are of two models.

memory_log: pages take time, and several in a row fail.

--- a/tests/auto/gateway/memorylog.cpp
+++ b/tests/auto/gateway/memorylog.cpp
@@ -126,13 +126,17 @@
     }
     if (m_isSilent)
         outcome = {};
-    const duration delay = m_isSilent ? range.wait + range.slack : m_readDelay;
+    answerAfter(m_isSilent ? range.wait + range.slack : m_readDelay, [outcome, whenDone = std::move(onDone)] { whenDone(outcome); });
+}
+
+void memory_log::answerAfter(duration delay, std::function<void()> answer)
+{
     if (delay == duration::zero()) {
-        boost::asio::post(m_context, [outcome, whenDone = std::move(onDone)] { whenDone(outcome); });
+        boost::asio::post(m_context, std::move(answer));
         return;
     }
     const std::shared_ptr<boost::asio::steady_timer> timer = std::make_shared<boost::asio::steady_timer>(m_context, delay);
-    timer->async_wait([timer, outcome, whenDone = std::move(onDone)](const boost::system::error_code&) { whenDone(outcome); });
+    timer->async_wait([timer, whenDue = std::move(answer)](const boost::system::error_code&) { whenDue(); });
 }
 
 void memory_log::readNewest(const topic_partition& topicPartition, std::string_view afterKey, std::function<void(const newest_outcome&)> onDone)
@@ -146,9 +150,11 @@
             newest.erase(record.key);
     }
     newest_outcome outcome;
-    const bool isFailing = m_pagesUntilFailure == 0;
-    if (m_pagesUntilFailure)
-        m_pagesUntilFailure = isFailing ? std::nullopt : std::optional<std::size_t>(*m_pagesUntilFailure - 1);
+    const bool isFailing = m_failingPages > 0 && m_pagesUntilFailure == 0;
+    if (isFailing)
+        --m_failingPages;
+    else if (m_pagesUntilFailure > 0)
+        --m_pagesUntilFailure;
     outcome.isDone = !m_isDown && !isFailing;
     m_pages += outcome.isDone ? 1 : 0;
     outcome.end = records.size();
@@ -160,7 +166,7 @@
             break;
         outcome.records.push_back(item.second);
     }
-    boost::asio::post(m_context, [outcome, whenDone = std::move(onDone)] { whenDone(outcome); });
+    answerAfter(m_pageDelay, [outcome, whenDone = std::move(onDone)] { whenDone(outcome); });
 }
 
 }
--- a/tests/auto/gateway/memorylog.h
+++ b/tests/auto/gateway/memorylog.h
@@ -6,7 +6,6 @@
 
 #include <deque>
 #include <map>
-#include <optional>
 #include <set>
 #include <vector>
 
@@ -43,8 +42,14 @@
     void setSilent(bool isSilent) { m_isSilent = isSilent; }
     /// Time until reads by offset are answered.
     void setReadDelay(duration delay) { m_readDelay = delay; }
-    /// Makes the read of one page fail, after \a pages more.
-    void failPageAfter(std::size_t pages) { m_pagesUntilFailure = pages; }
+    /// Time until pages are answered.
+    void setPageDelay(duration delay) { m_pageDelay = delay; }
+    /// Makes the reads of \a failures pages fail, after \a pages more.
+    void failPageAfter(std::size_t pages, std::size_t failures = 1)
+    {
+        m_pagesUntilFailure = pages;
+        m_failingPages = failures;
+    }
     /// Number of pages read with success.
     std::size_t pages() const { return m_pages; }
     /// Drops the history, so that reads by offset expire; the newest record of each key stays.
@@ -78,6 +83,9 @@
     partition& partitionOf(const topic_partition& topicPartition);
     append_outcome apply(const topic_partition& topicPartition, const append_identity& identity, std::span<const keyed_record> records);
 
+    /// Calls \a answer after \a delay, never from within the call.
+    void answerAfter(duration delay, std::function<void()> answer);
+
     boost::asio::io_context& m_context;
     std::map<std::string, partition> m_partitions;
     std::string m_firstName;
@@ -87,10 +95,13 @@
     std::size_t m_reads = 0;
     duration m_lastSlack {};
     std::size_t m_pages = 0;
-    std::optional<std::size_t> m_pagesUntilFailure;
+    /// Pages until the reads of \c m_failingPages pages fail.
+    std::size_t m_pagesUntilFailure = 0;
+    std::size_t m_failingPages = 0;
     bool m_isDown = false;
     bool m_isSilent = false;
     duration m_readDelay {};
+    duration m_pageDelay {};
 };
 
 }
--- a/tests/auto/gateway/tst_journal.cpp
+++ b/tests/auto/gateway/tst_journal.cpp
@@ -7,6 +7,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <span>
+
 using namespace ragwortreach;
 
 namespace {
@@ -330,3 +332,58 @@
     CHECK(fixture.log.records().size() > written);
     CHECK(left.empty());
 }
+
+struct partial_load_case {
+    const char* name;
+    const char* lostBatch;
+    /// Models of the batches "a" and "b", which were accepted in this order.
+    const char* modelOfA;
+    const char* modelOfB;
+    bool isLoadedA;
+    bool isLoadedB;
+};
+
+const partial_load_case partialLoadCases[] = {
+    { "the first of two models", "a", "m-1", "m-2", false, true },
+    { "the second of two models", "b", "m-1", "m-2", true, false },
+    { "the later batch of one model", "b", "m-1", "m-1", true, false },
+    // Items of the later batch may be resubmitted ones of the earlier batch.
+    { "the earlier batch of one model", "a", "m-1", "m-1", false, false },
+};
+
+// One batch whose contents could not be read kept the batches of all models of its owner from running.
+TEST_CASE("A batch whose contents cannot be read keeps only the later batches of its model from loading")
+{
+    for (const partial_load_case& row : partialLoadCases) {
+        DYNAMIC_SECTION(row.name)
+        {
+            boost::asio::io_context context;
+            memory_log log(context);
+            journal writer(context, log, {}, "writer", [](const ledger_batch&) {});
+            writer.start();
+            for (const char* const id : { "a", "b" }) {
+                batch_submission batch = largeBatch(5000);
+                batch.id = id;
+                batch.model = std::string(id) == "a" ? row.modelOfA : row.modelOfB;
+                writer.write(batch_accepted { batch }, write_mode::FailOnRefusal, {});
+                runUntil(context, [&writer, id] { return writer.ledger().find(id); });
+            }
+            const text_reference lost = *writer.ledger().find(row.lostBatch)->submission.contents;
+            writer.texts().remove(std::span(&lost, 1));
+            runUntil(context, [&writer] { return writer.pendingWrites() == 0; });
+            log.compact();
+            journal owner(context, log, {}, "owner", [](const ledger_batch&) {});
+            owner.start();
+            runUntil(context, [&owner] { return owner.isReady(); });
+            owner.fetch("a");
+            owner.fetch("b");
+            runUntil(context, [&owner] { return owner.isFollowed("a") && owner.isFollowed("b"); });
+            ragwortreach::log logger({}, "vm1");
+            batch_loader loader(owner, logger);
+            loader.tick([](const ledger_batch&) { return true; }, bootNow());
+            runUntil(context, [&loader] { return loader.counters().readFailures == 1; });
+            CHECK(owner.ledger().find("a")->isLoaded == row.isLoadedA);
+            CHECK(owner.ledger().find("b")->isLoaded == row.isLoadedB);
+        }
+    }
+}
--- a/tests/auto/gateway/tst_textstore.cpp
+++ b/tests/auto/gateway/tst_textstore.cpp
@@ -41,6 +41,15 @@
     return *reference;
 }
 
+/// Texts of \a count items, whose names sort like their numbers.
+std::vector<text_reference> writeTexts(boost::asio::io_context& context, text_store& store, std::size_t count, std::size_t bytes)
+{
+    std::vector<text_reference> references;
+    for (std::size_t number = 0; number < count; ++number)
+        references.push_back(writeText(context, store, "i-" + std::to_string(number + 1000), std::string(bytes, 'x') + std::to_string(number)));
+    return references;
+}
+
 std::optional<text_store::text_list> readAll(boost::asio::io_context& context, text_store& store, std::vector<text_reference> references)
 {
     bool isDone = false;
@@ -53,6 +62,12 @@
     return result;
 }
 
+/// Starts a read that increments \a complete when it has got all its texts.
+void countComplete(text_store& store, std::vector<text_reference> references, std::size_t& complete)
+{
+    store.read(std::move(references), [&complete](const std::optional<text_store::text_list>& texts) { complete += texts ? 1U : 0U; });
+}
+
 }
 
 TEST_CASE("A text can be read by a daemon that did not write it")
@@ -127,3 +142,119 @@
         CHECK_FALSE(records[index + 3].value);
     }
 }
+
+struct cost_case {
+    const char* name;
+    /// Texts to read, of twelve texts in a batch, after its contents.
+    std::size_t first;
+    std::size_t count;
+    std::size_t pages;
+};
+
+const cost_case costCases[] = {
+    { "all texts", 0, 12, 4 },
+    { "the first texts", 0, 3, 1 },
+    { "the last texts", 9, 3, 1 },
+    { "texts in the middle", 4, 4, 2 },
+    { "one text", 7, 1, 1 },
+};
+
+// The pages of a batch were read from its contents on to its end, however few texts were missing.
+TEST_CASE("Texts beyond the history cost the pages from the first missing one to the last")
+{
+    for (const cost_case& row : costCases) {
+        DYNAMIC_SECTION(row.name)
+        {
+            boost::asio::io_context context;
+            memory_log log(context);
+            text_store writer(context, log, 1, "writer");
+            text_store reader(context, log, 1, "reader");
+            writeText(context, writer, "*", std::string(std::size_t { 450 } * 1024, 'c'));
+            const std::vector<text_reference> all = writeTexts(context, writer, 12, 700);
+            log.compact();
+            const std::span<const text_reference> wanted = std::span(all).subspan(row.first, row.count);
+            CHECK(readAll(context, reader, { wanted.begin(), wanted.end() }));
+            CHECK(log.pages() == row.pages);
+        }
+    }
+}
+
+// The body of one item cost the pages of all results of its batch.
+TEST_CASE("Contents beyond the history cost only their own pages")
+{
+    boost::asio::io_context context;
+    memory_log log(context);
+    text_store writer(context, log, 1, "writer");
+    text_store reader(context, log, 1, "reader");
+    const text_reference contents = writeText(context, writer, "*", std::string(std::size_t { 450 } * 1024, 'c'));
+    writeTexts(context, writer, 12, 700);
+    log.compact();
+    CHECK(readAll(context, reader, { contents }));
+    CHECK(log.pages() == 1);
+}
+
+// A read after a failed page began at the first page of the batch again.
+TEST_CASE("A read of texts beyond the history continues after the pages of one that failed")
+{
+    for (const std::size_t bytes : { std::size_t { 700 }, std::size_t { 450 } * 1024 }) {
+        DYNAMIC_SECTION("texts of " << bytes << " bytes")
+        {
+            boost::asio::io_context context;
+            memory_log log(context);
+            text_store writer(context, log, 1, "writer");
+            text_store reader(context, log, 1, "reader");
+            const std::vector<text_reference> references = writeTexts(context, writer, 4, bytes);
+            log.compact();
+            std::size_t records = 0;
+            for (const text_reference& reference : references)
+                records += reference.records;
+            log.failPageAfter(1, 2);
+            std::size_t attempts = 1;
+            while (!readAll(context, reader, references))
+                REQUIRE(++attempts < 5);
+            CHECK(attempts > 1);
+            CHECK(log.pages() == (records + 2) / 3);
+        }
+    }
+}
+
+// Each of several reads of the same texts sent its own requests to the log.
+TEST_CASE("Reads of the same texts at the same time share their requests to the log")
+{
+    for (const bool isHistoryGone : { false, true }) {
+        DYNAMIC_SECTION((isHistoryGone ? "the history is gone" : "the history has the texts"))
+        {
+            constexpr std::size_t readers = 10;
+            boost::asio::io_context context;
+            memory_log log(context);
+            text_store writer(context, log, 1, "writer");
+            text_store reader(context, log, 1, "reader");
+            const std::vector<text_reference> references = writeTexts(context, writer, 12, 700);
+            if (isHistoryGone)
+                log.compact();
+            std::size_t complete = 0;
+            for (std::size_t number = 0; number < readers; ++number)
+                countComplete(reader, references, complete);
+            runUntil(context, [&complete] { return complete == readers; });
+            CHECK(log.reads() == 1);
+            CHECK(log.pages() == (isHistoryGone ? 4 : 0));
+        }
+    }
+}
+
+// The cache was smaller than the texts of one batch, so a second list of it was read from the log again.
+TEST_CASE("The texts of a list and the contents of its batch are read from the log once")
+{
+    boost::asio::io_context context;
+    memory_log log(context);
+    text_store writer(context, log, 1, "writer");
+    text_store reader(context, log, 1, "reader");
+    const text_reference contents = writeText(context, writer, "*", std::string(std::size_t { 1400 } * 1024, 'c'));
+    const std::vector<text_reference> references = writeTexts(context, writer, 150, 6000);
+    REQUIRE(readAll(context, reader, references));
+    REQUIRE(readAll(context, reader, { contents }));
+    const std::size_t reads = log.reads();
+    CHECK(readAll(context, reader, references));
+    CHECK(readAll(context, reader, { contents }));
+    CHECK(log.reads() == reads);
+}
