Gateway: Answer lists with the texts that were read, and share and resume the reads

Callers saw 503 for each list and body whose texts lay beyond the log's history while the log was slow ("the texts cannot be read from the log"). A list was answered only when all its texts were there; it read the pages of the whole batch, contents included, from the first one on, alone for each caller, without a deadline, and began anew after a failure.

- A read of texts delivers those that it has, at its deadline or after a request that failed.
A list goes up to the first missing one and is refused only if that is its first result.
The deadline is Wait-Ms + 1.5 s, less 0.3 s for the answer.
- Texts are read and cached record by record: pages begin before the first missing record and end at the last one, and a failed page is resumed.
An answer that comes after its caller left goes into the cache.
- Reads of the same texts share the request that is under way.
Each read decides on the next one by itself, so nothing more is read once no open exchange waits.
- The log says which offset is its first after a 410; texts before it are not asked for by offset again.
- The cache has 4 MiB: a list and the contents of its batch, twice.
- Contents of several batches are loaded as far as they were read; batches of one model still load in order.
- text_counters, in the metrics: requests and bytes of ranges and pages, failed and shared requests.

--- a/src/libs/gateway/batchhandler.cpp
+++ b/src/libs/gateway/batchhandler.cpp
@@ -7,6 +7,9 @@
 #include <support/log.h>
 #include <support/logline.h>
 
+#include <algorithm>
+#include <span>
+
 namespace ragwortreach {
 
 namespace {
@@ -21,6 +24,10 @@
     /// Time within which a read of the log has to show whether a batch exists.
     constexpr duration confirmationTime = std::chrono::milliseconds(1000);
     constexpr duration maxWait = std::chrono::milliseconds(1000);
+    /// Time that callers wait longer than they allow.
+    constexpr duration callerPatience = std::chrono::milliseconds(1500);
+    /// By this much an answer leaves before its caller does; an answer of 1 MB takes 0.14 s on a link of 60 Mbit/s.
+    constexpr duration answerMargin = std::chrono::milliseconds(300);
     constexpr duration retryDelay = std::chrono::milliseconds(300);
 
     /// Id of the batch that a call is about; empty for no call.
@@ -55,9 +62,9 @@
     void operator()(std::monostate) const { m_received.exchange.respond(failureResponse(notFoundStatus, result_code::UnknownRoute, "There is no such call.")); }
     void operator()(const platform::read_results_call& call) const
     {
-        m_handler.readResults({ m_received.exchange, call, m_received.arrivedAt + m_received.wait });
+        m_handler.readResults({ m_received.exchange, call, m_received.arrivedAt + m_received.wait, m_received.answerBy() });
     }
-    void operator()(const platform::read_item_call& call) const { m_handler.readItem(m_received.exchange, call); }
+    void operator()(const platform::read_item_call& call) const { m_handler.readItem(m_received, call); }
     void operator()(const platform::end_batch_call& call) const { m_handler.endBatch(m_received.exchange, call); }
 
 private:
@@ -65,6 +72,11 @@
     const received_call& m_received;
 };
 
+instant batch_handler::received_call::answerBy() const
+{
+    return arrivedAt + wait + callerPatience - answerMargin;
+}
+
 batch_handler::batch_handler(journal& journal, const route_table& routes, log& log)
     : m_journal(journal)
     , m_routes(routes)
@@ -115,7 +127,7 @@
 
 void batch_handler::answer(const http_exchange& exchange, const platform::caller_request& caller, const platform::batch_call& call)
 {
-    const received_call received { exchange, std::min(caller.wait, maxWait), call, std::visit(batch_id_visitor(), call), bootNow() };
+    const received_call received { exchange, std::clamp(caller.wait, duration::zero(), maxWait), call, std::visit(batch_id_visitor(), call), bootNow() };
     if (!tryResolve(received))
         m_unknownBatchCalls.push_back(received);
 }
@@ -173,45 +185,47 @@
         if (result.reference)
             references.push_back(*result.reference);
     }
-    if (references.empty()) {
-        respondResults(read, {});
-        return;
-    }
-    m_journal.texts().read(std::move(references), [this, read](const std::optional<text_store::text_list>& texts) {
-        if (texts)
-            respondResults(read, *texts);
-        else
-            refuseStaleRead(read.exchange, read.call.batch, "the texts cannot be read from the log");
+    text_read_options options { read.answerBy, [exchange = read.exchange] { return exchange.isOpen(); } };
+    m_journal.texts().read(references, std::move(options), [this, read](const text_outcome& outcome) {
+        if (read.exchange.isOpen())
+            respondResults(read, outcome.texts);
     });
 }
 
-/// \a texts are those of the results with a reference, in order. Results that arrived while they were read are left out.
-void batch_handler::respondResults(const pending_read& read, const text_store::text_list& texts)
+/// Results that arrived while the texts were read are left out.
+void batch_handler::respondResults(const pending_read& read, const text_list& texts)
 {
     const ledger_batch* const batch = m_journal.ledger().find(read.call.batch);
     if (!batch) {
         refuseStaleRead(read.exchange, read.call.batch, "the batch was removed from the ledger");
         return;
     }
+    const std::span<const ledger_result> page = batch->page(read.call.position, platform::maxResultBytes);
     std::vector<platform::listed_result> results;
-    text_store::text_list::const_iterator next = texts.begin();
-    for (const ledger_result& result : batch->page(read.call.position, platform::maxResultBytes)) {
-        if (result.reference && next == texts.end())
+    text_list::const_iterator next = texts.begin();
+    for (const ledger_result& result : page) {
+        if (result.reference && (next == texts.end() || !*next))
             break;
         const std::string_view text = result.reference ? std::string_view(**next++) : std::string_view(result.output.text);
         results.push_back({ batch->submission.items[result.item].id, result.isCompleted, text, result.output.versions, result.reward });
     }
+    if (results.empty() && !page.empty()) {
+        refuseStaleRead(read.exchange, read.call.batch, "the texts cannot be read from the log");
+        return;
+    }
+    m_counters.shortenedReads += next != texts.end() ? 1U : 0U;
     read.exchange.respond(jsonAnswer(okStatus, platform::encodeResults(batch->items.size(), read.call.position, results)));
 }
 
-void batch_handler::answerAfterWait(const pending_read& read)
+bool batch_handler::tryAnswerAfterWait(const pending_read& read)
 {
     const ledger_batch* const batch = m_journal.ledger().find(read.call.batch);
     if (batch && isUpToDate(read.call.batch)) {
         listResults(read, *batch);
-        return;
+        return true;
     }
     refuseStaleRead(read.exchange, read.call.batch, "the ledger is behind the log");
+    return true;
 }
 
 void batch_handler::refuseStaleRead(const http_exchange& exchange, std::string_view batch, std::string_view reason)
@@ -221,25 +235,28 @@
     exchange.respond(refusalResponse(result_code::LogUnavailable, "The state of this daemon is possibly stale; retry later.", retryDelay));
 }
 
-void batch_handler::readItem(const http_exchange& exchange, const platform::read_item_call& call)
+void batch_handler::readItem(const received_call& received, const platform::read_item_call& call)
 {
     const ledger_batch* const batch = m_journal.ledger().find(call.batch);
     const std::optional<std::size_t> index = batch ? batch->indexOf(call.item) : std::nullopt;
     if (index && !batch->isLoaded) {
-        readStoredItem(exchange, call, *batch->submission.contents);
+        readStoredItem(received, call, *batch->submission.contents);
         return;
     }
     if (index) {
-        exchange.respond(bytesAnswer(batch->submission.items[*index].body));
+        received.exchange.respond(bytesAnswer(batch->submission.items[*index].body));
         return;
     }
-    exchange.respond(failureResponse(notFoundStatus, result_code::UnknownBatch, "There is no such item."));
+    received.exchange.respond(failureResponse(notFoundStatus, result_code::UnknownBatch, "There is no such item."));
 }
 
-void batch_handler::readStoredItem(const http_exchange& exchange, const platform::read_item_call& call, const text_reference& contents)
+void batch_handler::readStoredItem(const received_call& received, const platform::read_item_call& call, const text_reference& contents)
 {
-    m_journal.texts().read({ contents }, [this, exchange, call](const std::optional<text_store::text_list>& texts) {
-        const std::optional<std::string> body = texts ? journal::bodyOf(*texts->front(), call.item) : std::nullopt;
+    text_read_options options { received.answerBy(), [exchange = received.exchange] { return exchange.isOpen(); } };
+    m_journal.texts().read(std::span(&contents, 1), std::move(options), [this, exchange = received.exchange, call](const text_outcome& outcome) {
+        if (!exchange.isOpen())
+            return;
+        const std::optional<std::string> body = outcome.isComplete ? journal::bodyOf(*outcome.texts.front(), call.item) : std::nullopt;
         if (body)
             exchange.respond(bytesAnswer(*body));
         else
@@ -274,10 +291,7 @@
     std::erase_if(m_pendingReads, [this, now](const pending_read& read) {
         if (!read.exchange.isOpen() || tryAnswer(read))
             return true;
-        if (now < read.deadline)
-            return false;
-        answerAfterWait(read);
-        return true;
+        return now >= read.waitsUntil && tryAnswerAfterWait(read);
     });
 }
 
--- a/src/libs/gateway/batchhandler.h
+++ b/src/libs/gateway/batchhandler.h
@@ -24,6 +24,8 @@
     std::uint64_t unknownOutcome = 0;
     std::uint64_t reads = 0;
     std::uint64_t staleReads = 0;
+    /// Reads that were answered with fewer results than fit, since the texts of the others were not read in time.
+    std::uint64_t shortenedReads = 0;
     std::uint64_t ended = 0;
 };
 
@@ -33,6 +35,10 @@
 /// call on a batch that is not listed waits for a read of the journal that began after the call arrived: only that proves
 /// that there is no such batch. A daemon whose ledger may be behind the journal refuses the call with 503, so that the
 /// trainer repeats it.
+///
+/// While the log is slow, a call waits for its batch and its texts until shortly before the caller would leave. A list is
+/// then answered with the results whose texts have been read, so each attempt gets further than the one before; it is
+/// refused with 503 only when there are results and not one can be given.
 class batch_handler {
 public:
     batch_handler(journal& journal, const route_table& routes, log& log);
@@ -53,7 +59,10 @@
     struct pending_read {
         http_exchange exchange;
         platform::read_results_call call;
-        instant deadline {};
+        /// Until this time it waits for results.
+        instant waitsUntil {};
+        /// Latest time of the answer.
+        instant answerBy {};
     };
     /// Call on a batch as it arrived.
     struct received_call {
@@ -62,23 +71,29 @@
         platform::batch_call call;
         std::string batch;
         instant arrivedAt {};
+
+        /// Latest time of the answer.
+        instant answerBy() const;
     };
     class call_visitor;
 
     /// Serves the call once it is known whether its batch exists, or refuses it after a while; false while it has to wait.
     bool tryResolve(const received_call& received);
     void readResults(const pending_read& read);
-    void readItem(const http_exchange& exchange, const platform::read_item_call& call);
+    void readItem(const received_call& received, const platform::read_item_call& call);
     /// Responds with the body of an item whose batch is not loaded in this process, read from the log.
-    void readStoredItem(const http_exchange& exchange, const platform::read_item_call& call, const text_reference& contents);
+    void readStoredItem(const received_call& received, const platform::read_item_call& call, const text_reference& contents);
     void endBatch(const http_exchange& exchange, const platform::end_batch_call& call);
     /// Answers \a read if the ledger can answer it now; false when it has to wait.
     bool tryAnswer(const pending_read& read);
     /// Reads the texts of the results from the position of \a read on and responds with them.
     void listResults(const pending_read& read, const ledger_batch& batch);
-    void respondResults(const pending_read& read, const text_store::text_list& texts);
-    /// Answers a read whose deadline has passed: an empty page if the ledger is up to date, else 503.
-    void answerAfterWait(const pending_read& read);
+    /// Responds with the results up to the first one whose text is missing in \a texts, which are those of the results
+    /// with a reference, in order.
+    void respondResults(const pending_read& read, const text_list& texts);
+    /// Answers a read that has waited for results in vain: an empty page if the ledger is up to date, else 503, unless the
+    /// batch is being fetched and the caller still waits; false when the read has to wait for that.
+    bool tryAnswerAfterWait(const pending_read& read);
     /// Whether the ledger was confirmed recently enough to answer for \a batch.
     bool isUpToDate(std::string_view batch) const;
     /// Refuses a read with 503, since the ledger or the texts are possibly stale or unavailable.
--- a/src/libs/gateway/batchloader.cpp
+++ b/src/libs/gateway/batchloader.cpp
@@ -6,6 +6,8 @@
 #include <support/log.h>
 #include <support/logline.h>
 
+#include <algorithm>
+
 namespace ragwortreach {
 
 namespace {
@@ -45,44 +47,54 @@
         m_journal.unload(id);
     std::erase_if(m_unreadable, [this](const std::string& id) { return !m_journal.ledger().find(id); });
     if (!batches.empty() && !m_isReading && now >= m_nextReadAt)
-        read(std::move(batches), std::move(references), now);
+        read(std::move(batches), references, now);
 }
 
-void batch_loader::read(std::vector<std::string> batches, std::vector<text_reference> references, instant now)
+void batch_loader::read(std::vector<std::string> batches, const std::vector<text_reference>& references, instant now)
 {
     m_isReading = true;
     m_nextReadAt = now + retryPause;
-    m_journal.texts().read(std::move(references), [this, now, ids = std::move(batches)](const std::optional<text_store::text_list>& contents) {
+    m_journal.texts().read(references, {}, [this, now, ids = std::move(batches)](const text_outcome& contents) {
         m_isReading = false;
         const duration took = bootNow() - now;
         m_log.write(log_line(log_level::Info, "batches_loaded")
                         .with("batches", ids.size())
-                        .with("outcome", contents ? "whole" : "the log does not answer")
+                        .with("missing", std::count(contents.texts.begin(), contents.texts.end(), nullptr))
+                        .with("outcome", contents.isComplete ? "whole" : "the log does not answer")
                         .with("took_us", took.count()));
         applyContents(ids, contents);
     });
 }
 
-void batch_loader::applyContents(const std::vector<std::string>& batches, const std::optional<text_store::text_list>& contents)
+void batch_loader::applyContents(const std::vector<std::string>& batches, const text_outcome& contents)
 {
-    if (!contents) {
+    if (contents.isComplete)
+        m_nextReadAt = {};
+    else
         ++m_counters.readFailures;
-        return;
-    }
-    m_nextReadAt = {};
+    std::set<std::string, std::less<>> blockedModels;
     for (std::size_t index = 0; index < batches.size(); ++index) {
-        if (m_journal.load(batches[index], *(*contents)[index])) {
-            ++m_counters.loaded;
-            continue;
-        }
-        if (!m_journal.ledger().find(batches[index]))
+        const ledger_batch* const batch = m_journal.ledger().find(batches[index]);
+        if (!batch || blockedModels.contains(batch->submission.model))
             continue;
-        ++m_counters.unreadable;
-        m_unreadable.insert(batches[index]);
-        m_log.write(log_line(log_level::Error, "batch_unreadable")
-                        .with("code", static_cast<int>(result_code::MalformedMessage))
-                        .with("batch", batches[index]));
+        if (contents.texts[index])
+            load(batches[index], *contents.texts[index]);
+        else
+            blockedModels.insert(batch->submission.model);
+    }
+}
+
+void batch_loader::load(const std::string& batch, const std::string& contents)
+{
+    if (m_journal.load(batch, contents)) {
+        ++m_counters.loaded;
+        return;
     }
+    ++m_counters.unreadable;
+    m_unreadable.insert(batch);
+    m_log.write(log_line(log_level::Error, "batch_unreadable")
+                    .with("code", static_cast<int>(result_code::MalformedMessage))
+                    .with("batch", batch));
 }
 
 }
--- a/src/libs/gateway/batchloader.h
+++ b/src/libs/gateway/batchloader.h
@@ -36,8 +36,11 @@
 
 private:
     /// Starts to read the contents of \a batches; \a references are theirs, in the same order.
-    void read(std::vector<std::string> batches, std::vector<text_reference> references, instant now);
-    void applyContents(const std::vector<std::string>& batches, const std::optional<text_store::text_list>& contents);
+    void read(std::vector<std::string> batches, const std::vector<text_reference>& references, instant now);
+    /// Loads the batches whose contents were read. The batches of a model have to be loaded in order, so those after one
+    /// that was not read wait for it.
+    void applyContents(const std::vector<std::string>& batches, const text_outcome& contents);
+    void load(const std::string& batch, const std::string& contents);
 
     journal& m_journal;
     log& m_log;
--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -35,6 +35,22 @@
         };
     }
 
+    std::vector<reading> textReadings(const text_counters& texts)
+    {
+        return {
+            { counter("ragwortreach_result_texts_from_log_total", "Texts of results that were read from the log"), texts.fromLog },
+            { counter("ragwortreach_result_texts_from_pages_total", "Texts of results that were read from pages of the log"), texts.fromPages },
+            { counter("ragwortreach_result_texts_from_cache_total", "Texts of results that were kept"), texts.fromCache },
+            { counter("ragwortreach_result_text_reads_failed_total", "Reads of texts that did not get all of them from the log"), texts.readFailures },
+            { counter("ragwortreach_text_ranges_total", "Requests to the log for texts by their offsets"), texts.rangeRequests },
+            { counter("ragwortreach_text_range_bytes_total", "Bytes that these requests asked for"), texts.rangeBytes },
+            { counter("ragwortreach_text_pages_total", "Requests to the log for pages of texts"), texts.pageRequests },
+            { counter("ragwortreach_text_page_bytes_total", "Bytes of keys and values in these pages"), texts.pageBytes },
+            { counter("ragwortreach_text_requests_failed_total", "Requests of both kinds that the log did not answer"), texts.failedRequests },
+            { counter("ragwortreach_text_requests_shared_total", "Times that a read of texts waited for the request of another one"), texts.sharedRequests },
+        };
+    }
+
     std::vector<reading> journalReadings(const journal_counters& journal, const snapshot_counters& snapshots)
     {
         return {
@@ -117,6 +133,7 @@
         { counter("ragwortreach_batches_ended_total", "Batches that were ended here"), from.batches.ended },
         { counter("ragwortreach_result_reads_total", "Reads of results"), from.batches.reads },
         { counter("ragwortreach_result_reads_unsure_total", "Reads that were refused since the ledger was behind"), from.batches.staleReads },
+        { counter("ragwortreach_result_reads_shortened_total", "Reads that were answered without the results whose texts were not read in time"), from.batches.shortenedReads },
         { counter("ragwortreach_item_runs_total", "Runs of items at replicas"), from.items.runsStarted },
         { counter("ragwortreach_item_runs_resumed_total", "Runs that went on after an event"), from.items.runsResumed },
         { counter("ragwortreach_item_runs_stalled_total", "Runs that were moved since no event came"), from.items.runsStalled },
@@ -131,10 +148,6 @@
         { counter("ragwortreach_item_texts_saved_total", "Texts so far that were saved for a later owner"), from.progress.saved },
         { counter("ragwortreach_item_texts_recovered_total", "Texts so far that an earlier owner left"), from.progress.recovered },
         { counter("ragwortreach_item_recoveries_failed_total", "Takeovers at which the log did not give the texts so far"), from.progress.recoveriesFailed },
-        { counter("ragwortreach_result_texts_from_log_total", "Texts of results that were read from the log"), from.texts.fromLog },
-        { counter("ragwortreach_result_texts_from_pages_total", "Texts of results that were read from pages of the log"), from.texts.fromPages },
-        { counter("ragwortreach_result_texts_from_cache_total", "Texts of results that were kept"), from.texts.fromCache },
-        { counter("ragwortreach_result_text_reads_failed_total", "Reads of texts that the log did not answer"), from.texts.readFailures },
         { counter("ragwortreach_items_handed_over_total", "Items whose text was left to another daemon"), from.items.handedOver },
         { counter("ragwortreach_weight_orders_total", "Orders of weights that were sent"), from.weights.ordersSent },
         { counter("ragwortreach_weight_orders_accepted_total", "Orders of weights that were accepted"), from.weights.ordersAccepted },
@@ -153,6 +166,7 @@
     metrics all;
     add(all, readings);
     add(all, journalReadings(from.journal, from.journalSnapshots));
+    add(all, textReadings(from.texts));
     add(all, loadReadings(from.loads));
     add(all, factReadings(from.facts));
     add(all, rewardReadings(from.rewards, from.rewardLatency));
--- /dev/null
+++ b/src/libs/gateway/textkeys.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace ragwortreach {
+
+/// Keys of the records of texts. The text BATCH/PART/WRITER is stored in records BATCH/PART/WRITER/NUMBER.
+
+/// Key of the record \a number of the text \a textKey.
+std::string chunkKey(std::string_view textKey, std::uint32_t number);
+/// Key of the text that the record \a key belongs to.
+std::string_view textKeyOf(std::string_view key);
+/// Beginning of the keys of all texts that belong to the batch of \a key.
+std::string_view batchPrefixOf(std::string_view key);
+/// A key that comes before the record \a key and after those that come before it, so that pages begin with it.
+std::string keyBefore(std::string_view key);
+
+}
--- a/src/libs/gateway/textread.cpp
+++ b/src/libs/gateway/textread.cpp
@@ -1,8 +1,10 @@
 #include "textread.h"
 
-#include "newestpages.h"
+#include "bootclock.h"
+#include "textkeys.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace ragwortreach {
 
@@ -10,16 +12,9 @@
 
     /// Bytes that the key and the framing of a record take in an answer.
     constexpr std::size_t recordOverhead = 256;
-    /// Time-out of an answer. One that comes too late for its caller is kept for the next call on the batch.
-    constexpr duration rangeTimeout = std::chrono::milliseconds(2500);
-    /// Largest answer of the log.
+    /// Largest answer that is asked for; the log gives at least one record.
     constexpr std::size_t maxRangeBytes = std::size_t { 1024 } * 1024;
 
-    std::string_view batchPrefixOf(std::string_view key)
-    {
-        return key.substr(0, key.find('/') + 1);
-    }
-
     std::size_t rangeBytes(const text_reference& reference)
     {
         return reference.bytes + reference.records * recordOverhead;
@@ -27,141 +22,184 @@
 
 }
 
-text_store::text_read::text_read(text_store& store, std::vector<text_reference> references,
-    std::function<void(const std::optional<text_list>&)> onDone)
-    : m_store(store)
-    , m_references(std::move(references))
-    , m_texts(m_references.size())
-    , m_onDone(std::move(onDone))
+std::uint32_t text_read::wanted_text::firstMissingChunk() const
 {
+    return static_cast<std::uint32_t>(std::distance(chunks.begin(), std::find(chunks.begin(), chunks.end(), nullptr)));
 }
 
-void text_store::text_read::start()
+void text_read::wanted_text::complete()
 {
-    for (std::size_t index = 0; index < m_references.size(); ++index) {
-        m_texts[index] = m_store.cached(m_references[index].key);
-        m_store.m_counters.fromCache += m_texts[index] ? 1U : 0U;
+    if (firstMissingChunk() < chunks.size())
+        return;
+    std::shared_ptr<const std::string> joined = chunks.empty() ? nullptr : chunks.front();
+    if (chunks.size() > 1) {
+        std::string bytes;
+        for (const std::shared_ptr<const std::string>& chunk : chunks)
+            bytes += *chunk;
+        joined = std::make_shared<const std::string>(std::move(bytes));
     }
-    readNext();
+    isAbsent = !joined || joined->size() != reference.bytes;
+    if (!isAbsent)
+        text = std::move(joined);
 }
 
-void text_store::text_read::readNext()
+text_read::text_read(boost::asio::io_context& context, text_requests& requests, std::span<const text_reference> references, text_read_options options, done_handler onDone)
+    : m_timer(context)
+    , m_requests(requests)
+    , m_options(std::move(options))
+    , m_onDone(std::move(onDone))
 {
-    std::optional<std::size_t> first;
-    for (std::size_t index = 0; index < m_references.size(); ++index) {
-        if (!m_texts[index] && (!first || m_references[index].offset < m_references[*first].offset))
-            first = index;
-    }
-    if (first)
-        readRange(*first);
-    else
-        finish(true);
+    for (const text_reference& reference : references)
+        m_wanted.push_back({ reference, std::vector<std::shared_ptr<const std::string>>(reference.records), nullptr });
 }
 
-void text_store::text_read::readRange(std::size_t first)
+void text_read::start()
 {
-    const text_reference& begin = m_references[first];
-    std::size_t bytes = 0;
-    for (std::size_t index = 0; index < m_references.size(); ++index) {
-        if (!m_texts[index] && m_references[index].partition == begin.partition)
-            bytes += rangeBytes(m_references[index]);
+    m_startedAt = bootNow();
+    for (wanted_text& wanted : m_wanted) {
+        for (std::uint32_t number = 0; number < wanted.chunks.size(); ++number)
+            wanted.chunks[number] = m_requests.cache().find(chunkKey(wanted.reference.key, number));
+        wanted.complete();
+        m_requests.counters().fromCache += wanted.text ? 1U : 0U;
     }
-    read_range range { begin.offset, {}, std::clamp(bytes, rangeBytes(begin), std::max(maxRangeBytes, rangeBytes(begin))) };
-    range.slack = rangeTimeout;
-    m_store.m_log.read(m_store.m_writers.topicPartition(begin.partition), range,
-        [self = shared_from_this(), first](const read_outcome& outcome) { self->applyRange(first, outcome); });
+    if (firstMissing())
+        startTimer();
+    readNext();
 }
 
-void text_store::text_read::applyRange(std::size_t first, const read_outcome& outcome)
+void text_read::startTimer()
 {
-    switch (outcome.status) {
-    case read_status::Unavailable:
-        finish(false);
+    if (m_options.deadline == instant::max())
         return;
-    case read_status::Expired:
-        readPages(first);
+    m_timer.expires_after(m_options.deadline - m_startedAt);
+    m_timer.async_wait([self = weak_from_this()](const boost::system::error_code& error) {
+        const std::shared_ptr<text_read> read = self.lock();
+        if (!error && read)
+            read->finish();
+    });
+}
+
+void text_read::readNext()
+{
+    const wanted_text* const first = firstMissing();
+    const bool isWanted = !m_options.isWanted || m_options.isWanted();
+    if (!first || !isWanted || bootNow() >= m_options.deadline) {
+        finish();
         return;
-    case read_status::Done:
-        break;
     }
-    const text_reference& begin = m_references[first];
-    for (std::size_t index = 0; index < m_references.size(); ++index) {
-        const bool isCandidate = !m_texts[index] && m_references[index].partition == begin.partition;
-        if (isCandidate && extractText(index, begin.offset, outcome.records))
-            ++m_store.m_counters.fromLog;
-    }
-    if (m_texts[first])
-        readNext();
+    const text_requests::answer_handler onAnswer = [self = shared_from_this()](const text_answer& answer) { self->applyAnswer(answer); };
+    if (m_requests.join(first->reference.key, onAnswer))
+        return;
+    const std::vector<const wanted_text*> wanted = missingLike(*first);
+    text_request request { first->reference.partition, {}, {} };
+    for (const wanted_text* const candidate : wanted)
+        request.textKeys.insert(candidate->reference.key);
+    if (needsPage(*first))
+        request.kind = pageFor(wanted);
     else
-        readPages(first);
+        request.kind = rangeFor(*first, wanted);
+    m_requests.send(std::move(request), onAnswer);
 }
 
-bool text_store::text_read::extractText(std::size_t index, std::uint64_t from, std::span<const keyed_record> records)
+const text_read::wanted_text* text_read::firstMissing() const
 {
-    const text_reference& reference = m_references[index];
-    if (reference.offset < from || reference.offset - from + reference.records > records.size())
-        return false;
-    std::string text;
-    for (const keyed_record& record : records.subspan(reference.offset - from, reference.records)) {
-        if (!record.key.starts_with(reference.key))
-            return false;
-        text += record.value.value_or("");
+    const wanted_text* first = nullptr;
+    for (const wanted_text& candidate : m_wanted) {
+        if (candidate.isMissing() && (!first || candidate.reference.offset < first->reference.offset))
+            first = &candidate;
     }
-    if (text.size() != reference.bytes)
-        return false;
-    setText(index, std::move(text));
-    return true;
+    return first;
 }
 
-/// Reads the newest records of the batch of the text \a first, for texts that the history no longer holds.
-void text_store::text_read::readPages(std::size_t first)
+bool text_read::needsPage(const wanted_text& candidate) const
 {
-    const text_reference& reference = m_references[first];
-    readNewestPages(m_store.m_log, m_store.m_writers.topicPartition(reference.partition), std::string(batchPrefixOf(reference.key)),
-        [self = shared_from_this(), first](const newest_records& newest) {
-            self->applyPagedTexts(newest.records);
-            if (self->m_texts[first])
-                self->readNext();
-            else
-                self->finish(false);
-        });
-}
-
-void text_store::text_read::applyPagedTexts(std::span<const keyed_record> records)
+    return candidate.isMisplaced || m_requests.isExpired(candidate.reference);
+}
+
+std::vector<const text_read::wanted_text*> text_read::missingLike(const wanted_text& first) const
 {
-    std::map<std::string_view, std::string_view> values;
-    for (const keyed_record& record : records) {
-        if (record.value)
-            values[record.key] = *record.value;
+    std::vector<const wanted_text*> found;
+    for (const wanted_text& candidate : m_wanted) {
+        const bool isSameBatch = candidate.reference.partition == first.reference.partition && batchPrefixOf(candidate.reference.key) == batchPrefixOf(first.reference.key);
+        if (candidate.isMissing() && isSameBatch && needsPage(candidate) == needsPage(first))
+            found.push_back(&candidate);
     }
-    for (std::size_t index = 0; index < m_references.size(); ++index) {
-        if (m_texts[index])
+    return found;
+}
+
+range_request text_read::rangeFor(const wanted_text& first, std::span<const wanted_text* const> wanted)
+{
+    std::size_t bytes = 0;
+    for (const wanted_text* const candidate : wanted)
+        bytes += rangeBytes(candidate->reference);
+    return { first.reference.offset + first.firstMissingChunk(), std::min(bytes, maxRangeBytes) };
+}
+
+page_request text_read::pageFor(std::span<const wanted_text* const> wanted)
+{
+    std::string firstKey;
+    for (const wanted_text* const candidate : wanted) {
+        const std::string key = chunkKey(candidate->reference.key, candidate->firstMissingChunk());
+        if (firstKey.empty() || key < firstKey)
+            firstKey = key;
+    }
+    return { keyBefore(firstKey) };
+}
+
+void text_read::applyAnswer(const text_answer& answer)
+{
+    if (m_isFinished)
+        return;
+    takeChunks(answer);
+    // The request of another read that was sent before this one began says little about the log by now.
+    if (!answer.isAnswered && answer.sentAt >= m_startedAt) {
+        finish();
+        return;
+    }
+    if (answer.isAnswered)
+        noteUnfound(answer);
+    readNext();
+}
+
+void text_read::takeChunks(const text_answer& answer)
+{
+    for (wanted_text& wanted : m_wanted) {
+        if (!wanted.isMissing())
             continue;
-        const text_reference& reference = m_references[index];
-        std::string text;
-        for (std::uint32_t number = 0; number < reference.records; ++number) {
-            const auto found = values.find(chunkKey(reference.key, number));
-            if (found != values.end())
-                text += found->second;
+        for (std::uint32_t number = 0; number < wanted.chunks.size(); ++number) {
+            const auto found = answer.chunks.find(chunkKey(wanted.reference.key, number));
+            if (found != answer.chunks.end())
+                wanted.chunks[number] = found->second;
         }
-        if (text.size() != reference.bytes)
-            continue;
-        ++m_store.m_counters.fromPages;
-        setText(index, std::move(text));
+        wanted.complete();
+        if (wanted.text)
+            ++(answer.isPage ? m_requests.counters().fromPages : m_requests.counters().fromLog);
     }
 }
 
-void text_store::text_read::setText(std::size_t index, std::string text)
+void text_read::noteUnfound(const text_answer& answer)
 {
-    m_texts[index] = std::make_shared<const std::string>(std::move(text));
-    m_store.cacheText(m_references[index].key, m_texts[index]);
+    for (wanted_text& wanted : m_wanted) {
+        if (!wanted.isMissing() || wanted.reference.partition != answer.partition)
+            continue;
+        const std::uint32_t number = wanted.firstMissingChunk();
+        wanted.isMisplaced = wanted.isMisplaced || answer.coversOffset(wanted.reference.offset + number);
+        wanted.isAbsent = answer.coversKey(chunkKey(wanted.reference.key, number));
+    }
 }
 
-void text_store::text_read::finish(bool isComplete)
+void text_read::finish()
 {
-    if (!isComplete)
-        ++m_store.m_counters.readFailures;
-    m_onDone(isComplete ? std::optional<text_list>(std::move(m_texts)) : std::nullopt);
+    if (std::exchange(m_isFinished, true))
+        return;
+    m_timer.cancel();
+    text_outcome outcome { {}, true };
+    for (const wanted_text& wanted : m_wanted) {
+        outcome.texts.push_back(wanted.text);
+        outcome.isComplete = outcome.isComplete && wanted.text;
+    }
+    m_requests.counters().readFailures += outcome.isComplete ? 0U : 1U;
+    std::exchange(m_onDone, {})(outcome);
 }
 
 }
--- a/src/libs/gateway/textread.h
+++ b/src/libs/gateway/textread.h
@@ -1,34 +1,94 @@
 #pragma once
 
-#include "textstore.h"
+#include "textrequests.h"
+
+#include <rollout/journalrecord.h>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
 
 namespace ragwortreach {
 
+/// Texts in the order in which they were asked for.
+using text_list = std::vector<std::shared_ptr<const std::string>>;
+
+struct text_outcome {
+    /// Null for a text that could not be read in time.
+    text_list texts;
+    /// Whether no text is null.
+    bool isComplete = false;
+};
+
+/// Bounds of a read of texts.
+struct text_read_options {
+    /// At this time the read is answered with the texts that it has by then.
+    instant deadline = instant::max();
+    /// Whether somebody still waits for the texts; no further request is sent once it returns false. Empty for always.
+    std::function<bool()> isWanted {};
+};
+
 /// One read of texts by a text_store. Takes texts from the cache, then reads by offset, then, for records that the history
 /// of the log no longer holds, from the pages of newest records.
-class text_store::text_read : public std::enable_shared_from_this<text_read> {
+///
+/// It is answered with the texts that it has at its deadline, and after a request that failed. A request that is under way
+/// then is finished for the cache. Keeps itself alive while a request is under way.
+class text_read : public std::enable_shared_from_this<text_read> {
 public:
-    text_read(text_store& store, std::vector<text_reference> references, std::function<void(const std::optional<text_list>&)> onDone);
+    using done_handler = std::function<void(const text_outcome&)>;
+
+    text_read(boost::asio::io_context& context, text_requests& requests, std::span<const text_reference> references, text_read_options options, done_handler onDone);
 
+    /// Takes the texts that are in the cache and reads the others.
     void start();
 
 private:
-    /// Reads the missing text with the lowest offset, or finishes when none is missing.
+    struct wanted_text {
+        text_reference reference;
+        /// Records of the text by their numbers; null while they are missing.
+        std::vector<std::shared_ptr<const std::string>> chunks;
+        std::shared_ptr<const std::string> text;
+        /// The record at its offset is not the one of the text.
+        bool isMisplaced = false;
+        /// The log does not have it.
+        bool isAbsent = false;
+
+        bool isMissing() const { return !text && !isAbsent; }
+        std::uint32_t firstMissingChunk() const;
+        /// Joins the chunks to the text once all are there.
+        void complete();
+    };
+
+    /// Asks for the missing text with the lowest offset, or finishes when none can be read any more.
     void readNext();
-    /// Reads from the offset of the text \a first on, for all missing texts of its partition.
-    void readRange(std::size_t first);
-    void applyRange(std::size_t first, const read_outcome& outcome);
-    /// Takes the text \a index from \a records, which start at the offset \a from; false when they do not hold it.
-    bool extractText(std::size_t index, std::uint64_t from, std::span<const keyed_record> records);
-    void readPages(std::size_t first);
-    void applyPagedTexts(std::span<const keyed_record> records);
-    void setText(std::size_t index, std::string text);
-    void finish(bool isComplete);
-
-    text_store& m_store;
-    std::vector<text_reference> m_references;
-    text_list m_texts;
-    std::function<void(const std::optional<text_list>&)> m_onDone;
+    const wanted_text* firstMissing() const;
+    /// Whether \a candidate can only be read from a page.
+    bool needsPage(const wanted_text& candidate) const;
+    /// Missing texts of the batch of \a first that are read in the same way.
+    std::vector<const wanted_text*> missingLike(const wanted_text& first) const;
+    /// Range from the first missing record of \a first on, for the \a wanted texts.
+    static range_request rangeFor(const wanted_text& first, std::span<const wanted_text* const> wanted);
+    /// Page from the first missing record of the \a wanted texts on.
+    static page_request pageFor(std::span<const wanted_text* const> wanted);
+    void applyAnswer(const text_answer& answer);
+    void takeChunks(const text_answer& answer);
+    /// Notes which texts are not where the request that was answered has read.
+    void noteUnfound(const text_answer& answer);
+    void startTimer();
+    void finish();
+
+    boost::asio::steady_timer m_timer;
+    text_requests& m_requests;
+    std::vector<wanted_text> m_wanted;
+    text_read_options m_options;
+    done_handler m_onDone;
+    instant m_startedAt {};
+    bool m_isFinished = false;
 };
 
 }
--- a/src/libs/gateway/textstore.cpp
+++ b/src/libs/gateway/textstore.cpp
@@ -1,34 +1,28 @@
 #include "textstore.h"
 
-#include "textread.h"
+#include "textkeys.h"
 
 namespace ragwortreach {
 
 namespace {
 
     constexpr std::string_view topicName = "keyed.ragwortreach.texts";
-    /// Trainers read a text once, soon after it was written; a few other callers read it after them.
-    constexpr std::size_t maxCacheBytes = std::size_t { 1024 } * 1024;
+    /// A list and the contents of its batch, twice: what was read for a caller that left is there when it comes again.
+    constexpr std::size_t maxCacheBytes = std::size_t { 4 } * 1024 * 1024;
 
 }
 
-std::string text_store::chunkKey(const std::string& key, std::uint32_t number)
-{
-    return key + "/" + std::to_string(number);
-}
-
 text_store::text_store(boost::asio::io_context& context, shared_log& log, std::uint32_t partitions, std::string writer)
-    : m_log(log)
+    : m_context(context)
     , m_writerName(std::move(writer))
     , m_writers(context, log, std::string(topicName), partitions, m_writerName + "-texts")
+    , m_requests(log, m_writers, maxCacheBytes)
 {
 }
 
-text_store::~text_store() = default;
-
 void text_store::write(std::string_view batch, std::string_view part, std::string text, write_mode mode, write_handler onDone)
 {
-    ++m_counters.written;
+    ++m_requests.counters().written;
     text_reference reference;
     reference.key = std::string(batch) + "/" + std::string(part) + "/" + m_writerName;
     reference.partition = m_writers.partitionOf(batch);
@@ -61,9 +55,9 @@
         });
 }
 
-void text_store::read(std::vector<text_reference> references, std::function<void(const std::optional<text_list>&)> onDone)
+void text_store::read(std::span<const text_reference> references, text_read_options options, text_read::done_handler onDone)
 {
-    std::make_shared<text_read>(*this, std::move(references), std::move(onDone))->start();
+    std::make_shared<text_read>(m_context, m_requests, references, std::move(options), std::move(onDone))->start();
 }
 
 void text_store::remove(std::span<const text_reference> references)
@@ -79,27 +73,15 @@
     }
 }
 
-void text_store::cacheText(const std::string& key, std::shared_ptr<const std::string> text)
+void text_store::cacheText(const std::string& key, const std::shared_ptr<const std::string>& text)
 {
-    if (m_cacheIndex.contains(key))
+    const std::vector<std::string_view> pieces = splitIntoRecords(*text);
+    if (pieces.size() == 1) {
+        m_requests.cache().add({ chunkKey(key, 0), text });
         return;
-    m_cacheBytes += text->size();
-    m_cache.push_front({ key, std::move(text) });
-    m_cacheIndex.emplace(key, m_cache.begin());
-    while (m_cacheBytes > maxCacheBytes && m_cache.size() > 1) {
-        m_cacheBytes -= m_cache.back().text->size();
-        m_cacheIndex.erase(m_cache.back().key);
-        m_cache.pop_back();
     }
-}
-
-std::shared_ptr<const std::string> text_store::cached(const std::string& key)
-{
-    const auto found = m_cacheIndex.find(key);
-    if (found == m_cacheIndex.end())
-        return nullptr;
-    m_cache.splice(m_cache.begin(), m_cache, found->second);
-    return found->second->text;
+    for (std::uint32_t number = 0; number < pieces.size(); ++number)
+        m_requests.cache().add({ chunkKey(key, number), std::make_shared<const std::string>(pieces[number]) });
 }
 
 }
--- a/src/libs/rollout/sharedlog.h
+++ b/src/libs/rollout/sharedlog.h
@@ -81,6 +81,8 @@
     std::vector<keyed_record> records;
     /// Offset after the last record of the partition.
     std::uint64_t end = 0;
+    /// With Expired, the first offset that the log retains; 0 when it did not say so.
+    std::uint64_t firstRetained = 0;
 };
 
 /// One page of the newest record of each key.
--- a/tests/auto/gateway/memorylog.cpp
+++ b/tests/auto/gateway/memorylog.cpp
@@ -114,6 +114,7 @@
     outcome.end = from.records.size();
     if (!m_isDown && range.from < from.firstRetained) {
         outcome.status = read_status::Expired;
+        outcome.firstRetained = from.firstRetained;
     } else if (!m_isDown) {
         outcome.status = read_status::Done;
         std::size_t bytes = 0;
--- a/tests/auto/gateway/tst_textstore.cpp
+++ b/tests/auto/gateway/tst_textstore.cpp
@@ -50,22 +50,19 @@
     return references;
 }
 
-std::optional<text_store::text_list> readAll(boost::asio::io_context& context, text_store& store, std::vector<text_reference> references)
+/// The texts, or nothing when one of them is missing.
+std::optional<text_list> readAll(boost::asio::io_context& context, text_store& store, const std::vector<text_reference>& references)
 {
-    bool isDone = false;
-    std::optional<text_store::text_list> result;
-    store.read(std::move(references), [&isDone, &result](const std::optional<text_store::text_list>& texts) {
-        isDone = true;
-        result = texts;
-    });
-    runUntil(context, [&isDone] { return isDone; });
-    return result;
+    std::optional<text_outcome> result;
+    store.read(references, {}, [&result](const text_outcome& outcome) { result = outcome; });
+    runUntil(context, [&result] { return result.has_value(); });
+    return result->isComplete ? std::optional<text_list>(result->texts) : std::nullopt;
 }
 
 /// Starts a read that increments \a complete when it has got all its texts.
-void countComplete(text_store& store, std::vector<text_reference> references, std::size_t& complete)
+void countComplete(text_store& store, const std::vector<text_reference>& references, std::size_t& complete)
 {
-    store.read(std::move(references), [&complete](const std::optional<text_store::text_list>& texts) { complete += texts ? 1U : 0U; });
+    store.read(references, {}, [&complete](const text_outcome& outcome) { complete += outcome.isComplete ? 1U : 0U; });
 }
 
 }
@@ -86,7 +83,7 @@
             std::swap(references[0], references[1]);
             if (row.isHistoryGone)
                 log.compact();
-            const std::optional<text_store::text_list> texts = readAll(context, reader, references);
+            const std::optional<text_list> texts = readAll(context, reader, references);
             REQUIRE(texts);
             CHECK(*texts->at(0) == second);
             CHECK(*texts->at(1) == first);
