Gateway: Wait for a batch that is being fetched as long as the caller waits

A call on a batch that a daemon had not fetched yet was refused after 1 s, while the page with its records was on its way (pages may take 3 s); the next attempt went to another daemon, which had nothing. Now such a call waits until its caller would leave, less the margin for the answer, as long as a request for the batch is under way. When the log refuses the requests, it is still refused after 1 s, and a batch that is not listed keeps the bound of 1 s and its proof for 404. A list that waits for results of a batch that has to be fetched again does the same.

--- a/src/libs/gateway/batchfetch.h
+++ b/src/libs/gateway/batchfetch.h
@@ -28,6 +28,8 @@
     /// All records in the order of their offsets.
     std::vector<keyed_record> takeRecords();
 
+    /// Whether a page is being read.
+    bool isReading() const { return m_isReading; }
     /// Time of the last read().
     instant requestedAt() const { return m_requestedAt; }
     std::uint32_t partition() const { return m_topicPartition.partition; }
--- a/src/libs/gateway/batchhandler.cpp
+++ b/src/libs/gateway/batchhandler.cpp
@@ -21,7 +21,7 @@
     constexpr int timeoutStatus = 504;
     /// A ledger confirmed longer ago may lack records that another daemon has already shown to the trainer.
     constexpr duration maxLedgerAge = std::chrono::milliseconds(850);
-    /// Time within which a read of the log has to show whether a batch exists.
+    /// Time within which a read of the log has to show whether a batch exists, and to begin to return a batch that does.
     constexpr duration confirmationTime = std::chrono::milliseconds(1000);
     constexpr duration maxWait = std::chrono::milliseconds(1000);
     /// Time that callers wait longer than they allow.
@@ -146,7 +146,9 @@
         received.exchange.respond(failureResponse(notFoundStatus, result_code::UnknownBatch, "There is no such batch."));
         return true;
     }
-    if (bootNow() < received.arrivedAt + confirmationTime)
+    // A request that fails is sent again for a while; one that is under way is worth waiting for.
+    const bool isFetching = isListed && m_journal.isFetching(received.batch);
+    if (bootNow() < (isFetching ? received.answerBy() : received.arrivedAt + confirmationTime))
         return false;
     refuseStaleRead(received.exchange, received.batch, isListed ? "the batch cannot be read from the log" : "the ledger is behind the log");
     return true;
@@ -224,6 +226,8 @@
         listResults(read, *batch);
         return true;
     }
+    if (m_journal.isFetching(read.call.batch) && bootNow() < read.answerBy)
+        return false;
     refuseStaleRead(read.exchange, read.call.batch, "the ledger is behind the log");
     return true;
 }
--- a/src/libs/gateway/journal.cpp
+++ b/src/libs/gateway/journal.cpp
@@ -319,6 +319,12 @@
     fetchNamed(journalName(batch));
 }
 
+bool journal::isFetching(std::string_view batch) const
+{
+    const auto found = m_fetches.find(journalName(batch));
+    return found != m_fetches.end() && found->second->isReading();
+}
+
 void journal::fetchNamed(const std::string& name)
 {
     const directory_entry* const entry = m_directory.find(name);
--- a/src/libs/gateway/journal.h
+++ b/src/libs/gateway/journal.h
@@ -78,6 +78,8 @@
     /// Reads the records of a listed batch into the ledger, or resumes doing so after a failure; does nothing for a batch
     /// that is followed already.
     void fetch(std::string_view batch);
+    /// Whether a request to the log for records of \a batch is under way.
+    bool isFetching(std::string_view batch) const;
     /// Fetches what the owner of \a models needs: their open batches, and the last ended ones. Returns the models of which
     /// not all of that is in the ledger yet.
     std::set<std::string, std::less<>> fetchBatchesOf(const std::set<std::string, std::less<>>& models);
