--- a/tests/auto/gateway/memorylog.cpp
+++ b/tests/auto/gateway/memorylog.cpp
@@ -115,6 +115,7 @@
     outcome.end = from.records.size();
     if (!m_isDown && range.from < from.firstRetained) {
         outcome.status = read_status::Expired;
+        outcome.firstRetained = from.firstRetained;
     } else if (!m_isDown) {
         outcome.status = read_status::Done;
         std::size_t bytes = 0;
@@ -127,13 +128,17 @@
     }
     if (m_isSilent)
         outcome = {};
-    const duration delay = m_isSilent ? range.wait + range.slack : m_readDelay;
+    answerAfter(m_isSilent ? range.wait + range.slack : m_readDelay, [outcome, whenDone = std::move(onDone)] { whenDone(outcome); });
+}
+
+void memory_log::answerAfter(duration delay, std::function<void()> answer)
+{
     if (delay == duration::zero()) {
-        boost::asio::post(m_context, [outcome, whenDone = std::move(onDone)] { whenDone(outcome); });
+        boost::asio::post(m_context, std::move(answer));
         return;
     }
     const std::shared_ptr<boost::asio::steady_timer> timer = std::make_shared<boost::asio::steady_timer>(m_context, delay);
-    timer->async_wait([timer, outcome, whenDone = std::move(onDone)](const boost::system::error_code&) { whenDone(outcome); });
+    timer->async_wait([timer, whenDue = std::move(answer)](const boost::system::error_code&) { whenDue(); });
 }
 
 void memory_log::readNewest(const topic_partition& topicPartition, std::string_view afterKey, std::function<void(const newest_outcome&)> onDone)
@@ -147,9 +152,11 @@
             newest.erase(record.key);
     }
     newest_outcome outcome;
-    const bool isFailing = m_pagesUntilFailure == 0;
-    if (m_pagesUntilFailure)
-        m_pagesUntilFailure = isFailing ? std::nullopt : std::optional<std::size_t>(*m_pagesUntilFailure - 1);
+    const bool isFailing = m_failingPages > 0 && m_pagesUntilFailure == 0;
+    if (isFailing)
+        --m_failingPages;
+    else if (m_pagesUntilFailure > 0)
+        --m_pagesUntilFailure;
     outcome.isDone = !m_isDown && !isFailing;
     m_pages += outcome.isDone ? 1 : 0;
     outcome.end = records.size();
@@ -161,7 +168,7 @@
             break;
         outcome.records.push_back(item.second);
     }
-    boost::asio::post(m_context, [outcome, whenDone = std::move(onDone)] { whenDone(outcome); });
+    answerAfter(m_pageDelay, [outcome, whenDone = std::move(onDone)] { whenDone(outcome); });
 }
 
 }
