--- a/src/libs/gateway/textrequests.cpp
+++ b/src/libs/gateway/textrequests.cpp
@@ -8,11 +8,6 @@
 
 namespace ragwortreach {
 
-namespace {
-
-
-}
-
 bool text_answer::coversKey(std::string_view key) const
 {
     return isPage && key > afterKey && batchPrefixOf(key) == batchPrefixOf(afterKey) && (lastKey.empty() || key <= lastKey);
