Gateway: Read texts that lie far apart one by one or from pages

A read by offset asked for as many bytes as were missing, from the first missing text on. The texts of many open batches lie between each other in the log, so most of the answer belonged to others: in a test, 150 texts of one of 25 batches (0.9 MB) cost 59 requests that asked for 18 MB, and the ten newest ones 344 KB. The time for a list grew with it, and the log gives out a limited number of bytes to all daemons.

A range now covers texts of which at least a quarter of its records are wanted. Texts that need more than 16 ranges are read from pages of their batch.

--- a/src/libs/gateway/textread.cpp
+++ b/src/libs/gateway/textread.cpp
@@ -15,6 +15,11 @@
     /// Largest answer that is asked for; the log gives at least one record.
     constexpr std::size_t maxRangeBytes = std::size_t { 1024 } * 1024;
 
+    /// Texts that are scattered over more ranges are read from pages.
+    constexpr std::size_t maxRanges = 16;
+    /// Records in a range for each one that is wanted, at most.
+    constexpr std::uint64_t maxRangeSpread = 4;
+
     std::size_t rangeBytes(const text_reference& reference)
     {
         return reference.bytes + reference.records * recordOverhead;
@@ -91,14 +96,7 @@
     if (m_requests.join(first->reference.key, onAnswer))
         return;
     const std::vector<const wanted_text*> wanted = missingLike(*first);
-    text_request request { first->reference.partition, {}, {} };
-    for (const wanted_text* const candidate : wanted)
-        request.textKeys.insert(candidate->reference.key);
-    if (needsPage(*first))
-        request.kind = pageFor(wanted);
-    else
-        request.kind = rangeFor(*first, wanted);
-    m_requests.send(std::move(request), onAnswer);
+    m_requests.send(requestFor(wanted), onAnswer);
 }
 
 const text_read::wanted_text* text_read::firstMissing() const
@@ -124,26 +122,67 @@
         if (candidate.isMissing() && isSameBatch && needsPage(candidate) == needsPage(first))
             found.push_back(&candidate);
     }
+    const auto isBefore = [](const wanted_text* left, const wanted_text* right) { return left->reference.offset < right->reference.offset; };
+    std::sort(found.begin(), found.end(), isBefore);
     return found;
 }
 
-range_request text_read::rangeFor(const wanted_text& first, std::span<const wanted_text* const> wanted)
+text_request text_read::requestFor(std::span<const wanted_text* const> wanted) const
+{
+    if (needsPage(*wanted.front()))
+        return pageFor(wanted);
+    const std::vector<std::size_t> sizes = denseRuns(wanted);
+    return sizes.size() > maxRanges ? pageFor(wanted) : rangeFor(wanted.first(sizes.front()));
+}
+
+/// Numbers of texts that lie close together, for each range that is needed to read the \a wanted texts.
+std::vector<std::size_t> text_read::denseRuns(std::span<const wanted_text* const> wanted)
 {
-    std::size_t bytes = 0;
-    for (const wanted_text* const candidate : wanted)
+    std::vector<std::size_t> sizes;
+    std::uint64_t begin = 0;
+    std::uint64_t records = 0;
+    for (const wanted_text* const candidate : wanted) {
+        records += candidate->reference.records;
+        if (sizes.empty() || candidate->endOffset() - begin > records * maxRangeSpread) {
+            sizes.push_back(0);
+            begin = candidate->reference.offset;
+            records = candidate->reference.records;
+        }
+        ++sizes.back();
+    }
+    return sizes;
+}
+
+text_request text_read::rangeFor(std::span<const wanted_text* const> wanted)
+{
+    const wanted_text& first = *wanted.front();
+    text_request request { first.reference.partition, {}, {} };
+    std::uint64_t bytes = 0;
+    std::uint64_t records = 0;
+    for (const wanted_text* const candidate : wanted) {
+        request.textKeys.insert(candidate->reference.key);
         bytes += rangeBytes(candidate->reference);
-    return { first.reference.offset + first.firstMissingChunk(), std::min(bytes, maxRangeBytes) };
+        records += candidate->reference.records;
+    }
+    // The records of others between them are taken to be as large.
+    const std::uint64_t spread = wanted.back()->endOffset() - first.reference.offset;
+    const std::uint64_t askedBytes = bytes * spread / std::max<std::uint64_t>(records, 1);
+    request.kind = range_request { first.firstMissingOffset(), static_cast<std::size_t>(std::min<std::uint64_t>(askedBytes, maxRangeBytes)) };
+    return request;
 }
 
-page_request text_read::pageFor(std::span<const wanted_text* const> wanted)
+text_request text_read::pageFor(std::span<const wanted_text* const> wanted)
 {
+    text_request request { wanted.front()->reference.partition, {}, {} };
     std::string firstKey;
     for (const wanted_text* const candidate : wanted) {
+        request.textKeys.insert(candidate->reference.key);
         const std::string key = chunkKey(candidate->reference.key, candidate->firstMissingChunk());
         if (firstKey.empty() || key < firstKey)
             firstKey = key;
     }
-    return { keyBefore(firstKey) };
+    request.kind = page_request { keyBefore(firstKey) };
+    return request;
 }
 
 void text_read::applyAnswer(const text_answer& answer)
--- a/src/libs/gateway/textread.h
+++ b/src/libs/gateway/textread.h
@@ -34,7 +34,8 @@
 };
 
 /// One read of texts by a text_store. Takes texts from the cache, then reads by offset, then, for records that the history
-/// of the log no longer holds, from the pages of newest records.
+/// of the log no longer holds, from the pages of newest records. Pages are also read when the texts are so scattered over
+/// the history that they would need many reads by offset.
 ///
 /// It is answered with the texts that it has at its deadline, and after a request that failed. A request that is under way
 /// then is finished for the cache. Keeps itself alive while a request is under way.
@@ -60,6 +61,8 @@
 
         bool isMissing() const { return !text && !isAbsent; }
         std::uint32_t firstMissingChunk() const;
+        std::uint64_t firstMissingOffset() const { return reference.offset + firstMissingChunk(); }
+        std::uint64_t endOffset() const { return reference.offset + reference.records; }
         /// Joins the chunks to the text once all are there.
         void complete();
     };
@@ -69,12 +72,14 @@
     const wanted_text* firstMissing() const;
     /// Whether \a candidate can only be read from a page.
     bool needsPage(const wanted_text& candidate) const;
-    /// Missing texts of the batch of \a first that are read in the same way.
+    /// Missing texts of the batch of \a first that are read in the same way, in the order of their offsets.
     std::vector<const wanted_text*> missingLike(const wanted_text& first) const;
-    /// Range from the first missing record of \a first on, for the \a wanted texts.
-    static range_request rangeFor(const wanted_text& first, std::span<const wanted_text* const> wanted);
-    /// Page from the first missing record of the \a wanted texts on.
-    static page_request pageFor(std::span<const wanted_text* const> wanted);
+    /// Request for the \a wanted texts, or for some of them that begin with the first one.
+    text_request requestFor(std::span<const wanted_text* const> wanted) const;
+    static std::vector<std::size_t> denseRuns(std::span<const wanted_text* const> wanted);
+    /// Request for a page from the first missing record of the \a wanted texts on.
+    static text_request pageFor(std::span<const wanted_text* const> wanted);
+    static text_request rangeFor(std::span<const wanted_text* const> wanted);
     void applyAnswer(const text_answer& answer);
     void takeChunks(const text_answer& answer);
     /// Notes which texts are not where the request that was answered has read.
--- a/tests/auto/gateway/memorylog.cpp
+++ b/tests/auto/gateway/memorylog.cpp
@@ -7,11 +7,6 @@
 
 namespace ragwortreach {
 
-namespace {
-    /// Small, so that tests read several pages.
-    constexpr std::size_t pageSize = 3;
-}
-
 memory_log::memory_log(boost::asio::io_context& context)
     : m_context(context)
 {
@@ -159,10 +154,12 @@
     outcome.isDone = !m_isDown && !isFailing;
     m_pages += outcome.isDone ? 1 : 0;
     outcome.end = records.size();
+    std::size_t bytes = 0;
     for (const std::pair<const std::string, keyed_record>& item : newest) {
         if (item.first <= afterKey)
             continue;
-        outcome.hasMore = outcome.records.size() == pageSize;
+        bytes += item.second.value->size();
+        outcome.hasMore = outcome.records.size() == m_pageRecords || (!outcome.records.empty() && bytes > m_pageBytes);
         if (outcome.hasMore)
             break;
         outcome.records.push_back(item.second);
--- a/tests/auto/gateway/memorylog.h
+++ b/tests/auto/gateway/memorylog.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <deque>
+#include <limits>
 #include <map>
 #include <set>
 #include <vector>
@@ -44,6 +45,12 @@
     void setReadDelay(duration delay) { m_readDelay = delay; }
     /// Time until pages are answered.
     void setPageDelay(duration delay) { m_pageDelay = delay; }
+    /// Largest page, in records and in bytes of their values.
+    void setPageLimits(std::size_t records, std::size_t bytes)
+    {
+        m_pageRecords = records;
+        m_pageBytes = bytes;
+    }
     /// Makes the reads of \a failures pages fail, after \a pages more.
     void failPageAfter(std::size_t pages, std::size_t failures = 1)
     {
@@ -95,6 +102,9 @@
     std::size_t m_reads = 0;
     duration m_lastSlack {};
     std::size_t m_pages = 0;
+    /// Small, so that tests read several pages.
+    std::size_t m_pageRecords = 3;
+    std::size_t m_pageBytes = std::numeric_limits<std::size_t>::max();
     /// Pages until the reads of \c m_failingPages pages fail.
     std::size_t m_pagesUntilFailure = 0;
     std::size_t m_failingPages = 0;
--- a/tests/auto/gateway/tst_textstore.cpp
+++ b/tests/auto/gateway/tst_textstore.cpp
@@ -4,6 +4,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <span>
+
 using namespace ragwortreach;
 
 namespace {
@@ -33,10 +36,10 @@
         REQUIRE(context.run_one() == 1);
 }
 
-text_reference writeText(boost::asio::io_context& context, text_store& store, const std::string& item, const std::string& text)
+text_reference writeText(boost::asio::io_context& context, text_store& store, const std::string& item, const std::string& text, const std::string& batch = "batch")
 {
     std::optional<text_reference> reference;
-    store.write("batch", item, text, write_mode::RetryOnRefusal, [&reference](const text_report& report) { reference = report.reference; });
+    store.write(batch, item, text, write_mode::RetryOnRefusal, [&reference](const text_report& report) { reference = report.reference; });
     runUntil(context, [&reference] { return reference.has_value(); });
     return *reference;
 }
@@ -255,3 +258,92 @@
     CHECK(readAll(context, reader, { contents }));
     CHECK(log.reads() == reads);
 }
+
+struct reader_case {
+    const char* name;
+    std::size_t readers;
+    /// Texts of the batch that are read at a time.
+    std::size_t listed;
+};
+
+const reader_case readerCases[] = {
+    { "one reader, all texts at once", 1, 176 },
+    { "one reader, lists of 0.9 MB", 1, 150 },
+    { "ten readers, lists of 0.9 MB", 10, 150 },
+    { "ten readers, ten texts at a time", 10, 10 },
+};
+
+TEST_CASE("However many read a batch of 176 texts beyond the history at one daemon, it costs one request by offset and two pages")
+{
+    constexpr std::size_t items = 176;
+    constexpr std::size_t megabyte = std::size_t { 1024 } * 1024;
+    for (const reader_case& row : readerCases) {
+        DYNAMIC_SECTION(row.name)
+        {
+            boost::asio::io_context context;
+            memory_log log(context);
+            log.setPageLimits(500, megabyte);
+            text_store writer(context, log, 1, "writer");
+            text_store reader(context, log, 1, "reader");
+            writeText(context, writer, "*", std::string(megabyte, 'c'));
+            const std::vector<text_reference> all = writeTexts(context, writer, items, 6000);
+            log.compact();
+            for (std::size_t first = 0; first < items; first += row.listed) {
+                const std::span<const text_reference> page = std::span(all).subspan(first, std::min(row.listed, items - first));
+                std::size_t complete = 0;
+                for (std::size_t number = 0; number < row.readers; ++number)
+                    countComplete(reader, { page.begin(), page.end() }, complete);
+                runUntil(context, [&complete, &row] { return complete == row.readers; });
+            }
+            CHECK(reader.counters().rangeRequests == 1);
+            CHECK(reader.counters().pageRequests == 2);
+            CHECK(reader.counters().pageBytes < items * 6100);
+            CHECK(reader.counters().failedRequests == 0);
+        }
+    }
+}
+
+struct interleaving_case {
+    const char* name;
+    /// Batches whose texts were written in turn.
+    std::size_t batches;
+    /// Texts of one of them that are read.
+    std::size_t texts;
+    std::size_t maxRequests;
+    /// Largest number of bytes that are read for each byte of the texts.
+    double maxFactor;
+};
+
+const interleaving_case interleavingCases[] = {
+    { "one batch", 1, 150, 1, 1.1 },
+    { "few batches", 3, 150, 4, 3.5 },
+    { "many batches, a new list", 25, 10, 10, 1.1 },
+    { "many batches, a list from the start", 25, 150, 2, 1.2 },
+};
+
+// A list of 150 texts, 0.9 MB, that were written between those of 24 other batches cost 59 requests for 18 MB.
+TEST_CASE("Texts that lie far apart in the history cost few requests and little more than their bytes")
+{
+    constexpr std::size_t megabyte = std::size_t { 1024 } * 1024;
+    constexpr std::size_t textBytes = 6000;
+    for (const interleaving_case& row : interleavingCases) {
+        DYNAMIC_SECTION(row.name)
+        {
+            boost::asio::io_context context;
+            memory_log log(context);
+            log.setPageLimits(500, megabyte);
+            text_store writer(context, log, 1, "writer");
+            text_store reader(context, log, 1, "reader");
+            std::vector<text_reference> wanted;
+            for (std::size_t item = 0; item < row.texts; ++item) {
+                wanted.push_back(writeText(context, writer, "i-" + std::to_string(item), std::string(textBytes, 'x')));
+                for (std::size_t batch = 1; batch < row.batches; ++batch)
+                    writeText(context, writer, "i-" + std::to_string(item), std::string(textBytes, 'y'), "other-" + std::to_string(batch));
+            }
+            REQUIRE(readAll(context, reader, wanted));
+            const text_counters& counters = reader.counters();
+            CHECK(counters.rangeRequests + counters.pageRequests <= row.maxRequests);
+            CHECK(static_cast<double>(counters.rangeBytes + counters.pageBytes) <= row.maxFactor * static_cast<double>(row.texts * textBytes));
+        }
+    }
+}
