--- a/src/libs/rollout/itemscheduler.cpp
+++ b/src/libs/rollout/itemscheduler.cpp
@@ -101,6 +101,12 @@
         owned->second.isRecovered = true;
 }
 
+bool item_scheduler::awaitsRecovery(std::string_view model, instant now) const
+{
+    const auto owned = m_owned.find(model);
+    return owned != m_owned.end() && !owned->second.isRecovered && now - owned->second.since < recoveryTimeout;
+}
+
 /// Whether the versions that generated \a text are allowed for the item.
 bool item_scheduler::hasAllowedVersions(const ledger_batch& batch, std::size_t item, const item_text& text) const
 {
@@ -575,7 +581,7 @@
     if (!batch || item.output.lastEvent == 0 || item.reference)
         return;
     ++m_counters.handedOver;
-    m_effects.emplace_back(write_record { item_progressed { key.batch, batch->submission.items[key.item].id, item.output } });
+    m_effects.emplace_back(hand_over_text { { key.batch, batch->submission.items[key.item].id, item.output } });
 }
 
 /// Hands over items that wait for rewards when another daemon owns their model by now.
