--- a/src/libs/gateway/bootclock.cpp
+++ b/src/libs/gateway/bootclock.cpp
@@ -14,8 +14,6 @@
             clock_gettime(CLOCK_BOOTTIME, &time);
             return instant(std::chrono::duration_cast<duration>(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
         }
-
-        duration realTime(duration time) const override { return time; }
     };
 
     const vm_clock vmClock;
@@ -33,9 +31,4 @@
     return currentSource->now();
 }
 
-duration boot_wait_traits::to_wait_duration(duration time)
-{
-    return currentSource->realTime(time);
-}
-
 }
--- a/src/libs/gateway/bootclock.h
+++ b/src/libs/gateway/bootclock.h
@@ -16,8 +16,6 @@
     virtual ~clock_source() = default;
 
     virtual instant now() const = 0;
-    /// Real time after which this clock may have advanced by \a time.
-    virtual duration realTime(duration time) const = 0;
 };
 
 /// Makes bootNow() and boot_timer use \a source, which has to outlive its use; null stands for the clock of the VM. To be
@@ -30,18 +28,11 @@
     using rep = core_clock::rep;
     using period = core_clock::period;
     using time_point = instant;
-    static constexpr bool is_steady = true;
 
     static instant now() { return bootNow(); }
 };
 
-/// Tells timers how long to wait until the time of boot_clock has advanced.
-struct boot_wait_traits {
-    static duration to_wait_duration(duration time);
-    static duration to_wait_duration(instant time) { return to_wait_duration(time - boot_clock::now()); }
-};
-
 /// Timer that runs on boot_clock.
-using boot_timer = boost::asio::basic_waitable_timer<boot_clock, boot_wait_traits>;
+using boot_timer = boost::asio::basic_waitable_timer<boot_clock>;
 
 }
--- a/tests/auto/gateway/virtualtime.cpp
+++ b/tests/auto/gateway/virtualtime.cpp
@@ -55,7 +55,7 @@
 void virtual_time::runTimers()
 {
     bool hasRun = false;
-    m_stepTimer.expires_at(m_now);
+    m_stepTimer.expires_at(instant());
     m_stepTimer.async_wait([&hasRun](const boost::system::error_code&) { hasRun = true; });
     m_context.restart();
     while (!hasRun)
--- a/tests/auto/gateway/virtualtime.h
+++ b/tests/auto/gateway/virtualtime.h
@@ -21,7 +21,6 @@
     ~virtual_time() override;
 
     instant now() const override { return m_now; }
-    duration realTime(duration) const override { return {}; }
 
     /// Calls \a action once at \a time.
     void callAt(instant time, std::function<void()> action);
@@ -46,7 +45,7 @@
 
     boost::asio::io_context& m_context;
     instant m_now;
-    /// Due at the end of each step: once it has run, so have all other timers that were due.
+    /// Makes the context look at its timers: once it has run, so have all others that were due.
     boot_timer m_stepTimer;
     std::uint64_t m_lastEvent = 0;
     std::priority_queue<event, std::vector<event>, is_later> m_events;
