--- a/tests/auto/gateway/journalfleet.cpp
+++ b/tests/auto/gateway/journalfleet.cpp
@@ -16,10 +16,10 @@
 journal_fleet::journal_fleet(std::size_t size, std::uint64_t bytesPerSecond)
     : m_time(m_context)
     , m_log(m_time, { bytesPerSecond * size })
-    , m_writer(*this, "writer")
+    , m_writer(*this, "vm-99999-1764979200000000")
 {
     for (std::size_t number = 0; number < size; ++number)
-        m_daemons.push_back(std::make_unique<daemon>(*this, "daemon-" + std::to_string(number)));
+        m_daemons.push_back(std::make_unique<daemon>(*this, "vm-" + std::to_string(10000 + number) + "-1764979200000000"));
 }
 
 void journal_fleet::start()
--- a/tests/auto/gateway/journalfleet.h
+++ b/tests/auto/gateway/journalfleet.h
@@ -37,6 +37,7 @@
     /// Starts all daemons of the fleet at the same time.
     void start();
     virtual_time& time() { return m_time; }
+    const virtual_time& time() const { return m_time; }
     rated_log& log() { return m_log; }
     /// Daemon that is not one of the fleet.
     daemon& writer() { return m_writer; }
--- a/tests/auto/gateway/ratedlog.cpp
+++ b/tests/auto/gateway/ratedlog.cpp
@@ -11,7 +11,6 @@
     constexpr std::size_t answerFraming = 16;
     constexpr std::size_t recordFraming = 5;
     constexpr std::size_t maxPageRecords = 500;
-    constexpr std::size_t maxPageBytes = std::size_t { 1024 } * 1024;
 
     /// Size of \a bytes in base64.
     std::size_t base64Bytes(std::size_t bytes)
--- a/tests/auto/gateway/ratedlog.h
+++ b/tests/auto/gateway/ratedlog.h
@@ -42,6 +42,9 @@
     using read_call = std::shared_ptr<rated_call<read_outcome>>;
     using newest_call = std::shared_ptr<rated_call<newest_outcome>>;
 
+    /// Largest page of newest records, in bytes of keys and values.
+    static constexpr std::size_t maxPageBytes = std::size_t { 1024 } * 1024;
+
     rated_log(virtual_time& time, const rated_log_options& options);
 
     append_outcome append(const topic_partition& topicPartition, const append_identity& identity, std::span<const keyed_record> records);
--- a/tests/auto/gateway/ratedlogclient.cpp
+++ b/tests/auto/gateway/ratedlogclient.cpp
@@ -38,6 +38,12 @@
         m_connection = std::make_shared<connection>();
 }
 
+log_traffic rated_log_client::traffic(const std::string& topic) const
+{
+    const std::map<std::string, log_traffic>::const_iterator found = m_traffic.find(topic);
+    return found != m_traffic.end() ? found->second : log_traffic {};
+}
+
 log_traffic rated_log_client::totalTraffic() const
 {
     log_traffic total;
@@ -64,7 +70,7 @@
     ++traffic.reads;
     const std::shared_ptr<std::size_t> size = std::make_shared<std::size_t>(0);
     const std::shared_ptr<std::function<void(const outcome&)>> handler = std::make_shared<std::function<void(const outcome&)>>(std::move(onDone));
-    const std::shared_ptr<rated_call<outcome>> call = std::make_shared<rated_call<outcome>>();
+    std::shared_ptr<rated_call<outcome>> call = std::make_shared<rated_call<outcome>>();
     call->onQueued = [&traffic, size](std::size_t bytes) {
         traffic.requestedBytes += bytes;
         *size = bytes;
--- a/tests/auto/gateway/ratedlogclient.h
+++ b/tests/auto/gateway/ratedlogclient.h
@@ -35,8 +35,8 @@
     /// While cut off, no call reaches the log, and no answer arrives, neither then nor later.
     void setCutOff(bool isCutOff);
 
-    /// By topic.
-    const std::map<std::string, log_traffic>& traffic() const { return m_traffic; }
+    /// Traffic of \a topic so far.
+    log_traffic traffic(const std::string& topic) const;
     log_traffic totalTraffic() const;
 
 private:
@@ -52,6 +52,7 @@
     virtual_time& m_time;
     rated_log& m_log;
     std::shared_ptr<connection> m_connection = std::make_shared<connection>();
+    /// By topic.
     std::map<std::string, log_traffic> m_traffic;
 };
 
--- a/tests/auto/gateway/tst_fleetreads.cpp
+++ b/tests/auto/gateway/tst_fleetreads.cpp
@@ -2,8 +2,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
+#include <random>
 #include <utility>
 
 using namespace ragwortreach;
@@ -46,7 +48,7 @@
     finished.output.versions = { 41, 42 };
     finished.output.isComplete = true;
     finished.reference = text_reference { batch + "/" + itemId(item) + "/vm-17-1764979200000", 0, 100000, 1, 6000 };
-    finished.reward = "c2lnbmF0dXJlLW9mLXRoZS1yZXdhcmQ.MDEyMzQ1Njc4OTAxMjM0NTY3ODkwMTIz";
+    finished.reward = "c2lnbmF0dXJlLW9mLXRoZS1yZXdhcmQ.MDEyMzQ1Njc4OTA";
     return finished;
 }
 
@@ -60,14 +62,18 @@
     {
     }
 
-    /// Writes results, and from time to time the batch that they belong to.
+    /// Writes the acceptances of further batches, which have to be appended before write() is called for them.
+    void accept(std::size_t batches)
+    {
+        for (std::size_t number = 0; number < batches; ++number)
+            m_journal.write(batch_accepted { batchNamed(batchId(m_accepted++)) }, write_mode::RetryOnRefusal, {});
+    }
+
+    /// Writes results of the accepted batches.
     void write(std::size_t results)
     {
-        for (std::size_t number = 0; number < results; ++number, ++m_written) {
-            if (m_written % itemsPerBatch == 0)
-                m_journal.write(batch_accepted { batchNamed(batchId()) }, write_mode::RetryOnRefusal, {});
-            m_journal.write(resultOf(batchId(), m_written % itemsPerBatch), write_mode::RetryOnRefusal, {});
-        }
+        for (std::size_t number = 0; number < results; ++number, ++m_written)
+            m_journal.write(resultOf(batchId(m_written / itemsPerBatch), m_written % itemsPerBatch), write_mode::RetryOnRefusal, {});
     }
 
     /// Writes the partial texts of a daemon that no longer owns its batches.
@@ -78,23 +84,37 @@
         constexpr std::size_t mostBytes = 37000;
         for (std::size_t number = 0; number < texts; ++number) {
             item_text text { std::string(leastBytes + (mostBytes - leastBytes) * number / (texts - 1), 't'), 30, { 42 } };
-            m_journal.write(item_progressed { batchId(), itemId(number), std::move(text) }, write_mode::RetryOnRefusal, {});
+            m_journal.write(item_progressed { batchId(0), itemId(number), std::move(text) }, write_mode::RetryOnRefusal, {});
         }
     }
 
-    /// Writes results at the usual rate for as long as time advances.
+    /// Accepts batches and writes results at the usual rate for as long as time advances.
     void writeSteadily()
     {
-        write(resultsPerInterval);
+        const bool isFirst = m_accepted == 0;
+        if (m_written / itemsPerBatch + 1 >= m_accepted)
+            accept(1);
+        if (!isFirst)
+            write(resultsPerInterval);
         m_fleet.time().callAfter(resultInterval, [this] { writeSteadily(); });
     }
 
-    std::string batchId() const { return m_name + "-" + std::to_string(m_written / itemsPerBatch); }
+    std::string batchId(std::size_t number) const { return m_name + "-" + std::to_string(1000000000 + number); }
+
+    /// Number of its batches that \a known has as ended.
+    std::size_t countEnded(const journal& known) const
+    {
+        std::size_t count = 0;
+        for (std::size_t number = 0; number < m_accepted; ++number)
+            count += known.isEnded(batchId(number)) ? 1 : 0;
+        return count;
+    }
 
 private:
     journal_fleet& m_fleet;
     journal& m_journal;
     std::string m_name;
+    std::size_t m_accepted = 0;
     std::size_t m_written = 0;
 };
 
@@ -179,16 +199,8 @@
 
 constexpr std::array<std::size_t, 3> fleetSizes { 10, 100, 400 };
 
-/// Makes a journal old enough to have results in its history, and its readers up to date.
-void warmUp(journal_fleet& fleet)
-{
-    fleet.start();
-    fleet.time().advance(std::chrono::seconds(5));
-    REQUIRE(fleet.greatestAge() <= maxAge);
-}
-
-/// Cuts every fifth daemon off from the log for a time; afterwards the first one writes with \a writeBurst.
-void cutOffAndReturn(journal_fleet& fleet, const std::function<void(journal&)>& writeBurst)
+/// Cuts every fifth daemon off from the log for a time, the first one among them.
+void cutOffAndReturn(journal_fleet& fleet)
 {
     constexpr std::size_t cutOffShare = 5;
     constexpr duration cutOffTime = std::chrono::milliseconds(5500);
@@ -198,7 +210,6 @@
     fleet.time().advance(cutOffTime);
     for (std::size_t number = 0; number < daemons.size(); number += cutOffShare)
         daemons[number]->log().setCutOff(false);
-    writeBurst(daemons.front()->batches());
 }
 
 }
@@ -208,16 +219,17 @@
 /// Records that a daemon writes at once when it is back, all of which the whole fleet has to read.
 struct burst_case {
     const char* name;
-    /// The log needs 70 to 85 % of this to send them to all daemons beside the steady results.
+    std::size_t batches;
+    /// The log needs 70 to 90 % of this to send them to all daemons beside the steady results.
     duration recoveryLimit;
     void (*write)(result_writer&);
 };
 
 // About 0.5 MB, and twice 1.2 MB.
 constexpr std::array<burst_case, 3> burstCases { {
-    { "some results", std::chrono::seconds(5), [](result_writer& writer) { writer.write(2300); } },
-    { "many results", std::chrono::seconds(10), [](result_writer& writer) { writer.write(5500); } },
-    { "partial texts", std::chrono::seconds(10), [](result_writer& writer) { writer.writePartialTexts(); } },
+    { "some results", 14, std::chrono::seconds(5), [](result_writer& writer) { writer.write(2300); } },
+    { "many results", 33, std::chrono::seconds(10), [](result_writer& writer) { writer.write(5500); } },
+    { "partial texts", 1, std::chrono::seconds(10), [](result_writer& writer) { writer.writePartialTexts(); } },
 } };
 
 }
@@ -235,12 +247,14 @@
                 journal_fleet fleet(size, bytesPerSecond);
                 result_writer steady(fleet, fleet.writer().batches(), "steady");
                 steady.writeSteadily();
-                warmUp(fleet);
+                fleet.start();
+                result_writer returning(fleet, fleet.daemons().front()->batches(), "returning");
+                returning.accept(burst.batches);
+                fleet.time().advance(std::chrono::seconds(5));
+                REQUIRE(fleet.greatestAge() <= maxAge);
                 const std::uint64_t bytesBefore = fleet.log().bytesAppended(journalTopic);
-                cutOffAndReturn(fleet, [&fleet, &burst](journal& owner) {
-                    result_writer writer(fleet, owner, "returned");
-                    burst.write(writer);
-                });
+                cutOffAndReturn(fleet);
+                burst.write(returning);
                 fleet_watch watch(fleet);
                 // The burst is appended within a few calls.
                 fleet.time().advance(sampleInterval);
@@ -265,10 +279,11 @@
         {
             journal_fleet fleet(size, bytesPerSecond);
             result_writer ended(fleet, fleet.writer().batches(), "ended");
+            ended.accept(endedBatches);
+            fleet.time().advance(std::chrono::seconds(1));
             for (std::size_t number = 0; number < endedBatches; ++number) {
-                const std::string id = ended.batchId();
                 ended.write(itemsPerBatch);
-                fleet.writer().batches().write(batch_ended { id }, write_mode::RetryOnRefusal, {});
+                fleet.writer().batches().write(batch_ended { ended.batchId(number) }, write_mode::RetryOnRefusal, {});
             }
             fleet.time().advance(std::chrono::seconds(1));
             REQUIRE(fleet.writer().batches().pendingWrites() == 0);
@@ -279,8 +294,285 @@
             watch.advance(2 * startLimit);
             INFO(watch.report());
             CHECK(watch.recoveryTime() <= startLimit);
+            CAPTURE(fleet.daemons().front()->batches().snapshots().pages, fleet.daemons().front()->batches().snapshots().bytes);
             for (const std::unique_ptr<journal_fleet::daemon>& each : fleet.daemons())
-                CHECK(each->batches().isReady());
+                CHECK(ended.countEnded(each->batches()) == endedBatches);
+        }
+    }
+}
+
+namespace {
+
+const topic_partition textTopic { "keyed.ragwortreach.texts", 0 };
+/// Largest sum of texts that one list of results has.
+constexpr std::size_t listBytes = std::size_t { 1024 } * 1024;
+
+std::string textBatchId(std::size_t number)
+{
+    return "texts-" + std::to_string(number);
+}
+
+/// From 150 to 200.
+std::size_t textBatchItems(std::size_t number)
+{
+    return 150 + number * 7 % 51;
+}
+
+/// From 4 to 8 KB.
+std::size_t textSize(std::size_t item)
+{
+    return 4000 + item * 997 % 4001;
+}
+
+/// Writes a batch whose items all have texts.
+void writeTextBatch(journal& into, std::size_t number)
+{
+    batch_submission batch = batchNamed(textBatchId(number));
+    batch.items.resize(textBatchItems(number), batch.items.back());
+    for (std::size_t item = 0; item < batch.items.size(); ++item)
+        batch.items[item].id = itemId(item);
+    into.write(batch_accepted { batch }, write_mode::RetryOnRefusal, {});
+    for (std::size_t item = 0; item < batch.items.size(); ++item) {
+        item_finished finished = resultOf(batch.id, item);
+        finished.reference.reset();
+        finished.output.text = std::string(textSize(item), 't');
+        into.write(finished, write_mode::RetryOnRefusal, {});
+    }
+}
+
+/// Reads all results of a batch, from its start again at another daemon after each failure.
+class batch_reader {
+public:
+    batch_reader(journal_fleet& fleet, std::size_t batch, std::uint32_t seed)
+        : m_fleet(fleet)
+        , m_batch(textBatchId(batch))
+        , m_items(textBatchItems(batch))
+        , m_random(seed)
+    {
+        startAttempt();
+    }
+
+    bool isDone() const { return m_isDone; }
+    std::size_t attempts() const { return m_attempts; }
+
+private:
+    static constexpr duration callTimeout = std::chrono::milliseconds(2500);
+    static constexpr duration retryPause = std::chrono::milliseconds(200);
+    static constexpr duration tick = std::chrono::milliseconds(25);
+
+    journal& asked() { return m_fleet.daemons()[m_daemon]->batches(); }
+
+    void startAttempt()
+    {
+        m_daemon = m_random() % m_fleet.daemons().size();
+        m_position = 0;
+        ++m_attempts;
+        startCall();
+    }
+
+    void startCall()
+    {
+        const std::size_t call = ++m_call;
+        m_fleet.time().callAfter(callTimeout, [this, call] { fail(call); });
+        readWhenFetched(call);
+    }
+
+    /// Ends the attempt, if \a call is still the present one.
+    void fail(std::size_t call)
+    {
+        if (call != m_call || m_isDone)
+            return;
+        ++m_call;
+        m_fleet.time().callAfter(retryPause, [this] { startAttempt(); });
+    }
+
+    void readWhenFetched(std::size_t call)
+    {
+        if (call != m_call)
+            return;
+        if (asked().isFollowed(m_batch)) {
+            readTexts(call);
+            return;
+        }
+        asked().fetch(m_batch);
+        m_fleet.time().callAfter(tick, [this, call] { readWhenFetched(call); });
+    }
+
+    void readTexts(std::size_t call)
+    {
+        std::vector<text_reference> references;
+        for (const ledger_result& result : asked().ledger().find(m_batch)->page(m_position, listBytes))
+            references.push_back(result.reference.value());
+        const std::size_t count = references.size();
+        asked().texts().read(std::move(references), [this, call, count](const std::optional<text_store::text_list>& texts) {
+            if (!texts)
+                fail(call);
+            else if (call == m_call)
+                addResults(count);
+        });
+    }
+
+    void addResults(std::size_t count)
+    {
+        m_position += count;
+        m_isDone = m_position == m_items;
+        if (!m_isDone)
+            startCall();
+    }
+
+    journal_fleet& m_fleet;
+    std::string m_batch;
+    std::size_t m_items;
+    std::minstd_rand m_random;
+    std::size_t m_daemon = 0;
+    std::size_t m_position = 0;
+    std::size_t m_attempts = 0;
+    std::size_t m_call = 0;
+    bool m_isDone = false;
+};
+
+/// What reads of batches cost the log.
+struct read_costs {
+    std::uint64_t textCalls = 0;
+    std::uint64_t textBytes = 0;
+    /// Pages with records of batches; bytes of their keys and values.
+    std::uint64_t batchPages = 0;
+    std::uint64_t batchBytes = 0;
+};
+
+read_costs costsOf(const journal_fleet& fleet)
+{
+    read_costs costs;
+    for (const std::unique_ptr<journal_fleet::daemon>& each : fleet.daemons()) {
+        const log_traffic texts = each->log().traffic(textTopic.topic);
+        costs.textCalls += texts.reads;
+        costs.textBytes += texts.requestedBytes;
+        costs.batchPages += each->batches().counters().fetchedPages;
+        costs.batchBytes += each->batches().counters().fetchedBytes;
+    }
+    return costs;
+}
+
+/// Fleet that has just started with empty caches, beside batches whose texts are older than the history of the log. Every
+/// second batch is ended.
+class fleet_with_texts {
+public:
+    fleet_with_texts(std::size_t size, std::size_t batches)
+        : m_fleet(size, bytesPerSecond)
+        , m_steady(m_fleet, m_fleet.writer().batches(), "steady")
+    {
+        constexpr duration beyondHistory = std::chrono::seconds(21);
+        journal& writer = m_fleet.writer().batches();
+        for (std::size_t number = 0; number < batches; ++number)
+            writeTextBatch(writer, number);
+        m_fleet.time().advance(std::chrono::seconds(1));
+        for (std::size_t number = 0; number < batches; number += 2)
+            writer.write(batch_ended { textBatchId(number) }, write_mode::RetryOnRefusal, {});
+        m_fleet.time().advance(beyondHistory);
+        REQUIRE(writer.pendingWrites() == 0);
+        m_steady.writeSteadily();
+        m_fleet.start();
+        m_begin = m_fleet.time().now();
+    }
+
+    journal_fleet& fleet() { return m_fleet; }
+
+    void addReader(std::size_t batch)
+    {
+        m_readers.push_back(std::make_unique<batch_reader>(m_fleet, batch, firstSeed + static_cast<std::uint32_t>(m_readers.size())));
+    }
+
+    /// Advances until all readers are done, or for \a longest.
+    void readAll(duration longest)
+    {
+        while (countDone() < m_readers.size() && readTime() < longest)
+            m_fleet.time().advance(sampleInterval);
+    }
+
+    duration readTime() const { return m_fleet.time().now() - m_begin; }
+
+    std::size_t countDone() const
+    {
+        return static_cast<std::size_t>(std::count_if(m_readers.begin(), m_readers.end(), [](const std::unique_ptr<batch_reader>& reader) { return reader->isDone(); }));
+    }
+
+    std::size_t countAttempts() const
+    {
+        std::size_t attempts = 0;
+        for (const std::unique_ptr<batch_reader>& reader : m_readers)
+            attempts += reader->attempts();
+        return attempts;
+    }
+
+private:
+    static constexpr std::uint32_t firstSeed = 42;
+
+    journal_fleet m_fleet;
+    result_writer m_steady;
+    instant m_begin;
+    std::vector<std::unique_ptr<batch_reader>> m_readers;
+};
+
+/// Readers of batches that start at the same time.
+struct read_case {
+    std::size_t daemons = 0;
+    std::size_t batches = 0;
+    std::size_t readersPerBatch = 0;
+};
+
+/// Lets all readers of a case read beside a fleet that has just started.
+void readBatches(const read_case& readers)
+{
+    constexpr duration readLimit = std::chrono::seconds(5);
+    constexpr duration observedTime = std::chrono::seconds(20);
+    fleet_with_texts reading(readers.daemons, readers.batches);
+    for (std::size_t number = 0; number < readers.batches * readers.readersPerBatch; ++number)
+        reading.addReader(number % readers.batches);
+    reading.readAll(observedTime);
+    const read_costs costs = costsOf(reading.fleet());
+    CAPTURE(reading.countDone(), reading.countAttempts(), reading.fleet().countOlder(maxAge), reading.fleet().log().backlog().count());
+    CAPTURE(costs.textCalls, costs.textBytes, costs.batchPages, costs.batchBytes);
+    CHECK(reading.readTime() <= readLimit);
+}
+
+}
+
+TEST_CASE("A small fleet can read a batch within 5 s after its start, from texts beyond the history")
+{
+    readBatches({ 10, 1, 2 });
+}
+
+// The first reads filled the log for longer than readers and followers wait, and all of them asked for the same again.
+TEST_CASE("Batches could not be read after a start of a large fleet, whose reads filled the log", "[.known-red]")
+{
+    // The number of readers grows with what the log gives out.
+    for (const read_case& readers : { read_case { 100, 4, 4 }, read_case { 400, 16, 4 } }) {
+        DYNAMIC_SECTION(readers.daemons << " daemons, " << readers.batches << " batches")
+        {
+            readBatches(readers);
+        }
+    }
+}
+
+// Each list of its results read all pages of the batch, and a page more.
+TEST_CASE("A list of results read texts from the log that it did not need", "[.known-red]")
+{
+    constexpr std::size_t batches = 8;
+    constexpr std::size_t contentBytes = 100000;
+    for (std::size_t batch = 0; batch < batches; ++batch) {
+        DYNAMIC_SECTION(textBatchItems(batch) << " items")
+        {
+            fleet_with_texts reading(fleetSizes.front(), batches);
+            reading.addReader(batch);
+            reading.readAll(std::chrono::seconds(20));
+            REQUIRE(reading.countDone() == 1);
+            std::uint64_t batchBytes = contentBytes;
+            for (std::size_t item = 0; item < textBatchItems(batch); ++item)
+                batchBytes += textSize(item);
+            const read_costs costs = costsOf(reading.fleet());
+            CAPTURE(reading.countAttempts(), reading.readTime().count(), costs.textCalls, costs.batchPages, costs.batchBytes);
+            // All once, and the last page may be full of records of other batches.
+            CHECK(costs.textBytes <= (batchBytes + rated_log::maxPageBytes) * 4 / 3);
         }
     }
 }
