--- a/src/libs/gateway/textread.cpp
+++ b/src/libs/gateway/textread.cpp
@@ -1,6 +1,5 @@
 #include "textread.h"
 
-#include "bootclock.h"
 #include "textkeys.h"
 
 #include <algorithm>
--- a/src/libs/gateway/textread.h
+++ b/src/libs/gateway/textread.h
@@ -1,11 +1,10 @@
 #pragma once
 
+#include "bootclock.h"
 #include "textrequests.h"
 
 #include <rollout/journalrecord.h>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <functional>
 #include <memory>
 #include <optional>
@@ -87,7 +86,7 @@
     void startTimer();
     void finish();
 
-    boost::asio::steady_timer m_timer;
+    boot_timer m_timer;
     text_requests& m_requests;
     std::vector<wanted_text> m_wanted;
     text_read_options m_options;
