Gateway: Count no failed read as the end of an outage

While a follower caught up after an outage, a read that failed moved the time at which the outage ended, as one that succeeded does.

--- a/src/libs/gateway/topicfollower.cpp
+++ b/src/libs/gateway/topicfollower.cpp
@@ -185,8 +185,7 @@
 {
     if (!isDone)
         ++m_readFailures;
-    else if (m_isFailing)
-        m_isRegaining = true;
+    m_isRegaining = isDone && (m_isRegaining || m_isFailing);
     if (m_isRegaining)
         m_regainedAt = bootNow();
     m_isFailing = !isDone;
