Gateway: Let a takeover read the texts of its own models, and resume after a failed page

A daemon that took over a model read all saved texts of the partition, page after page, whatever their models, and a failed page ended the read: the items behind it started again from their first event. Texts of batches that had ended before the takeover stayed in the topic, since nobody knew their keys.

The keys are <model>/<batch>/<item> now, so the pages of one model can be read by their prefix. A read that fails is resumed after its last page every 100 ms, until the scheduler no longer waits for it (awaitsRecovery()). The new owner also takes over the texts whose batch is not in its ledger; they are removed with the next tick, as nobody needs them: all open batches of the model are in the ledger by then. Keys of former releases are not read, unless a batch is called like the model; the whole key is compared, so they are neither adopted nor removed.

--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -130,6 +130,7 @@
         { counter("ragwortreach_item_results_reused_total", "Results that were taken from an earlier batch"), from.items.resultsReused },
         { counter("ragwortreach_item_texts_saved_total", "Texts so far that were saved for a later owner"), from.progress.saved },
         { counter("ragwortreach_item_texts_recovered_total", "Texts so far that an earlier owner left"), from.progress.recovered },
+        { counter("ragwortreach_item_recoveries_resumed_total", "Reads of the texts so far that went on after a failure"), from.progress.recoveriesResumed },
         { counter("ragwortreach_item_recoveries_failed_total", "Takeovers at which the log did not give the texts so far"), from.progress.recoveriesFailed },
         { counter("ragwortreach_result_texts_from_log_total", "Texts of results that were read from the log"), from.texts.fromLog },
         { counter("ragwortreach_result_texts_from_pages_total", "Texts of results that were read from pages of the log"), from.texts.fromPages },
--- a/src/libs/gateway/journalkeys.h
+++ b/src/libs/gateway/journalkeys.h
@@ -10,7 +10,8 @@
 /// they can be read without any other record.
 inline constexpr std::string_view directoryPrefix = "~/";
 
-/// Name of the batch \a id in keys: its id if that has the usual characters and length, else a digest of it.
+/// Name of the batch \a id in keys: its id if that has the usual characters and length, else a digest of it. Serves models
+/// and items as well.
 std::string journalName(std::string_view id);
 /// Beginning of the keys of the batch called \a name.
 std::string batchPrefix(std::string_view name);
--- a/src/libs/gateway/progressstore.cpp
+++ b/src/libs/gateway/progressstore.cpp
@@ -1,7 +1,7 @@
 #include "progressstore.h"
 
 #include "bootclock.h"
-#include "newestpages.h"
+#include "journalkeys.h"
 
 #include <support/log.h>
 #include <support/logline.h>
@@ -14,6 +14,19 @@
     constexpr std::string_view topicName = "keyed.ragwortreach.progress";
     /// When an owner fails, at most this much of the generation of each item is lost.
     constexpr duration saveInterval = std::chrono::milliseconds(700);
+    /// Least time between two attempts to resume the recoveries.
+    constexpr duration resumeInterval = std::chrono::milliseconds(100);
+
+    /// Beginning of the keys of the texts of \a model, so that a new owner reads no others.
+    std::string modelPrefix(std::string_view model)
+    {
+        return journalName(model) + '/';
+    }
+
+    std::string keyOf(std::string_view model, const item_progressed& text)
+    {
+        return modelPrefix(model) + journalName(text.batch) + '/' + journalName(text.item);
+    }
 
 }
 
@@ -29,6 +42,10 @@
 
 void progress_store::tick(instant now)
 {
+    if (now - m_resumedAt >= resumeInterval) {
+        m_resumedAt = now;
+        resumeRecoveries(now);
+    }
     if (now - m_savedAt < saveInterval)
         return;
     m_savedAt = now;
@@ -40,17 +57,16 @@
 {
     for (item_progressed& text : m_scheduler.takeProgress(bootNow())) {
         const ledger_batch* const batch = m_ledger.find(text.batch);
-        const std::optional<std::size_t> item = batch ? batch->indexOf(text.item) : std::nullopt;
         // A text too large for a record is no longer saved; the last version that fitted stays.
-        if (!item || text.output.text.size() > maxRecordBytes)
+        if (!batch || text.output.text.size() > maxRecordBytes)
             continue;
         const std::uint32_t partition = m_writers.partitionOf(batch->submission.model);
         // Skips the save while as many writes as the batch has items are pending: more would only queue up behind them.
         if (m_writers[partition].pendingWrites() > batch->items.size())
             continue;
         // Not retried: a missing text only costs the time to generate it again.
-        const std::string key = text.batch + "/" + text.item;
-        m_saved[key] = { text.batch, *item, partition };
+        const std::string key = keyOf(batch->submission.model, text);
+        m_saved[key] = { text.batch, text.item, partition };
         m_writers[partition].write({ { key, encodeJournalRecord(text), 0 } }, write_mode::FailOnRefusal, {});
         ++m_counters.saved;
     }
@@ -59,7 +75,8 @@
 bool progress_store::isNeeded(const saved_text& text) const
 {
     const ledger_batch* const batch = m_ledger.find(text.batch);
-    return batch && batch->isOpen() && !batch->items[text.item].position;
+    const std::optional<std::size_t> item = batch ? batch->indexOf(text.item) : std::nullopt;
+    return item && batch->isOpen() && !batch->items[*item].position;
 }
 
 void progress_store::removeClosed()
@@ -76,11 +93,40 @@
 
 void progress_store::recover(const std::string& model, instant now)
 {
-    readNewestPages(m_log, m_writers.topicPartition(m_writers.partitionOf(model)), {}, [this, found = recovery { model, now, 0 }](const newest_records& saved) mutable {
-        for (const keyed_record& record : saved.records)
-            adoptSavedText(found, record);
-        finish(found, saved.isDone);
-    });
+    std::erase_if(m_interrupted, [&model](const recovery& interrupted) { return interrupted.model == model; });
+    read({ model, now, 0, {} });
+}
+
+void progress_store::read(recovery started)
+{
+    const topic_partition topicPartition = m_writers.topicPartition(m_writers.partitionOf(started.model));
+    const std::string prefix = modelPrefix(started.model);
+    newest_records previous = std::exchange(started.pages, {});
+    continueNewestPages(m_log, topicPartition, prefix, std::move(previous),
+        [this, recovery = std::move(started)](newest_records pages) mutable { onRead(recovery, std::move(pages)); });
+}
+
+void progress_store::onRead(recovery& recovery, newest_records read)
+{
+    for (const keyed_record& record : std::exchange(read.records, {}))
+        adoptSavedText(recovery, record);
+    recovery.pages = std::move(read);
+    if (recovery.pages.isDone)
+        finish(recovery);
+    else
+        m_interrupted.push_back(std::move(recovery));
+}
+
+void progress_store::resumeRecoveries(instant now)
+{
+    for (recovery& interrupted : std::exchange(m_interrupted, {})) {
+        if (!m_scheduler.awaitsRecovery(interrupted.model, now)) {
+            finish(interrupted);
+            continue;
+        }
+        ++m_counters.recoveriesResumed;
+        read(std::move(interrupted));
+    }
 }
 
 void progress_store::adoptSavedText(recovery& recovery, const keyed_record& record)
@@ -91,19 +137,21 @@
         ++m_counters.unreadable;
         return;
     }
+    // Keys of former releases begin with the id of a batch, which may be that of a model, too.
+    if (record.key != keyOf(recovery.model, *text))
+        return;
+    m_saved[record.key] = { text->batch, text->item, m_writers.partitionOf(recovery.model) };
     const ledger_batch* const batch = m_ledger.find(text->batch);
     const std::optional<std::size_t> item = batch ? batch->indexOf(text->item) : std::nullopt;
-    if (!item || batch->submission.model != recovery.model)
-        return;
-    m_saved[record.key] = { text->batch, *item, m_writers.partitionOf(recovery.model) };
-    if (m_scheduler.adoptText(*batch, *item, text->output, bootNow())) {
+    if (item && m_scheduler.adoptText(*batch, *item, text->output, bootNow())) {
         ++recovery.texts;
         ++m_counters.recovered;
     }
 }
 
-void progress_store::finish(const recovery& recovery, bool isComplete)
+void progress_store::finish(const recovery& recovery)
 {
+    const bool isComplete = recovery.pages.isDone;
     if (!isComplete)
         ++m_counters.recoveriesFailed;
     const duration took = bootNow() - recovery.startedAt;
@@ -111,7 +159,9 @@
                        .with("model", recovery.model)
                        .with("texts", recovery.texts)
                        .with("outcome", isComplete ? "whole" : "the log does not answer")
-                       .with("took_us", took.count()));
+                       .with("took_us", took.count())
+                       .with("pages", recovery.pages.pages)
+                       .with("bytes", recovery.pages.bytes));
     m_scheduler.setRecovered(recovery.model);
 }
 
--- a/src/libs/gateway/progressstore.h
+++ b/src/libs/gateway/progressstore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "newestpages.h"
 #include "topicwriter.h"
 
 #include <rollout/batchledger.h>
@@ -20,6 +21,8 @@
 struct progress_counters {
     std::uint64_t saved = 0;
     std::uint64_t recovered = 0;
+    /// Reads of saved texts that were resumed after a failed page.
+    std::uint64_t recoveriesResumed = 0;
     std::uint64_t recoveriesFailed = 0;
     std::uint64_t unreadable = 0;
 };
@@ -35,9 +38,10 @@
     progress_store(boost::asio::io_context& context, shared_log& log, std::uint32_t partitions, const std::string& writer,
         const batch_ledger& ledger, item_scheduler& scheduler, ragwortreach::log& logger);
 
-    /// Reads the texts that earlier owners of \a model saved, then lets the scheduler run its items.
+    /// Reads the texts that earlier owners of \a model saved, then lets the scheduler run its items. A failed read is
+    /// resumed while the items wait for it. The open batches of the model have to be in the ledger.
     void recover(const std::string& model, instant now);
-    /// Saves texts that have grown and removes those no longer needed. To be called periodically.
+    /// Resumes recoveries, saves texts that have grown and removes those no longer needed. To be called periodically.
     void tick(instant now);
 
     const progress_counters& counters() const { return m_counters; }
@@ -47,18 +51,24 @@
         std::string model;
         instant startedAt {};
         std::size_t texts = 0;
+        /// What was read so far; its records have been adopted.
+        newest_records pages;
     };
+    /// Text in the log.
     struct saved_text {
         std::string batch;
-        std::size_t item = 0;
+        std::string item;
         std::uint32_t partition = 0;
     };
 
+    void read(recovery started);
+    void onRead(recovery& recovery, newest_records read);
+    void resumeRecoveries(instant now);
     void save();
     void removeClosed();
     bool isNeeded(const saved_text& text) const;
     void adoptSavedText(recovery& recovery, const keyed_record& record);
-    void finish(const recovery& recovery, bool isComplete);
+    void finish(const recovery& recovery);
 
     shared_log& m_log;
     const batch_ledger& m_ledger;
@@ -67,6 +77,9 @@
     topic_writer m_writers;
     /// Texts in the log that this process wrote or read, by key.
     std::map<std::string, saved_text, std::less<>> m_saved;
+    /// Recoveries of which a page could not be read.
+    std::vector<recovery> m_interrupted;
+    instant m_resumedAt {};
     instant m_savedAt {};
     progress_counters m_counters;
 };
--- a/src/libs/rollout/itemscheduler.cpp
+++ b/src/libs/rollout/itemscheduler.cpp
@@ -101,6 +101,12 @@
         owned->second.isRecovered = true;
 }
 
+bool item_scheduler::awaitsRecovery(std::string_view model, instant now) const
+{
+    const auto owned = m_owned.find(model);
+    return owned != m_owned.end() && !owned->second.isRecovered && now - owned->second.since < recoveryTimeout;
+}
+
 /// Whether the versions that generated \a text are allowed for the item.
 bool item_scheduler::hasAllowedVersions(const ledger_batch& batch, std::size_t item, const item_text& text) const
 {
--- a/src/libs/rollout/itemscheduler.h
+++ b/src/libs/rollout/itemscheduler.h
@@ -127,6 +127,8 @@
     std::size_t ownedModelCount() const { return m_owned.size(); }
     /// Reports that the texts saved by earlier owners of \a model, if any, were adopted.
     void setRecovered(std::string_view model);
+    /// Whether the items of \a model wait for setRecovered().
+    bool awaitsRecovery(std::string_view model, instant now) const;
     /// Adopts a text that an earlier owner saved. False when its versions do not suit the batch, the item runs or has a
     /// result, or the text is not longer than the known one.
     bool adoptText(const ledger_batch& batch, std::size_t item, const item_text& text, instant now);
