Rollout, Gateway: Hand texts over in the topic that only the next owner reads

What an owner hands over, at a stop or when its lease has moved, is an effect of its own now (hand_over_text), which item_runner gives to progress_store. It is written to the topic of the saved texts, under the same keys, and sent again until it is appended. gateway_host releases its leases once these writes are appended as well, and stops as before when its time is over. So the next owner, which reads the topic after it has the lease, finds them. The line texts_handed_over and the metrics count texts and bytes.

Texts larger than a record are not written, and the last version that fitted stays: parts under one key per item could mix with those of another owner. A daemon that was cut off writes late and may replace a newer text of the next owner under the same key; that costs events to generate again if that owner ends before its next save.

In tst_itemscheduler the hand-over goes to a scheduler that does not know the text yet, before it was the same one; in tst_rewardscheduler the next owner adopts what was handed over in place of applying it to the ledger.

--- a/src/libs/gateway/gatewayhost.cpp
+++ b/src/libs/gateway/gatewayhost.cpp
@@ -128,7 +128,7 @@
         , loader(batchJournal, daemonLog)
         , scheduler(batchJournal.ledger(), pool, routes)
         , progress(ioContext, store, daemonSettings.textPartitions, instance, batchJournal.ledger(), scheduler, daemonLog)
-        , runner(ioContext, client, batchJournal, scheduler, pool, facts, daemonLog)
+        , runner(ioContext, client, batchJournal, progress, scheduler, pool, facts, daemonLog)
         , orderer(client, leaseClient.agent(), pool, facts, routes, daemonSettings.vm, daemonLog)
         , relay(ioContext, client, pool, facts, crashes, routes, daemonLog)
         , batchHandler(batchJournal, routes, daemonLog)
@@ -442,7 +442,9 @@
     if (!drain.hasBegun())
         return;
     const instant now = bootNow();
-    if (!hasReleasedLeases && batchJournal.pendingWrites() == 0) {
+    const std::size_t pendingWrites = batchJournal.pendingWrites() + progress.pendingWrites();
+    // The next owner reads the texts that were handed over once, when it has taken the lease.
+    if (!hasReleasedLeases && pendingWrites == 0) {
         hasReleasedLeases = true;
         leaseClient.release([] {});
     }
@@ -450,9 +452,9 @@
         callerServer.closeIdle();
     if (now >= drain.answersEnd() && !std::exchange(hasEndedRequests, true))
         endOpenRequests();
-    const bool isIdle = callerServer.openExchanges() == 0 && batchJournal.pendingWrites() == 0;
+    const bool isIdle = callerServer.openExchanges() == 0 && pendingWrites == 0;
     if ((drain.mayEnd(now) && isIdle) || drain.isOver(now)) {
-        logger.write(log_line(log_level::Info, "stopped").with("open_calls", callerServer.openExchanges()).with("records_waiting", batchJournal.pendingWrites()));
+        logger.write(log_line(log_level::Info, "stopped").with("open_calls", callerServer.openExchanges()).with("records_waiting", pendingWrites));
         context.stop();
     }
 }
--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -95,6 +95,19 @@
         }
     }
 
+    std::vector<reading> progressReadings(const progress_counters& progress)
+    {
+        return {
+            { counter("ragwortreach_item_texts_saved_total", "Texts so far that were saved for a later owner"), progress.saved },
+            { counter("ragwortreach_item_texts_handed_over_total", "Texts so far that were handed over to a later owner"), progress.handedOver },
+            { counter("ragwortreach_item_text_bytes_handed_over_total", "Bytes of the texts so far that were handed over"), progress.handedOverBytes },
+            { counter("ragwortreach_item_texts_too_large_total", "Times that a text so far was not saved since it does not fit into a record"), progress.tooLarge },
+            { counter("ragwortreach_item_texts_recovered_total", "Texts so far that an earlier owner left"), progress.recovered },
+            { counter("ragwortreach_item_recoveries_resumed_total", "Reads of the texts so far that went on after a failure"), progress.recoveriesResumed },
+            { counter("ragwortreach_item_recoveries_failed_total", "Takeovers at which the log did not give the texts so far"), progress.recoveriesFailed },
+        };
+    }
+
 }
 
 std::string metricsText(const gateway_readings& from)
@@ -128,10 +141,6 @@
         { counter("ragwortreach_item_texts_dropped_total", "Texts that did not fit the versions of their batch"), from.items.textsDropped },
         { counter("ragwortreach_item_texts_reused_total", "Texts that went on from an earlier batch"), from.items.textsReused },
         { counter("ragwortreach_item_results_reused_total", "Results that were taken from an earlier batch"), from.items.resultsReused },
-        { counter("ragwortreach_item_texts_saved_total", "Texts so far that were saved for a later owner"), from.progress.saved },
-        { counter("ragwortreach_item_texts_recovered_total", "Texts so far that an earlier owner left"), from.progress.recovered },
-        { counter("ragwortreach_item_recoveries_resumed_total", "Reads of the texts so far that went on after a failure"), from.progress.recoveriesResumed },
-        { counter("ragwortreach_item_recoveries_failed_total", "Takeovers at which the log did not give the texts so far"), from.progress.recoveriesFailed },
         { counter("ragwortreach_result_texts_from_log_total", "Texts of results that were read from the log"), from.texts.fromLog },
         { counter("ragwortreach_result_texts_from_pages_total", "Texts of results that were read from pages of the log"), from.texts.fromPages },
         { counter("ragwortreach_result_texts_from_cache_total", "Texts of results that were kept"), from.texts.fromCache },
@@ -154,6 +163,7 @@
     metrics all;
     add(all, readings);
     add(all, journalReadings(from.journal, from.journalSnapshots));
+    add(all, progressReadings(from.progress));
     add(all, loadReadings(from.loads));
     add(all, factReadings(from.facts));
     add(all, rewardReadings(from.rewards, from.rewardLatency));
--- a/src/libs/gateway/itemrunner.cpp
+++ b/src/libs/gateway/itemrunner.cpp
@@ -40,8 +40,10 @@
 
 class item_runner::effect_visitor {
 public:
-    explicit effect_visitor(item_runner& runner)
+    /// Adds the texts to hand over to \a handedOver.
+    effect_visitor(item_runner& runner, std::vector<item_progressed>& handedOver)
         : m_runner(runner)
+        , m_handedOver(handedOver)
     {
     }
 
@@ -50,16 +52,19 @@
     void operator()(const start_reward& effect) const { m_runner.m_rewards.start(effect); }
     void operator()(const cancel_reward& effect) const { m_runner.m_rewards.cancel(effect); }
     void operator()(const write_record& effect) const { m_runner.write(effect); }
+    void operator()(const hand_over_text& effect) const { m_handedOver.push_back(effect.text); }
 
 private:
     item_runner& m_runner;
+    std::vector<item_progressed>& m_handedOver;
 };
 
-item_runner::item_runner(boost::asio::io_context& context, http_client& client, journal& journal, item_scheduler& scheduler,
-    replica_pool& pool, replica_gate& gate, log& log)
+item_runner::item_runner(boost::asio::io_context& context, http_client& client, journal& journal, progress_store& progress,
+    item_scheduler& scheduler, replica_pool& pool, replica_gate& gate, log& log)
     : m_context(context)
     , m_client(client)
     , m_journal(journal)
+    , m_progress(progress)
     , m_scheduler(scheduler)
     , m_pool(pool)
     , m_gate(gate)
@@ -100,8 +105,10 @@
 
 void item_runner::executeEffects()
 {
+    std::vector<item_progressed> handedOver;
     for (const scheduler_effect& effect : m_scheduler.takeEffects())
-        std::visit(effect_visitor(*this), effect);
+        std::visit(effect_visitor(*this, handedOver), effect);
+    m_progress.handOver(handedOver);
 }
 
 void item_runner::start(const start_run& effect)
--- a/src/libs/gateway/itemrunner.h
+++ b/src/libs/gateway/itemrunner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "journal.h"
+#include "progressstore.h"
 #include "rewardcaller.h"
 
 #include <net/httpclient.h>
@@ -14,15 +15,16 @@
 
 class log;
 
-/// Executes the effects that the item scheduler decides on: streams from replicas, reward calls and journal records.
+/// Executes the effects that the item scheduler decides on: streams from replicas, reward calls, journal records and the
+/// hand-over of texts.
 class item_runner {
 public:
-    item_runner(boost::asio::io_context& context, http_client& client, journal& journal, item_scheduler& scheduler, replica_pool& pool, replica_gate& gate, log& log);
+    item_runner(boost::asio::io_context& context, http_client& client, journal& journal, progress_store& progress, item_scheduler& scheduler, replica_pool& pool, replica_gate& gate, log& log);
     ~item_runner();
 
     /// Lets the scheduler decide and executes its effects.
     void run();
-    /// Ends all runs and writes their partial texts to the journal, for the next owner.
+    /// Ends all runs and hands their partial texts over to the next owner.
     void handOver();
     const reward_latency& rewardLatency() const { return m_rewards.latency(); }
 
@@ -47,6 +49,7 @@
     boost::asio::io_context& m_context;
     http_client& m_client;
     journal& m_journal;
+    progress_store& m_progress;
     item_scheduler& m_scheduler;
     replica_pool& m_pool;
     replica_gate& m_gate;
--- a/src/libs/gateway/progressstore.cpp
+++ b/src/libs/gateway/progressstore.cpp
@@ -23,6 +23,14 @@
         return journalName(model) + '/';
     }
 
+    std::string joined(const std::set<std::string, std::less<>>& names)
+    {
+        std::string list;
+        for (const std::string& name : names)
+            list += (list.empty() ? "" : " ") + name;
+        return list;
+    }
+
     std::string keyOf(std::string_view model, const item_progressed& text)
     {
         return modelPrefix(model) + journalName(text.batch) + '/' + journalName(text.item);
@@ -55,34 +63,63 @@
 
 void progress_store::save()
 {
-    for (item_progressed& text : m_scheduler.takeProgress(bootNow())) {
+    for (const item_progressed& text : m_scheduler.takeProgress(bootNow())) {
         const ledger_batch* const batch = m_ledger.find(text.batch);
-        // A text too large for a record is no longer saved; the last version that fitted stays.
-        if (!batch || text.output.text.size() > maxRecordBytes)
-            continue;
-        const std::uint32_t partition = m_writers.partitionOf(batch->submission.model);
         // Skips the save while as many writes as the batch has items are pending: more would only queue up behind them.
-        if (m_writers[partition].pendingWrites() > batch->items.size())
+        if (!batch || m_writers[m_writers.partitionOf(batch->submission.model)].pendingWrites() > batch->items.size())
             continue;
         // Not retried: a missing text only costs the time to generate it again.
-        const std::string key = keyOf(batch->submission.model, text);
-        m_saved[key] = { text.batch, text.item, partition };
-        m_writers[partition].write({ { key, encodeJournalRecord(text), 0 } }, write_mode::FailOnRefusal, {});
-        ++m_counters.saved;
+        m_counters.saved += write(text, write_mode::FailOnRefusal) ? 1 : 0;
+    }
+}
+
+void progress_store::handOver(std::span<const item_progressed> texts)
+{
+    std::set<std::string, std::less<>> models;
+    std::uint64_t count = 0;
+    std::uint64_t bytes = 0;
+    for (const item_progressed& text : texts) {
+        if (!write(text, write_mode::RetryOnRefusal))
+            continue;
+        models.insert(m_ledger.find(text.batch)->submission.model);
+        ++count;
+        bytes += text.output.text.size();
+    }
+    if (count == 0)
+        return;
+    m_counters.handedOver += count;
+    m_counters.handedOverBytes += bytes;
+    m_logger.write(log_line(log_level::Info, "texts_handed_over").with("models", joined(models)).with("texts", count).with("bytes", bytes));
+}
+
+bool progress_store::write(const item_progressed& text, write_mode mode)
+{
+    if (!isNeeded(text.batch, text.item))
+        return false;
+    // A text too large for a record is no longer saved; the last version that fitted stays.
+    if (text.output.text.size() > maxRecordBytes) {
+        ++m_counters.tooLarge;
+        return false;
     }
+    const std::string& model = m_ledger.find(text.batch)->submission.model;
+    const std::uint32_t partition = m_writers.partitionOf(model);
+    const std::string key = keyOf(model, text);
+    m_saved[key] = { text.batch, text.item, partition };
+    m_writers[partition].write({ { key, encodeJournalRecord(text), 0 } }, mode, {});
+    return true;
 }
 
-bool progress_store::isNeeded(const saved_text& text) const
+bool progress_store::isNeeded(std::string_view batch, std::string_view item) const
 {
-    const ledger_batch* const batch = m_ledger.find(text.batch);
-    const std::optional<std::size_t> item = batch ? batch->indexOf(text.item) : std::nullopt;
-    return item && batch->isOpen() && !batch->items[*item].position;
+    const ledger_batch* const known = m_ledger.find(batch);
+    const std::optional<std::size_t> index = known ? known->indexOf(item) : std::nullopt;
+    return index && known->isOpen() && !known->items[*index].position;
 }
 
 void progress_store::removeClosed()
 {
     for (std::map<std::string, saved_text, std::less<>>::iterator it = m_saved.begin(); it != m_saved.end();) {
-        if (isNeeded(it->second)) {
+        if (isNeeded(it->second.batch, it->second.item)) {
             ++it;
             continue;
         }
--- a/src/libs/gateway/progressstore.h
+++ b/src/libs/gateway/progressstore.h
@@ -8,8 +8,8 @@
 #include <rollout/sharedlog.h>
 
 #include <map>
-#include <memory>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -19,7 +19,13 @@
 
 /// Counts since the start of the process.
 struct progress_counters {
+    /// Texts that were saved while their items ran.
     std::uint64_t saved = 0;
+    /// Texts that were saved when this daemon gave up their items, and their bytes.
+    std::uint64_t handedOver = 0;
+    std::uint64_t handedOverBytes = 0;
+    /// Texts that were not saved since they do not fit into a record.
+    std::uint64_t tooLarge = 0;
     std::uint64_t recovered = 0;
     /// Reads of saved texts that were resumed after a failed page.
     std::uint64_t recoveriesResumed = 0;
@@ -27,7 +33,8 @@
     std::uint64_t unreadable = 0;
 };
 
-/// Saves the partial texts of long items while they run, and reads them back when this daemon takes a model over.
+/// Saves the partial texts of long items while they run, and those of all items when this daemon gives them up, and reads
+/// them back when this daemon takes a model over.
 ///
 /// A few items take most of the time of a training step. Without their partial texts a step would start again when its
 /// owner fails, and the trainer would be delayed by the duration of its longest item. The texts are stored in a topic that
@@ -41,9 +48,14 @@
     /// Reads the texts that earlier owners of \a model saved, then lets the scheduler run its items. A failed read is
     /// resumed while the items wait for it. The open batches of the model have to be in the ledger.
     void recover(const std::string& model, instant now);
+    /// Saves the texts of items that this daemon no longer runs. Their next owner finds them if they are appended before it
+    /// takes over.
+    void handOver(std::span<const item_progressed> texts);
     /// Resumes recoveries, saves texts that have grown and removes those no longer needed. To be called periodically.
     void tick(instant now);
 
+    /// Writes that are not appended yet.
+    std::size_t pendingWrites() const { return m_writers.pendingWrites(); }
     const progress_counters& counters() const { return m_counters; }
 
 private:
@@ -65,8 +77,11 @@
     void onRead(recovery& recovery, newest_records read);
     void resumeRecoveries(instant now);
     void save();
+    /// Writes \a text unless a later owner has no use for it; false if it was not written.
+    bool write(const item_progressed& text, write_mode mode);
     void removeClosed();
-    bool isNeeded(const saved_text& text) const;
+    /// Whether a later owner has use for the text of \a item, which has no result yet.
+    bool isNeeded(std::string_view batch, std::string_view item) const;
     void adoptSavedText(recovery& recovery, const keyed_record& record);
     void finish(const recovery& recovery);
 
--- a/src/libs/rollout/batchledger.h
+++ b/src/libs/rollout/batchledger.h
@@ -24,7 +24,7 @@
     std::optional<earlier_item> earlier;
     /// Position of the item's result in the batch; empty until the item has one.
     std::optional<std::size_t> position;
-    /// Text, partial or complete, that a daemon journalled when it handed the item over.
+    /// Text, partial or complete, that a daemon of a former release journalled when it handed the item over.
     item_text progress;
 };
 
--- a/src/libs/rollout/itemscheduler.cpp
+++ b/src/libs/rollout/itemscheduler.cpp
@@ -581,7 +581,7 @@
     if (!batch || item.output.lastEvent == 0 || item.reference)
         return;
     ++m_counters.handedOver;
-    m_effects.emplace_back(write_record { item_progressed { key.batch, batch->submission.items[key.item].id, item.output } });
+    m_effects.emplace_back(hand_over_text { { key.batch, batch->submission.items[key.item].id, item.output } });
 }
 
 /// Hands over items that wait for rewards when another daemon owns their model by now.
--- a/src/libs/rollout/itemscheduler.h
+++ b/src/libs/rollout/itemscheduler.h
@@ -59,7 +59,12 @@
     std::optional<abandon_reason> abandoned {};
 };
 
-using scheduler_effect = std::variant<start_run, cancel_run, start_reward, cancel_reward, write_record>;
+/// Effect: save the text of an item that this daemon no longer runs, for the next owner of its model.
+struct hand_over_text {
+    item_progressed text;
+};
+
+using scheduler_effect = std::variant<start_run, cancel_run, start_reward, cancel_reward, write_record, hand_over_text>;
 
 /// How a run ended.
 enum class run_end {
@@ -95,7 +100,7 @@
     std::uint64_t itemsAbandoned = 0;
     /// Texts that were dropped because of a version that is not allowed, or since they were too large.
     std::uint64_t textsDropped = 0;
-    /// Texts that were journalled for another owner.
+    /// Texts that were handed over to another owner.
     std::uint64_t handedOver = 0;
     /// Texts and results taken over from an earlier batch of the trainer.
     std::uint64_t textsReused = 0;
@@ -148,7 +153,7 @@
     void onRewardEnd(reward_number call, const reward_answer& answer, instant now);
     /// Starts, moves, cancels and abandons items as their state at \a now requires.
     void schedule(instant now);
-    /// Journals the partial texts of all runs and ends the runs, for a graceful shutdown.
+    /// Hands over the texts of all runs and of all items that wait for rewards, and ends them, for a graceful shutdown.
     void handOverAll();
     /// Returns the effects to carry out, in order, and clears them.
     std::vector<scheduler_effect> takeEffects();
--- a/src/libs/rollout/journalrecord.h
+++ b/src/libs/rollout/journalrecord.h
@@ -105,7 +105,7 @@
     std::string reward {};
 };
 
-/// Text of an unfinished item, journalled so that another daemon can continue it.
+/// Text of an unfinished item, saved so that another daemon can continue it. Only former releases wrote it to the journal.
 struct item_progressed {
     std::string batch;
     std::string item;
--- a/tests/auto/gateway/tst_itemrunner.cpp
+++ b/tests/auto/gateway/tst_itemrunner.cpp
@@ -69,7 +69,8 @@
         , client(context)
         , batches(context, memory, {}, "writer", [](const ledger_batch&) {})
         , scheduler(batches.ledger(), pool, routes)
-        , runner(context, client, batches, scheduler, pool, gate, logger)
+        , progress(context, memory, 1, "writer", batches.ledger(), scheduler, logger)
+        , runner(context, client, batches, progress, scheduler, pool, gate, logger)
     {
         routes.setConfiguration(oneRoute());
         replica_entry entry;
@@ -116,6 +117,7 @@
     open_gate gate;
     journal batches;
     item_scheduler scheduler;
+    progress_store progress;
     item_runner runner;
 };
 
@@ -153,3 +155,39 @@
         }
     }
 }
+
+// 59 texts that were handed over after a cut made 303 daemons read all of them with the tail of the journal.
+TEST_CASE("A hand-over of long texts adds nothing to the journal that all daemons read")
+{
+    /// With them a text counts as long.
+    constexpr int events = 12;
+    constexpr std::size_t eventBytes = 3000;
+    for (const bool isStopped : { false, true }) {
+        DYNAMIC_SECTION((isStopped ? "the process stops" : "the lease was lost"))
+        {
+            runner_fixture fixture;
+            const topic_partition journalTopic { "keyed.ragwortreach.journal", 0 };
+            const topic_partition progressTopic { "keyed.ragwortreach.progress", 0 };
+            const std::size_t recordsBefore = fixture.memory.records(journalTopic).size();
+            const bool isFirst = fixture.request.find("Request-Id: i-1") != std::string::npos;
+            const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: " + std::string(isFirst ? "i-1" : "i-2") + "\r\nServer-Stamp: s\r\nWeight-Versions: 1\r\n\r\n";
+            std::string body;
+            for (int event = 1; event <= events; ++event)
+                body += "id: " + std::to_string(event) + "\ndata: " + std::string(eventBytes, 'x') + "\n\n";
+            boost::asio::write(fixture.replica, boost::asio::buffer(head + body));
+            fixture.runUntil([&fixture] { return !fixture.scheduler.takeProgress(bootNow()).empty(); });
+            if (isStopped) {
+                fixture.runner.handOver();
+            } else {
+                fixture.scheduler.setOwnedModels({}, bootNow());
+                fixture.runner.run();
+            }
+            fixture.runUntil([&fixture] { return fixture.batches.pendingWrites() + fixture.progress.pendingWrites() == 0; });
+            CHECK(fixture.scheduler.counters().handedOver == 1);
+            CHECK(fixture.memory.records(journalTopic).size() == recordsBefore);
+            CHECK(fixture.memory.records(progressTopic).size() == 1);
+            CHECK(fixture.progress.counters().handedOver == 1);
+            CHECK(fixture.progress.counters().handedOverBytes >= events * eventBytes);
+        }
+    }
+}
--- a/tests/auto/gateway/tst_progressstore.cpp
+++ b/tests/auto/gateway/tst_progressstore.cpp
@@ -96,6 +96,18 @@
         }
     }
 
+    /// Hands over all texts, as a process that stops.
+    void handOver()
+    {
+        scheduler.handOverAll();
+        std::vector<item_progressed> texts;
+        for (const scheduler_effect& effect : scheduler.takeEffects()) {
+            if (const hand_over_text* const text = std::get_if<hand_over_text>(&effect))
+                texts.push_back(text->text);
+        }
+        store.handOver(texts);
+    }
+
     /// Event after which each item resumes, by its index, once the owner runs the items of the batch \a id.
     std::map<std::size_t, std::uint64_t> resumedAfter(const std::string& id)
     {
@@ -257,6 +269,78 @@
     }
 }
 
+TEST_CASE("Texts that a process hands over are appended while it still waits for them, and the next process continues them")
+{
+    struct fault_case {
+        const char* name;
+        std::vector<append_fault> faults;
+    };
+    const fault_case cases[] = {
+        { "no fault", {} },
+        { "refused", { append_fault::Refuse, append_fault::Refuse } },
+        { "answer lost", { append_fault::LoseAnswer } },
+        { "call lost", { append_fault::LoseCall } },
+    };
+    for (const fault_case& row : cases) {
+        DYNAMIC_SECTION(row.name)
+        {
+            boost::asio::io_context context;
+            memory_log log(context);
+            const std::vector<batch_submission> batches { makeBatch("1", model, 5), makeBatch("2", "z-model", 3) };
+            owner stopping(context, log, "stopping", batches);
+            // Fewer events than a text needs to be saved while its item runs.
+            stopping.generate(3, std::string(4096, 'x'));
+            log.setFaults(row.faults);
+            stopping.handOver();
+            CHECK(stopping.store.pendingWrites() == 8);
+            while (stopping.store.pendingWrites() != 0)
+                REQUIRE(context.run_one_for(10s) == 1);
+            CHECK(savedKeys(log).size() == 8);
+            CHECK(stopping.store.counters().handedOver == 8);
+            owner next(context, log, "next", batches);
+            next.store.recover(model, next.start);
+            next.runAll();
+            CHECK(next.store.counters().recovered == 5);
+            CHECK(next.resumedAfter("1") == allAfter(5, 3));
+            // The process that handed them over has ended; their next owner removes them.
+            next.ledger.apply(batch_ended { "1" }, next.start);
+            next.store.tick(next.start + saveTime);
+            next.runAll();
+            CHECK(savedKeys(log).size() == 3);
+        }
+    }
+}
+
+TEST_CASE("A text that no record can hold is not handed over, and the last one that fitted stays")
+{
+    boost::asio::io_context context;
+    memory_log log(context);
+    const batch_submission batch = makeBatch("b", model, 1);
+    saveTexts(context, log, batch);
+    owner stopping(context, log, "stopping", { batch });
+    stopping.generate(13, std::string(maxRecordBytes / 13, 'x'));
+    stopping.handOver();
+    CHECK(stopping.store.counters().handedOver == 0);
+    CHECK(stopping.store.counters().tooLarge == 1);
+    owner next(context, log, "next", { batch });
+    next.store.recover(model, next.start);
+    next.runAll();
+    CHECK(next.resumedAfter("b") == allAfter(1, savedEvents));
+}
+
+TEST_CASE("A text is not handed over once nobody needs it")
+{
+    boost::asio::io_context context;
+    memory_log log(context);
+    owner stopping(context, log, "stopping", { makeBatch("b", model, 2) });
+    stopping.generate(3);
+    stopping.ledger.apply(item_finished { "b", "b-1", true, { "x", 1, { 1 } } }, stopping.start);
+    stopping.handOver();
+    stopping.runAll();
+    CHECK(stopping.store.counters().handedOver == 1);
+    CHECK(savedKeys(log).size() == 1);
+}
+
 // Nobody removed the texts of batches that had ended before the next owner took over.
 TEST_CASE("A new owner removes the texts of batches that it does not know any more")
 {
--- a/tests/auto/rollout/tst_itemscheduler.cpp
+++ b/tests/auto/rollout/tst_itemscheduler.cpp
@@ -370,15 +370,98 @@
         fixture.scheduler.onHead(run.run, 1);
         fixture.feed(run.run, 1, "one");
         fixture.scheduler.setOwnedModels({}, at(1ms));
-        const std::vector<write_record> written = fixture.take<write_record>(1ms);
-        REQUIRE(written.size() == 1);
-        CHECK(std::get<item_progressed>(written[0].record).output.text == "one");
+        const std::vector<hand_over_text> handedOver = fixture.take<hand_over_text>(1ms);
+        REQUIRE(handedOver.size() == 1);
+        CHECK(handedOver[0].text.output.text == "one");
         CHECK(fixture.scheduler.runs() == 0);
-        fixture.ledger.apply(written[0].record, at(2ms));
-        fixture.scheduler.setOwnedModels({ testModel }, at(3ms));
-        CHECK(fixture.take<start_run>(900ms).empty());
-        fixture.scheduler.setRecovered(testModel);
-        CHECK(fixture.startOne(901ms).afterEvent == 1);
+        scheduler_fixture next(4);
+        next.ledger.apply(batch_accepted { makeBatch("b", 1, 1) }, at(0ms));
+        next.scheduler.setOwnedModels({}, at(2ms));
+        next.scheduler.setOwnedModels({ testModel }, at(3ms));
+        CHECK(next.scheduler.adoptText(*next.ledger.find("b"), 0, handedOver[0].text.output, at(3ms)));
+        CHECK(next.take<start_run>(900ms).empty());
+        next.scheduler.setRecovered(testModel);
+        CHECK(next.startOne(901ms).afterEvent == 1);
+    }
+}
+
+// Texts that were handed over stood in the journal, whose tail all daemons read.
+TEST_CASE("Texts that an owner hands over are to be saved for the next one, and are no records of the journal")
+{
+    struct hand_over_case {
+        const char* name;
+        /// Events of the item's run before its owner gives it up.
+        std::uint64_t events;
+        bool isStopped;
+        std::vector<std::string> texts;
+    };
+    const hand_over_case cases[] = {
+        { "the lease was lost", 2, false, { "x\nx" } },
+        { "the lease was lost before the first event", 0, false, {} },
+        { "the process stops", 2, true, { "x\nx" } },
+        { "the process stops before the first event", 0, true, {} },
+    };
+    for (const hand_over_case& row : cases) {
+        DYNAMIC_SECTION(row.name)
+        {
+            scheduler_fixture fixture(4);
+            fixture.ledger.apply(batch_accepted { makeBatch("b", 1, 1) }, at(0ms));
+            const start_run run = fixture.startOne(0ms);
+            fixture.scheduler.onHead(run.run, 1);
+            for (std::uint64_t event = 1; event <= row.events; ++event)
+                fixture.feed(run.run, event, "x");
+            if (row.isStopped)
+                fixture.scheduler.handOverAll();
+            else
+                fixture.scheduler.setOwnedModels({}, at(1ms));
+            fixture.scheduler.schedule(at(1ms));
+            std::vector<std::string> texts;
+            for (const scheduler_effect& effect : fixture.scheduler.takeEffects()) {
+                CHECK_FALSE(std::holds_alternative<write_record>(effect));
+                if (const hand_over_text* const handedOver = std::get_if<hand_over_text>(&effect))
+                    texts.push_back(handedOver->text.output.text);
+            }
+            CHECK(texts == row.texts);
+            CHECK(fixture.scheduler.counters().handedOver == row.texts.size());
+        }
+    }
+}
+
+TEST_CASE("A text that a former release journalled when it handed the item over is continued")
+{
+    scheduler_fixture fixture(4);
+    fixture.ledger.apply(batch_accepted { makeBatch("b", 1, 1) }, at(0ms));
+    fixture.ledger.apply(item_progressed { "b", "b-0-0", { "one\ntwo", 2, { 1 } } }, at(0ms));
+    CHECK(fixture.startOne(1ms).afterEvent == 2);
+}
+
+TEST_CASE("Items wait for the saved texts of their model until these were adopted, or for a time-out")
+{
+    struct wait_case {
+        const char* name;
+        bool isOwned;
+        bool isRecovered;
+        std::chrono::milliseconds time;
+        bool isAwaited;
+    };
+    const wait_case cases[] = {
+        { "just taken over", true, false, 0ms, true },
+        { "before the time-out", true, false, 999ms, true },
+        { "at the time-out", true, false, 1000ms, false },
+        { "adopted", true, true, 0ms, false },
+        { "owned by another daemon", false, false, 0ms, false },
+    };
+    for (const wait_case& row : cases) {
+        DYNAMIC_SECTION(row.name)
+        {
+            scheduler_fixture fixture(4);
+            fixture.scheduler.setOwnedModels({}, at(-1ms));
+            if (row.isOwned)
+                fixture.scheduler.setOwnedModels({ testModel }, at(0ms));
+            if (row.isRecovered)
+                fixture.scheduler.setRecovered(testModel);
+            CHECK(fixture.scheduler.awaitsRecovery(testModel, at(row.time)) == row.isAwaited);
+        }
     }
 }
 
--- a/tests/auto/rollout/tst_rewardscheduler.cpp
+++ b/tests/auto/rollout/tst_rewardscheduler.cpp
@@ -287,16 +287,22 @@
         }
     }
 
-    /// Simulates a takeover by another process: state that is not in the journal is lost.
+    /// Simulates that the model goes to another owner and comes back, with the texts that were handed over.
     void changeOwner(std::chrono::milliseconds time)
     {
+        std::vector<item_progressed> handedOver;
         m_scheduler.setOwnedModels({}, at(time));
         m_scheduler.schedule(at(time));
         for (const scheduler_effect& effect : m_scheduler.takeEffects()) {
             if (const write_record* const written = std::get_if<write_record>(&effect))
                 apply(written->record, time);
+            else if (const hand_over_text* const text = std::get_if<hand_over_text>(&effect))
+                handedOver.push_back(text->text);
         }
         m_scheduler.setOwnedModels({ testModel }, at(time));
+        const ledger_batch& batch = *m_ledger.find("b");
+        for (const item_progressed& text : handedOver)
+            m_scheduler.adoptText(batch, batch.indexOf(text.item).value(), text.output, at(time));
     }
 
     void endRun(const start_run& run, std::chrono::milliseconds time, bool isLate)
@@ -346,6 +352,52 @@
     CHECK(rc::check([] { random_run().run(); }));
 }
 
+TEST_CASE("A complete text that waits for its reward is handed over, and the next owner repeats only the reward call")
+{
+    for (const bool isStopped : { false, true }) {
+        DYNAMIC_SECTION((isStopped ? "the process stops" : "the lease was lost"))
+        {
+            batch_ledger ledger;
+            replica_pool pool("north-a");
+            route_table routes;
+            routes.setConfiguration(rewardConfiguration({ testModel }, 4));
+            pool.update(makeReplica("r1", "north-a", 1));
+            pool.update(rewardReplica("s1"));
+            ledger.apply(batch_accepted { rewardBatch("b", 1, 1) }, at(0ms));
+            item_scheduler owner(ledger, pool, routes);
+            owner.setOwnedModels({ testModel }, at(-2s));
+            owner.schedule(at(0ms));
+            const start_run run = std::get<start_run>(owner.takeEffects().at(0));
+            owner.onHead(run.run, 1);
+            owner.onEvent(run.run, { 1, "text", std::nullopt, "" }, at(0ms));
+            owner.onEnd(run.run, run_end::Complete, at(0ms));
+            owner.schedule(at(1ms));
+            REQUIRE(owner.takeEffects().size() == 1);
+            if (isStopped)
+                owner.handOverAll();
+            else
+                owner.setOwnedModels({}, at(2ms));
+            owner.schedule(at(2ms));
+            std::vector<item_progressed> handedOver;
+            for (const scheduler_effect& effect : owner.takeEffects()) {
+                CHECK_FALSE(std::holds_alternative<write_record>(effect));
+                if (const hand_over_text* const text = std::get_if<hand_over_text>(&effect))
+                    handedOver.push_back(text->text);
+            }
+            REQUIRE(handedOver.size() == 1);
+            CHECK(handedOver[0].output.isComplete);
+
+            item_scheduler next(ledger, pool, routes);
+            next.setOwnedModels({ testModel }, at(1s));
+            REQUIRE(next.adoptText(*ledger.find("b"), 0, handedOver[0].output, at(1s)));
+            next.schedule(at(3s));
+            const std::vector<scheduler_effect> effects = next.takeEffects();
+            REQUIRE(effects.size() == 1);
+            CHECK(std::holds_alternative<start_reward>(effects[0]));
+        }
+    }
+}
+
 TEST_CASE("A complete text whose reward is late is saved once, and a later owner repeats only the reward call")
 {
     batch_ledger ledger;
--- a/tests/auto/system/tst_platform.cpp
+++ b/tests/auto/system/tst_platform.cpp
@@ -277,6 +277,26 @@
     CHECK(hasAllEvents(results(fleet, 1, "b")[3]["output"], replica_standin::longEvents));
 }
 
+// Texts that a stopping daemon handed over stood in the journal, whose tail all daemons read.
+TEST_CASE("The next owner resumes the long item of a daemon that was stopped, and its text is no record of the journal")
+{
+    platform_fleet fleet(1);
+    const auto keyCount = [&fleet](const char* topic) { return fleet.run([&fleet, topic] { return fleet.store().keyCount(topic); }); };
+    REQUIRE(send(fleet.caller(0), "POST", "/lots/b", batch("a-"), headersFor("b")).status == 202);
+    REQUIRE(hasResults(fleet, 0, "b", 3));
+    const std::size_t journalKeys = keyCount("keyed.ragwortreach.journal");
+    fleet.daemon(0).signal(SIGTERM);
+    CHECK(fleet.daemon(0).wait() == 0);
+    CHECK(keyCount("keyed.ragwortreach.journal") == journalKeys);
+    CHECK(keyCount("keyed.ragwortreach.progress") == 1);
+    fleet.start(0);
+    REQUIRE(hasResults(fleet, 0, "b", 4));
+    CHECK(hasAllEvents(results(fleet, 0, "b")[3]["output"], replica_standin::longEvents));
+    CHECK(fleet.run([&fleet] { return fleet.engine().resumedRuns(); }) == 1);
+    CHECK(keyCount("keyed.ragwortreach.journal") == journalKeys + 1);
+    CHECK(waitUntil([&keyCount] { return keyCount("keyed.ragwortreach.progress") == 0; }));
+}
+
 // Requests that came late in the grace of a planned stop were passed on, run, and cut without an answer.
 TEST_CASE("Late in its stop a daemon refuses what it may not finish, serves the rest, and ends what is open with an answer")
 {
