--- a/tests/auto/gateway/tst_fleetreads.cpp
+++ b/tests/auto/gateway/tst_fleetreads.cpp
@@ -543,7 +543,7 @@
 }
 
 // The first reads filled the log for longer than readers and followers wait, and all of them asked for the same again.
-TEST_CASE("Batches could not be read after a start of a large fleet, whose reads filled the log", "[.known-red]")
+TEST_CASE("Batches could not be read after a start of a large fleet, whose reads filled the log")
 {
     // The number of readers grows with what the log gives out.
     for (const read_case& readers : { read_case { 100, 4, 4 }, read_case { 400, 16, 4 } }) {
@@ -555,7 +555,7 @@
 }
 
 // Each list of its results read all pages of the batch, and a page more.
-TEST_CASE("A list of results read texts from the log that it did not need", "[.known-red]")
+TEST_CASE("A list of results read texts from the log that it did not need")
 {
     constexpr std::size_t batches = 8;
     constexpr std::size_t contentBytes = 100000;
