Gateway: Let reads of overlapping texts share a range without going to pages

A read that joined the range of another one took its own texts, which the range had passed over, for texts that are not at their offsets, and read them from pages. An answer now has all texts of its batch that it returned; the cache still gets only those that were asked for, except from pages.

--- a/src/libs/gateway/textread.cpp
+++ b/src/libs/gateway/textread.cpp
@@ -219,7 +219,8 @@
 void text_read::noteUnfound(const text_answer& answer)
 {
     for (wanted_text& wanted : m_wanted) {
-        if (!wanted.isMissing() || wanted.reference.partition != answer.partition)
+        const bool isOfBatch = wanted.reference.partition == answer.partition && wanted.reference.key.starts_with(answer.batchPrefix);
+        if (!wanted.isMissing() || !isOfBatch)
             continue;
         const std::uint32_t number = wanted.firstMissingChunk();
         wanted.isMisplaced = wanted.isMisplaced || answer.coversOffset(wanted.reference.offset + number);
--- a/src/libs/gateway/textrequests.cpp
+++ b/src/libs/gateway/textrequests.cpp
@@ -15,11 +15,6 @@
 
 }
 
-bool text_answer::coversKey(std::string_view key) const
-{
-    return isPage && key > afterKey && batchPrefixOf(key) == batchPrefixOf(afterKey) && (lastKey.empty() || key <= lastKey);
-}
-
 class text_requests::sender {
 public:
     sender(text_requests& requests, pending_iterator pending)
@@ -89,8 +84,7 @@
     if (outcome.status == read_status::Done) {
         // An offset without a record is beyond the end of the log; the text is not there.
         answer.endOffset += std::max<std::uint64_t>(outcome.records.size(), 1);
-        const std::set<std::string, std::less<>>& wanted = pending->request.textKeys;
-        takeRecords(answer, outcome.records, [&wanted](std::string_view key) { return wanted.contains(textKeyOf(key)); });
+        takeRecords(answer, pending->request, outcome.records);
     }
     finish(pending, answer);
 }
@@ -102,11 +96,11 @@
     answer.isPage = true;
     answer.afterKey = page.after;
     if (outcome.isDone)
-        takePage(answer, outcome);
+        takePage(answer, pending->request, outcome);
     finish(pending, answer);
 }
 
-void text_requests::takePage(text_answer& answer, const newest_outcome& outcome)
+void text_requests::takePage(text_answer& answer, const text_request& request, const newest_outcome& outcome)
 {
     std::string lastKey;
     for (const keyed_record& record : outcome.records) {
@@ -115,8 +109,7 @@
     }
     if (outcome.hasMore && lastKey > answer.afterKey)
         answer.lastKey = lastKey;
-    // Other texts of the batch are likely to be listed next, and have been paid for.
-    takeRecords(answer, outcome.records, [prefix = batchPrefixOf(answer.afterKey)](std::string_view key) { return key.starts_with(prefix); });
+    takeRecords(answer, request, outcome.records);
 }
 
 text_answer text_requests::emptyAnswer(const pending_request& pending)
@@ -124,17 +117,19 @@
     text_answer answer;
     answer.sentAt = pending.sentAt;
     answer.partition = pending.request.partition;
+    answer.batchPrefix = batchPrefixOf(*pending.request.textKeys.begin());
     return answer;
 }
 
-void text_requests::takeRecords(text_answer& answer, std::span<const keyed_record> records, const std::function<bool(std::string_view key)>& isWanted)
+void text_requests::takeRecords(text_answer& answer, const text_request& request, std::span<const keyed_record> records)
 {
     for (const keyed_record& record : records) {
-        if (!record.value || !isWanted(record.key))
+        if (!record.value || !record.key.starts_with(answer.batchPrefix))
             continue;
         const std::shared_ptr<const std::string> bytes = std::make_shared<const std::string>(*record.value);
         answer.chunks[record.key] = bytes;
-        m_cache.add({ record.key, bytes });
+        if (answer.isPage || request.textKeys.contains(textKeyOf(record.key)))
+            m_cache.add({ record.key, bytes });
     }
 }
 
--- a/src/libs/gateway/textrequests.h
+++ b/src/libs/gateway/textrequests.h
@@ -68,7 +68,9 @@
     bool isAnswered = false;
     /// Whether the records were read from a page.
     bool isPage = false;
+    /// The texts of one batch that were asked for.
     std::uint32_t partition = 0;
+    std::string batchPrefix;
     /// For a range, the offsets that were read; empty when the history no longer holds them.
     std::uint64_t firstOffset = 0;
     std::uint64_t endOffset = 0;
@@ -79,8 +81,9 @@
     /// By their keys.
     std::map<std::string_view, std::shared_ptr<const std::string>> chunks;
 
+    /// Whether it would have the record of a text of the batch that is at \a offset, or has the \a key.
     bool coversOffset(std::uint64_t offset) const { return !isPage && offset >= firstOffset && offset < endOffset; }
-    bool coversKey(std::string_view key) const;
+    bool coversKey(std::string_view key) const { return isPage && key > afterKey && (lastKey.empty() || key <= lastKey); }
 };
 
 /// Sends the requests of all reads of a text_store, and shares each with all reads that need one of its texts.
@@ -116,11 +119,12 @@
     void sendPage(pending_iterator pending, const page_request& page);
     void applyRange(pending_iterator pending, const range_request& range, const read_outcome& outcome);
     void applyPage(pending_iterator pending, const page_request& page, const newest_outcome& outcome);
-    void takePage(text_answer& answer, const newest_outcome& outcome);
+    void takePage(text_answer& answer, const text_request& request, const newest_outcome& outcome);
     /// Answer to \a pending without its records.
     static text_answer emptyAnswer(const pending_request& pending);
-    /// Adds those \a records to \a answer and to the cache that \a isWanted returns true for.
-    void takeRecords(text_answer& answer, std::span<const keyed_record> records, const std::function<bool(std::string_view key)>& isWanted);
+    /// Adds the records of the batch to \a answer, and to the cache those of texts that were asked for. All records of a
+    /// page are cached: they have been paid for, and are likely to be listed next.
+    void takeRecords(text_answer& answer, const text_request& request, std::span<const keyed_record> records);
     void finish(pending_iterator pending, const text_answer& answer);
 
     shared_log& m_log;
--- a/tests/auto/gateway/tst_textstore.cpp
+++ b/tests/auto/gateway/tst_textstore.cpp
@@ -242,6 +242,22 @@
     }
 }
 
+// A text that another read's range had passed over was taken for one that is not at its offset, and read from a page.
+TEST_CASE("Reads of overlapping texts need no pages while the history has the texts")
+{
+    boost::asio::io_context context;
+    memory_log log(context);
+    text_store writer(context, log, 1, "writer");
+    text_store reader(context, log, 1, "reader");
+    const std::vector<text_reference> all = writeTexts(context, writer, 6, 700);
+    std::size_t complete = 0;
+    countComplete(reader, { all[0], all[2], all[4] }, complete);
+    countComplete(reader, all, complete);
+    runUntil(context, [&complete] { return complete == 2; });
+    CHECK(log.pages() == 0);
+    CHECK(log.reads() <= 2);
+}
+
 // The cache was smaller than the texts of one batch, so a second list of it was read from the log again.
 TEST_CASE("The texts of a list and the contents of its batch are read from the log once")
 {
