Rollout, Gateway: Let a read wait for a busy log unless its caller says otherwise

Each of the three places that read by offset set the same time-out, longestAnswerTime, over a default of 0.9 s that nobody used any more and that was the time-out of the incident. The default now is that time, and the assignments are gone. No change of behaviour.

--- a/src/libs/gateway/textrequests.cpp
+++ b/src/libs/gateway/textrequests.cpp
@@ -53,8 +53,7 @@
 {
     ++m_counters.rangeRequests;
     m_counters.rangeBytes += range.bytes;
-    read_range asked { range.from, {}, range.bytes };
-    asked.slack = longestAnswerTime;
+    const read_range asked { range.from, {}, range.bytes };
     m_log.read(m_topic.topicPartition(pending->request.partition), asked, [this, pending, range](const read_outcome& outcome) { applyRange(pending, range, outcome); });
 }
 
--- a/src/libs/gateway/topicfollower.cpp
+++ b/src/libs/gateway/topicfollower.cpp
@@ -70,9 +70,7 @@
     ++m_readNumber;
     m_openReads = 0;
     m_overdueInterval = m_patience;
-    read_range range { m_next, m_options.wait, tailReadBytes };
-    range.slack = longestAnswerTime;
-    sendRead(range);
+    sendRead({ m_next, m_options.wait, tailReadBytes });
     awaitAnswer(m_options.wait + m_patience);
 }
 
@@ -97,7 +95,6 @@
     m_isFailing = true;
     ++m_tail.overdueReads;
     read_range range { m_next, {}, overdueReadBytes };
-    range.slack = longestAnswerTime;
     range.mayReuseConnection = false;
     sendRead(range);
     awaitAnswer(m_overdueInterval);
--- a/src/libs/rollout/sharedlog.h
+++ b/src/libs/rollout/sharedlog.h
@@ -68,7 +68,7 @@
     /// Approximate limit for the size of the answer.
     std::size_t maxBytes = std::size_t { 1024 } * 1024;
     /// Time-out of the answer, in addition to \a wait.
-    duration slack = std::chrono::milliseconds(900);
+    duration slack = longestAnswerTime;
     /// Whether an open connection may be used; it may have gone silent.
     bool mayReuseConnection = true;
 };
