Tests: Share the producers of the test logs, and an owner with a whole text

memory_log and rated_log checked epochs and sequence numbers of appends in the same eleven lines; producer_table does it for both. Two tests of rewards arranged the same owner line for line; it is a fixture now. No assertion changed.

--- a/tests/auto/gateway/memorylog.cpp
+++ b/tests/auto/gateway/memorylog.cpp
@@ -49,17 +49,9 @@
 
 append_outcome memory_log::apply(const topic_partition& topicPartition, const append_identity& identity, std::span<const keyed_record> records)
 {
-    const auto known = m_producers.find(identity.producer);
-    if (known != m_producers.end()) {
-        const append_identity& last = known->second;
-        if (identity.epoch < last.epoch)
-            return { append_status::Fenced };
-        if (identity.epoch == last.epoch && identity.sequence == last.sequence)
-            return { append_status::Done };
-        if (identity.epoch == last.epoch && identity.sequence != last.sequence + 1)
-            return { append_status::WrongSequence, std::nullopt, last.sequence + 1 };
-    }
-    m_producers[identity.producer] = identity;
+    const std::optional<append_outcome> rejected = m_producers.admit(identity);
+    if (rejected)
+        return *rejected;
     std::vector<keyed_record>& stored = partitionOf(topicPartition).records;
     const std::uint64_t firstOffset = stored.size();
     for (const keyed_record& record : records)
--- a/tests/auto/gateway/memorylog.h
+++ b/tests/auto/gateway/memorylog.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "producertable.h"
+
 #include <rollout/sharedlog.h>
 
 #include <boost/asio/io_context.hpp>
@@ -100,7 +102,7 @@
     std::string m_firstName;
     std::deque<append_fault> m_faults;
     std::deque<pending_append> m_lateAppends;
-    std::map<std::string, append_identity> m_producers;
+    producer_table m_producers;
     std::size_t m_reads = 0;
     std::size_t m_askedBytes = 0;
     duration m_lastSlack {};
--- a/tests/auto/gateway/ratedlog.h
+++ b/tests/auto/gateway/ratedlog.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "producertable.h"
 #include "virtualtime.h"
 
 #include <rollout/sharedlog.h>
@@ -88,7 +89,7 @@
     virtual_time& m_time;
     rated_log_options m_options;
     std::map<std::string, partition> m_partitions;
-    std::map<std::string, append_identity> m_producers;
+    producer_table m_producers;
     std::uint64_t m_lastRead = 0;
     /// Time at which all answers that stand are sent.
     instant m_idleAt {};
--- a/tests/auto/rollout/tst_rewardscheduler.cpp
+++ b/tests/auto/rollout/tst_rewardscheduler.cpp
@@ -352,25 +352,40 @@
     CHECK(rc::check([] { random_run().run(); }));
 }
 
+namespace {
+
+/// Owner of an item with a reward call whose text has just become complete.
+struct owner_with_whole_text {
+    owner_with_whole_text()
+        : owner(ledger, pool, routes)
+    {
+        routes.setConfiguration(rewardConfiguration({ testModel }, 4));
+        pool.update(makeReplica("r1", "north-a", 1));
+        pool.update(rewardReplica("s1"));
+        ledger.apply(batch_accepted { rewardBatch("b", 1, 1) }, at(0ms));
+        owner.setOwnedModels({ testModel }, at(-2s));
+        owner.schedule(at(0ms));
+        const start_run run = std::get<start_run>(owner.takeEffects().at(0));
+        owner.onHead(run.run, 1);
+        owner.onEvent(run.run, { 1, "text", std::nullopt, "" }, at(0ms));
+        owner.onEnd(run.run, run_end::Complete, at(0ms));
+    }
+
+    batch_ledger ledger;
+    replica_pool pool { "north-a" };
+    route_table routes;
+    item_scheduler owner;
+};
+
+}
+
 TEST_CASE("A complete text that waits for its reward is handed over, and the next owner repeats only the reward call")
 {
     for (const bool isStopped : { false, true }) {
         DYNAMIC_SECTION((isStopped ? "the process stops" : "the lease was lost"))
         {
-            batch_ledger ledger;
-            replica_pool pool("north-a");
-            route_table routes;
-            routes.setConfiguration(rewardConfiguration({ testModel }, 4));
-            pool.update(makeReplica("r1", "north-a", 1));
-            pool.update(rewardReplica("s1"));
-            ledger.apply(batch_accepted { rewardBatch("b", 1, 1) }, at(0ms));
-            item_scheduler owner(ledger, pool, routes);
-            owner.setOwnedModels({ testModel }, at(-2s));
-            owner.schedule(at(0ms));
-            const start_run run = std::get<start_run>(owner.takeEffects().at(0));
-            owner.onHead(run.run, 1);
-            owner.onEvent(run.run, { 1, "text", std::nullopt, "" }, at(0ms));
-            owner.onEnd(run.run, run_end::Complete, at(0ms));
+            owner_with_whole_text fixture;
+            item_scheduler& owner = fixture.owner;
             owner.schedule(at(1ms));
             REQUIRE(owner.takeEffects().size() == 1);
             if (isStopped)
@@ -387,9 +402,9 @@
             REQUIRE(handedOver.size() == 1);
             CHECK(handedOver[0].output.isComplete);
 
-            item_scheduler next(ledger, pool, routes);
+            item_scheduler next(fixture.ledger, fixture.pool, fixture.routes);
             next.setOwnedModels({ testModel }, at(1s));
-            REQUIRE(next.adoptText(*ledger.find("b"), 0, handedOver[0].output, at(1s)));
+            REQUIRE(next.adoptText(*fixture.ledger.find("b"), 0, handedOver[0].output, at(1s)));
             next.schedule(at(3s));
             const std::vector<scheduler_effect> effects = next.takeEffects();
             REQUIRE(effects.size() == 1);
@@ -400,29 +415,17 @@
 
 TEST_CASE("A complete text whose reward is late is saved once, and a later owner repeats only the reward call")
 {
-    batch_ledger ledger;
-    replica_pool pool("north-a");
-    route_table routes;
-    routes.setConfiguration(rewardConfiguration({ testModel }, 4));
-    pool.update(makeReplica("r1", "north-a", 1));
-    pool.update(rewardReplica("s1"));
-    ledger.apply(batch_accepted { rewardBatch("b", 1, 1) }, at(0ms));
-    item_scheduler owner(ledger, pool, routes);
-    owner.setOwnedModels({ testModel }, at(-2s));
-    owner.schedule(at(0ms));
-    const start_run run = std::get<start_run>(owner.takeEffects().at(0));
-    owner.onHead(run.run, 1);
-    owner.onEvent(run.run, { 1, "text", std::nullopt, "" }, at(0ms));
-    owner.onEnd(run.run, run_end::Complete, at(0ms));
+    owner_with_whole_text fixture;
+    item_scheduler& owner = fixture.owner;
     CHECK(owner.takeProgress(at(100ms)).empty());
     const std::vector<item_progressed> saved = owner.takeProgress(at(400ms));
     REQUIRE(saved.size() == 1);
     CHECK(saved[0].output.isComplete);
     CHECK(owner.takeProgress(at(800ms)).empty());
 
-    item_scheduler next(ledger, pool, routes);
+    item_scheduler next(fixture.ledger, fixture.pool, fixture.routes);
     next.setOwnedModels({ testModel }, at(1s));
-    REQUIRE(next.adoptText(*ledger.find("b"), 0, saved[0].output, at(1s)));
+    REQUIRE(next.adoptText(*fixture.ledger.find("b"), 0, saved[0].output, at(1s)));
     next.setRecovered(testModel);
     next.schedule(at(3s));
     const std::vector<scheduler_effect> effects = next.takeEffects();
