Gateway: Show with which age of the ledger work is begun, and what a cancelled run had got

No line said how old the ledger was when an item or a reward call was sent, nor whether a run that is cancelled had any answer, so work on an ended batch and bytes that a closed call leaves behind look alike.

No decision changes.

--- a/src/libs/gateway/gatewayhost.cpp
+++ b/src/libs/gateway/gatewayhost.cpp
@@ -374,7 +374,7 @@
 
 void gateway_host::state::answerMetrics(const http_exchange& exchange)
 {
-    const gateway_readings readings { relay.counters(), batchHandler.counters(), loader.counters(), scheduler.counters(), scheduler.rewards(), runner.rewardLatency(), orderer.counters(), platformView.counters(), facts,
+    const gateway_readings readings { relay.counters(), batchHandler.counters(), loader.counters(), scheduler.counters(), scheduler.rewards(), runner.rewardLatency(), runner.workCounters(), orderer.counters(), platformView.counters(), facts,
         batchJournal.counters(), batchJournal.snapshots(), batchJournal.texts().counters(), progress.counters(), pool.keptAway(), lateRefusals, routes.version(), relay.openCalls(), scheduler.runs(), batchJournal.pendingWrites(), isReady() };
     exchange.respond({ okStatus, { { "Content-Type", "text/plain; version=0.0.4" } }, metricsText(readings) });
 }
--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -101,6 +101,17 @@
         };
     }
 
+    std::vector<reading> workReadings(const work_counters& work)
+    {
+        return {
+            { counter("ragwortreach_work_begun_total", "Runs of items and reward calls that were sent to replicas"), work.begun },
+            { counter("ragwortreach_work_begun_older_500ms_total", "Of these, sent with a ledger older than 0.5 s"), work.olderThanHalfSecond },
+            { counter("ragwortreach_work_begun_older_1s_total", "Of these, sent with a ledger older than 1 s"), work.olderThanOneSecond },
+            { counter("ragwortreach_work_begun_older_2s_total", "Of these, sent with a ledger older than 2 s"), work.olderThanTwoSeconds },
+            { gauge("ragwortreach_work_begun_greatest_age_microseconds", "Greatest age of the ledger with which work was sent"), work.greatestAge },
+        };
+    }
+
     void add(metrics& all, std::span<const reading> readings)
     {
         for (const reading& item : readings) {
@@ -181,6 +192,7 @@
     add(all, loadReadings(from.loads));
     add(all, factReadings(from.facts));
     add(all, rewardReadings(from.rewards, from.rewardLatency));
+    add(all, workReadings(from.work));
     return all.prometheusText();
 }
 
--- a/src/libs/gateway/gatewaymetrics.h
+++ b/src/libs/gateway/gatewaymetrics.h
@@ -9,6 +9,7 @@
 #include "progressstore.h"
 #include "rewardcaller.h"
 #include "weightorderer.h"
+#include "workwatch.h"
 
 #include <rollout/itemscheduler.h>
 
@@ -24,6 +25,7 @@
     const scheduler_counters& items;
     const reward_scheduler& rewards;
     const reward_latency& rewardLatency;
+    const work_counters& work;
     const weight_counters& weights;
     const view_counters& view;
     const fact_exchange& facts;
--- a/src/libs/gateway/itemrunner.cpp
+++ b/src/libs/gateway/itemrunner.cpp
@@ -31,6 +31,7 @@
     std::string item;
     replica_instance replica;
     std::string model;
+    instant sentAt {};
     http_call_handle handle;
     platform::replica_answer answer;
     event_stream_reader reader;
@@ -69,7 +70,8 @@
     , m_pool(pool)
     , m_gate(gate)
     , m_log(log)
-    , m_rewards(client, journal.ledger(), pool, gate, log, [this](reward_number call, const reward_answer& answer) {
+    , m_work(journal.ledger(), log)
+    , m_rewards(client, journal.ledger(), pool, gate, m_work, log, [this](reward_number call, const reward_answer& answer) {
         m_scheduler.onRewardEnd(call, answer, bootNow());
         scheduleRun();
     })
@@ -121,6 +123,8 @@
     added->item = item.id;
     added->replica = m_pool.instanceOf(effect.replica);
     added->model = batch->submission.model;
+    added->sentAt = bootNow();
+    m_work.noteBegun(work_kind::Item, *batch, item.id, effect.replica);
     stream& opened = *added;
     const run_number run = effect.run;
     m_streams.emplace(run, std::move(added));
@@ -141,10 +145,13 @@
     const auto found = m_streams.find(effect.run);
     if (found == m_streams.end())
         return;
+    const duration age = bootNow() - found->second->sentAt;
     m_log.write(log_line(log_level::Info, "run_cancelled")
                     .with("item", found->second->item)
                     .with("replica", found->second->replica.id)
-                    .with("reason", effect.reason));
+                    .with("reason", effect.reason)
+                    .with("is_answered", found->second->answer.status != 0)
+                    .with("age_us", age.count()));
     found->second->handle.cancel();
     m_streams.erase(found);
 }
--- a/src/libs/gateway/itemrunner.h
+++ b/src/libs/gateway/itemrunner.h
@@ -3,6 +3,7 @@
 #include "journal.h"
 #include "progressstore.h"
 #include "rewardcaller.h"
+#include "workwatch.h"
 
 #include <net/httpclient.h>
 #include <platform/requestcodec.h>
@@ -27,6 +28,7 @@
     /// Ends all runs and hands their partial texts over to the next owner.
     void handOver();
     const reward_latency& rewardLatency() const { return m_rewards.latency(); }
+    const work_counters& workCounters() const { return m_work.counters(); }
 
 private:
     struct stream;
@@ -54,6 +56,7 @@
     replica_pool& m_pool;
     replica_gate& m_gate;
     log& m_log;
+    work_watch m_work;
     reward_caller m_rewards;
     std::map<run_number, std::unique_ptr<stream>> m_streams;
     bool m_isRunScheduled = false;
--- a/src/libs/gateway/journal.cpp
+++ b/src/libs/gateway/journal.cpp
@@ -76,6 +76,7 @@
         topic_follower::handlers handlers;
         handlers.onSnapshot = [this, number](std::span<const keyed_record>, std::span<const keyed_record> newRecords) { applySnapshot(number, newRecords); };
         handlers.onRecords = [this](std::span<const keyed_record> records) { applyTail(records); };
+        handlers.onConfirmed = [this, number] { m_ledger.setConfirmedAt(number, m_followers[number]->confirmedAt()); };
         const topic_follower_options following { m_writers.topicPartition(number), readWait, activePollIntervals.journal, std::string(directoryPrefix) };
         m_followers.push_back(std::make_unique<topic_follower>(context, log, following, std::move(handlers)));
     }
@@ -273,7 +274,7 @@
     addKeys(name, *decoded, complete.keys);
     ++m_counters.recordsApplied;
     const directory_entry& entry = *m_directory.find(name);
-    return m_ledger.apply(*decoded, entry.learnedAt, entry.offset);
+    return m_ledger.apply(*decoded, entry.learnedAt, entry.offset, m_writers.partitionOf(entry.listed.batch));
 }
 
 std::optional<journal_record> journal::decode(std::string_view bytes)
--- a/src/libs/gateway/rewardcaller.cpp
+++ b/src/libs/gateway/rewardcaller.cpp
@@ -26,11 +26,12 @@
     http_call_handle handle;
 };
 
-reward_caller::reward_caller(http_client& client, const batch_ledger& ledger, const replica_pool& pool, replica_gate& gate, log& log, end_handler onEnd)
+reward_caller::reward_caller(http_client& client, const batch_ledger& ledger, const replica_pool& pool, replica_gate& gate, work_watch& work, log& log, end_handler onEnd)
     : m_client(client)
     , m_ledger(ledger)
     , m_pool(pool)
     , m_gate(gate)
+    , m_work(work)
     , m_log(log)
     , m_onEnd(std::move(onEnd))
 {
@@ -49,6 +50,7 @@
     call.item = item.id;
     call.replica = m_pool.instanceOf(effect.replica);
     call.sentAt = bootNow();
+    m_work.noteBegun(work_kind::Reward, *batch, item.id, effect.replica);
     http_call_options options;
     options.timeout = effect.timeout;
     options.connectTimeout = connectTimeout;
@@ -63,11 +65,13 @@
     const auto found = m_calls.find(effect.call);
     if (found == m_calls.end())
         return;
+    const duration age = bootNow() - found->second->sentAt;
     m_log.write(log_line(log_level::Info, "reward_cancelled")
                     .with("item", found->second->item)
                     .with("request", found->second->id)
                     .with("replica", found->second->replica.id)
-                    .with("reason", effect.reason));
+                    .with("reason", effect.reason)
+                    .with("age_us", age.count()));
     found->second->handle.cancel();
     m_calls.erase(found);
 }
--- a/src/libs/gateway/rewardcaller.h
+++ b/src/libs/gateway/rewardcaller.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "workwatch.h"
+
 #include <net/httpclient.h>
 #include <platform/requestcodec.h>
 #include <rollout/batchledger.h>
@@ -28,7 +30,7 @@
 public:
     using end_handler = std::function<void(reward_number, const reward_answer&)>;
 
-    reward_caller(http_client& client, const batch_ledger& ledger, const replica_pool& pool, replica_gate& gate, log& log, end_handler onEnd);
+    reward_caller(http_client& client, const batch_ledger& ledger, const replica_pool& pool, replica_gate& gate, work_watch& work, log& log, end_handler onEnd);
     ~reward_caller();
 
     void start(const start_reward& effect);
@@ -46,6 +48,7 @@
     const batch_ledger& m_ledger;
     const replica_pool& m_pool;
     replica_gate& m_gate;
+    work_watch& m_work;
     log& m_log;
     end_handler m_onEnd;
     std::map<reward_number, std::unique_ptr<open_call>> m_calls;
--- /dev/null
+++ b/src/libs/gateway/workwatch.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <rollout/batchledger.h>
+
+#include <cstdint>
+#include <string_view>
+
+namespace ragwortreach {
+
+class log;
+
+/// Work on the items of a batch that a replica begins.
+enum class work_kind {
+    Item,
+    Reward,
+};
+
+/// Name of \a kind in log lines.
+std::string_view toString(work_kind kind);
+
+/// How much work was begun, by the age of what was known of its batch; since the start of the process.
+struct work_counters {
+    std::uint64_t begun = 0;
+    std::uint64_t olderThanHalfSecond = 0;
+    std::uint64_t olderThanOneSecond = 0;
+    std::uint64_t olderThanTwoSeconds = 0;
+    /// Greatest age, in microseconds.
+    std::uint64_t greatestAge = 0;
+};
+
+/// Observes how old the ledger is whenever an item or a reward call is sent to a replica. The batch may have ended since.
+class work_watch {
+public:
+    work_watch(const batch_ledger& ledger, log& logger);
+
+    void noteBegun(work_kind kind, const ledger_batch& batch, std::string_view item, std::string_view replica);
+    const work_counters& counters() const { return m_counters; }
+
+private:
+    const batch_ledger& m_ledger;
+    log& m_logger;
+    work_counters m_counters;
+};
+
+}
--- a/src/libs/rollout/batchledger.cpp
+++ b/src/libs/rollout/batchledger.cpp
@@ -12,10 +12,11 @@
 /// Applies one record to a ledger.
 class ledger_visitor {
 public:
-    ledger_visitor(batch_ledger& ledger, instant learnedAt, std::uint64_t acceptedOffset)
+    ledger_visitor(batch_ledger& ledger, instant learnedAt, std::uint64_t acceptedOffset, std::uint32_t partition)
         : m_ledger(ledger)
         , m_learnedAt(learnedAt)
         , m_acceptedOffset(acceptedOffset)
+        , m_partition(partition)
     {
     }
 
@@ -28,6 +29,7 @@
         batch.submission = record.submission;
         batch.learnedAt = m_learnedAt;
         batch.acceptedOffset = m_acceptedOffset;
+        batch.partition = m_partition;
         batch.items.resize(batch.submission.items.size());
         for (std::size_t index = 0; index < batch.submission.items.size(); ++index) {
             batch.itemIndex.emplace(batch.submission.items[index].id, index);
@@ -96,6 +98,7 @@
     batch_ledger& m_ledger;
     instant m_learnedAt;
     std::uint64_t m_acceptedOffset;
+    std::uint32_t m_partition;
 };
 
 std::optional<std::size_t> ledger_batch::indexOf(std::string_view item) const
@@ -121,9 +124,15 @@
     return std::span(results).subspan(position, count);
 }
 
-const ledger_batch* batch_ledger::apply(const journal_record& record, instant learnedAt, std::uint64_t acceptedOffset)
+const ledger_batch* batch_ledger::apply(const journal_record& record, instant learnedAt, std::uint64_t acceptedOffset, std::uint32_t partition)
 {
-    return std::visit(ledger_visitor(*this, learnedAt, acceptedOffset), record);
+    return std::visit(ledger_visitor(*this, learnedAt, acceptedOffset, partition), record);
+}
+
+instant batch_ledger::confirmedAt(const ledger_batch& batch) const
+{
+    const std::map<std::uint32_t, instant>::const_iterator found = m_confirmedAt.find(batch.partition);
+    return found == m_confirmedAt.end() ? instant {} : found->second;
 }
 
 void batch_ledger::insertIntoOrder(const ledger_batch& batch)
--- a/src/libs/rollout/batchledger.h
+++ b/src/libs/rollout/batchledger.h
@@ -47,6 +47,8 @@
     batch_submission submission;
     /// Offset in the log at which it was listed; batches were accepted in this order.
     std::uint64_t acceptedOffset = 0;
+    /// Partition of the journal that has its records.
+    std::uint32_t partition = 0;
     /// Time at which this process read that the batch was accepted; never earlier than the acceptance.
     instant learnedAt {};
     bool isEnded = false;
@@ -86,7 +88,11 @@
 public:
     /// Applies the next record of its batch; returns the batch that changed, or null. An acceptance gets the time
     /// \a learnedAt and the offset \a acceptedOffset.
-    const ledger_batch* apply(const journal_record& record, instant learnedAt, std::uint64_t acceptedOffset = 0);
+    const ledger_batch* apply(const journal_record& record, instant learnedAt, std::uint64_t acceptedOffset = 0, std::uint32_t partition = 0);
+    /// Notes that all records of \a partition that were written until \a time have been applied.
+    void setConfirmedAt(std::uint32_t partition, instant time) { m_confirmedAt[partition] = time; }
+    /// Time since which records of \a batch may have been written that are not applied; the epoch before anything was read.
+    instant confirmedAt(const ledger_batch& batch) const;
 
     const ledger_batch* find(std::string_view id) const;
     /// Adds the contents that the record of an accepted batch left out. The batches of a model have to be loaded in
@@ -110,6 +116,8 @@
 
     std::map<std::string, ledger_batch, std::less<>> m_batches;
     std::vector<std::string> m_order;
+    /// By partition of the journal.
+    std::map<std::uint32_t, instant> m_confirmedAt;
 };
 
 }
