--- a/tests/auto/gateway/tst_batchhandler.cpp
+++ b/tests/auto/gateway/tst_batchhandler.cpp
@@ -186,6 +186,25 @@
     }
 }
 
+// UNASKED: the end was answered with 404 and not kept, and the batch ran once its acceptance took effect.
+TEST_CASE("A batch was run whose acceptance took effect after its end", "[.known-red]")
+{
+    handler_fixture fixture;
+    CHECK(fixture.statusOf("DELETE", "/api/lots/b") == 404);
+    fixture.accept("b");
+    fixture.runUntil([&fixture] { return fixture.own.isListed("b"); });
+    CHECK(fixture.own.isEnded("b"));
+    fixture.fetchRecords("b", 0);
+    CHECK_FALSE(fixture.own.ledger().find("b")->isOpen());
+
+    journal later(fixture.context, fixture.memory, {}, "later", [](const ledger_batch&) {});
+    later.start();
+    fixture.runUntil([&later] { return later.isReady(); });
+    later.fetch("b");
+    fixture.runUntil([&later] { return later.isFollowed("b"); });
+    CHECK_FALSE(later.ledger().find("b")->isOpen());
+}
+
 TEST_CASE("A call on a batch that was accepted before the daemon started is answered from the records of that batch")
 {
     for (const call_case& row : callCases) {
--- a/tests/auto/rollout/tst_batchdirectory.cpp
+++ b/tests/auto/rollout/tst_batchdirectory.cpp
@@ -67,3 +67,16 @@
         }
     }
 }
+
+// UNASKED: an acceptance that took effect late stood after the end of its batch, and the batch passed for open.
+TEST_CASE("The end of a batch was forgotten when it was read before the batch", "[.known-red]")
+{
+    batch_directory directory;
+    directory.setEnded("b");
+    CHECK_FALSE(directory.find("b"));
+    REQUIRE(directory.add("b", { "b", "m", 1 }, 10, {}));
+    CHECK(directory.find("b")->isEnded);
+    directory.remove("b");
+    REQUIRE(directory.add("b", { "b", "m", 1 }, 20, {}));
+    CHECK_FALSE(directory.find("b")->isEnded);
+}
