--- a/src/libs/gateway/topicfollower.h
+++ b/src/libs/gateway/topicfollower.h
@@ -84,6 +84,8 @@
     /// Last time at which a read succeeded after a failed one, or the records missed meanwhile had been read; the epoch
     /// while there was none.
     instant regainedAt() const { return m_regainedAt; }
+    /// Age that confirmedAt() reaches while nothing is written and the log answers in time.
+    duration usualAge() const { return m_options.wait + m_options.pollInterval; }
     std::uint64_t readFailures() const { return m_readFailures; }
     const snapshot_counters& snapshots() const { return m_snapshots; }
     const tail_counters& tail() const { return m_tail; }
--- a/src/libs/gateway/topicwatch.cpp
+++ b/src/libs/gateway/topicwatch.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-    /// A follower that was confirmed longer ago is behind.
-    constexpr duration maxAge = std::chrono::milliseconds(2000);
+    /// A follower that was confirmed longer ago than usual by more than this is behind.
+    constexpr duration maxDelay = std::chrono::milliseconds(1500);
     /// Time between two lines on a topic that stays behind.
     constexpr duration repeatInterval = std::chrono::seconds(5);
 
@@ -35,7 +35,7 @@
 void topic_watch::check(watched_topic& topic, instant now)
 {
     const instant confirmedAt = topic.follower->confirmedAt();
-    const bool isBehind = now - confirmedAt > maxAge;
+    const bool isBehind = now - confirmedAt > topic.follower->usualAge() + maxDelay;
     if (!isBehind && !topic.isBehind)
         return;
     if (!topic.isBehind) {
