Rollout, Gateway: Bound what is remembered of ends without a batch, and begin work up to 1.5 s of age

Repeats are answered from memory now, each daemon forgets such an end with the retention time of batches, and the holder of the first lease removes it from the log. Over a sound path a request arrives within the other 1.5 s; over a silent one it is reset when its run is cancelled. - A partition that was not read yet counted as read at the start of the VM's clock. Tests: repeats after pauses of reward calls, repeats of an end, and its removal.

--- a/src/libs/gateway/batchhandler.cpp
+++ b/src/libs/gateway/batchhandler.cpp
@@ -154,15 +154,19 @@
     return true;
 }
 
-/// Answers a call on a batch that the log does not have. An end is kept, since the acceptance may still take effect.
+/// Answers a call on a batch that the log does not have. An end is written first, since the acceptance may still take
+/// effect.
 void batch_handler::answerUnknown(const received_call& received)
 {
     const http_response answer = failureResponse(notFoundStatus, result_code::UnknownBatch, "There is no such batch.");
-    if (!std::holds_alternative<platform::end_batch_call>(received.call)) {
+    if (!std::holds_alternative<platform::end_batch_call>(received.call) || m_journal.isEnded(received.batch)) {
         received.exchange.respond(answer);
         return;
     }
-    m_journal.write(batch_ended { received.batch }, write_mode::RetryOnRefusal, [exchange = received.exchange, answer](const append_report&) { exchange.respond(answer); });
+    m_journal.write(batch_ended { received.batch }, write_mode::RetryOnRefusal, [this, exchange = received.exchange, id = received.batch, answer](const append_report&) {
+        logOutcome("batch_ended", id, "unknown", "the batch is not in the log");
+        exchange.respond(answer);
+    });
 }
 
 bool batch_handler::isUpToDate(std::string_view batch) const
--- a/src/libs/gateway/gatewayhost.cpp
+++ b/src/libs/gateway/gatewayhost.cpp
@@ -439,7 +439,8 @@
         }
         batchJournal.dropIdleFetches(bootNow() - fetchRetention);
         batchJournal.forgetBefore(bootNow() - batchRetention, [this](std::string_view model) {
-            return leaseClient.agent().isHeld(std::string(modelLeasePrefix).append(model));
+            const lease_agent& leases = leaseClient.agent();
+            return model.empty() ? leases.removesRecords() : leases.isHeld(std::string(modelLeasePrefix).append(model));
         });
         checkStop();
         tick();
--- a/src/libs/gateway/journal.cpp
+++ b/src/libs/gateway/journal.cpp
@@ -234,7 +234,7 @@
             m_onListed(*listed);
         return;
     }
-    m_directory.setEnded(name);
+    m_directory.setEnded(name, std::get<batch_ended>(*decoded), bootNow());
     const ledger_batch* const changed = m_ledger.apply(*decoded, bootNow());
     if (changed)
         m_onChanged(*changed);
@@ -306,8 +306,7 @@
 
 bool journal::isEnded(std::string_view batch) const
 {
-    const directory_entry* const entry = m_directory.find(journalName(batch));
-    return entry && entry->isEnded;
+    return m_directory.isEnded(journalName(batch));
 }
 
 bool journal::isFollowed(std::string_view batch) const
@@ -407,6 +406,11 @@
         else if (m_fetches.empty() || m_fetches.contains(name))
             fetchNamed(name); // The keys of its records have to be known for their removal.
     }
+    for (const std::string& id : m_directory.earlyEndsBefore(limit)) {
+        if (removesFromLog({}))
+            removeFromLog(id);
+        forget(journalName(id));
+    }
 }
 
 void journal::dropIdleFetches(instant limit)
--- a/src/libs/gateway/journal.h
+++ b/src/libs/gateway/journal.h
@@ -73,6 +73,7 @@
     const batch_ledger& ledger() const { return m_ledger; }
     /// Whether the journal has the batch.
     bool isListed(std::string_view batch) const;
+    /// Whether the journal has an end of the batch, be the batch listed or not.
     bool isEnded(std::string_view batch) const;
     /// Whether the ledger has all records on \a batch that confirmedAt() covers.
     bool isFollowed(std::string_view batch) const;
@@ -87,7 +88,8 @@
     /// Whether all that the owner of \a model needs is in the ledger.
     bool hasBatchesOf(const std::string& model) const;
     /// Forgets the batches that are closed and older than \a limit. Those of the models for which \a removesFromLog
-    /// returns true are also removed from the log. One daemon has to do that, since the log would keep them for ever.
+    /// returns true are also removed from the log. One daemon has to do that, since the log would keep them for ever. The
+    /// model is empty for ends of batches that were never accepted.
     void forgetBefore(instant limit, const std::function<bool(std::string_view model)>& removesFromLog);
     /// Ends the fetches that were not requested since \a limit.
     void dropIdleFetches(instant limit);
--- a/src/libs/gateway/workwatch.cpp
+++ b/src/libs/gateway/workwatch.cpp
@@ -37,7 +37,7 @@
 
 void work_watch::noteBegun(work_kind kind, const ledger_batch& batch, std::string_view item, std::string_view replica)
 {
-    const duration age = bootNow() - m_ledger.confirmedAt(batch);
+    const duration age = bootNow() - m_ledger.confirmedAt(batch).value_or(instant {});
     ++m_counters.begun;
     m_counters.olderThanHalfSecond += age > halfSecond ? 1U : 0U;
     m_counters.olderThanOneSecond += age > maxUnloggedAge ? 1U : 0U;
--- a/src/libs/net/httpcall.cpp
+++ b/src/libs/net/httpcall.cpp
@@ -308,8 +308,8 @@
     if (!m_stream)
         return;
     error_code ignored;
-    // Reset, so that data still queued on a cut network path does not arrive after the call has been abandoned. An answer
-    // shows that the request has arrived.
+    // Reset, so that data still queued on a cut network path does not arrive after the call has been abandoned. Once the
+    // answer has begun, the peer has the request and has to learn of the end also over a path that was cut.
     if (m_isTimedOut || !m_isHeadRead)
         m_stream->socket().set_option(tcp::socket::linger(true, 0), ignored);
     m_stream->socket().close(ignored);
--- a/src/libs/rollout/batchdirectory.cpp
+++ b/src/libs/rollout/batchdirectory.cpp
@@ -15,7 +15,7 @@
         = m_entries.try_emplace(std::string(name), directory_entry { listed, offset, now });
     if (!added.second)
         return nullptr;
-    added.first->second.isEnded = m_endedBefore.erase(std::string(name)) > 0;
+    added.first->second.isEnded = m_earlyEnds.erase(std::string(name)) > 0;
     return &added.first->second;
 }
 
@@ -31,13 +31,19 @@
     return found == m_entries.end() ? nullptr : &found->second;
 }
 
-void batch_directory::setEnded(std::string_view name)
+void batch_directory::setEnded(std::string_view name, const batch_ended& end, instant now)
 {
     directory_entry* const entry = entryOf(name);
     if (entry)
         entry->isEnded = true;
     else
-        m_endedBefore.emplace(name);
+        m_earlyEnds.try_emplace(std::string(name), early_end { end.batch, now });
+}
+
+bool batch_directory::isEnded(std::string_view name) const
+{
+    const directory_entry* const entry = find(name);
+    return entry ? entry->isEnded : m_earlyEnds.contains(name);
 }
 
 void batch_directory::setFollowed(std::string_view name, bool isFollowed)
@@ -52,6 +58,7 @@
     const auto found = m_entries.find(name);
     if (found != m_entries.end())
         m_entries.erase(found);
+    m_earlyEnds.erase(std::string(name));
 }
 
 std::vector<std::string> batch_directory::names() const
@@ -94,4 +101,15 @@
     return names;
 }
 
+
+std::vector<std::string> batch_directory::earlyEndsBefore(instant limit) const
+{
+    std::vector<std::string> batches;
+    for (const std::pair<const std::string, early_end>& item : m_earlyEnds) {
+        if (item.second.learnedAt < limit)
+            batches.push_back(item.second.batch);
+    }
+    return batches;
+}
+
 }
--- a/src/libs/rollout/batchledger.cpp
+++ b/src/libs/rollout/batchledger.cpp
@@ -129,10 +129,16 @@
     return std::visit(ledger_visitor(*this, learnedAt, acceptedOffset, partition), record);
 }
 
-instant batch_ledger::confirmedAt(const ledger_batch& batch) const
+std::optional<instant> batch_ledger::confirmedAt(const ledger_batch& batch) const
 {
     const std::map<std::uint32_t, instant>::const_iterator found = m_confirmedAt.find(batch.partition);
-    return found == m_confirmedAt.end() ? instant {} : found->second;
+    return found == m_confirmedAt.end() ? std::nullopt : std::optional<instant>(found->second);
+}
+
+bool batch_ledger::mayBeginWork(const ledger_batch& batch, instant now) const
+{
+    const std::optional<instant> confirmed = confirmedAt(batch);
+    return batch.isOpen() && confirmed && now - *confirmed < maxAgeForWork;
 }
 
 void batch_ledger::insertIntoOrder(const ledger_batch& batch)
--- a/src/libs/rollout/batchledger.h
+++ b/src/libs/rollout/batchledger.h
@@ -89,19 +89,19 @@
 /// batch begins only while what is known of it is recent.
 class batch_ledger {
 public:
-    /// Work on a batch does not begin with older knowledge of it. With the time that a request may take to its replica this
-    /// stays under the three seconds after which the platform expects no more work on a batch that was ended.
-    static constexpr duration maxWorkAge = std::chrono::seconds(2);
+    /// Work on a batch does not begin with older knowledge of it. The platform expects no request for a batch later than three
+    /// seconds after its end; this leaves time for the request to reach its replica.
+    static constexpr duration maxAgeForWork = std::chrono::milliseconds(1500);
 
     /// Applies the next record of its batch; returns the batch that changed, or null. An acceptance gets the time
     /// \a learnedAt and the offset \a acceptedOffset.
     const ledger_batch* apply(const journal_record& record, instant learnedAt, std::uint64_t acceptedOffset = 0, std::uint32_t partition = 0);
-    /// Notes that all records of \a partition that were written until \a time have been applied.
+    /// Notes that all acceptances and ends in \a partition that were written until \a time are known.
     void setConfirmedAt(std::uint32_t partition, instant time) { m_confirmedAt[partition] = time; }
-    /// Time since which records of \a batch may have been written that are not applied; the epoch before anything was read.
-    instant confirmedAt(const ledger_batch& batch) const;
+    /// An end of \a batch that was written until this time is known; empty before its partition was read.
+    std::optional<instant> confirmedAt(const ledger_batch& batch) const;
     /// Whether requests for \a batch may be sent to replicas at \a now: it is open, and an end of it would be known.
-    bool mayBeginWork(const ledger_batch& batch, instant now) const { return batch.isOpen() && now - confirmedAt(batch) < maxWorkAge; }
+    bool mayBeginWork(const ledger_batch& batch, instant now) const;
 
     const ledger_batch* find(std::string_view id) const;
     /// Adds the contents that the record of an accepted batch left out. The batches of a model have to be loaded in
--- a/src/libs/rollout/itemscheduler.cpp
+++ b/src/libs/rollout/itemscheduler.cpp
@@ -235,6 +235,7 @@
         return;
     if (!knowsConfigurationOf(batch))
         return;
+    const bool mayBegin = m_ledger.mayBeginWork(batch, now);
     bool hasRoom = true;
     for (const std::size_t item : orderOf(batch)) {
         const item_text& progress = batch.items[item].progress;
@@ -257,7 +258,7 @@
         if (state.output.isComplete)
             complete({ batch.submission.id, item }, state, now);
         else
-            hasRoom = hasRoom && m_ledger.mayBeginWork(batch, now) && startItem(batch, item, *itemRoute, now);
+            hasRoom = mayBegin && hasRoom && startItem(batch, item, *itemRoute, now);
     }
 }
 
--- a/tests/auto/gateway/tst_batchhandler.cpp
+++ b/tests/auto/gateway/tst_batchhandler.cpp
@@ -1,6 +1,7 @@
 #include "memorylog.h"
 
 #include <gateway/batchhandler.h>
+#include <gateway/bootclock.h>
 
 #include <core/jsonreader.h>
 #include <net/httpclient.h>
@@ -191,6 +192,9 @@
 {
     handler_fixture fixture;
     CHECK(fixture.statusOf("DELETE", "/api/lots/b") == 404);
+    fixture.runUntil([&fixture] { return fixture.own.isEnded("b"); });
+    CHECK(fixture.statusOf("DELETE", "/api/lots/b") == 404);
+    CHECK(fixture.memory.records().size() == 1);
     fixture.accept("b");
     fixture.runUntil([&fixture] { return fixture.own.isListed("b"); });
     CHECK(fixture.own.isEnded("b"));
@@ -205,6 +209,25 @@
     CHECK_FALSE(later.ledger().find("b")->isOpen());
 }
 
+TEST_CASE("Ends of batches that are never accepted do not stay in the log for ever")
+{
+    for (const bool isRemover : { false, true }) {
+        DYNAMIC_SECTION((isRemover ? "by the holder of the first lease" : "by another daemon"))
+        {
+            handler_fixture fixture;
+            CHECK(fixture.statusOf("DELETE", "/api/lots/b") == 404);
+            fixture.runUntil([&fixture] { return fixture.own.isEnded("b"); });
+            fixture.own.forgetBefore(bootNow() + std::chrono::seconds(1), [isRemover](std::string_view model) { return isRemover && model.empty(); });
+            CHECK_FALSE(fixture.own.isEnded("b"));
+            fixture.runUntil([&fixture] { return fixture.own.pendingWrites() == 0; });
+            const std::vector<keyed_record>& records = fixture.memory.records();
+            REQUIRE(records.size() == (isRemover ? 2 : 1));
+            CHECK(records.back().key == records.front().key);
+            CHECK(records.back().value.has_value() == !isRemover);
+        }
+    }
+}
+
 TEST_CASE("A call on a batch that was accepted before the daemon started is answered from the records of that batch")
 {
     for (const call_case& row : callCases) {
--- a/tests/auto/rollout/tst_batchdirectory.cpp
+++ b/tests/auto/rollout/tst_batchdirectory.cpp
@@ -37,7 +37,7 @@
     directory.add("foreign", { "foreign", "other", 1 }, ++offset, {});
     CHECK(directory.missing({ "m" }) == accepted);
     for (const std::string& name : accepted)
-        directory.setEnded(name);
+        directory.setEnded(name, { name }, {});
     CHECK(directory.missing({ "m" }) == std::vector<std::string> { "b", "x" });
     directory.setFollowed("x", true);
     CHECK(directory.missing({ "m" }) == std::vector<std::string> { "b" });
@@ -60,7 +60,7 @@
             batch_directory directory;
             directory.add("b", { "b", "m", 1 }, 1, instant(duration(5)));
             if (row.isEnded)
-                directory.setEnded("b");
+                directory.setEnded("b", { "b" }, instant(duration(3)));
             directory.setFollowed("b", row.isFollowed);
             CHECK(directory.closedBefore(instant(duration(6))).empty() == !(row.isEnded && !row.isFollowed));
             CHECK(directory.closedBefore(instant(duration(5))).empty());
@@ -72,10 +72,14 @@
 TEST_CASE("The end of a batch was forgotten when it was read before the batch")
 {
     batch_directory directory;
-    directory.setEnded("b");
+    directory.setEnded("b", { "b" }, instant(duration(3)));
     CHECK_FALSE(directory.find("b"));
+    CHECK(directory.isEnded("b"));
+    CHECK(directory.earlyEndsBefore(instant(duration(3))).empty());
+    CHECK(directory.earlyEndsBefore(instant(duration(4))) == std::vector<std::string> { "b" });
     REQUIRE(directory.add("b", { "b", "m", 1 }, 10, {}));
     CHECK(directory.find("b")->isEnded);
+    CHECK(directory.earlyEndsBefore(instant(duration(4))).empty());
     directory.remove("b");
     REQUIRE(directory.add("b", { "b", "m", 1 }, 20, {}));
     CHECK_FALSE(directory.find("b")->isEnded);
--- a/tests/auto/rollout/tst_itemscheduler.cpp
+++ b/tests/auto/rollout/tst_itemscheduler.cpp
@@ -626,8 +626,8 @@
 const ledger_age_case ledgerAgeCases[] = {
     { "just confirmed", 0ms, true },
     { "briefly late", 400ms, true },
-    { "late", 1900ms, true },
-    { "behind", 2100ms, false },
+    { "late", 1400ms, true },
+    { "behind", 1600ms, false },
     { "cut off for long", 9s, false },
 };
 
@@ -658,9 +658,9 @@
     fixture.ledger.apply(batch_accepted { makeBatch("b", 1, 1) }, at(0ms));
     const start_run first = fixture.startOne(0ms);
     fixture.scheduler.onHead(first.run, 1);
-    fixture.feed(first.run, 1, "one", 2300ms);
-    fixture.scheduler.onEnd(first.run, run_end::Interrupted, at(2400ms));
-    CHECK(fixture.take<start_run>(2500ms).empty());
-    fixture.ledger.setConfirmedAt(0, at(2600ms));
-    CHECK(fixture.startOne(2700ms).afterEvent == 1);
+    fixture.feed(first.run, 1, "one", 1500ms);
+    fixture.scheduler.onEnd(first.run, run_end::Interrupted, at(1600ms));
+    CHECK(fixture.take<start_run>(1700ms).empty());
+    fixture.ledger.setConfirmedAt(0, at(1800ms));
+    CHECK(fixture.startOne(1900ms).afterEvent == 1);
 }
--- a/tests/auto/rollout/tst_rewardscheduler.cpp
+++ b/tests/auto/rollout/tst_rewardscheduler.cpp
@@ -503,7 +503,12 @@
     reward_fixture fixture(1);
     fixture.ledger.setConfirmedAt(0, at(0ms));
     fixture.rewards.add({ "b", 0 }, at(100ms));
-    CHECK(fixture.start(2100ms).empty());
-    fixture.ledger.setConfirmedAt(0, at(2100ms));
-    CHECK(fixture.start(2200ms).size() == 1);
+    CHECK(fixture.start(1600ms).empty());
+    fixture.ledger.setConfirmedAt(0, at(1600ms));
+    const std::vector<start_reward> first = fixture.start(1700ms);
+    REQUIRE(first.size() == 1);
+    fixture.rewards.onEnd(first[0].call, { reward_end::Interrupted, {} }, at(3s));
+    CHECK(fixture.start(3200ms).empty());
+    fixture.ledger.setConfirmedAt(0, at(3200ms));
+    CHECK(fixture.start(3300ms).size() == 1);
 }
