Gateway: Repeat appends without an answer more rarely and not in step

While the log did not answer, or refused records, all daemons repeated their appends to a partition exactly 0.15 s after each attempt ended.

Cause: partition_writer waited for a constant pause.

The pause is now random. It is 0.1 to 0.2 s at first, so 0.15 s on average as before; it doubles with each further attempt without an answer, up to 0.3 to 0.6 s, and any answer of the log leads back to the first one. A refusal is an answer: it is reported with it, as before, and a write that was queued behind it is tried within 0.2 s. Leases are renewed through the same class, hence the small bound; a first repetition may come 50 ms later or earlier than it did.

All writes are carried out within 1.22 s once the log answers.

--- a/src/libs/gateway/partitionwriter.h
+++ b/src/libs/gateway/partitionwriter.h
@@ -6,6 +6,7 @@
 
 #include <deque>
 #include <functional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -30,7 +31,9 @@
 /// Appends records to one partition of a topic, each exactly once.
 ///
 /// One append is in flight at a time; the writes that arrive meanwhile are batched into the next one. An append without
-/// an answer is sent again with the same epoch and sequence number, so the log carries it out once.
+/// an answer is sent again with the same epoch and sequence number, so the log carries it out once. The writers of a fleet
+/// lose their answers together, so the pause before the next attempt is random, and it grows up to a bound until the log
+/// answers.
 class partition_writer {
 public:
     /// Called once with the outcome; may be empty.
@@ -75,6 +78,9 @@
     bool m_isBusy = false;
     /// An append of the writes in flight had an unknown outcome, so a refusal of its repetition proves nothing.
     bool m_mayHaveBeenAppended = false;
+    /// Upper bound of the next pause; at least half of it passes.
+    duration m_longestPause;
+    std::minstd_rand m_random;
     std::uint64_t m_appends = 0;
     std::uint64_t m_failures = 0;
 };
--- a/tests/auto/gateway/tst_partitionwriter.cpp
+++ b/tests/auto/gateway/tst_partitionwriter.cpp
@@ -1,10 +1,16 @@
 #include "memorylog.h"
+#include "virtualtime.h"
 
 #include <gateway/partitionwriter.h>
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <memory>
+#include <set>
+
 using namespace ragwortreach;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -67,3 +73,168 @@
     REQUIRE(log.records().size() == 2);
     CHECK(log.records()[1].key == "b");
 }
+
+namespace {
+
+/// Log whose appends all end with the same outcome after the same time, and that notes when they were sent.
+class uniform_log : public shared_log {
+public:
+    uniform_log(virtual_time& time, append_status status, duration answerTime)
+        : m_time(time)
+        , m_status(status)
+        , m_answerTime(answerTime)
+    {
+    }
+
+    void append(const topic_partition&, const append_identity&, std::span<const keyed_record>, std::function<void(const append_outcome&)> onDone) override
+    {
+        m_sentAt.push_back(m_time.now());
+        m_time.callAfter(m_answerTime, [status = m_status, whenDone = std::move(onDone)] { whenDone({ status }); });
+    }
+    void read(const topic_partition&, const read_range&, std::function<void(const read_outcome&)>) override { }
+    void readNewest(const topic_partition&, std::string_view, std::function<void(const newest_outcome&)>) override { }
+
+    void setOutcome(append_status status, duration answerTime)
+    {
+        m_status = status;
+        m_answerTime = answerTime;
+    }
+    /// Times at which appends were sent, in order.
+    const std::vector<instant>& sentAt() const { return m_sentAt; }
+
+private:
+    virtual_time& m_time;
+    append_status m_status;
+    duration m_answerTime;
+    std::vector<instant> m_sentAt;
+};
+
+/// Time-out of an append.
+constexpr duration noAnswerTime = 600ms;
+constexpr duration promptAnswerTime = 10ms;
+constexpr std::size_t fleetWriters = 187;
+
+/// Largest number of \a times within \a window; they are in order.
+std::ptrdiff_t mostWithin(std::span<const instant> times, duration window)
+{
+    std::ptrdiff_t most = 0;
+    for (std::span<const instant>::iterator first = times.begin(); first != times.end(); ++first)
+        most = std::max(most, std::lower_bound(first, times.end(), *first + window) - first);
+    return most;
+}
+
+struct fleet_case {
+    const char* name;
+    append_status status;
+    duration answerTime;
+    std::size_t mostPerSecond;
+};
+
+const fleet_case fleetCases[] = {
+    { "no answer", append_status::Unknown, noAnswerTime, fleetWriters },
+    { "refused", append_status::Refused, promptAnswerTime, 1250 },
+};
+
+}
+
+// LOST: writers whose appends got no answer repeated them in step.
+TEST_CASE("Appends of a fleet were repeated in step while the log did not answer")
+{
+    constexpr duration settling = 5s;
+    constexpr std::chrono::seconds measured { 10 };
+    constexpr duration step = 10ms;
+    constexpr std::ptrdiff_t mostInStep = 40;
+    for (const fleet_case& row : fleetCases) {
+        DYNAMIC_SECTION(row.name)
+        {
+            boost::asio::io_context context;
+            virtual_time time(context);
+            uniform_log log(time, row.status, row.answerTime);
+            std::vector<std::unique_ptr<partition_writer>> writers;
+            std::size_t done = 0;
+            for (std::size_t number = 0; number < fleetWriters; ++number) {
+                writers.push_back(std::make_unique<partition_writer>(context, log, topic_partition { "topic", 0 }, std::to_string(number)));
+                writers.back()->write({ { "a", "1", 0 } }, write_mode::RetryOnRefusal, [&done](const append_report&) { ++done; });
+            }
+            time.advance(settling);
+            const std::size_t before = log.sentAt().size();
+            time.advance(measured);
+            const std::span<const instant> sent = std::span(log.sentAt()).subspan(before);
+            CAPTURE(sent.size(), mostWithin(sent, step));
+            CHECK(sent.size() <= row.mostPerSecond * measured.count());
+            CHECK(mostWithin(sent, step) <= mostInStep);
+            log.setOutcome(append_status::Done, promptAnswerTime);
+            // The rest of a time-out, the longest pause, and the answer.
+            time.advance(noAnswerTime + 600ms + 2 * promptAnswerTime);
+            CHECK(done == fleetWriters);
+        }
+    }
+}
+
+namespace {
+
+struct pause_case {
+    const char* name;
+    std::vector<append_status> outcomes;
+    duration shortest;
+    duration longest;
+};
+
+const pause_case pauseCases[] = {
+    { "first without an answer", { append_status::Unknown }, 100ms, 200ms },
+    { "second without an answer", { append_status::Unknown, append_status::Unknown }, 200ms, 400ms },
+    { "many without an answer", std::vector<append_status>(40, append_status::Unknown), 300ms, 600ms },
+    { "many refused", std::vector<append_status>(40, append_status::Refused), 100ms, 200ms },
+    { "without an answer after a refusal", { append_status::Unknown, append_status::Unknown, append_status::Refused, append_status::Unknown }, 100ms, 200ms },
+    { "without an answer after a success", { append_status::Unknown, append_status::Unknown, append_status::Done, append_status::Unknown }, 100ms, 200ms },
+};
+
+}
+
+TEST_CASE("The pause before an append is repeated grows while there is no answer, and is random")
+{
+    // Timers run at multiples of 1 ms.
+    constexpr duration tolerance = 2ms;
+    constexpr int writersPerCase = 20;
+    for (const pause_case& row : pauseCases) {
+        DYNAMIC_SECTION(row.name)
+        {
+            std::set<duration> pauses;
+            for (int number = 0; number < writersPerCase; ++number) {
+                boost::asio::io_context context;
+                virtual_time time(context);
+                uniform_log log(time, row.outcomes.front(), promptAnswerTime);
+                partition_writer writer(context, log, { "topic", 0 }, "producer");
+                writer.write({ { "a", "1", 0 } }, write_mode::RetryOnRefusal, {});
+                writer.write({ { "b", "2", 0 } }, write_mode::RetryOnRefusal, {});
+                for (std::size_t sent = 1; sent <= row.outcomes.size(); ++sent) {
+                    if (sent < row.outcomes.size())
+                        log.setOutcome(row.outcomes[sent], promptAnswerTime);
+                    while (log.sentAt().size() <= sent)
+                        time.advance(1ms);
+                }
+                pauses.insert(log.sentAt().back() - log.sentAt()[row.outcomes.size() - 1] - promptAnswerTime);
+            }
+            CHECK(*pauses.begin() >= row.shortest);
+            CHECK(*pauses.rbegin() <= row.longest + tolerance);
+            CHECK(pauses.size() > 1);
+        }
+    }
+}
+
+TEST_CASE("A refusal is reported with its answer, also after many")
+{
+    boost::asio::io_context context;
+    virtual_time time(context);
+    uniform_log log(time, append_status::Refused, promptAnswerTime);
+    partition_writer writer(context, log, { "topic", 0 }, "producer");
+    for (int round = 0; round < 40; ++round) {
+        const std::size_t before = log.sentAt().size();
+        std::optional<append_status> reported;
+        writer.write({ { "a", "1", 0 } }, write_mode::FailOnRefusal, [&reported](const append_report& report) { reported = report.status; });
+        while (log.sentAt().size() == before)
+            time.advance(1ms);
+        time.advance(promptAnswerTime);
+        CHECK(reported == append_status::Refused);
+    }
+}
