Tests: Show how many reward calls are made while none is scored

An open row of the postmortem: reward calls without an answer have no count of attempts. The platform lets an item be abandoned only after failures, so they are repeated without an end, and no test said how often.

No code is changed, since pauses of up to 1.6 s and the limit for each service bound the calls already.

--- a/tests/auto/rollout/tst_rewardscheduler.cpp
+++ b/tests/auto/rollout/tst_rewardscheduler.cpp
@@ -6,6 +6,8 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <algorithm>
+#include <map>
 #include <set>
 
 using namespace ragwortreach;
@@ -507,3 +509,78 @@
     fixture.ledger.setConfirmedAt(0, at(2100ms));
     CHECK(fixture.start(2200ms).size() == 1);
 }
+
+namespace {
+
+/// Item scheduling runs at least this often.
+constexpr std::chrono::milliseconds scheduleInterval { 10 };
+constexpr std::size_t unansweredItems = 100;
+
+/// Way in which the reward calls of a service end while none of them is scored.
+struct unscored_case {
+    const char* name;
+    reward_end end;
+    std::chrono::milliseconds duration;
+    /// Most calls in a second, after ten seconds, of all items together and of one item.
+    std::size_t mostOfService;
+    std::size_t mostOfItem;
+};
+
+const unscored_case unscoredCases[] = {
+    { "no answer within the time-out", reward_end::Interrupted, 1s, 2, 1 },
+    { "connection closed at once", reward_end::Interrupted, 1ms, 70, 1 },
+    { "unreachable at once", reward_end::Unreachable, 1ms, 70, 1 },
+    { "unreachable within the time-out", reward_end::Unreachable, 1s, 5, 1 },
+    { "not run", reward_end::NotRun, 1ms, 20, 20 },
+};
+
+/// Reward calls in a period during which none is scored.
+struct call_count {
+    std::size_t ofService = 0;
+    std::map<std::size_t, std::size_t> ofItems;
+};
+
+call_count callsWithoutScore(reward_fixture& fixture, const unscored_case& row, std::chrono::milliseconds from, std::chrono::milliseconds to)
+{
+    call_count count;
+    std::multimap<std::chrono::milliseconds, reward_number> open;
+    for (std::chrono::milliseconds time { 0 }; time < to; time += scheduleInterval) {
+        while (!open.empty() && open.begin()->first <= time) {
+            fixture.rewards.onEnd(open.begin()->second, { row.end, {} }, at(open.begin()->first));
+            open.erase(open.begin());
+        }
+        for (const start_reward& started : fixture.start(time)) {
+            open.emplace(time + row.duration, started.call);
+            if (time < from)
+                continue;
+            ++count.ofService;
+            ++count.ofItems[started.key.item];
+        }
+    }
+    return count;
+}
+
+}
+
+TEST_CASE("Reward calls that are never scored are repeated without an end, but at a bounded rate")
+{
+    constexpr std::chrono::seconds before { 10 };
+    constexpr std::chrono::seconds measured { 20 };
+    for (const unscored_case& row : unscoredCases) {
+        DYNAMIC_SECTION(row.name)
+        {
+            reward_fixture fixture(unansweredItems);
+            for (std::size_t item = 0; item < unansweredItems; ++item)
+                fixture.rewards.add({ "b", item }, at(0ms));
+            const call_count count = callsWithoutScore(fixture, row, before, before + measured);
+            std::size_t mostOfItem = 0;
+            for (const std::pair<const std::size_t, std::size_t>& item : count.ofItems)
+                mostOfItem = std::max(mostOfItem, item.second);
+            CAPTURE(count.ofService, mostOfItem, count.ofItems.size());
+            CHECK(count.ofService > 0);
+            CHECK(count.ofService <= row.mostOfService * measured.count());
+            CHECK(mostOfItem <= row.mostOfItem * measured.count());
+            CHECK(fixture.rewards.waiting() == unansweredItems);
+        }
+    }
+}
