Tests: Measure the claims of a fleet that reads the leases late

An open row of the postmortem: claims of a lease by all daemons at once while records are read late. It was worked out as 400 appends; nothing measured it.

400 daemons, one lease, virtual time, all reading in step; claims of a free lease and of the lease after its holder's release:

read every 0 s 0.12 s 0.4 s 0.8 s 1.4 s 3 s free 1 101 389 789 1375 1481 released 1 100 388 787 1371 1477

So it is more than was thought: a daemon claims again every 0.4 s, since it does not wait until it has read its own claim. The row stays open, and no code is changed here; the bounds of the test are those of the present code and are to be lowered with the mend. With one claim for each daemon and lease (400) the last three rows of the table fail.

--- a/tests/auto/rollout/tst_leaseagent.cpp
+++ b/tests/auto/rollout/tst_leaseagent.cpp
@@ -594,3 +594,46 @@
         }
     }));
 }
+
+namespace {
+
+/// Fleet in which each daemon reads all new records at an interval, so late by up to that time.
+struct late_read_case {
+    const char* name;
+    std::chrono::milliseconds readInterval;
+    std::size_t mostClaims;
+};
+
+// A daemon does not wait until it has read its own claim before it claims again, hence more claims than daemons.
+const late_read_case lateReads[] = {
+    { "at once", 0ms, 2 },
+    { "120 ms", 120ms, 120 },
+    { "400 ms", 400ms, 400 },
+    { "800 ms", 800ms, 800 },
+    { "1400 ms", 1400ms, 1400 },
+    { "3 s", 3s, 1500 },
+};
+
+}
+
+TEST_CASE("Claims of a free and of a released lease by a large fleet that reads the records late")
+{
+    for (const late_read_case& row : lateReads) {
+        DYNAMIC_SECTION(row.name)
+        {
+            lease_simulation simulation(400);
+            simulation.setReadInterval(row.readInterval);
+            simulation.advance(8s);
+            std::size_t holder = 0;
+            while (!simulation[holder].agent.isHeld(lease))
+                ++holder;
+            const std::size_t first = simulation.claims();
+            simulation.release(simulation[holder]);
+            simulation.advance(8s);
+            const std::size_t later = simulation.claims() - first;
+            CAPTURE(first, later);
+            CHECK(first <= row.mostClaims);
+            CHECK(later <= row.mostClaims);
+        }
+    }
+}
