--- a/tests/auto/rollout/tst_leaseagent.cpp
+++ b/tests/auto/rollout/tst_leaseagent.cpp
@@ -601,27 +601,27 @@
 struct late_read_case {
     const char* name;
     std::chrono::milliseconds readInterval;
-    std::size_t mostClaims;
 };
 
-// A daemon does not wait until it has read its own claim before it claims again, hence more claims than daemons.
 const late_read_case lateReads[] = {
-    { "at once", 0ms, 2 },
-    { "120 ms", 120ms, 120 },
-    { "400 ms", 400ms, 400 },
-    { "800 ms", 800ms, 800 },
-    { "1400 ms", 1400ms, 1400 },
-    { "3 s", 3s, 1500 },
+    { "at once", 0ms },
+    { "120 ms", 120ms },
+    { "400 ms", 400ms },
+    { "800 ms", 800ms },
+    { "1400 ms", 1400ms },
+    { "3 s", 3s },
 };
 
 }
 
-TEST_CASE("Claims of a free and of a released lease by a large fleet that reads the records late")
+// Overload: a daemon claims again before it has read its own claim.
+TEST_CASE("Daemons claimed a lease several times while they read the records late", "[.known-red]")
 {
+    constexpr std::size_t daemons = 400;
     for (const late_read_case& row : lateReads) {
         DYNAMIC_SECTION(row.name)
         {
-            lease_simulation simulation(400);
+            lease_simulation simulation(daemons);
             simulation.setReadInterval(row.readInterval);
             simulation.advance(8s);
             std::size_t holder = 0;
@@ -632,8 +632,8 @@
             simulation.advance(8s);
             const std::size_t later = simulation.claims() - first;
             CAPTURE(first, later);
-            CHECK(first <= row.mostClaims);
-            CHECK(later <= row.mostClaims);
+            CHECK(first <= daemons);
+            CHECK(later <= daemons);
         }
     }
 }
