--- a/tests/auto/gateway/journalfleet.cpp
+++ b/tests/auto/gateway/journalfleet.cpp
@@ -13,9 +13,9 @@
     m_journal.setPollInterval(idlePollIntervals.journal);
 }
 
-journal_fleet::journal_fleet(std::size_t size, std::uint64_t bytesPerSecond)
+journal_fleet::journal_fleet(std::size_t size, std::uint64_t bytesPerSecond, duration history)
     : m_time(m_context)
-    , m_log(m_time, { bytesPerSecond * size })
+    , m_log(m_time, { bytesPerSecond * size, rated_log_options().callTime, history })
     , m_writer(*this, "vm-99999-1764979200000000")
 {
     for (std::size_t number = 0; number < size; ++number)
--- a/tests/auto/gateway/journalfleet.h
+++ b/tests/auto/gateway/journalfleet.h
@@ -31,8 +31,8 @@
         journal m_journal;
     };
 
-    /// The log gives out \a bytesPerSecond for each of \a size daemons.
-    journal_fleet(std::size_t size, std::uint64_t bytesPerSecond);
+    /// The log gives out \a bytesPerSecond for each of \a size daemons, and drops records of the age \a history.
+    journal_fleet(std::size_t size, std::uint64_t bytesPerSecond, duration history = rated_log_options().history);
 
     /// Starts all daemons of the fleet at the same time.
     void start();
