--- a/tests/auto/gateway/tst_staleowners.cpp
+++ b/tests/auto/gateway/tst_staleowners.cpp
@@ -208,7 +208,7 @@
     {
         const duration age = m_daemon.age();
         m_greatestAge = std::max(m_greatestAge, age);
-        if (m_greatestAge >= batch_ledger::maxWorkAge && age <= maxAge && !m_caughtUpAt)
+        if (m_greatestAge >= batch_ledger::maxAgeForWork && age <= maxAge && !m_caughtUpAt)
             m_caughtUpAt = m_time.now();
     }
 
@@ -437,7 +437,7 @@
 void checkWorkGoesOn(const owner_fleet& fleet)
 {
     for (const std::unique_ptr<model_owner>& owner : fleet.owners()) {
-        CHECK(owner->greatestAge() < batch_ledger::maxWorkAge);
+        CHECK(owner->greatestAge() < batch_ledger::maxAgeForWork);
         CHECK(fleet.longestPause(*owner, work_kind::Run) <= longestPauseOfWork);
     }
 }
