--- a/tests/auto/gateway/memorylog.cpp
+++ b/tests/auto/gateway/memorylog.cpp
@@ -1,9 +1,11 @@
 #include "memorylog.h"
 
+#include <gateway/bootclock.h>
+
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <memory>
+#include <utility>
 
 namespace ragwortreach {
 
@@ -124,12 +126,18 @@
         boost::asio::post(m_context, std::move(answer));
         return;
     }
-    const std::shared_ptr<boost::asio::steady_timer> timer = std::make_shared<boost::asio::steady_timer>(m_context, delay);
+    const std::shared_ptr<boot_timer> timer = std::make_shared<boot_timer>(m_context, delay);
     timer->async_wait([timer, whenDue = std::move(answer)](const boost::system::error_code&) { whenDue(); });
 }
 
 void memory_log::readNewest(const topic_partition& topicPartition, std::string_view afterKey, std::function<void(const newest_outcome&)> onDone)
 {
+    ++m_pageRequests;
+    if (m_silentPages > 0) {
+        --m_silentPages;
+        answerAfter(longestAnswerTime, [whenDone = std::move(onDone)] { whenDone({}); });
+        return;
+    }
     std::map<std::string, keyed_record> newest;
     const std::vector<keyed_record>& records = partitionOf(topicPartition).records;
     for (const keyed_record& record : records) {
--- a/tests/auto/gateway/memorylog.h
+++ b/tests/auto/gateway/memorylog.h
@@ -45,6 +45,8 @@
     void setSilent(bool isSilent) { m_isSilent = isSilent; }
     /// Time until reads by offset are answered.
     void setReadDelay(duration delay) { m_readDelay = delay; }
+    /// The next \a count pages get no answer within their time.
+    void setSilentPages(std::size_t count) { m_silentPages = count; }
     /// Time until pages are answered.
     void setPageDelay(duration delay) { m_pageDelay = delay; }
     /// Largest page, in records and in bytes of their values.
@@ -61,6 +63,8 @@
     }
     /// Number of pages read with success.
     std::size_t pages() const { return m_pages; }
+    /// Number of pages requested.
+    std::size_t pageRequests() const { return m_pageRequests; }
     /// Drops the history, so that reads by offset expire; the newest record of each key stays.
     void compact();
     /// Appends a record to the partition that is used first.
@@ -107,6 +111,8 @@
     std::size_t m_askedBytes = 0;
     duration m_lastSlack {};
     std::size_t m_pages = 0;
+    std::size_t m_pageRequests = 0;
+    std::size_t m_silentPages = 0;
     /// Small, so that tests read several pages.
     std::size_t m_pageRecords = 3;
     std::size_t m_pageBytes = std::numeric_limits<std::size_t>::max();
--- a/tests/auto/gateway/tst_topicfollower.cpp
+++ b/tests/auto/gateway/tst_topicfollower.cpp
@@ -1,4 +1,5 @@
 #include "memorylog.h"
+#include "virtualtime.h"
 
 #include <gateway/topicfollower.h>
 
@@ -59,6 +60,17 @@
     std::size_t deliveredAtConfirmation = 0;
 };
 
+/// The same in virtual time.
+struct timed_follower_fixture : follower_fixture {
+    void putKeys(std::size_t count)
+    {
+        for (std::size_t number = 0; number < count; ++number)
+            log.put("key-" + std::to_string(100 + number), "value");
+    }
+
+    virtual_time time { context };
+};
+
 }
 
 TEST_CASE("A follower reads all pages and continues with the tail")
@@ -207,3 +219,39 @@
     CHECK(fixture.log.reads() == 5);
     CHECK(fixture.follower.backlog() == 0);
 }
+
+// The further request is due after 1 s, and the next one 2 s later.
+TEST_CASE("A follower stayed behind for five seconds since a page got no answer", "[.known-red]")
+{
+    const std::size_t silentPages = GENERATE(1U, 2U);
+    const std::size_t pagesBefore = GENERATE(0U, 1U);
+    CAPTURE(silentPages, pagesBefore);
+    timed_follower_fixture fixture;
+    fixture.putKeys(9);
+    fixture.log.setPageDelay(std::chrono::milliseconds(100));
+    if (pagesBefore == 0)
+        fixture.log.setSilentPages(silentPages);
+    fixture.follower.start();
+    fixture.time.advance(std::chrono::milliseconds(50));
+    if (pagesBefore > 0)
+        fixture.log.setSilentPages(silentPages);
+    fixture.time.advance(std::chrono::milliseconds(silentPages == 1 ? 1400 : 3400));
+    CHECK(fixture.follower.isReady());
+    CHECK(fixture.values.size() == 9);
+    CHECK(fixture.deliveredOffsets == std::vector<std::uint64_t> { 0, 1, 2, 3, 4, 5, 6, 7, 8 });
+}
+
+TEST_CASE("A follower stayed behind for five seconds since a page after a dropped history got no answer", "[.known-red]")
+{
+    timed_follower_fixture fixture;
+    fixture.log.put("a", "1");
+    fixture.follower.start();
+    fixture.time.advance(std::chrono::milliseconds(50));
+    REQUIRE(fixture.snapshots == 1);
+    fixture.log.put("a", "2");
+    fixture.log.compact();
+    fixture.log.setSilentPages(1);
+    fixture.time.advance(std::chrono::milliseconds(1200));
+    CHECK(fixture.snapshots == 2);
+    CHECK(fixture.values.at("a") == "2");
+}
