--- a/tests/auto/gateway/memorylog.h
+++ b/tests/auto/gateway/memorylog.h
@@ -35,7 +35,7 @@
     void append(const topic_partition& topicPartition, const append_identity& identity, std::span<const keyed_record> records,
         std::function<void(const append_outcome&)> onDone) override;
     void read(const topic_partition& topicPartition, const read_range& range, std::function<void(const read_outcome&)> onDone) override;
-    void readNewest(const topic_partition& topicPartition, std::string_view afterKey, std::function<void(const newest_outcome&)> onDone) override;
+    void readNewest(const topic_partition& topicPartition, const newest_range& range, std::function<void(const newest_outcome&)> onDone) override;
 
     /// Faults of the next appends, in order.
     void setFaults(std::vector<append_fault> faults);
@@ -45,6 +45,8 @@
     void setSilent(bool isSilent) { m_isSilent = isSilent; }
     /// Time until reads by offset are answered.
     void setReadDelay(duration delay) { m_readDelay = delay; }
+    /// The next \a count pages get no answer within their time.
+    void setSilentPages(std::size_t count) { m_silentPages = count; }
     /// Time until pages are answered.
     void setPageDelay(duration delay) { m_pageDelay = delay; }
     /// Largest page, in records and in bytes of their values.
@@ -61,6 +63,10 @@
     }
     /// Number of pages read with success.
     std::size_t pages() const { return m_pages; }
+    /// Number of pages requested.
+    std::size_t pageRequests() const { return m_pageRequests; }
+    /// Of these, those that were not to use an open connection.
+    std::size_t newPageConnections() const { return m_newPageConnections; }
     /// Drops the history, so that reads by offset expire; the newest record of each key stays.
     void compact();
     /// Appends a record to the partition that is used first.
@@ -107,6 +113,9 @@
     std::size_t m_askedBytes = 0;
     duration m_lastSlack {};
     std::size_t m_pages = 0;
+    std::size_t m_pageRequests = 0;
+    std::size_t m_newPageConnections = 0;
+    std::size_t m_silentPages = 0;
     /// Small, so that tests read several pages.
     std::size_t m_pageRecords = 3;
     std::size_t m_pageBytes = std::numeric_limits<std::size_t>::max();
