--- a/tests/auto/gateway/tst_staleowners.cpp
+++ b/tests/auto/gateway/tst_staleowners.cpp
@@ -35,7 +35,6 @@
 /// How far the journals of owners have to be behind in the cases in which no work may begin.
 constexpr duration leastAgeBehind = 4s;
 
-constexpr const char* rewardService = "swap-app";
 constexpr const char* slowReplica = "slow";
 constexpr std::uint64_t eventsPerItem = 8;
 constexpr duration scheduleInterval = 20ms;
@@ -75,25 +74,6 @@
     return batch;
 }
 
-/// Configuration of makeConfiguration() with a plain service for rewards.
-route_configuration configurationFor(const std::string& model)
-{
-    route_configuration configuration = makeConfiguration({ model }, 2);
-    route rewards;
-    rewards.name = "rewards";
-    rewards.host = "rewards.example";
-    rewards.pathPrefix = "/score/";
-    rewards.timeout = 2s;
-    rewards.objective = 400ms;
-    rewards.targets = { { rewardService, 1 } };
-    rewards.maxAttempts = 3;
-    configuration.routes.push_back(rewards);
-    service_definition service;
-    service.name = rewardService;
-    configuration.services.push_back(service);
-    return configuration;
-}
-
 enum class work_kind {
     Run,
     /// Run that continues a text at another replica.
@@ -119,7 +99,7 @@
         , m_scheduler(daemon.batches().ledger(), m_pool, m_routes)
     {
         m_daemon.batches().setPollInterval(activePollIntervals.journal);
-        m_routes.setConfiguration(configurationFor(m_model));
+        m_routes.setConfiguration(makeRewardConfiguration({ m_model }, 2));
         for (const char* id : { "r1", "r2", slowReplica }) {
             replica_entry engine = makeReplica(id, "north-a", 1);
             engine.weights = { { m_model, 1 } };
@@ -127,7 +107,7 @@
         }
         for (const char* id : { "s1", "s2" }) {
             replica_entry scorer = makeReplica(id, "north-a", 1);
-            scorer.service = rewardService;
+            scorer.service = testRewardService;
             scorer.weights.clear();
             m_pool.update(scorer);
         }
--- a/tests/auto/rollout/rolloutfixture.cpp
+++ b/tests/auto/rollout/rolloutfixture.cpp
@@ -40,6 +40,24 @@
     return configuration;
 }
 
+route_configuration makeRewardConfiguration(std::vector<std::string> models, std::uint32_t slots)
+{
+    route_configuration configuration = makeConfiguration(std::move(models), slots);
+    route rewards;
+    rewards.name = "rewards";
+    rewards.host = "rewards.example";
+    rewards.pathPrefix = "/score/";
+    rewards.timeout = std::chrono::seconds(2);
+    rewards.objective = std::chrono::milliseconds(400);
+    rewards.targets = { { testRewardService, 1 } };
+    rewards.maxAttempts = 3;
+    configuration.routes.push_back(rewards);
+    service_definition service;
+    service.name = testRewardService;
+    configuration.services.push_back(service);
+    return configuration;
+}
+
 batch_submission makeBatch(const std::string& id, std::size_t groups, std::size_t size)
 {
     batch_submission batch;
--- a/tests/auto/rollout/rolloutfixture.h
+++ b/tests/auto/rollout/rolloutfixture.h
@@ -10,6 +10,7 @@
 
 inline constexpr const char* testService = "pattern-chat";
 inline constexpr const char* testModel = "lace-7b";
+inline constexpr const char* testRewardService = "swap-app";
 
 /// Point in virtual time, \a time after its start.
 instant at(std::chrono::milliseconds time);
@@ -19,6 +20,9 @@
 /// Configuration with one service of engines that serve \a models, and one rollout route /lots/ to it.
 route_configuration makeConfiguration(std::vector<std::string> models, std::uint32_t slots);
 
+/// The same with a plain service for rewards and a route to it.
+route_configuration makeRewardConfiguration(std::vector<std::string> models, std::uint32_t slots);
+
 /// Time of confirmation with which a ledger counts as up to date throughout a test.
 inline constexpr instant alwaysConfirmed = instant::max();
 
--- a/tests/auto/rollout/tst_rewardscheduler.cpp
+++ b/tests/auto/rollout/tst_rewardscheduler.cpp
@@ -15,32 +15,12 @@
 
 namespace {
 
-constexpr const char* rewardService = "swap-app";
 constexpr std::uint32_t rewardSlots = 6;
 
-/// Configuration of makeConfiguration() with a plain service for rewards.
-route_configuration rewardConfiguration(std::vector<std::string> models, std::uint32_t engineSlots)
-{
-    route_configuration configuration = makeConfiguration(std::move(models), engineSlots);
-    route rewards;
-    rewards.name = "rewards";
-    rewards.host = "rewards.example";
-    rewards.pathPrefix = "/score/";
-    rewards.timeout = 2s;
-    rewards.objective = 400ms;
-    rewards.targets = { { rewardService, 1 } };
-    rewards.maxAttempts = 3;
-    configuration.routes.push_back(rewards);
-    service_definition service;
-    service.name = rewardService;
-    configuration.services.push_back(service);
-    return configuration;
-}
-
 replica_entry rewardReplica(const std::string& id)
 {
     replica_entry entry = makeReplica(id, "north-a", 1);
-    entry.service = rewardService;
+    entry.service = testRewardService;
     entry.slots = rewardSlots;
     entry.weights.clear();
     return entry;
@@ -60,7 +40,7 @@
         : pool("north-a")
         , rewards(ledger, pool, routes)
     {
-        routes.setConfiguration(rewardConfiguration(std::move(models), 8));
+        routes.setConfiguration(makeRewardConfiguration(std::move(models), 8));
         for (const char* id : { "s1", "s2", "s3" })
             pool.update(rewardReplica(id));
         ledger.setConfirmedAt(0, alwaysConfirmed);
@@ -235,7 +215,7 @@
     without.version = 2;
     fixture.routes.setConfiguration(without);
     CHECK(fixture.start(0ms).empty());
-    route_configuration moved = rewardConfiguration({ testModel }, 8);
+    route_configuration moved = makeRewardConfiguration({ testModel }, 8);
     moved.version = 3;
     moved.routes.back().targets = { { "other-app", 1 } };
     fixture.routes.setConfiguration(moved);
@@ -257,7 +237,7 @@
         : m_pool("north-a")
         , m_scheduler(m_ledger, m_pool, m_routes)
     {
-        m_routes.setConfiguration(rewardConfiguration({ testModel }, 4));
+        m_routes.setConfiguration(makeRewardConfiguration({ testModel }, 4));
         m_pool.update(makeReplica("r1", "north-a", 1));
         m_pool.update(makeReplica("r2", "north-a", 1));
         for (const char* id : { "s1", "s2", "s3" })
@@ -363,7 +343,7 @@
     owner_with_whole_text()
         : owner(ledger, pool, routes)
     {
-        routes.setConfiguration(rewardConfiguration({ testModel }, 4));
+        routes.setConfiguration(makeRewardConfiguration({ testModel }, 4));
         pool.update(makeReplica("r1", "north-a", 1));
         pool.update(rewardReplica("s1"));
         ledger.setConfirmedAt(0, alwaysConfirmed);
@@ -466,7 +446,7 @@
             batch_ledger ledger;
             replica_pool pool("north-a");
             route_table routes;
-            routes.setConfiguration(rewardConfiguration({ testModel }, 4));
+            routes.setConfiguration(makeRewardConfiguration({ testModel }, 4));
             pool.update(rewardReplica("s1"));
             ledger.setConfirmedAt(0, alwaysConfirmed);
             ledger.apply(batch_accepted { rewardBatch("b", 1, 1) }, at(0ms));
