Gateway: Share the random pause of followers and writers

The mend of the appends wrote the pause of topic_follower again: a random time between half of a bound and the bound, which doubles with each failure in a row. retry_pause serves both now. Bounds and what counts as a failure are the same: 0.15 to 0.6 s for reads, 0.2 to 0.6 s for appends, back to the first after an answer. tst_gateway's cases on pauses pass unchanged.

--- a/src/libs/gateway/partitionwriter.cpp
+++ b/src/libs/gateway/partitionwriter.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-    /// Longest pause before a first repetition; it doubles with each further one until the log answers.
     constexpr duration firstRetryPause = std::chrono::milliseconds(200);
     /// Leases are renewed through this class, and results wait for it, so the pause stays short.
     constexpr duration maxRetryPause = std::chrono::milliseconds(600);
@@ -32,8 +31,7 @@
     , m_topicPartition(std::move(topicPartition))
     , m_identity { std::move(producer), 1, 0 }
     , m_timer(context)
-    , m_longestPause(firstRetryPause)
-    , m_random(std::random_device {}())
+    , m_retryPause(firstRetryPause, maxRetryPause)
 {
 }
 
@@ -84,8 +82,10 @@
 
 void partition_writer::onAppendDone(const append_outcome& outcome)
 {
-    if (outcome.status != append_status::Unknown)
-        m_longestPause = firstRetryPause;
+    if (outcome.status == append_status::Unknown)
+        m_retryPause.noteFailure();
+    else
+        m_retryPause.reset();
     switch (outcome.status) {
     case append_status::Done:
         complete(outcome.firstOffset);
@@ -101,7 +101,6 @@
         m_mayHaveBeenAppended = true;
         reportUnknown();
         retryLater();
-        m_longestPause = std::min(maxRetryPause, m_longestPause * 2);
         return;
     case append_status::WrongSequence:
         if (outcome.expectedSequence > m_identity.sequence) {
@@ -157,8 +156,7 @@
 
 void partition_writer::retryLater()
 {
-    std::uniform_int_distribution<duration::rep> pause(m_longestPause.count() / 2, m_longestPause.count());
-    m_timer.expires_after(duration(pause(m_random)));
+    m_timer.expires_after(m_retryPause.next());
     m_timer.async_wait([this](const boost::system::error_code& error) {
         if (error)
             return;
--- a/src/libs/gateway/partitionwriter.h
+++ b/src/libs/gateway/partitionwriter.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "bootclock.h"
+#include "retrypause.h"
 
 #include <rollout/sharedlog.h>
 
 #include <deque>
 #include <functional>
-#include <random>
 #include <string>
 #include <vector>
 
@@ -78,9 +78,7 @@
     bool m_isBusy = false;
     /// An append of the writes in flight had an unknown outcome, so a refusal of its repetition proves nothing.
     bool m_mayHaveBeenAppended = false;
-    /// Upper bound of the next pause; at least half of it passes.
-    duration m_longestPause;
-    std::minstd_rand m_random;
+    retry_pause m_retryPause;
     std::uint64_t m_appends = 0;
     std::uint64_t m_failures = 0;
 };
--- a/src/libs/gateway/topicfollower.cpp
+++ b/src/libs/gateway/topicfollower.cpp
@@ -9,7 +9,7 @@
 
 namespace {
     constexpr duration firstRetryPause = std::chrono::milliseconds(150);
-    constexpr std::uint32_t maxRetryDoublings = 2;
+    constexpr duration maxRetryPause = std::chrono::milliseconds(600);
     constexpr duration minPatience = std::chrono::milliseconds(300);
     constexpr duration maxPatience = std::chrono::milliseconds(900);
     /// Factor for the patience after each read that was answered in time.
@@ -28,7 +28,7 @@
     , m_handlers(std::move(handlers))
     , m_timer(context)
     , m_patience(minPatience)
-    , m_random(std::random_device {}())
+    , m_retryPause(firstRetryPause, maxRetryPause)
 {
 }
 
@@ -188,14 +188,15 @@
     if (m_isRegaining)
         m_regainedAt = bootNow();
     m_isFailing = !isDone;
-    m_failuresInRow = isDone ? 0 : m_failuresInRow + 1;
+    if (isDone)
+        m_retryPause.reset();
+    else
+        m_retryPause.noteFailure();
 }
 
 void topic_follower::retryLater(void (topic_follower::*step)())
 {
-    const duration longest = firstRetryPause * (1U << std::min(m_failuresInRow - 1, maxRetryDoublings));
-    std::uniform_int_distribution<duration::rep> pause(longest.count() / 2, longest.count());
-    m_timer.expires_after(duration(pause(m_random)));
+    m_timer.expires_after(m_retryPause.next());
     m_timer.async_wait([this, step](const boost::system::error_code& error) {
         if (!error)
             (this->*step)();
--- a/src/libs/gateway/topicfollower.h
+++ b/src/libs/gateway/topicfollower.h
@@ -2,13 +2,13 @@
 
 #include "bootclock.h"
 #include "newestpages.h"
+#include "retrypause.h"
 
 #include <rollout/sharedlog.h>
 
 #include <algorithm>
 #include <cstdint>
 #include <functional>
-#include <random>
 #include <span>
 
 namespace ragwortreach {
@@ -128,10 +128,9 @@
     bool m_isRegaining = false;
     /// Number of the last read whose answer came after it was overtaken.
     std::uint64_t m_lastLate = 0;
-    std::uint32_t m_failuresInRow = 0;
     /// Pages read before reading one failed, and the count of requests while pages were overdue.
     newest_records m_partial;
-    std::minstd_rand m_random;
+    retry_pause m_retryPause;
     instant m_sentAt {};
     instant m_confirmedAt {};
     instant m_regainedAt {};
