Gateway: Drop the count of requests for a page

Only the first request for a page may use an open connection, so one flag tells both, and the page's number advances with its answer alone.

--- a/src/libs/gateway/newestpages.cpp
+++ b/src/libs/gateway/newestpages.cpp
@@ -39,17 +39,15 @@
         void readAfter(std::string key)
         {
             m_afterKey = std::move(key);
-            ++m_page;
-            m_requests = 0;
             request(true);
             awaitAnswer(overdueTime);
         }
 
-        void request(bool mayReuseConnection)
+        /// Only the first request for a page may use an open connection.
+        void request(bool isFirst)
         {
-            const std::size_t number = ++m_requests;
-            m_log.readNewest(m_topicPartition, { m_afterKey, mayReuseConnection },
-                [self = shared_from_this(), page = m_page, number, sentAt = bootNow()](const newest_outcome& outcome) { self->onAnswer(page, number, sentAt, outcome); });
+            m_log.readNewest(m_topicPartition, { m_afterKey, isFirst },
+                [self = shared_from_this(), page = m_page, isFirst, sentAt = bootNow()](const newest_outcome& outcome) { self->onAnswer(page, isFirst, sentAt, outcome); });
         }
 
         void awaitAnswer(duration time)
@@ -70,11 +68,11 @@
             awaitAnswer(2 * waited);
         }
 
-        /// \a page, \a number and \a sentAt are those of the request. The page fails with its first request, which has waited longest.
-        void onAnswer(std::uint64_t page, std::size_t number, instant sentAt, const newest_outcome& outcome)
+        /// \a page, \a isFirst and \a sentAt are those of the request. The page fails with its first request, which has waited
+        /// longest.
+        void onAnswer(std::uint64_t page, bool isFirst, instant sentAt, const newest_outcome& outcome)
         {
             const bool isOvertaken = page != m_page;
-            const bool isFirst = number == 1;
             if (isOvertaken || (!outcome.isDone && !isFirst))
                 return;
             ++m_page;
@@ -115,9 +113,8 @@
         std::function<void(newest_records)> m_onDone;
         newest_records m_result;
         std::string m_afterKey;
-        /// Number of the present page, and of the requests for it.
+        /// Number of the present page.
         std::uint64_t m_page = 0;
-        std::size_t m_requests = 0;
         /// Absent when overdue pages are only waited for.
         std::optional<boot_timer> m_overdueTimer;
     };
