Gateway: Drop a counter that the bound on the ledger's age left dead

Work is sent with a ledger of up to 1.5 s, so the counter of work sent with one of over 2 s stays 0. The greatest age is exported and shows if the bound ever fails.

--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -107,7 +107,6 @@
             { counter("ragwortreach_work_begun_total", "Runs of items and reward calls that were sent to replicas"), work.begun },
             { counter("ragwortreach_work_begun_older_500ms_total", "Of these, sent with a ledger older than 0.5 s"), work.olderThanHalfSecond },
             { counter("ragwortreach_work_begun_older_1s_total", "Of these, sent with a ledger older than 1 s"), work.olderThanOneSecond },
-            { counter("ragwortreach_work_begun_older_2s_total", "Of these, sent with a ledger older than 2 s"), work.olderThanTwoSeconds },
             { gauge("ragwortreach_work_begun_greatest_age_microseconds", "Greatest age of the ledger with which work was sent"), work.greatestAge },
         };
     }
--- a/src/libs/gateway/workwatch.cpp
+++ b/src/libs/gateway/workwatch.cpp
@@ -14,7 +14,6 @@
     constexpr duration halfSecond = std::chrono::milliseconds(500);
     /// Work that is begun with an older ledger gets a line.
     constexpr duration maxUnloggedAge = std::chrono::seconds(1);
-    constexpr duration twoSeconds = std::chrono::seconds(2);
 
 }
 
@@ -41,7 +40,6 @@
     ++m_counters.begun;
     m_counters.olderThanHalfSecond += age > halfSecond ? 1U : 0U;
     m_counters.olderThanOneSecond += age > maxUnloggedAge ? 1U : 0U;
-    m_counters.olderThanTwoSeconds += age > twoSeconds ? 1U : 0U;
     m_counters.greatestAge = std::max(m_counters.greatestAge, static_cast<std::uint64_t>(age.count()));
     if (age <= maxUnloggedAge)
         return;
--- a/src/libs/gateway/workwatch.h
+++ b/src/libs/gateway/workwatch.h
@@ -23,7 +23,6 @@
     std::uint64_t begun = 0;
     std::uint64_t olderThanHalfSecond = 0;
     std::uint64_t olderThanOneSecond = 0;
-    std::uint64_t olderThanTwoSeconds = 0;
     /// Greatest age, in microseconds.
     std::uint64_t greatestAge = 0;
 };
