Tests: Share the silent peer of two cases, and wait for its request

The case of cancelled calls set up the peer of the case of time-outs again, and waited 50 ms for the request to arrive, which a busy machine may exceed. Both use one fixture now, which waits until the request is there. All checks stay.

--- a/tests/auto/net/tst_httpclient.cpp
+++ b/tests/auto/net/tst_httpclient.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <functional>
+
 using namespace ragwortreach;
 using boost::asio::ip::tcp;
 
@@ -179,29 +181,44 @@
     }
 }
 
-TEST_CASE("A call that times out resets its connection, so that no part of its request arrives later")
-{
-    boost::asio::io_context context;
-    tcp::acceptor acceptor(context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
-    tcp::socket unresponsive(context);
-    acceptor.async_accept(unresponsive, [](const boost::system::error_code&) {});
-    http_client client(context);
-    http_call_options options;
-    options.timeout = std::chrono::milliseconds(100);
-    std::optional<http_outcome> outcome;
-    client.callBuffered({ "127.0.0.1", acceptor.local_endpoint().port() }, { "POST", "/api/order", {}, "order" }, options,
-        [&outcome](const http_outcome& ended, const http_response&) { outcome = ended; });
-    while (!outcome)
-        REQUIRE(context.run_one_for(std::chrono::seconds(10)) == 1);
-    CHECK(outcome->code == result_code::UpstreamTimeout);
-    std::string received;
-    boost::system::error_code error;
-    boost::asio::read(unresponsive, boost::asio::dynamic_buffer(received), error);
-    CHECK(error == boost::asio::error::connection_reset);
-}
-
 namespace {
 
+/// Client, and a peer of one connection that sends and reads only what the test says.
+struct silent_peer_fixture {
+    silent_peer_fixture()
+        : acceptor(context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
+        , peer(context)
+        , client(context)
+    {
+        acceptor.async_accept(peer, [](const boost::system::error_code&) {});
+    }
+
+    endpoint address() const { return { "127.0.0.1", acceptor.local_endpoint().port() }; }
+
+    void runUntil(const std::function<bool()>& condition)
+    {
+        const std::chrono::steady_clock::time_point deadline = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+        while (!condition()) {
+            REQUIRE(std::chrono::steady_clock::now() < deadline);
+            context.run_one_for(std::chrono::milliseconds(10));
+        }
+    }
+
+    /// How the connection ends for the peer once it has read everything.
+    boost::system::error_code endSeenByPeer()
+    {
+        std::string received;
+        boost::system::error_code error;
+        boost::asio::read(peer, boost::asio::dynamic_buffer(received), error);
+        return error;
+    }
+
+    boost::asio::io_context context;
+    tcp::acceptor acceptor;
+    tcp::socket peer;
+    http_client client;
+};
+
 /// When a call is cancelled.
 struct cancel_case {
     const char* name;
@@ -218,34 +235,39 @@
 
 }
 
+TEST_CASE("A call that times out resets its connection, so that no part of its request arrives later")
+{
+    silent_peer_fixture fixture;
+    http_call_options options;
+    options.timeout = std::chrono::milliseconds(100);
+    std::optional<http_outcome> outcome;
+    fixture.client.callBuffered(fixture.address(), { "POST", "/api/order", {}, "order" }, options,
+        [&outcome](const http_outcome& ended, const http_response&) { outcome = ended; });
+    fixture.runUntil([&outcome] { return outcome.has_value(); });
+    CHECK(outcome->code == result_code::UpstreamTimeout);
+    CHECK(fixture.endSeenByPeer() == boost::asio::error::connection_reset);
+}
+
 // UNASKED: what a cancelled call had written into a cut path was delivered once the path was back.
 TEST_CASE("The request of a cancelled call arrived later over a path that had been cut")
 {
     for (const cancel_case& row : cancelCases) {
         DYNAMIC_SECTION(row.name)
         {
-            boost::asio::io_context context;
-            tcp::acceptor acceptor(context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
-            tcp::socket peer(context);
-            acceptor.async_accept(peer, [](const boost::system::error_code&) {});
-            http_client client(context);
+            silent_peer_fixture fixture;
             http_call_options options;
             options.timeout = std::chrono::seconds(10);
             bool hasHead = false;
             http_call_handlers handlers;
             handlers.onHead = [&hasHead](const http_response_head&) { hasHead = true; };
-            http_call_handle call = client.call({ "127.0.0.1", acceptor.local_endpoint().port() }, { "POST", "/lots/1", {}, "item" }, options, std::move(handlers));
+            http_call_handle call = fixture.client.call(fixture.address(), { "POST", "/lots/1", {}, "item" }, options, std::move(handlers));
+            fixture.runUntil([&fixture] { return fixture.peer.is_open() && fixture.peer.available() > 0; });
+            boost::asio::write(fixture.peer, boost::asio::buffer(row.answered));
             const bool isAnswered = row.endSeenByPeer == boost::asio::error::eof;
-            context.run_for(std::chrono::milliseconds(50));
-            boost::asio::write(peer, boost::asio::buffer(row.answered));
-            while (isAnswered && !hasHead)
-                REQUIRE(context.run_one_for(std::chrono::seconds(10)) == 1);
-            context.run_for(std::chrono::milliseconds(50));
+            fixture.runUntil([&hasHead, isAnswered] { return hasHead || !isAnswered; });
+            fixture.context.run_for(std::chrono::milliseconds(50));
             call.cancel();
-            std::string received;
-            boost::system::error_code error;
-            boost::asio::read(peer, boost::asio::dynamic_buffer(received), error);
-            CHECK(error == row.endSeenByPeer);
+            CHECK(fixture.endSeenByPeer() == row.endSeenByPeer);
         }
     }
 }
