Tests: Move the fixture of the rollout tests to the support library

Two test programs compiled it, one by a path through the folder of the other. The kinds of work in tst_staleowners no longer have the name of the product's own type. No check changes.

--- a/tests/auto/gateway/tst_staleowners.cpp
+++ b/tests/auto/gateway/tst_staleowners.cpp
@@ -1,8 +1,8 @@
-#include "../rollout/rolloutfixture.h"
 #include "journalfleet.h"
 
 #include <gateway/pollintervals.h>
 #include <rollout/itemscheduler.h>
+#include <support/rolloutfixture.h>
 #include <wire/journalcodec.h>
 
 #include <catch2/catch.hpp>
@@ -74,7 +74,7 @@
     return batch;
 }
 
-enum class work_kind {
+enum class begun_kind {
     Run,
     /// Run that continues a text at another replica.
     MovedRun,
@@ -83,7 +83,7 @@
 
 /// Request that an owner sent to a replica.
 struct begun_work {
-    work_kind kind = work_kind::Run;
+    begun_kind kind = begun_kind::Run;
     std::string batch;
     instant time;
 };
@@ -160,7 +160,7 @@
 
     void beginRun(const start_run& run)
     {
-        m_begun.push_back({ run.afterEvent == 0 ? work_kind::Run : work_kind::MovedRun, run.batch, m_time.now() });
+        m_begun.push_back({ run.afterEvent == 0 ? begun_kind::Run : begun_kind::MovedRun, run.batch, m_time.now() });
         m_scheduler.onHead(run.run, 1);
         sendEvent(run.run, run.afterEvent + 1, run.replica == slowReplica ? 150ms : 50ms);
     }
@@ -180,7 +180,7 @@
 
     void beginReward(const start_reward& reward)
     {
-        m_begun.push_back({ work_kind::Reward, reward.key.batch, m_time.now() });
+        m_begun.push_back({ begun_kind::Reward, reward.key.batch, m_time.now() });
         m_time.callAfter(rewardTime, [this, call = reward.call] { m_scheduler.onRewardEnd(call, { reward_end::Scored, "signature" }, m_time.now()); });
     }
 
@@ -307,13 +307,13 @@
         return std::all_of(m_owners.begin(), m_owners.end(), [](const std::unique_ptr<model_owner>& owner) { return owner->caughtUpAt().has_value(); });
     }
 
-    std::size_t countBegun(work_kind kind) const
+    std::size_t countBegun(begun_kind kind) const
     {
         return countWork([kind](const begun_work& work) { return work.kind == kind; });
     }
 
     /// Number of requests of a kind that were sent too late after the end of their batch.
-    std::size_t countLate(work_kind kind) const
+    std::size_t countLate(begun_kind kind) const
     {
         return countWork([this, kind](const begun_work& work) { return work.kind == kind && timeAfterEnd(work) > maxWorkAfterEnd; });
     }
@@ -330,7 +330,7 @@
     }
 
     /// Time from \a from until the owner begins work of \a kind on a batch that is open; the greatest one if it does not.
-    duration timeUntilOpenWork(const model_owner& owner, work_kind kind, instant from) const
+    duration timeUntilOpenWork(const model_owner& owner, begun_kind kind, instant from) const
     {
         for (const begun_work& work : owner.begun()) {
             if (work.kind == kind && work.time >= from && !m_endedAt.contains(work.batch))
@@ -340,7 +340,7 @@
     }
 
     /// Longest time between two pieces of work of \a kind since the journals began to be behind.
-    duration longestPause(const model_owner& owner, work_kind kind) const
+    duration longestPause(const model_owner& owner, begun_kind kind) const
     {
         duration longest {};
         instant last = m_begin;
@@ -409,7 +409,7 @@
     for (const std::unique_ptr<model_owner>& owner : fleet.owners()) {
         CHECK(owner->snapshots() == (row.history < row.lasts ? 2 : 1));
         CHECK(owner->greatestAge() >= leastAgeBehind);
-        for (const work_kind kind : { work_kind::Run, work_kind::Reward })
+        for (const begun_kind kind : { begun_kind::Run, begun_kind::Reward })
             CHECK(fleet.timeUntilOpenWork(*owner, kind, *owner->caughtUpAt()) <= restartLimit);
     }
 }
@@ -418,7 +418,7 @@
 {
     for (const std::unique_ptr<model_owner>& owner : fleet.owners()) {
         CHECK(owner->greatestAge() < batch_ledger::maxAgeForWork);
-        CHECK(fleet.longestPause(*owner, work_kind::Run) <= longestPauseOfWork);
+        CHECK(fleet.longestPause(*owner, begun_kind::Run) <= longestPauseOfWork);
     }
 }
 
@@ -434,13 +434,13 @@
                 owner_fleet fleet(size, row.history);
                 fleet.play(row);
                 REQUIRE(fleet.acknowledgedEnds() == ownerCount * 4);
-                CAPTURE(fleet.countBegun(work_kind::Run), fleet.countBegun(work_kind::MovedRun), fleet.countBegun(work_kind::Reward));
+                CAPTURE(fleet.countBegun(begun_kind::Run), fleet.countBegun(begun_kind::MovedRun), fleet.countBegun(begun_kind::Reward));
                 CAPTURE(fleet.latestAfterEnd().count());
-                for (const work_kind kind : { work_kind::Run, work_kind::MovedRun, work_kind::Reward })
+                for (const begun_kind kind : { begun_kind::Run, begun_kind::MovedRun, begun_kind::Reward })
                     CHECK(fleet.countBegun(kind) > 0);
-                CHECK(fleet.countLate(work_kind::Run) == 0);
-                CHECK(fleet.countLate(work_kind::MovedRun) == 0);
-                CHECK(fleet.countLate(work_kind::Reward) == 0);
+                CHECK(fleet.countLate(begun_kind::Run) == 0);
+                CHECK(fleet.countLate(begun_kind::MovedRun) == 0);
+                CHECK(fleet.countLate(begun_kind::Reward) == 0);
                 if (row.isFarBehind)
                     checkRestart(fleet, row);
                 else
--- a/tests/auto/rollout/tst_leaseagent.cpp
+++ b/tests/auto/rollout/tst_leaseagent.cpp
@@ -1,4 +1,4 @@
-#include "rolloutfixture.h"
+#include <support/rolloutfixture.h>
 
 #include <rollout/leaseagent.h>
 #include <rollout/leaserecords.h>
