Logs: Say how old the configuration is by which calls and work go to replicas

No line and no metric said with which age of the configuration calls are taken and items and reward calls are sent, so a daemon that the store turns away could not be told from one that reads a late change.

call_taken_behind names calls that are taken with a configuration confirmed over 1 s ago; work_begun_behind has the version and the age of the configuration and comes for an old one, too; both are counted. No decision changes.

--- a/src/libs/gateway/callrelay.cpp
+++ b/src/libs/gateway/callrelay.cpp
@@ -25,6 +25,8 @@
     /// Time after which a call that cannot be tried alone now should come back: replicas that ended take seconds to return.
     constexpr duration isolationRetryDelay = std::chrono::seconds(1);
     constexpr int firstServerErrorStatus = 500;
+    /// Calls that are taken with an older configuration get a line.
+    constexpr duration maxUnloggedAge = std::chrono::seconds(1);
 
     /// Whether \a exchange has so much of its answer to send that nothing more should be read for it.
     bool isCallerBehind(const http_exchange& exchange)
@@ -122,10 +124,25 @@
         if (!error)
             onTimeout(number);
     });
+    noteConfigurationAge(*call);
     m_calls.emplace(number, std::move(call));
     startAttempt(number);
 }
 
+void call_relay::noteConfigurationAge(const relayed_call& call)
+{
+    const duration age = call.arrivedAt - m_routes.confirmedAt();
+    if (age <= maxUnloggedAge)
+        return;
+    ++m_counters.behindConfiguration;
+    m_log.write(log_line(log_level::Info, "call_taken_behind")
+                    .with("request", call.caller.id)
+                    .with("route", call.routeName)
+                    .with("service", call.service)
+                    .with("configuration", m_routes.version())
+                    .with("configuration_age_us", age.count()));
+}
+
 void call_relay::setEnd(instant end)
 {
     m_end = end;
--- a/src/libs/gateway/callrelay.h
+++ b/src/libs/gateway/callrelay.h
@@ -34,6 +34,8 @@
     std::uint64_t callerGone = 0;
     std::uint64_t attempts = 0;
     std::uint64_t retries = 0;
+    /// Calls that were taken with a configuration that was confirmed longer than a second ago.
+    std::uint64_t behindConfiguration = 0;
 };
 
 /// Relays calls of customers to replicas, and the answers back.
@@ -104,6 +106,8 @@
     void logOutcome(const relayed_call& call, std::string_view outcome, std::string_view reason);
     void remove(std::uint64_t number);
     relayed_call* find(std::uint64_t number);
+    /// Counts and logs a call that is taken with an old configuration: its route may have changed.
+    void noteConfigurationAge(const relayed_call& call);
 
     boost::asio::io_context& m_context;
     http_client& m_client;
--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -108,6 +108,7 @@
             { counter("ragwortreach_work_begun_older_500ms_total", "Of these, sent with a ledger older than 0.5 s"), work.olderThanHalfSecond },
             { counter("ragwortreach_work_begun_older_1s_total", "Of these, sent with a ledger older than 1 s"), work.olderThanOneSecond },
             { gauge("ragwortreach_work_begun_greatest_age_microseconds", "Greatest age of the ledger with which work was sent"), work.greatestAge },
+            { counter("ragwortreach_work_begun_behind_configuration_total", "Runs and reward calls that were sent with a configuration confirmed over 1 s ago"), work.behindConfiguration },
         };
     }
 
@@ -149,6 +150,7 @@
         { counter("ragwortreach_calls_caller_gone_total", "Calls whose caller left"), from.calls.callerGone },
         { counter("ragwortreach_call_attempts_total", "Attempts of calls at replicas"), from.calls.attempts },
         { counter("ragwortreach_call_retries_total", "Attempts after the first one"), from.calls.retries },
+        { counter("ragwortreach_calls_behind_configuration_total", "Calls that were taken with a configuration confirmed over 1 s ago"), from.calls.behindConfiguration },
         { counter("ragwortreach_batches_accepted_total", "Batches that were accepted here"), from.batches.accepted },
         { counter("ragwortreach_batches_repeated_total", "Submissions of batches that were accepted before"), from.batches.repeated },
         { counter("ragwortreach_batches_refused_total", "Batches that were refused"), from.batches.refused },
--- a/src/libs/gateway/itemrunner.cpp
+++ b/src/libs/gateway/itemrunner.cpp
@@ -70,7 +70,7 @@
     , m_pool(pool)
     , m_gate(gate)
     , m_log(log)
-    , m_work(journal.ledger(), log)
+    , m_work(journal.ledger(), scheduler.routes(), log)
     , m_rewards(client, journal.ledger(), pool, gate, m_work, log, [this](reward_number call, const reward_answer& answer) {
         m_scheduler.onRewardEnd(call, answer, bootNow());
         scheduleRun();
@@ -165,7 +165,7 @@
                         .with("batch", finished->batch)
                         .with("item", finished->item)
                         .with("reason", toString(*effect.abandoned))
-                        .with("configuration", m_scheduler.configurationVersion())
+                        .with("configuration", m_scheduler.routes().version())
                         .with("batch_age_us", (bootNow() - batch->learnedAt).count()));
     m_journal.write(effect.record, write_mode::RetryOnRefusal, {});
 }
--- a/src/libs/rollout/itemscheduler.h
+++ b/src/libs/rollout/itemscheduler.h
@@ -164,8 +164,8 @@
     std::size_t runs() const { return m_runs.size(); }
     /// Whether \a run has not ended.
     bool isRunning(run_number run) const { return m_runs.contains(run); }
-    /// Version of the configuration by which items are scheduled.
-    std::uint64_t configurationVersion() const { return m_routes.version(); }
+    /// Configuration by which items are scheduled.
+    const route_table& routes() const { return m_routes; }
 
 private:
     struct item_state {
