--- a/tests/auto/system/platformfleet.cpp
+++ b/tests/auto/system/platformfleet.cpp
@@ -6,6 +6,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using nlohmann::json;
 
 namespace ragwortreach::Tests {
@@ -107,9 +109,17 @@
     run([this, version, &addedRollouts] { m_store->put("keyed.op", "config", configuration(version, addedRollouts).dump()); });
 }
 
-void platform_fleet::refuseConfiguration(std::size_t daemon)
+void platform_fleet::dropRewardRoute(int version)
+{
+    json reduced = configuration(version, {});
+    json& routes = reduced["routes"];
+    routes.erase(std::remove_if(routes.begin(), routes.end(), [](const json& route) { return route["name"] == "rewards"; }), routes.end());
+    run([this, &reduced] { m_store->put("keyed.op", "config", reduced.dump()); });
+}
+
+void platform_fleet::refuseReads(std::size_t daemon, const std::string& topic)
 {
-    run([this, daemon] { m_store->refuseReads(m_settings[daemon]["gateway"]["store"], "keyed.op"); });
+    run([this, daemon, &topic] { m_store->refuseReads(m_settings[daemon]["gateway"]["store"], topic); });
 }
 
 void platform_fleet::refuseNothing()
--- a/tests/auto/system/platformfleet.h
+++ b/tests/auto/system/platformfleet.h
@@ -65,8 +65,12 @@
     /// Writes the configuration of routes and services, with \a version, to the store. \a addedRollouts: names of rollout
     /// routes besides "lots", each with its name as its path prefix.
     void configure(int version, const std::vector<std::string>& addedRollouts = {});
+    /// Writes the configuration without the route "rewards", with \a version, to the store.
+    void dropRewardRoute(int version);
     /// From now on the store refuses \a daemon, and no other one, to read the configuration.
-    void refuseConfiguration(std::size_t daemon);
+    void refuseConfiguration(std::size_t daemon) { refuseReads(daemon, "keyed.op"); }
+    /// From now on the store refuses \a daemon, and no other one, to read \a topic; all topics when it is empty.
+    void refuseReads(std::size_t daemon, const std::string& topic);
     void refuseNothing();
 
 private:
--- /dev/null
+++ b/tests/auto/system/tst_oldroutes.cpp
@@ -0,0 +1,77 @@
+#include "platformfleet.h"
+
+#include <client/testclient.h>
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <thread>
+
+using namespace ragwortreach::Tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Bound of the platform on the time from the acknowledgement of a configuration until all daemons follow it.
+constexpr std::chrono::seconds applyTime { 2 };
+/// Time for which a read that is under way still gets its answer.
+constexpr std::chrono::milliseconds readWait { 800 };
+
+/// Reply of \a daemon to a call on the route "rewards".
+http_reply callRewards(const platform_fleet& fleet, std::size_t daemon, int number)
+{
+    const std::string id = "call-" + std::to_string(number);
+    return send(fleet.caller(daemon), "POST", "/score/1", "linen", { { "Host", "lace.example" }, { "Request-Id", id }, { "Deadline-Ms", "5000" } });
+}
+
+int runsAtShop(platform_fleet& fleet)
+{
+    return fleet.run([&fleet] { return fleet.shop().runs(); });
+}
+
+/// Topic of which the store refuses reads to one daemon.
+struct refusal_case {
+    const char* name;
+    const char* topic;
+};
+
+const refusal_case refusalCases[] = {
+    { "the configuration", "keyed.op" },
+    { "everything", "" },
+};
+
+}
+
+// A daemon that the store turned away went on serving by routes that had been dropped.
+TEST_CASE("A call went by an older configuration at a daemon that the store had turned away", "[.known-red]")
+{
+    for (const refusal_case& row : refusalCases) {
+        INFO("The store refuses to let daemon 0 read " << row.name);
+        platform_fleet fleet(3);
+        fleet.refuseReads(0, row.topic);
+        std::this_thread::sleep_for(readWait);
+        fleet.dropRewardRoute(2);
+        std::this_thread::sleep_for(applyTime);
+        REQUIRE(callRewards(fleet, 1, 0).status == 404);
+        const int runs = runsAtShop(fleet);
+        for (int number = 1; number <= 10; ++number) {
+            const http_reply reply = callRewards(fleet, 0, number);
+            CHECK(reply.status == 503);
+            CHECK(reply.headers.contains("Retry-After"));
+        }
+        CHECK(runsAtShop(fleet) == runs);
+        CHECK_FALSE(fleet.isReady(0));
+        fleet.refuseNothing();
+        CHECK(waitUntil([&fleet] { return callRewards(fleet, 0, 11).status == 404; }));
+        fleet.waitReady(0);
+    }
+}
+
+TEST_CASE("Daemons serve by the routes that they have while the log refuses reads to all of them")
+{
+    platform_fleet fleet(3);
+    fleet.run([&fleet] { fleet.store().setBehaviour(store_behaviour::Refusing); });
+    std::this_thread::sleep_for(applyTime);
+    for (std::size_t daemon = 0; daemon < 3; ++daemon)
+        CHECK(callRewards(fleet, daemon, static_cast<int>(daemon)).status == 200);
+}
--- a/tests/platform/storestandin.cpp
+++ b/tests/platform/storestandin.cpp
@@ -132,7 +132,7 @@
 void store_standin::answer(const http_exchange& exchange, const std::string& address)
 {
     const std::string_view path = targetPath(exchange.request().target);
-    const bool isRefusedRead = path != "/api/log-append" && address == m_refusingAddress && partitionKey(exchange.request()).starts_with(m_refusedTopic + "/");
+    const bool isRefusedRead = path != "/api/log-append" && address == m_refusingAddress && (m_refusedTopic.empty() || partitionKey(exchange.request()).starts_with(m_refusedTopic + "/"));
     if (m_behaviour == store_behaviour::Refusing || isRefusedRead) {
         exchange.respond({ 503, {}, {} });
         return;
--- a/tests/platform/storestandin.h
+++ b/tests/platform/storestandin.h
@@ -30,7 +30,7 @@
 
     /// Opens a further address of the same store, and returns it.
     std::string addAddress();
-    /// Answers reads of \a topic with status 503 at \a address; at none when the address is empty.
+    /// Answers reads of \a topic, of all topics when it is empty, with status 503 at \a address; at none when that is empty.
     void refuseReads(std::string address, std::string topic);
     void setBehaviour(store_behaviour behaviour) { m_behaviour = behaviour; }
     /// Delays the pages of newest values of \a topic by half a second from now on.
