Gateway: Let go of the leases while a newer configuration cannot be read

What callers saw: a batch on a route that was just added waited for as long as the owner of its model could not read the configuration; others could have run it.

It renewed its leases all the while, so nobody took over.

Change: a daemon that may not choose services renews and claims no lease.

The new test in tst_platform failed before (none of the 4 results in 10 s) and passes.

--- a/src/libs/gateway/gatewayhost.cpp
+++ b/src/libs/gateway/gatewayhost.cpp
@@ -454,7 +454,9 @@
         loadBatches();
         runner.run();
         if (!drain.hasBegun()) {
-            leaseClient.tick();
+            // Without renewals, the leases go to a daemon that has read the newest configuration.
+            if (routes.allows(configuration_use::ChooseService, bootNow()))
+                leaseClient.tick();
             orderer.tick();
             progress.tick(bootNow());
         }
--- a/tests/auto/system/tst_platform.cpp
+++ b/tests/auto/system/tst_platform.cpp
@@ -229,6 +229,25 @@
     }
 }
 
+// The owner of a model waited for the configuration of a batch, and renewed its leases meanwhile.
+TEST_CASE("Batches waited for an owner that could not read the configuration under which they were accepted")
+{
+    platform_fleet fleet(2);
+    // One of the two daemons owns the model.
+    std::vector<std::string> added;
+    for (std::size_t daemon = 0; daemon < 2; ++daemon) {
+        const std::string route = "added-" + std::to_string(daemon);
+        added.push_back(route);
+        fleet.refuseConfiguration(daemon);
+        std::this_thread::sleep_for(800ms);
+        fleet.configure(static_cast<int>(2 + daemon), added);
+        REQUIRE(waitUntil([&fleet, daemon, &route] { return send(fleet.caller(1 - daemon), "POST", "/" + route + "/b", batch(route, route), headersFor(route)).status == 202; }));
+        CHECK(waitUntil([&fleet, daemon, &route] { return results(fleet, 1 - daemon, route).size() == 4; }, std::chrono::steady_clock::now() + 10s));
+        fleet.refuseNothing();
+        fleet.waitReady(daemon);
+    }
+}
+
 TEST_CASE("After all daemons were killed, results keep their positions and a long item resumes from its partial text")
 {
     platform_fleet fleet(2);
