Logs: Name the software version of replicas, and of the text with which a run is resumed

The version of a replica's entry was not decoded, so nothing could tell at which version a run goes on.

The entry's version is in replica_listed, a saved text names the version that wrote it (a new field of its record), and run_resumed has both; ragwortreach_item_runs_resumed_at_other_version_total counts the runs for which they differ. No decision changes.

--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -162,6 +162,7 @@
         { counter("ragwortreach_result_reads_shortened_total", "Reads that were answered without the results whose texts were not read in time"), from.batches.shortenedReads },
         { counter("ragwortreach_item_runs_total", "Runs of items at replicas"), from.items.runsStarted },
         { counter("ragwortreach_item_runs_resumed_total", "Runs that went on after an event"), from.items.runsResumed },
+        { counter("ragwortreach_item_runs_resumed_at_other_version_total", "Of these, at a replica of another software version than wrote the text"), from.items.runsResumedAtOtherVersion },
         { counter("ragwortreach_item_runs_stalled_total", "Runs that were moved since no event came"), from.items.runsStalled },
         { counter("ragwortreach_item_runs_moved_total", "Runs that went on at a faster replica"), from.items.runsMoved },
         { counter("ragwortreach_item_runs_not_run_total", "Runs that the replica did not start"), from.items.runsNotRun },
--- a/src/libs/gateway/itemrunner.cpp
+++ b/src/libs/gateway/itemrunner.cpp
@@ -113,6 +113,17 @@
     m_progress.handOver(handedOver);
 }
 
+void item_runner::logResumption(const start_run& effect, const batch_item& item) const
+{
+    const replica_pool::replica* const replica = m_pool.find(effect.replica);
+    m_log.write(log_line(log_level::Info, "run_resumed")
+                    .with("item", item.id)
+                    .with("replica", effect.replica)
+                    .with("after_event", effect.afterEvent)
+                    .with("software", replica ? replica->entry.software : std::string())
+                    .with("text_software", effect.textSoftware));
+}
+
 void item_runner::start(const start_run& effect)
 {
     const ledger_batch* const batch = m_journal.ledger().find(effect.batch);
@@ -125,6 +136,8 @@
     added->model = batch->submission.model;
     added->sentAt = bootNow();
     m_work.noteBegun(work_kind::Item, *batch, item.id, effect.replica);
+    if (effect.afterEvent != 0)
+        logResumption(effect, item);
     stream& opened = *added;
     const run_number run = effect.run;
     m_streams.emplace(run, std::move(added));
--- a/src/libs/gateway/itemrunner.h
+++ b/src/libs/gateway/itemrunner.h
@@ -36,6 +36,7 @@
 
     void executeEffects();
     void start(const start_run& effect);
+    void logResumption(const start_run& effect, const batch_item& item) const;
     void cancel(const cancel_run& effect);
     void write(const write_record& effect);
     void readHead(run_number run, const http_response_head& head);
--- a/src/libs/gateway/platformview.cpp
+++ b/src/libs/gateway/platformview.cpp
@@ -132,13 +132,14 @@
     }
     ++m_counters.replicaEntries;
     const replica_pool::replica* const known = m_pool.find(record.key);
-    const bool isChanged = !known || known->entry.isDraining != entry->isDraining || known->entry.startedAt != entry->startedAt;
+    const bool isChanged = !known || known->entry.isDraining != entry->isDraining || known->entry.startedAt != entry->startedAt || known->entry.software != entry->software;
     m_pool.update(*entry);
     if (isChanged)
         m_logger.write(log_line(log_level::Info, "replica_listed")
                            .with("replica", record.key)
                            .with("service", entry->service)
                            .with("address", entry->address)
+                           .with("software", entry->software)
                            .with("draining", entry->isDraining)
                            .with("offset", record.offset));
 }
--- a/src/libs/rollout/itemscheduler.cpp
+++ b/src/libs/rollout/itemscheduler.cpp
@@ -315,17 +315,21 @@
     run_state run;
     run.key = key;
     run.replica = replica->entry.id;
+    run.software = replica->entry.software;
     run.startedAt = now;
     run.lastEventAt = now;
     run.minVersion = batch.submission.minVersion;
     run.isSingleVersion = route.isSingleVersion;
     run.maxTextBytes = textLimit(batch.submission.items[item]);
-    m_effects.emplace_back(start_run { state.run, key.batch, item, run.replica, replica->entry.address, state.output.lastEvent });
+    m_effects.emplace_back(start_run { state.run, key.batch, item, run.replica, replica->entry.address, state.output.lastEvent, state.output.software });
     m_runs.emplace(state.run, run);
     m_pool.started(run.replica, true);
     ++m_counters.runsStarted;
-    if (state.output.lastEvent != 0)
-        ++m_counters.runsResumed;
+    if (state.output.lastEvent == 0)
+        return true;
+    ++m_counters.runsResumed;
+    if (run.software.empty() || run.software != state.output.software)
+        ++m_counters.runsResumedAtOtherVersion;
     return true;
 }
 
@@ -431,6 +435,8 @@
         m_pool.noteEvent(state.replica, now - state.lastEventAt, now);
     if (item.output.lastEvent != 0)
         item.output.text += '\n';
+    else
+        item.output.software = state.software;
     item.output.text += event.data;
     item.output.lastEvent = event.id;
     item.fruitlessRuns = 0;
--- a/src/libs/rollout/itemscheduler.h
+++ b/src/libs/rollout/itemscheduler.h
@@ -27,6 +27,8 @@
     std::string address;
     /// Event after which the replica resumes the item; 0 to run it from the start.
     std::uint64_t afterEvent = 0;
+    /// Version of the software that wrote the text before; empty when it is unknown.
+    std::string textSoftware {};
 };
 
 /// Effect: close the connection of a run.
@@ -90,6 +92,8 @@
     std::uint64_t runsStarted = 0;
     /// Runs that continued a partial text.
     std::uint64_t runsResumed = 0;
+    /// Of these, at a replica of another software version than wrote the text, or of an unknown one.
+    std::uint64_t runsResumedAtOtherVersion = 0;
     /// Runs that were ended because no event arrived in time.
     std::uint64_t runsStalled = 0;
     /// Runs that were moved to a faster replica.
@@ -191,6 +195,8 @@
     struct run_state {
         item_key key;
         std::string replica;
+        /// Version of the replica's software.
+        std::string software;
         instant startedAt {};
         instant lastEventAt {};
         std::optional<std::uint64_t> version;
--- a/src/libs/rollout/journalrecord.h
+++ b/src/libs/rollout/journalrecord.h
@@ -90,6 +90,8 @@
     std::vector<std::uint64_t> versions;
     /// The text contains all its events.
     bool isComplete = false;
+    /// Version of the software of the replicas that wrote the text; empty when it is unknown.
+    std::string software {};
 };
 
 /// An item has its final result. Only the first record of an item takes effect.
--- a/src/libs/rollout/replicapool.h
+++ b/src/libs/rollout/replicapool.h
@@ -30,6 +30,8 @@
     bool isDraining = false;
     /// Start time of the replica in Unix milliseconds. A replica that restarts under its id has a later one.
     std::int64_t startedAt = 0;
+    /// Version of the replica's software; empty when it is unknown. Versions have no order.
+    std::string software;
     /// Version of the weights of each model.
     std::map<std::string, std::uint64_t, std::less<>> weights;
 };
--- a/src/libs/wire/journalcodec.cpp
+++ b/src/libs/wire/journalcodec.cpp
@@ -13,11 +13,12 @@
         for (const std::uint64_t version : from.versions)
             to.add_versions(version);
         to.set_whole(from.isComplete);
+        to.set_software(from.software);
     }
 
     item_text readText(const wire::JournalItemText& from)
     {
-        return { from.text(), from.last_event(), { from.versions().begin(), from.versions().end() }, from.whole() };
+        return { from.text(), from.last_event(), { from.versions().begin(), from.versions().end() }, from.whole(), from.software() };
     }
 
     void writeReference(const text_reference& from, wire::JournalTextReference& to)
