Rollout: Continue a text only at replicas of the software version that wrote it

Cause: nothing that chooses a replica for a text knew the version of its software.

Change: the version is a criterion of the choice of a replica. A text goes on only at the version that wrote it, whether its run was interrupted or moved, another owner saved it, or an earlier batch has it. When no replica of it is in use any more, or for half a second only others have room, the item begins anew at its first event. Texts of an unknown version, which former releases saved, are not continued. A run at a replica that turns out to have started anew under its id is begun again, since nobody knows which version writes. Tests whose texts are to be continued name a version now.

--- a/src/libs/rollout/itemscheduler.cpp
+++ b/src/libs/rollout/itemscheduler.cpp
@@ -30,6 +30,8 @@
     /// further one. The first such run is repeated at once, at another replica.
     constexpr duration fruitlessPause = std::chrono::milliseconds(25);
     constexpr std::uint32_t maxFruitlessDoublings = 5;
+    /// Time that a text waits for a replica of its software version while others have room.
+    constexpr duration continuationWait = std::chrono::milliseconds(500);
     /// Limit for the text of an item: what its tokens can need, and what a list of results can hold.
     constexpr std::size_t baseTextBytes = std::size_t { 256 } * 1024;
     constexpr std::size_t textBytesPerToken = 64;
@@ -41,6 +43,12 @@
         return std::min(maxTextBytes, baseTextBytes + tokens * textBytesPerToken);
     }
 
+    /// Whether an item can go on with \a text, as far as the text itself tells.
+    bool isUsable(const item_text& text)
+    {
+        return text.isComplete || !text.software.empty();
+    }
+
 }
 
 std::string_view toString(run_end end)
@@ -123,7 +131,7 @@
     if (!batch.isLoaded || !batch.isOpen() || batch.items[item].position || !hasAllowedVersions(batch, item, text))
         return false;
     item_state& state = m_items[{ batch.submission.id, item }];
-    if (state.run != 0 || state.isRecorded || text.lastEvent <= state.output.lastEvent)
+    if (state.run != 0 || state.isRecorded || text.lastEvent <= state.output.lastEvent || !isUsable(text))
         return false;
     state.output = text;
     state.progressEvent = text.lastEvent;
@@ -183,7 +191,7 @@
     }
     const auto known = m_items.find({ earlier->batch, earlier->item });
     const item_text& text = known != m_items.end() ? known->second.output : before->items[earlier->item].progress;
-    if (text.lastEvent > state.output.lastEvent && hasAllowedVersions(batch, item, text)) {
+    if (text.lastEvent > state.output.lastEvent && isUsable(text) && hasAllowedVersions(batch, item, text)) {
         ++m_counters.textsReused;
         state.output = text;
     }
@@ -253,7 +261,7 @@
             abandon({ batch.submission.id, item }, state, itemRoute ? abandon_reason::RetentionOver : abandon_reason::NoRoute);
             continue;
         }
-        if (progress.lastEvent > state.output.lastEvent || (progress.isComplete && !state.output.isComplete))
+        if (isUsable(progress) && (progress.lastEvent > state.output.lastEvent || (progress.isComplete && !state.output.isComplete)))
             state.output = progress;
         if (state.output.isComplete)
             complete({ batch.submission.id, item }, state, now);
@@ -288,18 +296,10 @@
     return criteria;
 }
 
-/// Starts the item; false when no replica with suitable weights has a free slot.
-bool item_scheduler::startItem(const ledger_batch& batch, std::size_t item, const route& route, instant now)
+/// Replica that qualifies; a permit is wanted when that takes one. Replicas at which the item failed come last.
+const replica_pool::replica* item_scheduler::pickWithPermit(item_state& state, replica_criteria criteria, instant now)
 {
-    const service_definition* const service = serviceOf(batch, item, route);
-    if (!service)
-        return false;
-    const item_key key { batch.submission.id, item };
-    item_state& state = m_items[key];
-    std::string& groupReplica = m_groupReplicas[{ key.batch, batch.submission.items[item].group }];
-    replica_criteria criteria = criteriaFor(batch, *service);
     criteria.excluded = state.excluded;
-    criteria.preferred = groupReplica;
     const replica_pool::replica* replica = m_pool.pick(criteria, now);
     if (!replica && !state.excluded.empty()) {
         state.excluded.clear();
@@ -308,13 +308,56 @@
     }
     if (!replica || m_pool.isLastResort(*replica, now))
         m_pool.wantPermit(criteria, now);
-    if (!replica)
+    return replica;
+}
+
+/// Chooses the replica for the next run of the item, and drops a text that cannot go on there.
+item_scheduler::run_place item_scheduler::placeRun(item_state& state, replica_criteria criteria, instant now)
+{
+    const std::string software = state.output.software;
+    const bool mayContinue = !software.empty() && m_pool.isInUse(criteria.service, software);
+    if (state.output.lastEvent != 0 && !mayContinue)
+        dropText(state);
+    if (state.output.lastEvent == 0)
+        return { pickWithPermit(state, criteria, now) };
+    criteria.software = software;
+    const replica_pool::replica* const continuing = pickWithPermit(state, criteria, now);
+    if (continuing && !m_pool.isLastResort(*continuing, now))
+        return { continuing };
+    criteria.software = {};
+    const replica_pool::replica* const other = m_pool.pick(criteria, now);
+    if (!other || m_pool.isLastResort(*other, now))
+        return { continuing };
+    if (!state.blockedSince)
+        state.blockedSince = now;
+    if (now - *state.blockedSince < continuationWait)
+        return { nullptr, true };
+    dropText(state);
+    return { other };
+}
+
+/// Starts the item; false when no replica with suitable weights has a free slot for it or for others.
+bool item_scheduler::startItem(const ledger_batch& batch, std::size_t item, const route& route, instant now)
+{
+    const service_definition* const service = serviceOf(batch, item, route);
+    if (!service)
         return false;
+    const item_key key { batch.submission.id, item };
+    item_state& state = m_items[key];
+    std::string& groupReplica = m_groupReplicas[{ key.batch, batch.submission.items[item].group }];
+    replica_criteria criteria = criteriaFor(batch, *service);
+    criteria.preferred = groupReplica;
+    const run_place place = placeRun(state, criteria, now);
+    const replica_pool::replica* const replica = place.replica;
+    if (!replica)
+        return place.hasRoomForOthers;
+    state.blockedSince.reset();
     groupReplica = replica->entry.id;
     state.run = ++m_lastRun;
     run_state run;
     run.key = key;
     run.replica = replica->entry.id;
+    run.replicaStartedAt = replica->entry.startedAt;
     run.software = replica->entry.software;
     run.startedAt = now;
     run.lastEventAt = now;
@@ -338,6 +381,7 @@
     std::vector<run_number> stalled;
     std::vector<run_number> unneeded;
     std::vector<run_number> disowned;
+    std::vector<run_number> mistaken;
     for (const std::pair<const run_number, run_state>& item : m_runs) {
         const run_state& run = item.second;
         const ledger_batch* const batch = m_ledger.find(run.key.batch);
@@ -345,6 +389,8 @@
             unneeded.push_back(item.first);
         else if (!m_owned.contains(batch->submission.model))
             disowned.push_back(item.first);
+        else if (isAtOtherInstance(run))
+            mistaken.push_back(item.first);
         else if (now - run.lastEventAt > stallTimeout)
             stalled.push_back(item.first);
     }
@@ -352,6 +398,10 @@
         cancel(run, "not needed", now);
     for (const run_number run : disowned)
         handOver(run, now);
+    for (const run_number run : mistaken) {
+        dropText(m_items[m_runs.find(run)->second.key]);
+        cancel(run, "another instance of the replica", now);
+    }
     for (const run_number run : stalled) {
         ++m_counters.runsStalled;
         m_effects.emplace_back(cancel_run { run, "stalled" });
@@ -359,6 +409,14 @@
     }
 }
 
+/// Whether the replica has started anew since the run was sent to it, as far as was known then. An instance that starts
+/// under the same id may have another software version, so it is not known which one writes the text.
+bool item_scheduler::isAtOtherInstance(const run_state& run) const
+{
+    const replica_pool::replica* const replica = m_pool.find(run.replica);
+    return replica && replica->entry.startedAt != run.replicaStartedAt;
+}
+
 void item_scheduler::moveRunsFromSlowReplicas(instant now)
 {
     std::vector<run_number> slow;
@@ -373,7 +431,8 @@
     }
 }
 
-/// Moves a run to a faster replica, if work on its batch may begin; false when no replica has a free slot.
+/// Moves a run to a faster replica that can go on with its text, if work on its batch may begin; false when no replica has a
+/// free slot.
 bool item_scheduler::moveRun(run_number run, instant now)
 {
     const run_state& state = m_runs.find(run)->second;
@@ -389,8 +448,13 @@
     criteria.isFastOnly = true;
     if (!m_pool.pick(criteria, now))
         return false;
+    item_state& item = m_items[key];
+    if (item.output.lastEvent != 0)
+        criteria.software = item.output.software;
+    if (!m_pool.pick(criteria, now))
+        return true;
     ++m_counters.runsMoved;
-    m_items[key].excluded.push_back(state.replica);
+    item.excluded.push_back(state.replica);
     cancel(run, "a faster replica has room", now);
     return startItem(batch, key.item, *itemRoute, now);
 }
--- a/src/libs/rollout/itemscheduler.h
+++ b/src/libs/rollout/itemscheduler.h
@@ -123,6 +123,9 @@
 /// The batches and the configuration are read apart, so a batch can be known before the route that was added for it. A
 /// batch waits until the configuration is at least as new as the one under which it was accepted, and while another daemon
 /// has read a newer one.
+///
+/// A text goes on only at replicas of the software version that wrote it, since what two versions write does not fit
+/// together. When none of them is in use any more, or for a while only others have room, the item begins anew.
 class item_scheduler {
 public:
     /// Texts of a closed batch are kept for this time, since trainers resubmit its groups soon after they ended it.
@@ -181,6 +184,8 @@
         /// Consecutive runs that ended without an event because the replica was out of reach or the connection broke.
         std::uint32_t fruitlessRuns = 0;
         instant notBefore {};
+        /// Since when only replicas of other software versions than wrote the text had room.
+        std::optional<instant> blockedSince;
         std::vector<std::string> excluded;
         run_number run = 0;
         bool isRecorded = false;
@@ -195,6 +200,8 @@
     struct run_state {
         item_key key;
         std::string replica;
+        /// Start of the replica, as far as it was known.
+        std::int64_t replicaStartedAt = 0;
         /// Version of the replica's software.
         std::string software;
         instant startedAt {};
@@ -212,6 +219,14 @@
     void checkRuns(instant now);
     void moveRunsFromSlowReplicas(instant now);
     bool moveRun(run_number run, instant now);
+    /// Replica for a run; when there is none, whether other items may find one.
+    struct run_place {
+        const replica_pool::replica* replica = nullptr;
+        bool hasRoomForOthers = false;
+    };
+    run_place placeRun(item_state& state, replica_criteria criteria, instant now);
+    const replica_pool::replica* pickWithPermit(item_state& state, replica_criteria criteria, instant now);
+    bool isAtOtherInstance(const run_state& run) const;
     static replica_criteria criteriaFor(const ledger_batch& batch, const service_definition& service);
     const service_definition* serviceOf(const ledger_batch& batch, std::size_t item, const route& route) const;
     void endRun(run_number run, replica_outcome outcome, instant now);
--- a/src/libs/rollout/replicapool.cpp
+++ b/src/libs/rollout/replicapool.cpp
@@ -57,6 +57,7 @@
     result.service = service;
     result.model = model;
     result.minVersion = minVersion;
+    result.software = software;
     result.maxInFlight = maxInFlight;
     return result;
 }
@@ -213,6 +214,8 @@
 {
     if (replica.entry.service != criteria.service || replica.entry.isDraining)
         return false;
+    if (!criteria.software.empty() && replica.entry.software != criteria.software)
+        return false;
     if (replica.hasAnnouncedLeaving) {
         ++m_keptAway;
         return false;
@@ -237,6 +240,13 @@
     return criteria.usesPermits && !replica.permits.empty() && replica.permits.back() > now;
 }
 
+bool replica_pool::isInUse(std::string_view service, std::string_view software) const
+{
+    return std::any_of(m_replicas.begin(), m_replicas.end(), [service, software](const std::pair<const std::string, replica>& item) {
+        return item.second.entry.service == service && item.second.entry.software == software && !item.second.isLeaving();
+    });
+}
+
 bool replica_pool::isLastResort(const replica& replica, instant now) const
 {
     return replica.suspectUntil > now || replica.vanishedAt.has_value() || replica.trials > 0;
@@ -296,7 +306,7 @@
 void replica_pool::wantPermit(const replica_criteria& criteria, instant now)
 {
     if (!limitedReplicas(criteria, now).empty())
-        m_wants.insert({ std::string(criteria.service), std::string(criteria.model), criteria.minVersion, criteria.maxInFlight });
+        m_wants.insert({ std::string(criteria.service), std::string(criteria.model), criteria.minVersion, std::string(criteria.software), criteria.maxInFlight });
 }
 
 void replica_pool::addPermit(std::string_view id, instant until)
--- a/src/libs/rollout/replicapool.h
+++ b/src/libs/rollout/replicapool.h
@@ -54,6 +54,8 @@
     /// When set, the replica needs weights of this model, of version \a minVersion at least.
     std::string_view model {};
     std::uint64_t minVersion = 0;
+    /// When set, the replica needs this version of its software.
+    std::string_view software {};
     /// Replicas with at least this many requests of this process are left out.
     std::uint32_t maxInFlight = UINT32_MAX;
     /// Replica that is chosen if it qualifies, such as the one with the prompt in its cache.
@@ -71,11 +73,13 @@
     std::string service;
     std::string model;
     std::uint64_t minVersion = 0;
+    std::string software;
     std::uint32_t maxInFlight = UINT32_MAX;
 
     bool operator<(const permit_want& other) const
     {
-        return std::tie(service, model, minVersion, maxInFlight) < std::tie(other.service, other.model, other.minVersion, other.maxInFlight);
+        return std::tie(service, model, minVersion, software, maxInFlight)
+            < std::tie(other.service, other.model, other.minVersion, other.software, other.maxInFlight);
     }
     replica_criteria criteria() const;
 };
@@ -164,6 +168,8 @@
 
     /// Best replica for a request, or null when none qualifies.
     const replica* pick(const replica_criteria& criteria, instant now) const;
+    /// Whether a replica of \a service with this version of the software takes requests, now or after others have ended.
+    bool isInUse(std::string_view service, std::string_view software) const;
     /// Whether the replica should get requests only when no other one takes them: it failed a short time
     /// ago, vanished, or runs a request under which others ended.
     bool isLastResort(const replica& replica, instant now) const;
--- a/tests/auto/gateway/tst_progressstore.cpp
+++ b/tests/auto/gateway/tst_progressstore.cpp
@@ -71,6 +71,7 @@
         entry.service = "engines";
         entry.address = "127.0.0.1:1";
         entry.dataCentre = "north-a";
+        entry.software = "v1";
         for (const batch_submission& batch : batches) {
             models.insert(batch.model);
             entry.weights[batch.model] = 1;
--- a/tests/auto/rollout/tst_itemscheduler.cpp
+++ b/tests/auto/rollout/tst_itemscheduler.cpp
@@ -328,7 +328,7 @@
     batch.configuration = 2;
     batch.items[0].path = "/more/1";
     fixture.ledger.apply(batch_accepted { batch }, at(0ms));
-    CHECK(fixture.scheduler.adoptText(*fixture.ledger.find("b"), 0, { "one", 1, { 1 } }, at(0ms)));
+    CHECK(fixture.scheduler.adoptText(*fixture.ledger.find("b"), 0, { "one", 1, { 1 }, false, "v1" }, at(0ms)));
     CHECK_FALSE(fixture.scheduler.adoptText(*fixture.ledger.find("b"), 0, { "one\ntwo", 2, { 1, 2 } }, at(0ms)));
 }
 
@@ -432,7 +432,7 @@
 {
     scheduler_fixture fixture(4);
     fixture.ledger.apply(batch_accepted { makeBatch("b", 1, 1) }, at(0ms));
-    fixture.ledger.apply(item_progressed { "b", "b-0-0", { "one\ntwo", 2, { 1 } } }, at(0ms));
+    fixture.ledger.apply(item_progressed { "b", "b-0-0", { "one\ntwo", 2, { 1 }, false, "v1" } }, at(0ms));
     CHECK(fixture.startOne(1ms).afterEvent == 2);
 }
 
@@ -539,9 +539,9 @@
         std::uint64_t afterEvent;
     };
     const adopt_case cases[] = {
-        { "allowed", { "one\ntwo", 2, { 2 } }, 2 },
-        { "weights too old", { "one\ntwo", 2, { 1, 2 } }, 0 },
-        { "no versions", { "one\ntwo", 2, {} }, 0 },
+        { "allowed", { "one\ntwo", 2, { 2 }, false, "v1" }, 2 },
+        { "weights too old", { "one\ntwo", 2, { 1, 2 }, false, "v1" }, 0 },
+        { "no versions", { "one\ntwo", 2, {}, false, "v1" }, 0 },
     };
     for (const adopt_case& row : cases) {
         DYNAMIC_SECTION(row.name)
@@ -655,6 +655,173 @@
     }
 }
 
+namespace {
+
+/// What has become of a replica once a run at r1, of software version v1, was interrupted.
+struct replica_change {
+    const char* id;
+    const char* software;
+    bool isDraining = false;
+    /// Other runs take all slots of the replica.
+    bool isFull = false;
+    std::int64_t startedAt = 1;
+};
+
+struct continuation_case {
+    const char* name;
+    std::vector<replica_change> listed;
+    /// Where the item goes on at once, if it does.
+    const char* replica;
+    std::uint64_t afterEvent;
+};
+
+const continuation_case continuationCases[] = {
+    { "the same replica is left of its version", { { "r1", "v1" }, { "r2", "v2" } }, "r1", 3 },
+    { "another one of its version", { { "r1", "v1" }, { "r2", "v1" }, { "r3", "v2" } }, "r2", 3 },
+    { "another one of its version, the first one is gone", { { "r2", "v1" }, { "r3", "v2" } }, "r2", 3 },
+    { "none is left of its version", { { "r2", "v2" } }, "r2", 0 },
+    { "none is left of its version, which comes first by name", { { "r2", "u9" } }, "r2", 0 },
+    { "its version drains", { { "r1", "v1", true }, { "r2", "v2" } }, "r2", 0 },
+    { "three versions", { { "r2", "v3" }, { "r3", "v2" }, { "r4", "v1" } }, "r4", 3 },
+    { "the replica came again with another version", { { "r1", "v2", false, false, 2 } }, "r1", 0 },
+    { "one version, all drain", { { "r1", "v1", true }, { "r2", "v1", true } }, "", 0 },
+    { "its version is full", { { "r1", "v1", false, true }, { "r2", "v2" } }, "", 0 },
+};
+
+/// Fixture with one item, whose run at r1 of version v1 has been interrupted after three events.
+struct interrupted_fixture : scheduler_fixture {
+    interrupted_fixture()
+        : scheduler_fixture(1)
+    {
+        pool.remove("r2");
+        ledger.apply(batch_accepted { makeBatch("b", 1, 1) }, at(0ms));
+        const start_run run = startOne(0ms);
+        scheduler.onHead(run.run, 1);
+        for (std::uint64_t event = 1; event <= 3; ++event)
+            feed(run.run, event, "text");
+        scheduler.onEnd(run.run, run_end::Interrupted, at(0ms));
+    }
+
+    void list(const std::vector<replica_change>& listed)
+    {
+        pool.remove("r1");
+        for (const replica_change& change : listed) {
+            replica_entry entry = makeReplica(change.id, "north-a", 1);
+            entry.software = change.software;
+            entry.isDraining = change.isDraining;
+            entry.startedAt = change.startedAt;
+            pool.update(entry);
+            if (change.isFull)
+                pool.started(change.id);
+        }
+    }
+};
+
+}
+
+// ORDER: a text went on with the events of a replica of another software version.
+TEST_CASE("A text held events from replicas of two software versions")
+{
+    for (const continuation_case& row : continuationCases) {
+        DYNAMIC_SECTION(row.name)
+        {
+            interrupted_fixture fixture;
+            fixture.list(row.listed);
+            const std::vector<start_run> started = fixture.take<start_run>(1ms);
+            REQUIRE(started.size() == (*row.replica ? 1 : 0));
+            if (started.empty())
+                continue;
+            CHECK(started[0].replica == row.replica);
+            CHECK(started[0].afterEvent == row.afterEvent);
+        }
+    }
+}
+
+TEST_CASE("A text waits half a second for a replica of its version while others have room, and then the item begins anew")
+{
+    interrupted_fixture fixture;
+    fixture.list({ { "r1", "v1", false, true }, { "r2", "v2" } });
+    CHECK(fixture.take<start_run>(10ms).empty());
+    CHECK(fixture.take<start_run>(400ms).empty());
+    const start_run anew = fixture.startOne(600ms);
+    CHECK(anew.replica == "r2");
+    CHECK(anew.afterEvent == 0);
+
+    interrupted_fixture patient;
+    patient.list({ { "r1", "v1", false, true }, { "r2", "v2" } });
+    CHECK(patient.take<start_run>(10ms).empty());
+    patient.pool.finished("r1", replica_outcome::Answered, 1ms, at(200ms));
+    CHECK(patient.startOne(300ms).afterEvent == 3);
+}
+
+TEST_CASE("An item whose text waits for its version keeps no other item waiting")
+{
+    interrupted_fixture fixture;
+    fixture.list({ { "r1", "v1", false, true }, { "r2", "v2" } });
+    fixture.ledger.apply(batch_accepted { makeBatch("c", 1, 1) }, at(1ms));
+    const start_run other = fixture.startOne(10ms);
+    CHECK(other.batch == "c");
+    CHECK(other.replica == "r2");
+}
+
+TEST_CASE("A text that was saved goes on only at its software version, and never when that is unknown")
+{
+    struct saved_case {
+        const char* software;
+        const char* listed;
+        bool isComplete;
+        bool isAdopted;
+        std::uint64_t afterEvent;
+    };
+    const saved_case rows[] = { { "v1", "v1", false, true, 5 }, { "v1", "v2", false, true, 0 }, { "", "v1", false, false, 0 }, { "", "v1", true, true, 0 } };
+    for (const saved_case& row : rows) {
+        INFO("saved with '" << row.software << "', listed '" << row.listed << "', complete: " << row.isComplete);
+        scheduler_fixture fixture(1);
+        fixture.pool.remove("r2");
+        replica_entry entry = makeReplica("r1", "north-a", 1);
+        entry.software = row.listed;
+        fixture.pool.update(entry);
+        const batch_submission batch = makeBatch("b", 1, 1);
+        fixture.ledger.apply(batch_accepted { batch }, at(0ms));
+        fixture.ledger.load(batch);
+        const item_text text { "text", 5, { 1 }, row.isComplete, row.software };
+        CHECK(fixture.scheduler.adoptText(*fixture.ledger.find("b"), 0, text, at(0ms)) == row.isAdopted);
+        const std::vector<start_run> started = fixture.take<start_run>(1ms);
+        REQUIRE(started.size() == (row.isComplete ? 0 : 1));
+        if (!started.empty())
+            CHECK(started[0].afterEvent == row.afterEvent);
+    }
+}
+
+TEST_CASE("The text of an earlier batch goes on only at its software version")
+{
+    for (const char* software : { "v1", "v2" }) {
+        interrupted_fixture fixture;
+        fixture.ledger.apply(batch_ended { "b" }, at(1ms));
+        fixture.list({ { "r2", software } });
+        batch_submission next = makeBatch("next", 1, 1);
+        next.items = fixture.ledger.find("b")->submission.items;
+        fixture.ledger.apply(batch_accepted { next }, at(2ms));
+        CHECK(fixture.startOne(3ms).afterEvent == (std::string_view(software) == "v1" ? 3 : 0));
+    }
+}
+
+TEST_CASE("A run whose replica had started anew under its id begins again, since nobody knows which version wrote its text")
+{
+    scheduler_fixture fixture(1);
+    fixture.pool.remove("r2");
+    fixture.ledger.apply(batch_accepted { makeBatch("b", 1, 1) }, at(0ms));
+    const start_run run = fixture.startOne(0ms);
+    fixture.scheduler.onHead(run.run, 1);
+    fixture.feed(run.run, 1, "one");
+    replica_entry restarted = makeReplica("r1", "north-a", 1);
+    restarted.startedAt = 2;
+    restarted.software = "v2";
+    fixture.pool.update(restarted);
+    CHECK(fixture.startOne(1ms).afterEvent == 0);
+    CHECK_FALSE(fixture.scheduler.isRunning(run.run));
+}
+
 // CONFIG: an owner went on sending items by routes that had been changed, as long as it could not read the configuration.
 TEST_CASE("Items were started by an older configuration than another daemon had read")
 {
--- a/tests/support/rolloutfixture.cpp
+++ b/tests/support/rolloutfixture.cpp
@@ -16,6 +16,7 @@
     entry.dataCentre = dataCentre;
     entry.slots = 4;
     entry.startedAt = 1;
+    entry.software = "v1";
     entry.weights[testModel] = version;
     return entry;
 }
