Gateway: Resume streams only at the software version that began them

Cause: an interrupted stream went on at any replica, and a stream that a caller takes up again, too; Resumes was not read.

Change: within an answer the version of the replica that sent the first event is kept to; when none of it is left the stream is ended at once. Over the attempts of a caller the version has to be known at any daemon, also after the first one was killed. So while a daemon lists several versions of a service, it notes at three daemons, chosen by rendezvous hashing, which version began each stream. Who gets a resumption asks them. A stream without a note was begun while there was one version only, which software_history knows; this counts only when a keeper has kept notes since before there were several. Otherwise the resumption is refused at once as not run.

Ways not taken: a record in the log for each stream (4,000 appends a second from 400 daemons, while the sites take 800 to 1,500); a choice that each daemon computes from the id (wrong as soon as the set of versions changes).

--- a/src/libs/gateway/callrelay.cpp
+++ b/src/libs/gateway/callrelay.cpp
@@ -59,11 +59,15 @@
     /// Ask for a permit that is under way; 0 for none.
     permit_number permit = 0;
     bool isResumable = false;
+    /// Software version that began the stream; empty when it has not begun, or when the version is unknown.
+    std::string streamSoftware;
     call_progress progress;
     std::vector<std::string> triedReplicas;
     replica_instance replica;
     /// "ip:port" of the replica.
     std::string address;
+    /// Version of the replica's software.
+    std::string software;
     /// Standing of the request at the begin of the attempt.
     request_standing standing = request_standing::Clear;
     bool isOnTrial = false;
@@ -82,12 +86,13 @@
     boost::asio::steady_timer permitTimer;
 };
 
-call_relay::call_relay(boost::asio::io_context& context, http_client& client, replica_pool& pool, replica_gate& gate, request_guard& guard, const route_table& routes, log& log)
+call_relay::call_relay(boost::asio::io_context& context, http_client& client, replica_pool& pool, replica_gate& gate, request_guard& guard, stream_origins& origins, const route_table& routes, log& log)
     : m_context(context)
     , m_client(client)
     , m_pool(pool)
     , m_gate(gate)
     , m_guard(guard)
+    , m_origins(origins)
     , m_routes(routes)
     , m_log(log)
 {
@@ -125,7 +130,30 @@
             onTimeout(number);
     });
     noteConfigurationAge(*call);
+    const bool isResumed = route.kind == route_kind::Streaming && caller.lastEvent != 0;
     m_calls.emplace(number, std::move(call));
+    if (isResumed)
+        resume(number);
+    else
+        startAttempt(number);
+}
+
+void call_relay::resume(std::uint64_t number)
+{
+    const relayed_call& call = *find(number);
+    m_origins.find(call.caller.resumes, call.service, [this, number](const std::string& software) { onOriginFound(number, software); });
+}
+
+void call_relay::onOriginFound(std::uint64_t number, const std::string& software)
+{
+    relayed_call* const call = find(number);
+    if (!call)
+        return;
+    if (software.empty()) {
+        refuse(number, "it is not known which software version began the stream");
+        return;
+    }
+    call->streamSoftware = software;
     startAttempt(number);
 }
 
@@ -210,9 +238,16 @@
         m_soloTrials.erase(call.service);
 }
 
-const replica_pool::replica* call_relay::pickReplica(const relayed_call& call, std::string_view permitted, instant now) const
+replica_criteria call_relay::criteriaFor(const relayed_call& call) const
 {
     replica_criteria criteria { call.service, call.triedReplicas };
+    criteria.software = call.streamSoftware;
+    return criteria;
+}
+
+const replica_pool::replica* call_relay::pickReplica(const relayed_call& call, std::string_view permitted, instant now) const
+{
+    replica_criteria criteria = criteriaFor(call);
     criteria.permitted = permitted;
     criteria.preferred = permitted;
     const replica_pool::replica* const replica = m_pool.pick(criteria, now);
@@ -233,7 +268,7 @@
 {
     relayed_call& call = *find(number);
     const duration left = call.progress.deadline - now;
-    std::vector<replica_instance> replicas = m_pool.limitedReplicas({ call.service, call.triedReplicas }, now);
+    std::vector<replica_instance> replicas = m_pool.limitedReplicas(criteriaFor(call), now);
     if (replicas.empty() && call.progress.kind == route_kind::Idempotent)
         replicas = m_pool.limitedReplicas({ call.service, {} }, now);
     if (replicas.empty())
@@ -287,8 +322,9 @@
     const instant now = bootNow();
     call.replica = replica.instance();
     call.address = replica.entry.address;
+    call.software = replica.entry.software;
     call.triedReplicas.push_back(call.replica.id);
-    const bool hasAlternative = m_pool.pick({ call.service, call.triedReplicas }, now) != nullptr;
+    const bool hasAlternative = m_pool.pick(criteriaFor(call), now) != nullptr;
     call.attemptStartedAt = now;
     call.isAttemptOpen = true;
     call.isUnusable = false;
@@ -334,6 +370,10 @@
         rejectAnswer(*call, number);
         return;
     }
+    if (call->answer.hasStarted() && call->isResumable && call->streamSoftware.empty()) {
+        call->streamSoftware = call->software;
+        m_origins.noteBegun(call->caller.id, call->service, call->software);
+    }
     if (call->answer.hasStarted() && !std::exchange(call->isBoundToReplica, true))
         call->handle.setTimeout(call->progress.deadline - call->attemptStartedAt);
     if (isCallerBehind(call->exchange))
@@ -438,7 +478,8 @@
     call_step step = decideAfterAttempt(call.progress, end, now);
     // What follows a stream that has begun is its next events or nothing, whatever another replica answers.
     const bool isAnswered = end == attempt_end::Answered && (!call.answer.hasStarted() || isSuccess(call.answer.head().status));
-    const bool mayResume = call.progress.kind == route_kind::Streaming && call.isResumable && !isAnswered
+    const bool isOriginKnown = !call.answer.hasStarted() || !call.streamSoftware.empty();
+    const bool mayResume = call.progress.kind == route_kind::Streaming && call.isResumable && isOriginKnown && !isAnswered
         && call.progress.attempts < call.progress.maxAttempts && now < call.progress.deadline;
     if (mayResume)
         step = call_step::Retry;
--- a/src/libs/gateway/callrelay.h
+++ b/src/libs/gateway/callrelay.h
@@ -8,6 +8,7 @@
 #include <rollout/replicapool.h>
 #include <rollout/requestguard.h>
 #include <rollout/routetable.h>
+#include <rollout/streamorigins.h>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -41,11 +42,12 @@
 /// Relays calls of customers to replicas, and the answers back.
 ///
 /// A call is retried at another replica as far as its route allows: a call that may have run is repeated only on an
-/// idempotent route, and a resumable stream continues after its last event. A request under which replicas ended is kept
+/// idempotent route, and a resumable stream continues after its last event, at a replica of the software version that began
+/// it. A request under which replicas ended is kept
 /// apart from others, then tried alone, and in the end refused for good, whichever call brings it.
 class call_relay {
 public:
-    call_relay(boost::asio::io_context& context, http_client& client, replica_pool& pool, replica_gate& gate, request_guard& guard, const route_table& routes, log& log);
+    call_relay(boost::asio::io_context& context, http_client& client, replica_pool& pool, replica_gate& gate, request_guard& guard, stream_origins& origins, const route_table& routes, log& log);
     ~call_relay();
 
     /// Relays the request of \a exchange, which belongs to \a route, and answers it there.
@@ -62,6 +64,9 @@
 private:
     struct relayed_call;
 
+    /// Resumes a stream that the caller takes up again, once it is known which software version began it.
+    void resume(std::uint64_t number);
+    void onOriginFound(std::uint64_t number, const std::string& software);
     /// Sends the call to a replica, waits for a permit of a limited one, or ends the call when no replica is free.
     /// \a permitted: limited replica for which the call has a permit.
     void startAttempt(std::uint64_t number, std::string_view permitted = {});
@@ -69,6 +74,7 @@
     bool mayTryAlone(const relayed_call& call, instant now) const;
     void beginTrial(relayed_call& call);
     void endTrial(relayed_call& call);
+    replica_criteria criteriaFor(const relayed_call& call) const;
     const replica_pool::replica* pickReplica(const relayed_call& call, std::string_view permitted, instant now) const;
     void sendTo(std::uint64_t number, const replica_pool::replica& replica);
     /// Asks for a permit to send the call to a limited replica; false when none would take it.
@@ -114,6 +120,7 @@
     replica_pool& m_pool;
     replica_gate& m_gate;
     request_guard& m_guard;
+    stream_origins& m_origins;
     const route_table& m_routes;
     log& m_log;
     /// Open calls by number. Handlers look a call up by its number, since it may have ended meanwhile.
--- a/src/libs/gateway/factexchange.cpp
+++ b/src/libs/gateway/factexchange.cpp
@@ -42,6 +42,8 @@
 {
     m_agent.setDaemons(owner_map(m_link.view()), [this](const replica_instance& replica) { return sightOf(replica); });
     m_spread.setDaemons(m_link.others());
+    if (m_streamHandlers.onDaemons)
+        m_streamHandlers.onDaemons(owner_map(m_link.view()));
 }
 
 permit_agent::replica_sight fact_exchange::sightOf(const replica_instance& replica) const
@@ -63,6 +65,8 @@
         ++m_counters.received;
         learn(item, vm);
     }
+    if (message->stream && m_streamHandlers.onMessage)
+        m_streamHandlers.onMessage(vm, *message->stream);
     if (!message->permit)
         return;
     m_agent.onMessage(vm, *message->permit, now);
@@ -203,6 +207,11 @@
     return all;
 }
 
+void fact_exchange::send(const std::string& vm, const stream_message& message)
+{
+    m_link.send(vm, encodeFactMessage({ {}, std::nullopt, message }, bootNow()));
+}
+
 void fact_exchange::send(std::span<const fact_delivery> deliveries)
 {
     for (const fact_delivery& delivery : deliveries)
--- a/src/libs/gateway/factexchange.h
+++ b/src/libs/gateway/factexchange.h
@@ -8,6 +8,7 @@
 #include <rollout/replicapool.h>
 #include <rollout/requestquarantine.h>
 #include <rollout/routetable.h>
+#include <rollout/streamnote.h>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -56,6 +57,16 @@
     /// Whether no daemon was lost sight of a short time ago.
     bool isFleetInSight() const { return !m_link.hasLost(); }
 
+    /// What the exchange passes on about the streams of callers.
+    struct stream_handlers {
+        /// The daemons that are alive have changed.
+        std::function<void(const owner_map& daemons)> onDaemons;
+        /// The daemon on \a vm sent \a message.
+        std::function<void(const std::string& vm, const stream_message& message)> onMessage;
+    };
+    void setStreamHandlers(stream_handlers handlers) { m_streamHandlers = std::move(handlers); }
+    void send(const std::string& vm, const stream_message& message);
+
     const permit_counters& permits() const { return m_agent.counters(); }
     const fact_counters& counters() const { return m_counters; }
     const gossip_socket_counters& traffic() const { return m_link.counters(); }
@@ -91,6 +102,7 @@
     route_table& m_routes;
     ragwortreach::log& m_logger;
     std::function<void()> m_onPermit;
+    stream_handlers m_streamHandlers;
     request_quarantine m_quarantine;
     permit_agent m_agent;
     fact_spread m_spread;
--- a/src/libs/gateway/gatewayhost.cpp
+++ b/src/libs/gateway/gatewayhost.cpp
@@ -15,6 +15,7 @@
 #include "platformview.h"
 #include "pollintervals.h"
 #include "progressstore.h"
+#include "streamfinder.h"
 #include "topicwatch.h"
 #include "weightorderer.h"
 
@@ -121,6 +122,7 @@
               { [this] { applyConfiguration(); }, [this](const std::string& model, std::uint64_t version) { setTargetVersion(model, version); } })
         , facts(ioContext, store, pool, routes, localMember(daemonSettings), instance, daemonLog, [this] { runner.run(); })
         , crashes(ioContext, facts)
+        , streams(facts, pool, daemonSettings.vm)
         , batchJournal(
               ioContext, store, { daemonSettings.journalPartitions, daemonSettings.textPartitions }, instance, [this](const ledger_batch& batch) { batchHandler.onChanged(batch); }, [this](const batch_listed& batch) { orderer.plan().setOldestAllowed(batch.model, batch.minVersion); })
         , leaseClient(ioContext, store, { daemonSettings.vm, instance }, { daemonSettings.orderLease, daemonSettings.processorShare }, daemonLog, [this] { assignWork(); })
@@ -129,7 +131,7 @@
         , progress(ioContext, store, daemonSettings.textPartitions, instance, batchJournal.ledger(), scheduler, daemonLog)
         , runner(ioContext, client, batchJournal, progress, scheduler, pool, facts, daemonLog)
         , orderer(client, leaseClient.agent(), pool, facts, routes, daemonSettings.vm, daemonLog)
-        , relay(ioContext, client, pool, facts, crashes, routes, daemonLog)
+        , relay(ioContext, client, pool, facts, crashes, streams, routes, daemonLog)
         , batchHandler(batchJournal, routes, daemonLog)
         , callerServer(
               ioContext, callerLimits(), [this](const http_exchange& exchange) { serve(exchange); }, malformedResponse)
@@ -185,6 +187,7 @@
     platform_view platformView;
     fact_exchange facts;
     crash_watch crashes;
+    stream_finder streams;
     journal batchJournal;
     lease_client leaseClient;
     batch_loader loader;
@@ -395,7 +398,7 @@
 
 void gateway_host::state::answerMetrics(const http_exchange& exchange)
 {
-    const gateway_readings readings { relay.counters(), batchHandler.counters(), loader.counters(), scheduler.counters(), scheduler.rewards(), runner.rewardLatency(), runner.workCounters(), orderer.counters(), platformView.counters(), facts,
+    const gateway_readings readings { relay.counters(), batchHandler.counters(), loader.counters(), scheduler.counters(), scheduler.rewards(), runner.rewardLatency(), runner.workCounters(), orderer.counters(), platformView.counters(), facts, streams.counters(),
         batchJournal.counters(), batchJournal.snapshots(), batchJournal.texts().counters(), progress.counters(), pool.keptAway(), lateRefusals, supersededRefusals, routes.version(), relay.openCalls(), scheduler.runs(), batchJournal.pendingWrites(), isReady() };
     exchange.respond({ okStatus, { { "Content-Type", "text/plain; version=0.0.4" } }, metricsText(readings) });
 }
@@ -450,6 +453,7 @@
             assignWork();
         platformView.tick();
         facts.tick();
+        streams.tick();
         batchHandler.tick();
         loadBatches();
         runner.run();
--- a/src/libs/gateway/gatewaymetrics.h
+++ b/src/libs/gateway/gatewaymetrics.h
@@ -8,6 +8,7 @@
 #include "platformview.h"
 #include "progressstore.h"
 #include "rewardcaller.h"
+#include "streamfinder.h"
 #include "weightorderer.h"
 #include "workwatch.h"
 
@@ -29,6 +30,7 @@
     const weight_counters& weights;
     const view_counters& view;
     const fact_exchange& facts;
+    const stream_counters& streams;
     const journal_counters& journal;
     snapshot_counters journalSnapshots;
     const text_counters& texts;
--- a/src/libs/wire/factcodec.cpp
+++ b/src/libs/wire/factcodec.cpp
@@ -130,6 +130,48 @@
         return false;
     }
 
+    void writeStream(const stream_message& message, instant now, wire::FactMessage& out)
+    {
+        std::visit(overloaded {
+                       [&out, now](const stream_note& note) {
+                           out.mutable_stream_note()->set_request(note.request);
+                           out.mutable_stream_note()->set_software(note.software);
+                           out.mutable_stream_note()->set_age_us(toMicroseconds(now - note.begunAt));
+                       },
+                       [&out](const stream_question& question) {
+                           out.mutable_stream_question()->set_number(question.number);
+                           out.mutable_stream_question()->set_request(question.request);
+                       },
+                       [&out](const stream_answer& answer) {
+                           out.mutable_stream_answer()->set_number(answer.number);
+                           out.mutable_stream_answer()->set_software(answer.software);
+                           out.mutable_stream_answer()->set_keeps_for_us(toMicroseconds(answer.keepsFor));
+                       },
+                   },
+            message);
+    }
+
+    /// False when the message about a stream is malformed.
+    bool readStream(const wire::FactMessage& in, instant now, std::optional<stream_message>& stream)
+    {
+        switch (in.stream_case()) {
+        case wire::FactMessage::kStreamNote:
+            if (in.stream_note().request().empty() || in.stream_note().software().empty())
+                return false;
+            stream = stream_note { in.stream_note().request(), in.stream_note().software(), now - toDuration(in.stream_note().age_us()) };
+            return true;
+        case wire::FactMessage::kStreamQuestion:
+            stream = stream_question { in.stream_question().number(), in.stream_question().request() };
+            return true;
+        case wire::FactMessage::kStreamAnswer:
+            stream = stream_answer { in.stream_answer().number(), in.stream_answer().software(), toDuration(in.stream_answer().keeps_for_us()) };
+            return true;
+        case wire::FactMessage::STREAM_NOT_SET:
+            return true;
+        }
+        return false;
+    }
+
 }
 
 std::string encodeFactMessage(const fact_message& message, instant now)
@@ -146,6 +188,8 @@
                    },
             item);
     }
+    if (message.stream)
+        writeStream(*message.stream, now, out);
     if (!message.permit)
         return out.SerializeAsString();
     std::visit(overloaded {
@@ -180,7 +224,7 @@
             return std::nullopt;
         message.facts.push_back(*known);
     }
-    if (!readPermit(in, now, message.permit))
+    if (!readPermit(in, now, message.permit) || !readStream(in, now, message.stream))
         return std::nullopt;
     return message;
 }
--- a/src/libs/wire/factcodec.h
+++ b/src/libs/wire/factcodec.h
@@ -3,6 +3,7 @@
 #include <core/membership.h>
 #include <rollout/fact.h>
 #include <rollout/permitmessage.h>
+#include <rollout/streamnote.h>
 
 #include <optional>
 #include <string>
@@ -12,10 +13,11 @@
 
 namespace ragwortreach {
 
-/// Payload of a gossip message: facts, and a message about a permit.
+/// Payload of a gossip message: facts, a message about a permit, and one about a stream.
 struct fact_message {
     std::vector<fact> facts;
     std::optional<permit_message> permit;
+    std::optional<stream_message> stream {};
 };
 
 /// Bytes of \a message at \a now (protobuf, facts.proto). Times are sent as ages, since clocks differ between VMs.
--- a/tests/auto/gateway/tst_callrelay.cpp
+++ b/tests/auto/gateway/tst_callrelay.cpp
@@ -119,6 +119,21 @@
     int m_crashes = 0;
 };
 
+/// Streams whose versions are set by the test.
+class scripted_origins : public stream_origins {
+public:
+    /// Version that find() tells; empty for none.
+    void setFound(std::string software) { m_found = std::move(software); }
+    const std::vector<std::string>& begun() const { return m_begun; }
+
+    void noteBegun(const std::string& request, const std::string& service, const std::string& software) override { m_begun.push_back(request + " " + service + " " + software); }
+    void find(const std::string&, const std::string&, std::function<void(const std::string&)> onFound) override { onFound(m_found); }
+
+private:
+    std::string m_found;
+    std::vector<std::string> m_begun;
+};
+
 /// Stand-in for a replica, on a port of its own.
 class replica_standin {
 public:
@@ -321,7 +336,7 @@
         , replicas { std::make_unique<replica_standin>(context, first), std::make_unique<replica_standin>(context, second) }
         , client(context)
         , gate(context, pool)
-        , relay(context, client, pool, gate, guard, routes, logger)
+        , relay(context, client, pool, gate, guard, origins, routes, logger)
         , server(
               context, {}, [this](const http_exchange& exchange) { relay.serve(exchange, shop, platform::decodeCallerRequest(exchange.request())); },
               [](std::error_code) { return http_response { 400, {}, {} }; })
@@ -336,6 +351,7 @@
             entry.service = "shop";
             entry.address = replicas[index]->address();
             entry.dataCentre = index == 0 ? "north-a" : "north-b";
+            entry.software = "v1";
             pool.update(entry);
         }
         REQUIRE_FALSE(server.listen({ "127.0.0.1", 0 }));
@@ -359,17 +375,32 @@
         return received;
     }
 
-    /// Lets the first or the second replica be one at \a address.
-    void replace(std::size_t index, const std::string& address)
+    /// Result of a call whose answer is a stream.
+    result_code endOfStream()
+    {
+        std::optional<result_code> code;
+        http_call_handlers handlers;
+        handlers.onDone = [&code](const http_outcome& ended) { code = ended.code; };
+        http_call_options options;
+        options.timeout = std::chrono::seconds(30);
+        client.call({ "127.0.0.1", server.port() }, request, options, std::move(handlers));
+        while (!code)
+            context.run_one();
+        return *code;
+    }
+
+    /// Lets the first or the second replica be one at \a address, with the version \a software.
+    void replace(std::size_t index, const std::string& address, const std::string& software = "v1")
     {
         replica_entry entry = pool.find("r" + std::to_string(index))->entry;
         entry.address = address;
+        entry.software = software;
         pool.update(entry);
     }
 
     int requests() const { return replicas[0]->requests() + replicas[1]->requests(); }
 
-    const http_request request { "POST", "/shop/1", { { "Host", "lace.example" }, { "Request-Id", "mine" }, { "Deadline-Ms", "20000" } }, "order" };
+    http_request request { "POST", "/shop/1", { { "Host", "lace.example" }, { "Request-Id", "mine" }, { "Deadline-Ms", "20000" } }, "order" };
     boost::asio::io_context context;
     ragwortreach::log logger;
     replica_pool pool;
@@ -379,6 +410,7 @@
     http_client client;
     scripted_gate gate;
     scripted_guard guard;
+    scripted_origins origins;
     call_relay relay;
     http_server server;
 };
@@ -615,6 +647,58 @@
     }
 }
 
+// ORDER: an interrupted stream went on within its answer at a replica of another software version.
+TEST_CASE("A stream held events from replicas of two software versions in one answer")
+{
+    struct row {
+        const char* first;
+        const char* second;
+        int requestsAtSecond;
+    };
+    const row rows[] = { { "v1", "v1", 1 }, { "v1", "v2", 0 }, { "v2", "v1", 0 }, { "", "v1", 0 }, { "", "", 0 } };
+    const std::string own = "Request-Id: mine\r\nServer-Stamp: s\r\n";
+    for (const row& row : rows) {
+        INFO("first '" << row.first << "', second '" << row.second << "'");
+        relay_fixture fixture(behaviour::Complete, behaviour::Complete, route_kind::Streaming);
+        fixture.shop.isResumable = true;
+        byte_replica interrupted(fixture.context, "HTTP/1.1 200 OK\r\n" + own + "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n", connection_end::Reset);
+        byte_replica next(fixture.context, "HTTP/1.1 200 OK\r\n" + own + "Content-Length: 15\r\n\r\nid: 2\ndata: b\n\n", connection_end::Closed);
+        fixture.replace(0, interrupted.address(), row.first);
+        fixture.replace(1, next.address(), row.second);
+        CHECK(fixture.endOfStream() == (row.requestsAtSecond == 1 ? result_code::Ok : result_code::UpstreamTruncated));
+        CHECK(next.requests() == row.requestsAtSecond);
+        CHECK(fixture.origins.begun().size() == 1);
+    }
+}
+
+// ORDER: a stream that its caller took up again went on at a replica of another software version.
+TEST_CASE("A stream held events from replicas of two software versions over the attempts of its caller")
+{
+    struct row {
+        const char* began;
+        const char* first;
+        const char* second;
+        bool isRefused;
+        int requestsAtFirst;
+        int requestsAtSecond;
+    };
+    const row rows[] = { { "v1", "v1", "v2", false, 1, 0 }, { "v2", "v1", "v2", false, 0, 1 }, { "v3", "v1", "v2", true, 0, 0 }, { "", "v1", "v2", true, 0, 0 }, { "", "v1", "v1", true, 0, 0 } };
+    for (const row& row : rows) {
+        INFO("began at '" << row.began << "'");
+        relay_fixture fixture(behaviour::Complete, behaviour::Complete, route_kind::Streaming);
+        fixture.shop.isResumable = true;
+        fixture.origins.setFound(row.began);
+        fixture.replace(0, fixture.replicas[0]->address(), row.first);
+        fixture.replace(1, fixture.replicas[1]->address(), row.second);
+        fixture.request.headers.push_back({ "Last-Event-Id", "4" });
+        fixture.request.headers.push_back({ "Resumes", "first" });
+        CHECK((fixture.answer().status == 503) == row.isRefused);
+        CHECK(fixture.replicas[0]->requests() == row.requestsAtFirst);
+        CHECK(fixture.replicas[1]->requests() == row.requestsAtSecond);
+        CHECK(fixture.origins.begun().empty());
+    }
+}
+
 TEST_CASE("An answer whose replica stopped in its head or its body is never passed on as complete")
 {
     struct row {
--- a/tests/auto/wire/tst_factcodec.cpp
+++ b/tests/auto/wire/tst_factcodec.cpp
@@ -45,6 +45,24 @@
     CHECK(read.readAt == receivedAt - 2s);
 }
 
+TEST_CASE("Messages about streams are unchanged after encoding and decoding, but for their clock")
+{
+    const std::optional<fact_message> note = decodeFactMessage(encodeFactMessage({ {}, std::nullopt, stream_note { "r-1", "v1", sentAt - 2s } }, sentAt), receivedAt);
+    REQUIRE((note && note->stream));
+    CHECK(std::get<stream_note>(*note->stream).request == "r-1");
+    CHECK(std::get<stream_note>(*note->stream).software == "v1");
+    CHECK(std::get<stream_note>(*note->stream).begunAt == receivedAt - 2s);
+    const std::optional<fact_message> question = decodeFactMessage(encodeFactMessage({ {}, std::nullopt, stream_question { 7, "r-1" } }, sentAt), receivedAt);
+    REQUIRE((question && question->stream));
+    CHECK(std::get<stream_question>(*question->stream).number == 7);
+    CHECK(std::get<stream_question>(*question->stream).request == "r-1");
+    const std::optional<fact_message> answer = decodeFactMessage(encodeFactMessage({ {}, std::nullopt, stream_answer { 7, "v1", 9s } }, sentAt), receivedAt);
+    REQUIRE((answer && answer->stream));
+    CHECK(std::get<stream_answer>(*answer->stream).number == 7);
+    CHECK(std::get<stream_answer>(*answer->stream).software == "v1");
+    CHECK(std::get<stream_answer>(*answer->stream).keepsFor == 9s);
+}
+
 TEST_CASE("Facts about requests are unchanged after encoding and decoding, but for their clock")
 {
     const request_crash crash { { 1, 0xfffffffffffffffe }, { "shop-1", 7 }, sentAt - 2s };
