--- a/src/libs/gateway/callrelay.cpp
+++ b/src/libs/gateway/callrelay.cpp
@@ -370,16 +370,22 @@
         rejectAnswer(*call, number);
         return;
     }
-    if (call->answer.hasStarted() && call->isResumable && call->streamSoftware.empty()) {
-        call->streamSoftware = call->software;
-        m_origins.noteBegun(call->caller.id, call->service, call->software);
-    }
     if (call->answer.hasStarted() && !std::exchange(call->isBoundToReplica, true))
-        call->handle.setTimeout(call->progress.deadline - call->attemptStartedAt);
+        bindToReplica(*call);
     if (isCallerBehind(call->exchange))
         pauseUntilDrained(*call, number);
 }
 
+/// A part of the replica's answer was sent to the caller.
+void call_relay::bindToReplica(relayed_call& call)
+{
+    call.handle.setTimeout(call.progress.deadline - call.attemptStartedAt);
+    if (!call.isResumable || !call.streamSoftware.empty())
+        return;
+    call.streamSoftware = call.software;
+    m_origins.noteBegun(call.caller.id, call.service, call.software);
+}
+
 void call_relay::pauseUntilDrained(relayed_call& call, std::uint64_t number)
 {
     call.handle.setPaused(true);
--- a/src/libs/gateway/callrelay.h
+++ b/src/libs/gateway/callrelay.h
@@ -88,6 +88,7 @@
     void endWithoutReplica(std::uint64_t number, std::string_view reason);
     void readHead(std::uint64_t number, const http_response_head& head);
     void readBody(std::uint64_t number, std::string_view piece);
+    void bindToReplica(relayed_call& call);
     /// Stops reading from the replica until the caller has taken what is queued.
     void pauseUntilDrained(relayed_call& call, std::uint64_t number);
     /// Cancels the attempt, since its bytes are not a valid answer to the call.
--- a/src/libs/rollout/itemscheduler.cpp
+++ b/src/libs/rollout/itemscheduler.cpp
@@ -381,7 +381,7 @@
     std::vector<run_number> stalled;
     std::vector<run_number> unneeded;
     std::vector<run_number> disowned;
-    std::vector<run_number> mistaken;
+    std::vector<run_number> atOtherInstance;
     for (const std::pair<const run_number, run_state>& item : m_runs) {
         const run_state& run = item.second;
         const ledger_batch* const batch = m_ledger.find(run.key.batch);
@@ -390,7 +390,7 @@
         else if (!m_owned.contains(batch->submission.model))
             disowned.push_back(item.first);
         else if (isAtOtherInstance(run))
-            mistaken.push_back(item.first);
+            atOtherInstance.push_back(item.first);
         else if (now - run.lastEventAt > stallTimeout)
             stalled.push_back(item.first);
     }
@@ -398,7 +398,7 @@
         cancel(run, "not needed", now);
     for (const run_number run : disowned)
         handOver(run, now);
-    for (const run_number run : mistaken) {
+    for (const run_number run : atOtherInstance) {
         dropText(m_items[m_runs.find(run)->second.key]);
         cancel(run, "another instance of the replica", now);
     }
--- a/src/libs/rollout/softwarehistory.h
+++ b/src/libs/rollout/softwarehistory.h
@@ -48,7 +48,7 @@
     using periods = std::deque<period>;
 
     const periods& periodsOf(std::string_view service) const;
-    void note(periods& known, std::set<std::string> versions, instant now);
+    static void note(periods& known, std::set<std::string> versions, instant now);
 
     /// By service, the oldest first; without those that ended before the retention time.
     std::map<std::string, periods, std::less<>> m_services;
