Tests: Take streams up after their daemon was killed, while two software versions serve

With whole daemons: six streams over two model engines of different versions, the daemon killed amid them, and each resumed at the engine that began it, by another daemon; and the same for streams that were begun before the second version was listed.

--- a/tests/auto/system/platformfleet.cpp
+++ b/tests/auto/system/platformfleet.cpp
@@ -28,7 +28,7 @@
             { "timeout_ms", 10000 }, { "full_value_ms", 400 }, { "service", "engines" }, { "max_attempts", 3 }, { "retention_s", 600.0 } };
     }
 
-    /// Routes "lots" and \a addedRollouts (rollouts), "orders" (not idempotent) and "rewards" (idempotent) to the services
+    /// Routes "lots" and \a addedRollouts (rollouts), "chat" (resumable streams), "orders" (not idempotent) and "rewards" (idempotent) to the services
     /// "engines" and "shop".
     json configuration(int version, const std::vector<std::string>& addedRollouts)
     {
@@ -36,9 +36,11 @@
             { "timeout_ms", 60000 }, { "full_value_ms", 400 }, { "service", "shop" }, { "max_attempts", 2 } };
         const json rewards { { "name", "rewards" }, { "host", "lace.example" }, { "path_prefix", "/score/" }, { "route_kind", "idempotent" },
             { "timeout_ms", 20000 }, { "full_value_ms", 400 }, { "service", "shop" }, { "max_attempts", 3 } };
+        const json chat { { "name", "chat" }, { "host", "lace.example" }, { "path_prefix", "/chat/" }, { "route_kind", "streaming" }, { "resumable", true },
+            { "timeout_ms", 20000 }, { "full_value_ms", 400 }, { "service", "engines" }, { "max_attempts", 3 } };
         const json engine { { "slots", 8 }, { "kv_capacity", 90000 }, { "models", json::array({ { { "name", "lace-7b" } } }) } };
         const json services = json::array({ { { "name", "engines" }, { "engine", engine } }, { { "name", "shop" } } });
-        json routes = json::array({ rolloutRoute("lots"), orders, rewards });
+        json routes = json::array({ rolloutRoute("lots"), chat, orders, rewards });
         for (const std::string& name : addedRollouts)
             routes.push_back(rolloutRoute(name));
         return { { "version", version }, { "routes", routes }, { "services", services } };
@@ -76,6 +78,11 @@
     std::filesystem::remove_all(m_folder);
 }
 
+void platform_fleet::addEngine()
+{
+    run([this] { m_addedEngine = std::make_unique<replica_standin>(m_context, *m_store, "engine-2", "engines", "lace-7b", "v2"); });
+}
+
 void platform_fleet::addShops(int count)
 {
     run([this, count] {
--- a/tests/auto/system/platformfleet.h
+++ b/tests/auto/system/platformfleet.h
@@ -42,6 +42,9 @@
     store_standin& store() { return *m_store; }
     replica_standin& engine() { return *m_engine; }
     replica_standin& shop() { return *m_shop; }
+    /// Adds a model engine with the software version "v2"; the first one has "v1".
+    void addEngine();
+    replica_standin& addedEngine() { return *m_addedEngine; }
     /// Adds \a count replicas of the shop.
     void addShops(int count);
     /// Number of runs at the replicas that addShops() added.
@@ -78,6 +81,7 @@
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
     std::unique_ptr<store_standin> m_store;
     std::unique_ptr<replica_standin> m_engine;
+    std::unique_ptr<replica_standin> m_addedEngine;
     std::unique_ptr<replica_standin> m_shop;
     std::vector<std::unique_ptr<replica_standin>> m_moreShops;
     std::filesystem::path m_folder;
--- a/tests/platform/replicastandin.cpp
+++ b/tests/platform/replicastandin.cpp
@@ -25,12 +25,13 @@
 
 }
 
-replica_standin::replica_standin(boost::asio::io_context& context, store_standin& store, std::string id, std::string service, std::string model)
+replica_standin::replica_standin(boost::asio::io_context& context, store_standin& store, std::string id, std::string service, std::string model, std::string software)
     : m_context(context)
     , m_store(store)
     , m_id(std::move(id))
     , m_service(std::move(service))
     , m_model(std::move(model))
+    , m_software(std::move(software))
     , m_restartTimer(context)
 {
     startServer();
@@ -65,7 +66,7 @@
 void replica_standin::writeEntry()
 {
     const json entry { { "service", m_service }, { "address", "127.0.0.1:" + std::to_string(m_server->port()) }, { "zone", "north-a" },
-        { "version", "v1" }, { "slots", 8 }, { "state", "ready" }, { "cold_left_ms", 0 }, { "seq_no", 1 }, { "born", m_startedAt },
+        { "version", m_software }, { "slots", 8 }, { "state", "ready" }, { "cold_left_ms", 0 }, { "seq_no", 1 }, { "born", m_startedAt },
         { "models", json::array({ { { "name", m_model }, { "version", m_version } } }) } };
     m_store.put("keyed.servers", m_id, entry.dump());
 }
--- a/tests/platform/replicastandin.h
+++ b/tests/platform/replicastandin.h
@@ -25,7 +25,7 @@
     static constexpr std::string_view deadlyText = "poison";
     static constexpr std::chrono::milliseconds downTime { 500 };
 
-    replica_standin(boost::asio::io_context& context, store_standin& store, std::string id, std::string service, std::string model);
+    replica_standin(boost::asio::io_context& context, store_standin& store, std::string id, std::string service, std::string model, std::string software = "v1");
 
     /// Writes the entry of the replica to the topic keyed.servers of the store.
     void writeEntry();
@@ -66,6 +66,8 @@
     std::string m_id;
     std::string m_service;
     std::string m_model;
+    /// Version of the software that the entry names.
+    std::string m_software;
     std::uint64_t m_version = 1;
     std::unique_ptr<http_server> m_server;
     /// Servers of earlier lives; their sessions may still be closing.
