--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -135,47 +135,65 @@
         };
     }
 
+    std::vector<reading> callReadings(const gateway_readings& from)
+    {
+        return {
+            { counter("ragwortreach_calls_arrived_total", "Calls of customers that arrived"), from.calls.arrived },
+            { counter("ragwortreach_calls_answered_total", "Calls with a replica's whole answer"), from.calls.answered },
+            { counter("ragwortreach_calls_refused_total", "Calls that were refused and have not run"), from.calls.refused },
+            { counter("ragwortreach_late_requests_refused_total", "Requests that were refused since the daemon stops before they may have ended"), from.lateRefusals },
+            { counter("ragwortreach_superseded_requests_refused_total", "Requests that were refused since a newer configuration than the one read here is in force"), from.supersededRefusals },
+            { counter("ragwortreach_calls_quarantined_total", "Calls that were refused for good, since replicas ended under the same request"), from.calls.quarantined },
+            { counter("ragwortreach_calls_failed_total", "Calls whose outcome is not known"), from.calls.failed },
+            { counter("ragwortreach_calls_broken_total", "Answers that broke after their begin"), from.calls.truncated },
+            { counter("ragwortreach_calls_caller_gone_total", "Calls whose caller left"), from.calls.callerGone },
+            { counter("ragwortreach_call_attempts_total", "Attempts of calls at replicas"), from.calls.attempts },
+            { counter("ragwortreach_call_retries_total", "Attempts after the first one"), from.calls.retries },
+            { counter("ragwortreach_stream_notes_sent_total", "Streams whose software version was noted at other daemons"), from.streams.shared },
+            { counter("ragwortreach_streams_taken_up_total", "Streams that callers took up again"), from.streams.searched },
+            { counter("ragwortreach_streams_of_unknown_version_total", "Of these, refused since the software version that began them is not known"), from.streams.unknown },
+            { counter("ragwortreach_calls_behind_configuration_total", "Calls that were taken with a configuration confirmed over 1 s ago"), from.calls.behindConfiguration },
+        };
+    }
+
+    std::vector<reading> batchReadings(const batch_counters& batches)
+    {
+        return {
+            { counter("ragwortreach_batches_accepted_total", "Batches that were accepted here"), batches.accepted },
+            { counter("ragwortreach_batches_repeated_total", "Submissions of batches that were accepted before"), batches.repeated },
+            { counter("ragwortreach_batches_refused_total", "Batches that were refused"), batches.refused },
+            { counter("ragwortreach_batches_unknown_total", "Batches whose record got no answer"), batches.unknownOutcome },
+            { counter("ragwortreach_batches_ended_total", "Batches that were ended here"), batches.ended },
+            { counter("ragwortreach_result_reads_total", "Reads of results"), batches.reads },
+            { counter("ragwortreach_result_reads_unsure_total", "Reads that were refused since the ledger was behind"), batches.staleReads },
+            { counter("ragwortreach_result_reads_shortened_total", "Reads that were answered without the results whose texts were not read in time"), batches.shortenedReads },
+        };
+    }
+
+    std::vector<reading> itemReadings(const scheduler_counters& items)
+    {
+        return {
+            { counter("ragwortreach_item_runs_total", "Runs of items at replicas"), items.runsStarted },
+            { counter("ragwortreach_item_runs_resumed_total", "Runs that went on after an event"), items.runsResumed },
+            { counter("ragwortreach_item_runs_resumed_at_other_version_total", "Of these, at a replica of another software version than wrote the text"), items.runsResumedAtOtherVersion },
+            { counter("ragwortreach_item_runs_stalled_total", "Runs that were moved since no event came"), items.runsStalled },
+            { counter("ragwortreach_item_runs_moved_total", "Runs that went on at a faster replica"), items.runsMoved },
+            { counter("ragwortreach_item_runs_not_run_total", "Runs that the replica did not start"), items.runsNotRun },
+            { counter("ragwortreach_item_runs_broken_total", "Runs whose stream broke"), items.runsInterrupted },
+            { counter("ragwortreach_items_completed_total", "Items with a whole text"), items.itemsCompleted },
+            { counter("ragwortreach_items_abandoned_total", "Items that were given up"), items.itemsAbandoned },
+            { counter("ragwortreach_item_texts_dropped_total", "Texts that were dropped: their weights do not suit the batch, they are too large, or no replica of their software version takes them"), items.textsDropped },
+            { counter("ragwortreach_item_texts_reused_total", "Texts that went on from an earlier batch"), items.textsReused },
+            { counter("ragwortreach_item_results_reused_total", "Results that were taken from an earlier batch"), items.resultsReused },
+            { counter("ragwortreach_items_handed_over_total", "Items whose text was left to another daemon"), items.handedOver },
+        };
+    }
+
 }
 
 std::string metricsText(const gateway_readings& from)
 {
     const reading readings[] = {
-        { counter("ragwortreach_calls_arrived_total", "Calls of customers that arrived"), from.calls.arrived },
-        { counter("ragwortreach_calls_answered_total", "Calls with a replica's whole answer"), from.calls.answered },
-        { counter("ragwortreach_calls_refused_total", "Calls that were refused and have not run"), from.calls.refused },
-        { counter("ragwortreach_late_requests_refused_total", "Requests that were refused since the daemon stops before they may have ended"), from.lateRefusals },
-        { counter("ragwortreach_superseded_requests_refused_total", "Requests that were refused since a newer configuration than the one read here is in force"), from.supersededRefusals },
-        { counter("ragwortreach_calls_quarantined_total", "Calls that were refused for good, since replicas ended under the same request"), from.calls.quarantined },
-        { counter("ragwortreach_calls_failed_total", "Calls whose outcome is not known"), from.calls.failed },
-        { counter("ragwortreach_calls_broken_total", "Answers that broke after their begin"), from.calls.truncated },
-        { counter("ragwortreach_calls_caller_gone_total", "Calls whose caller left"), from.calls.callerGone },
-        { counter("ragwortreach_call_attempts_total", "Attempts of calls at replicas"), from.calls.attempts },
-        { counter("ragwortreach_call_retries_total", "Attempts after the first one"), from.calls.retries },
-        { counter("ragwortreach_stream_notes_sent_total", "Streams whose software version was noted at other daemons"), from.streams.shared },
-        { counter("ragwortreach_streams_taken_up_total", "Streams that callers took up again"), from.streams.searched },
-        { counter("ragwortreach_streams_of_unknown_version_total", "Of these, refused since the software version that began them is not known"), from.streams.unknown },
-        { counter("ragwortreach_calls_behind_configuration_total", "Calls that were taken with a configuration confirmed over 1 s ago"), from.calls.behindConfiguration },
-        { counter("ragwortreach_batches_accepted_total", "Batches that were accepted here"), from.batches.accepted },
-        { counter("ragwortreach_batches_repeated_total", "Submissions of batches that were accepted before"), from.batches.repeated },
-        { counter("ragwortreach_batches_refused_total", "Batches that were refused"), from.batches.refused },
-        { counter("ragwortreach_batches_unknown_total", "Batches whose record got no answer"), from.batches.unknownOutcome },
-        { counter("ragwortreach_batches_ended_total", "Batches that were ended here"), from.batches.ended },
-        { counter("ragwortreach_result_reads_total", "Reads of results"), from.batches.reads },
-        { counter("ragwortreach_result_reads_unsure_total", "Reads that were refused since the ledger was behind"), from.batches.staleReads },
-        { counter("ragwortreach_result_reads_shortened_total", "Reads that were answered without the results whose texts were not read in time"), from.batches.shortenedReads },
-        { counter("ragwortreach_item_runs_total", "Runs of items at replicas"), from.items.runsStarted },
-        { counter("ragwortreach_item_runs_resumed_total", "Runs that went on after an event"), from.items.runsResumed },
-        { counter("ragwortreach_item_runs_resumed_at_other_version_total", "Of these, at a replica of another software version than wrote the text"), from.items.runsResumedAtOtherVersion },
-        { counter("ragwortreach_item_runs_stalled_total", "Runs that were moved since no event came"), from.items.runsStalled },
-        { counter("ragwortreach_item_runs_moved_total", "Runs that went on at a faster replica"), from.items.runsMoved },
-        { counter("ragwortreach_item_runs_not_run_total", "Runs that the replica did not start"), from.items.runsNotRun },
-        { counter("ragwortreach_item_runs_broken_total", "Runs whose stream broke"), from.items.runsInterrupted },
-        { counter("ragwortreach_items_completed_total", "Items with a whole text"), from.items.itemsCompleted },
-        { counter("ragwortreach_items_abandoned_total", "Items that were given up"), from.items.itemsAbandoned },
-        { counter("ragwortreach_item_texts_dropped_total", "Texts that did not fit the versions of their batch"), from.items.textsDropped },
-        { counter("ragwortreach_item_texts_reused_total", "Texts that went on from an earlier batch"), from.items.textsReused },
-        { counter("ragwortreach_item_results_reused_total", "Results that were taken from an earlier batch"), from.items.resultsReused },
-        { counter("ragwortreach_items_handed_over_total", "Items whose text was left to another daemon"), from.items.handedOver },
         { counter("ragwortreach_weight_orders_total", "Orders of weights that were sent"), from.weights.ordersSent },
         { counter("ragwortreach_weight_orders_accepted_total", "Orders of weights that were accepted"), from.weights.ordersAccepted },
         { counter("ragwortreach_weight_orders_unknown_total", "Orders of weights without an answer"), from.weights.ordersUnknown },
@@ -191,6 +209,9 @@
         { gauge("ragwortreach_ready", "1 when the daemon is ready"), from.isReady ? 1U : 0U },
     };
     metrics all;
+    add(all, callReadings(from));
+    add(all, batchReadings(from.batches));
+    add(all, itemReadings(from.items));
     add(all, readings);
     add(all, journalReadings(from.journal, from.journalSnapshots));
     add(all, textReadings(from.texts));
--- a/src/libs/rollout/itemscheduler.h
+++ b/src/libs/rollout/itemscheduler.h
@@ -102,7 +102,8 @@
     std::uint64_t runsInterrupted = 0;
     std::uint64_t itemsCompleted = 0;
     std::uint64_t itemsAbandoned = 0;
-    /// Texts that were dropped because of a version that is not allowed, or since they were too large.
+    /// Texts that were dropped because of weights that are not allowed, since they were too large, or since no replica of their
+    /// software version took them.
     std::uint64_t textsDropped = 0;
     /// Texts that were handed over to another owner.
     std::uint64_t handedOver = 0;
