Rollout: Work the listed software versions out only when the listing changes

The versions of each service were collected from all replicas ten times a second at each daemon and at the begin of each resumable stream, though they change with the list of replicas alone. replica_pool counts such changes now, and software_history collects them when the count has grown; the timer that throttled it is gone.

--- a/src/libs/gateway/callrelay.h
+++ b/src/libs/gateway/callrelay.h
@@ -43,8 +43,8 @@
 ///
 /// A call is retried at another replica as far as its route allows: a call that may have run is repeated only on an
 /// idempotent route, and a resumable stream continues after its last event, at a replica of the software version that began
-/// it. A request under which replicas ended is kept
-/// apart from others, then tried alone, and in the end refused for good, whichever call brings it.
+/// it. A request under which replicas ended is kept apart from others, then tried alone, and in the end refused for good,
+/// whichever call brings it.
 class call_relay {
 public:
     call_relay(boost::asio::io_context& context, http_client& client, replica_pool& pool, replica_gate& gate, request_guard& guard, stream_origins& origins, const route_table& routes, log& log);
--- a/src/libs/gateway/streamfinder.cpp
+++ b/src/libs/gateway/streamfinder.cpp
@@ -9,12 +9,6 @@
 
 namespace ragwortreach {
 
-namespace {
-
-    constexpr duration observationInterval = std::chrono::milliseconds(100);
-
-}
-
 stream_finder::stream_finder(fact_exchange& facts, const replica_pool& pool, const std::string& vm)
     : m_facts(facts)
     , m_pool(pool)
@@ -56,9 +50,6 @@
     const instant now = bootNow();
     m_registry.tick(now - software_history::retention, now);
     executeEffects();
-    if (now < m_nextObservation)
-        return;
-    m_nextObservation = now + observationInterval;
     m_history.observe(m_pool, now);
 }
 
--- a/src/libs/gateway/streamfinder.h
+++ b/src/libs/gateway/streamfinder.h
@@ -52,7 +52,6 @@
     software_history m_history;
     stream_registry m_registry;
     std::map<stream_number, search> m_searches;
-    instant m_nextObservation {};
     stream_counters m_counters;
 };
 
--- a/src/libs/rollout/replicapool.cpp
+++ b/src/libs/rollout/replicapool.cpp
@@ -70,6 +70,8 @@
 void replica_pool::update(const replica_entry& entry)
 {
     replica& known = m_replicas[entry.id];
+    if (known.entry.id.empty() || known.entry.service != entry.service || known.entry.software != entry.software)
+        ++m_listingRevision;
     const bool isNewInstance = known.entry.startedAt != entry.startedAt || known.entry.address != entry.address;
     if (isNewInstance && !known.entry.id.empty()) {
         const std::uint32_t inFlight = known.inFlight;
@@ -94,8 +96,10 @@
 void replica_pool::remove(std::string_view id)
 {
     const auto found = m_replicas.find(id);
-    if (found != m_replicas.end())
-        m_replicas.erase(found);
+    if (found == m_replicas.end())
+        return;
+    m_replicas.erase(found);
+    ++m_listingRevision;
 }
 
 void replica_pool::markVanished(std::string_view id, instant now)
@@ -107,9 +111,10 @@
 
 void replica_pool::removeVanishedBefore(instant limit)
 {
-    std::erase_if(m_replicas, [limit](const std::pair<const std::string, replica>& item) {
+    const std::size_t removed = std::erase_if(m_replicas, [limit](const std::pair<const std::string, replica>& item) {
         return item.second.vanishedAt && *item.second.vanishedAt < limit;
     });
+    m_listingRevision += removed > 0 ? 1U : 0U;
 }
 
 void replica_pool::noteVersion(std::string_view id, std::string_view model, std::uint64_t version)
--- a/src/libs/rollout/replicapool.h
+++ b/src/libs/rollout/replicapool.h
@@ -165,6 +165,8 @@
     /// Instance of the replica \a id that is listed now.
     replica_instance instanceOf(const std::string& id) const;
     const std::map<std::string, replica, std::less<>>& replicas() const { return m_replicas; }
+    /// Grows whenever a replica is added or removed, or has another service or software version.
+    std::uint64_t listingRevision() const { return m_listingRevision; }
 
     /// Best replica for a request, or null when none qualifies.
     const replica* pick(const replica_criteria& criteria, instant now) const;
@@ -204,6 +206,7 @@
 
     std::string m_dataCentre;
     std::map<std::string, replica, std::less<>> m_replicas;
+    std::uint64_t m_listingRevision = 0;
     std::map<std::string, double, std::less<>> m_usualIntervals;
     limit_table m_limits;
     std::set<permit_want> m_wants;
--- a/src/libs/rollout/softwarehistory.cpp
+++ b/src/libs/rollout/softwarehistory.cpp
@@ -4,22 +4,28 @@
 
 namespace ragwortreach {
 
-/// A service without replicas keeps its last period, since its replicas may be away for a moment.
 void software_history::observe(const replica_pool& pool, instant now)
 {
-    std::map<std::string, std::set<std::string>> listed;
-    for (const std::pair<const std::string, replica_pool::replica>& item : pool.replicas())
-        listed[item.second.entry.service].insert(item.second.entry.software);
-    for (std::pair<const std::string, std::set<std::string>>& item : listed)
-        note(m_services[item.first], std::move(item.second), now);
+    if (m_noted != pool.listingRevision())
+        noteListing(pool, now);
+    for (std::pair<const std::string, periods>& item : m_services) {
+        while (item.second.size() > 1 && now - item.second[1].since > retention)
+            item.second.pop_front();
+    }
 }
 
-void software_history::note(periods& known, std::set<std::string> versions, instant now)
+/// A service without replicas keeps its last period, since its replicas may be away for a moment.
+void software_history::noteListing(const replica_pool& pool, instant now)
 {
-    if (known.empty() || known.back().versions != versions)
-        known.push_back({ now, std::move(versions) });
-    while (known.size() > 1 && now - known[1].since > retention)
-        known.pop_front();
+    m_noted = pool.listingRevision();
+    std::map<std::string, std::set<std::string>> listed;
+    for (const std::pair<const std::string, replica_pool::replica>& item : pool.replicas())
+        listed[item.second.entry.service].insert(item.second.entry.software);
+    for (std::pair<const std::string, std::set<std::string>>& item : listed) {
+        periods& known = m_services[item.first];
+        if (known.empty() || known.back().versions != item.second)
+            known.push_back({ now, std::move(item.second) });
+    }
 }
 
 const software_history::periods& software_history::periodsOf(std::string_view service) const
--- a/src/libs/rollout/softwarehistory.h
+++ b/src/libs/rollout/softwarehistory.h
@@ -2,6 +2,7 @@
 
 #include "replicapool.h"
 
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
@@ -22,7 +23,7 @@
     /// Daemons list a change of the versions within this time of each other.
     static constexpr duration listingSpread = std::chrono::seconds(5);
 
-    /// Notes what \a pool lists; to be called periodically.
+    /// Notes what \a pool lists, the same one each time; to be called periodically.
     void observe(const replica_pool& pool, instant now);
 
     /// Whether several versions of \a service are listed, or were within listingSpread.
@@ -48,10 +49,12 @@
     using periods = std::deque<period>;
 
     const periods& periodsOf(std::string_view service) const;
-    static void note(periods& known, std::set<std::string> versions, instant now);
+    void noteListing(const replica_pool& pool, instant now);
 
     /// By service, the oldest first; without those that ended before the retention time.
     std::map<std::string, periods, std::less<>> m_services;
+    /// Revision of the listing that was noted last.
+    std::optional<std::uint64_t> m_noted;
 };
 
 }
--- a/src/libs/rollout/streamregistry.cpp
+++ b/src/libs/rollout/streamregistry.cpp
@@ -52,13 +52,13 @@
 {
     const stream_number number = ++m_lastNumber;
     const std::vector<std::string> vms = keepersOf(request);
-    m_searches.emplace(number, search { now, vms.size(), now - m_keepsSince });
+    // Without others, this daemon is the only keeper.
+    m_searches.emplace(number, search { now, vms.size(), vms.empty() ? now - m_keepsSince : duration::zero() });
     const stream_note* const known = noteOn(request);
     if (known || vms.empty()) {
         conclude(number, known ? known->software : std::string());
         return number;
     }
-    m_searches[number].searchedBack = {};
     for (const std::string& vm : vms)
         m_effects.emplace_back(send_stream_message { vm, stream_question { number, request } });
     return number;
--- a/tests/auto/gateway/tst_callrelay.cpp
+++ b/tests/auto/gateway/tst_callrelay.cpp
@@ -375,18 +375,24 @@
         return received;
     }
 
-    /// Result of a call whose answer is a stream.
-    result_code endOfStream()
+    /// What a caller gets of an answer that is a stream.
+    struct streamed_answer {
+        result_code code;
+        std::string body;
+    };
+    streamed_answer streamedAnswer()
     {
         std::optional<result_code> code;
+        std::string body;
         http_call_handlers handlers;
+        handlers.onBody = [&body](std::string_view piece) { body += piece; };
         handlers.onDone = [&code](const http_outcome& ended) { code = ended.code; };
         http_call_options options;
         options.timeout = std::chrono::seconds(30);
         client.call({ "127.0.0.1", server.port() }, request, options, std::move(handlers));
         while (!code)
             context.run_one();
-        return *code;
+        return { *code, body };
     }
 
     /// Lets the first or the second replica be one at \a address, with the version \a software.
@@ -632,18 +638,9 @@
         byte_replica next(fixture.context, row.second, connection_end::Closed);
         fixture.replace(0, interrupted.address());
         fixture.replace(1, next.address());
-        std::optional<http_outcome> outcome;
-        std::string body;
-        http_call_handlers handlers;
-        handlers.onBody = [&body](std::string_view piece) { body += piece; };
-        handlers.onDone = [&outcome](const http_outcome& ended) { outcome = ended; };
-        http_call_options options;
-        options.timeout = std::chrono::seconds(30);
-        fixture.client.call({ "127.0.0.1", fixture.server.port() }, fixture.request, options, std::move(handlers));
-        while (!outcome)
-            fixture.context.run_one();
-        CHECK(outcome->code == row.outcome);
-        CHECK(body == row.body);
+        const relay_fixture::streamed_answer answer = fixture.streamedAnswer();
+        CHECK(answer.code == row.outcome);
+        CHECK(answer.body == row.body);
     }
 }
 
@@ -665,7 +662,7 @@
         byte_replica next(fixture.context, "HTTP/1.1 200 OK\r\n" + own + "Content-Length: 15\r\n\r\nid: 2\ndata: b\n\n", connection_end::Closed);
         fixture.replace(0, interrupted.address(), row.first);
         fixture.replace(1, next.address(), row.second);
-        CHECK(fixture.endOfStream() == (row.requestsAtSecond == 1 ? result_code::Ok : result_code::UpstreamTruncated));
+        CHECK(fixture.streamedAnswer().code == (row.requestsAtSecond == 1 ? result_code::Ok : result_code::UpstreamTruncated));
         CHECK(next.requests() == row.requestsAtSecond);
         CHECK(fixture.origins.begun().size() == 1);
     }
--- a/tests/auto/system/platformfleet.h
+++ b/tests/auto/system/platformfleet.h
@@ -44,7 +44,6 @@
     replica_standin& shop() { return *m_shop; }
     /// Adds a model engine with the software version "v2"; the first one has "v1".
     void addEngine();
-    replica_standin& addedEngine() { return *m_addedEngine; }
     /// Adds \a count replicas of the shop.
     void addShops(int count);
     /// Number of runs at the replicas that addShops() added.
--- a/tests/auto/system/tst_platform.cpp
+++ b/tests/auto/system/tst_platform.cpp
@@ -73,6 +73,20 @@
     return false;
 }
 
+/// Adds a route while daemon \a refused of two, and no other one, cannot read the configuration, and submits a batch on it at
+/// the other daemon. Returns the name of the route, which is also the id of the batch; \a added: the routes added so far.
+std::string submitOnAddedRoute(platform_fleet& fleet, std::size_t refused, std::vector<std::string>& added)
+{
+    std::string route = "added-" + std::to_string(refused);
+    added.push_back(route);
+    fleet.refuseConfiguration(refused);
+    // A read under way still gets its answer, after half a second at most.
+    std::this_thread::sleep_for(800ms);
+    fleet.configure(static_cast<int>(2 + refused), added);
+    REQUIRE(waitUntil([&fleet, refused, &route] { return send(fleet.caller(1 - refused), "POST", "/" + route + "/b", batch(route, route), headersFor(route)).status == 202; }));
+    return route;
+}
+
 /// Callers that keep calling the shop through each daemon of a fleet until they are stopped.
 class caller_group {
 public:
@@ -214,13 +228,7 @@
     // One of the two daemons runs the items of the model.
     std::vector<std::string> added;
     for (std::size_t daemon = 0; daemon < 2; ++daemon) {
-        const std::string route = "added-" + std::to_string(daemon);
-        added.push_back(route);
-        fleet.refuseConfiguration(daemon);
-        // A read under way still gets its answer, after half a second at most.
-        std::this_thread::sleep_for(800ms);
-        fleet.configure(static_cast<int>(2 + daemon), added);
-        REQUIRE(waitUntil([&fleet, daemon, &route] { return send(fleet.caller(1 - daemon), "POST", "/" + route + "/b", batch(route, route), headersFor(route)).status == 202; }));
+        const std::string route = submitOnAddedRoute(fleet, daemon, added);
         std::this_thread::sleep_for(1s);
         fleet.refuseNothing();
         REQUIRE(hasResults(fleet, 1 - daemon, route, 4));
@@ -236,12 +244,7 @@
     // One of the two daemons owns the model.
     std::vector<std::string> added;
     for (std::size_t daemon = 0; daemon < 2; ++daemon) {
-        const std::string route = "added-" + std::to_string(daemon);
-        added.push_back(route);
-        fleet.refuseConfiguration(daemon);
-        std::this_thread::sleep_for(800ms);
-        fleet.configure(static_cast<int>(2 + daemon), added);
-        REQUIRE(waitUntil([&fleet, daemon, &route] { return send(fleet.caller(1 - daemon), "POST", "/" + route + "/b", batch(route, route), headersFor(route)).status == 202; }));
+        const std::string route = submitOnAddedRoute(fleet, daemon, added);
         CHECK(waitUntil([&fleet, daemon, &route] { return results(fleet, 1 - daemon, route).size() == 4; }, std::chrono::steady_clock::now() + 10s));
         fleet.refuseNothing();
         fleet.waitReady(daemon);
