Tests: Wait for the longest pauses of a follower whose pages get no answer

Change: the test looks 10 ms after the latest time that these pauses allow, worked out from them. Nothing else in it changes.

--- a/tests/auto/gateway/tst_topicfollower.cpp
+++ b/tests/auto/gateway/tst_topicfollower.cpp
@@ -263,6 +263,7 @@
     timed_follower_fixture fixture;
     fixture.putKeys(9);
     fixture.log.setSilentPages(1000);
+    const instant start = fixture.time.now();
     fixture.follower.start();
     fixture.time.advance(std::chrono::milliseconds(990));
     CHECK(fixture.log.pageRequests() == 1);
@@ -273,7 +274,10 @@
     CHECK(fixture.log.pageRequests() == 5);
     CHECK(fixture.log.newPageConnections() == 2);
     fixture.log.setSilentPages(0);
-    fixture.time.advance(std::chrono::seconds(1));
+    // Three snapshots fail, and a pause of random length follows each of them.
+    constexpr duration longestPauses = std::chrono::milliseconds(150 + 300 + 600);
+    const instant fourthSnapshot = start + 3 * longestAnswerTime + longestPauses;
+    fixture.time.advance(fourthSnapshot - fixture.time.now() + std::chrono::milliseconds(10));
     CHECK(fixture.values.size() == 9);
 }
 
