Tests: Show that reward calls without an answer hold up all others of their service

The stand-in for a service in virtual time also serves the test of bursts, which kept one of its own.

--- a/tests/auto/rollout/tst_rewardscheduler.cpp
+++ b/tests/auto/rollout/tst_rewardscheduler.cpp
@@ -67,6 +67,65 @@
     int cancelled = 0;
 };
 
+/// Reward service that answers in virtual time; some items never get an answer, or only from their second call on.
+class answering_service {
+public:
+    static constexpr std::chrono::milliseconds serviceTime { 80 };
+    static constexpr std::chrono::milliseconds step { 10 };
+
+    explicit answering_service(reward_fixture& fixture)
+        : m_fixture(fixture)
+    {
+    }
+
+    void setSilent(std::size_t item) { m_silent.insert(item); }
+    void setSilentOnce(std::size_t item) { m_silentOnce.insert(item); }
+
+    /// Advances by one step: ends the calls that are due and sends further ones.
+    void advance()
+    {
+        m_now += step;
+        while (!m_open.empty() && m_open.begin()->first <= m_now) {
+            const open_call ended = m_open.begin()->second;
+            m_open.erase(m_open.begin());
+            const reward_answer answer { ended.isSilent ? reward_end::Interrupted : reward_end::Scored, {} };
+            if (m_fixture.rewards.onEnd(ended.call, answer, at(m_now)))
+                m_scoredAt[ended.item] = m_now;
+        }
+        for (const start_reward& started : m_fixture.start(m_now)) {
+            const std::size_t item = started.key.item;
+            const bool isSilent = m_silent.contains(item) || (m_silentOnce.contains(item) && !m_calls.contains(item));
+            ++m_calls[item];
+            const std::chrono::milliseconds timeout = std::chrono::duration_cast<std::chrono::milliseconds>(started.timeout);
+            m_open.emplace(m_now + (isSilent ? timeout : serviceTime), open_call { started.call, item, isSilent });
+        }
+        m_mostOpen = std::max(m_mostOpen, m_open.size());
+    }
+
+    std::chrono::milliseconds now() const { return m_now; }
+    /// Times at which the items got their rewards.
+    const std::map<std::size_t, std::chrono::milliseconds>& scoredAt() const { return m_scoredAt; }
+    /// Number of calls for \a item.
+    std::size_t callsOf(std::size_t item) const { return m_calls.contains(item) ? m_calls.at(item) : 0; }
+    std::size_t mostOpen() const { return m_mostOpen; }
+
+private:
+    struct open_call {
+        reward_number call = 0;
+        std::size_t item = 0;
+        bool isSilent = false;
+    };
+
+    reward_fixture& m_fixture;
+    std::chrono::milliseconds m_now { 0 };
+    std::set<std::size_t> m_silent;
+    std::set<std::size_t> m_silentOnce;
+    std::multimap<std::chrono::milliseconds, open_call> m_open;
+    std::map<std::size_t, std::size_t> m_calls;
+    std::map<std::size_t, std::chrono::milliseconds> m_scoredAt;
+    std::size_t m_mostOpen = 0;
+};
+
 struct ending_case {
     const char* name;
     reward_end end;
@@ -143,28 +202,18 @@
         { "two models", { testModel, "guide-7b" }, 3 * rewardSlots / 3 },
         { "three models", { testModel, "guide-7b", "match-7b" }, 3 * rewardSlots / 4 },
     };
-    constexpr std::chrono::milliseconds serviceTime { 80 };
     for (const load_case& row : cases) {
         DYNAMIC_SECTION(row.name)
         {
             reward_fixture fixture(64, 1, row.models);
             for (std::size_t item = 0; item < 64; ++item)
                 fixture.rewards.add({ "b", item }, at(0ms));
-            std::multimap<std::chrono::milliseconds, reward_number> open;
-            std::size_t most = 0;
-            std::chrono::milliseconds time { 0 };
-            for (; fixture.rewards.waiting() > 0 && time < 10s; time += 10ms) {
-                while (!open.empty() && open.begin()->first <= time) {
-                    fixture.rewards.onEnd(open.begin()->second, { reward_end::Scored, "signed" }, at(time));
-                    open.erase(open.begin());
-                }
-                for (const start_reward& started : fixture.start(time))
-                    open.emplace(time + serviceTime, started.call);
-                most = std::max(most, open.size());
-            }
+            answering_service service(fixture);
+            while (fixture.rewards.waiting() > 0 && service.now() < 10s)
+                service.advance();
             // Without the limit, the burst would take every slot, and most calls would be rejected.
-            CHECK(most <= row.limit);
-            CHECK(time < 3s);
+            CHECK(service.mostOpen() <= row.limit);
+            CHECK(service.now() < 3s);
         }
     }
 }
@@ -182,6 +231,73 @@
     CHECK(after >= 1);
 }
 
+namespace {
+
+/// Models whose shares leave one slot of the reward service for each of them.
+std::vector<std::string> modelsOfOneSlot()
+{
+    std::vector<std::string> models { testModel };
+    for (std::size_t number = 1; number < 3 * rewardSlots; ++number)
+        models.push_back("model-" + std::to_string(number));
+    return models;
+}
+
+}
+
+// Repeated calls went before all others, since only the age of an item counted, and their time-outs lowered the limit to 1.
+TEST_CASE("Reward calls without an answer held up all other rewards of their service", "[.known-red]")
+{
+    struct silence_case {
+        const char* name;
+        std::vector<std::string> models;
+        std::size_t silentItems;
+    };
+    const silence_case cases[] = {
+        { "five items, one model", { testModel }, 5 },
+        { "twenty items, one model", { testModel }, 20 },
+        { "five items, a share of one slot", modelsOfOneSlot(), 5 },
+    };
+    constexpr std::size_t items = 100;
+    constexpr std::chrono::milliseconds timeout { 1000 };
+    for (const silence_case& row : cases) {
+        DYNAMIC_SECTION(row.name)
+        {
+            reward_fixture fixture(items, 1, row.models);
+            answering_service service(fixture);
+            for (std::size_t item = 0; item < items; ++item) {
+                fixture.rewards.add({ "b", item }, at(std::chrono::milliseconds(item)));
+                if (item < row.silentItems)
+                    service.setSilent(item);
+            }
+            service.setSilentOnce(row.silentItems);
+            // One call at a time: the first one of each item, and then half of the time for items without an answer.
+            const std::size_t others = items - row.silentItems;
+            const std::chrono::milliseconds bound = (row.silentItems + 1) * timeout + 2 * others * answering_service::serviceTime + timeout;
+            while (service.now() < bound)
+                service.advance();
+            CHECK(service.scoredAt().size() == others);
+            for (std::size_t item = 0; item < row.silentItems; ++item)
+                CHECK(service.callsOf(item) >= 2);
+        }
+    }
+}
+
+TEST_CASE("An item whose reward call got no answer is tried again while new items keep all slots busy")
+{
+    reward_fixture fixture(2000);
+    answering_service service(fixture);
+    service.setSilentOnce(0);
+    std::size_t added = 0;
+    while (service.now() < 10s && !service.scoredAt().contains(0)) {
+        // Twice as many as the slots can serve.
+        for (std::size_t number = 0; number < 2 && added < 2000; ++number)
+            fixture.rewards.add({ "b", added++ }, at(service.now()));
+        service.advance();
+    }
+    REQUIRE(service.scoredAt().contains(0));
+    CHECK(service.scoredAt().at(0) < 3s);
+}
+
 TEST_CASE("Rewards that complete a group go first")
 {
     reward_fixture fixture(3, 2);
