--- a/tests/auto/system/tst_platform.cpp
+++ b/tests/auto/system/tst_platform.cpp
@@ -417,6 +417,27 @@
     CHECK(fleet.run([&fleet] { return fleet.engine().runs(); }) == 4);
 }
 
+// The log refused the append for good; it was repeated without end, and all contents behind it waited.
+TEST_CASE("A batch larger than an append blocked a partition of the log", "[.known-red]")
+{
+    platform_fleet fleet(2);
+    json large = batch("large-");
+    for (json& item : large["items"])
+        item["body"] = std::string(1000000, 'A');
+    CHECK(send(fleet.caller(0), "POST", "/lots/b", large, headersFor("large")).status == 202);
+    for (int number = 0; number < 12; ++number) {
+        const std::string id = "small-" + std::to_string(number);
+        json small = batch(id);
+        small["items"][0]["body"] = std::string(2000, 'A');
+        CHECK(send(fleet.caller(0), "POST", "/lots/b", small, headersFor(id)).status == 202);
+    }
+    REQUIRE(hasResults(fleet, 1, "large", 4));
+    fleet.killAll();
+    fleet.start(1);
+    fleet.waitReady(1);
+    CHECK(hasResults(fleet, 1, "large", 4));
+}
+
 TEST_CASE("A batch that is refused during an outage of the log never runs")
 {
     platform_fleet fleet(1);
--- a/tests/platform/storestandin.cpp
+++ b/tests/platform/storestandin.cpp
@@ -23,6 +23,8 @@
     constexpr std::size_t smallPageSize = 20;
     /// Keys on one page of the users' platform.
     constexpr std::size_t platformPageSize = 500;
+    /// Largest body of an append on the users' platform.
+    constexpr std::size_t maxAppendBytes = std::size_t { 2 } * 1024 * 1024;
 
     /// Key of a partition in the store: "topic/part".
     std::string partitionKey(const http_request& request)
@@ -154,6 +156,10 @@
 void store_standin::append(const http_exchange& exchange)
 {
     const http_request& request = exchange.request();
+    if (request.body.size() > maxAppendBytes) {
+        exchange.respond({ 413, {}, {} });
+        return;
+    }
     partition& target = m_partitions[partitionKey(request)];
     const std::string producer = decodeKey(queryValue(request.target, "producer").value_or(""));
     const std::uint64_t sequence = queryNumber(request, "seq_no");
