--- a/tests/auto/system/tst_platform.cpp
+++ b/tests/auto/system/tst_platform.cpp
@@ -454,6 +454,45 @@
     CHECK(hasResults(fleet, 0, "few", 4));
 }
 
+namespace {
+
+struct id_case {
+    const char* name;
+    std::string batch;
+    std::string item;
+    int status;
+};
+
+const id_case idCases[] = {
+    { "as long as possible", std::string(80, 'b'), std::string(80, 'i'), 202 },
+    { "a long item", "b-1", std::string(157, 'i'), 202 },
+    { "one byte too long", std::string(81, 'b'), std::string(80, 'i'), 400 },
+    { "a batch longer than a key", std::string(230, 'b'), "i", 400 },
+    { "an item longer than a key", "b-2", std::string(230, 'i'), 400 },
+    { "an item with the name of the contents", "b-3", "*", 400 },
+    { "a batch that no path can name", "b/4", "i", 400 },
+    { "a sound batch", "b-5", "i", 202 },
+};
+
+}
+
+// The keys of their records could not be read back.
+TEST_CASE("Batches with long ids were accepted and never ran", "[.known-red]")
+{
+    platform_fleet fleet(1);
+    for (const id_case& row : idCases) {
+        INFO(row.name);
+        json submission = batch("");
+        submission["items"] = json::array({ submission["items"][0] });
+        submission["items"][0]["id"] = row.item;
+        submission["items"][0]["body"] = std::string(2000, 'A');
+        const int status = send(fleet.caller(0), "POST", "/lots/b", submission, headersFor(row.batch)).status;
+        CHECK(status == row.status);
+        if (status == 202)
+            REQUIRE(hasResults(fleet, 0, row.batch, 1));
+    }
+}
+
 TEST_CASE("A batch that is refused during an outage of the log never runs")
 {
     platform_fleet fleet(1);
