Gateway: Split the submission of a batch into checks and acceptance

No behaviour changes; the acceptance of a batch and the answers to its outcomes are one function now. Ruled out: moving the checks into the codec, which does not know the log.

--- a/src/libs/gateway/batchhandler.cpp
+++ b/src/libs/gateway/batchhandler.cpp
@@ -127,8 +127,14 @@
     submission->id = caller.id;
     submission->host = caller.host;
     submission->configuration = m_routes.version();
-    const std::string id = caller.id;
-    m_journal.write(batch_accepted { std::move(*submission) }, write_mode::FailOnRefusal, [this, exchange, id](const append_report& report) {
+    accept(exchange, std::move(*submission));
+}
+
+/// Writes the acceptance of a batch and answers with its outcome.
+void batch_handler::accept(const http_exchange& exchange, batch_submission submission)
+{
+    const std::string id = submission.id;
+    m_journal.write(batch_accepted { std::move(submission) }, write_mode::FailOnRefusal, [this, exchange, id](const append_report& report) {
         switch (report.status) {
         case append_status::Done:
             ++m_counters.accepted;
--- a/src/libs/gateway/batchhandler.h
+++ b/src/libs/gateway/batchhandler.h
@@ -79,6 +79,7 @@
 
     /// Serves the call once it is known whether its batch exists, or refuses it after a while; false while it has to wait.
     bool tryResolve(const received_call& received);
+    void accept(const http_exchange& exchange, batch_submission submission);
     void answerUnknown(const received_call& received);
     void readResults(const pending_read& read);
     void readItem(const received_call& received, const platform::read_item_call& call);
