Tests: Count the models of one slot in the type of the slots

The linter found an implicit widening in modelsOfOneSlot(). The loop has the type of rewardSlots now; nothing else changes.

--- a/tests/auto/rollout/tst_rewardscheduler.cpp
+++ b/tests/auto/rollout/tst_rewardscheduler.cpp
@@ -237,7 +237,7 @@
 std::vector<std::string> modelsOfOneSlot()
 {
     std::vector<std::string> models { testModel };
-    for (std::size_t number = 1; number < 3 * rewardSlots; ++number)
+    for (std::uint32_t number = 1; number < 3 * rewardSlots; ++number)
         models.push_back("model-" + std::to_string(number));
     return models;
 }
