Gateway: Reserve the list of texts that go with a removed batch

The linter asks for it. Nothing else changes: the list has as many texts as the map that it is made from. Ruled out: returning the map, whose keys are views of the batch that is about to be forgotten.

--- a/src/libs/gateway/journal.cpp
+++ b/src/libs/gateway/journal.cpp
@@ -69,6 +69,7 @@
             }
         }
         std::vector<text_reference> references;
+        references.reserve(own.size());
         for (const std::pair<const std::string_view, text_reference>& text : own)
             references.push_back(text.second);
         return references;
