Rollout: Choose replicas for items and reward calls with one function

item_scheduler and reward_scheduler each had the same steps: pick without the excluded replicas, admit them again when no other one qualifies, want a permit when the best one is of last resort or there is none. Both call replica_pool::pickOrWantPermit() now. Customers' calls do not: they admit tried replicas again only on idempotent routes.

--- a/src/libs/rollout/itemscheduler.cpp
+++ b/src/libs/rollout/itemscheduler.cpp
@@ -296,21 +296,6 @@
     return criteria;
 }
 
-/// Replica that qualifies; a permit is wanted when that takes one. Replicas at which the item failed come last.
-const replica_pool::replica* item_scheduler::pickWithPermit(item_state& state, replica_criteria criteria, instant now)
-{
-    criteria.excluded = state.excluded;
-    const replica_pool::replica* replica = m_pool.pick(criteria, now);
-    if (!replica && !state.excluded.empty()) {
-        state.excluded.clear();
-        criteria.excluded = {};
-        replica = m_pool.pick(criteria, now);
-    }
-    if (!replica || m_pool.isLastResort(*replica, now))
-        m_pool.wantPermit(criteria, now);
-    return replica;
-}
-
 /// Chooses the replica for the next run of the item, and drops a text that cannot go on there.
 item_scheduler::run_place item_scheduler::placeRun(item_state& state, replica_criteria criteria, instant now)
 {
@@ -319,9 +304,9 @@
     if (state.output.lastEvent != 0 && !mayContinue)
         dropText(state);
     if (state.output.lastEvent == 0)
-        return { pickWithPermit(state, criteria, now) };
+        return { m_pool.pickOrWantPermit(criteria, state.excluded, now) };
     criteria.software = software;
-    const replica_pool::replica* const continuing = pickWithPermit(state, criteria, now);
+    const replica_pool::replica* const continuing = m_pool.pickOrWantPermit(criteria, state.excluded, now);
     if (continuing && !m_pool.isLastResort(*continuing, now))
         return { continuing };
     criteria.software = {};
--- a/src/libs/rollout/itemscheduler.h
+++ b/src/libs/rollout/itemscheduler.h
@@ -226,7 +226,6 @@
         bool hasRoomForOthers = false;
     };
     run_place placeRun(item_state& state, replica_criteria criteria, instant now);
-    const replica_pool::replica* pickWithPermit(item_state& state, replica_criteria criteria, instant now);
     bool isAtOtherInstance(const run_state& run) const;
     static replica_criteria criteriaFor(const ledger_batch& batch, const service_definition& service);
     const service_definition* serviceOf(const ledger_batch& batch, std::size_t item, const route& route) const;
--- a/src/libs/rollout/replicapool.cpp
+++ b/src/libs/rollout/replicapool.cpp
@@ -245,6 +245,20 @@
     return criteria.usesPermits && !replica.permits.empty() && replica.permits.back() > now;
 }
 
+const replica_pool::replica* replica_pool::pickOrWantPermit(replica_criteria criteria, std::vector<std::string>& excluded, instant now)
+{
+    criteria.excluded = excluded;
+    const replica* best = pick(criteria, now);
+    if (!best && !excluded.empty()) {
+        excluded.clear();
+        criteria.excluded = {};
+        best = pick(criteria, now);
+    }
+    if (!best || isLastResort(*best, now))
+        wantPermit(criteria, now);
+    return best;
+}
+
 bool replica_pool::isInUse(std::string_view service, std::string_view software) const
 {
     return std::any_of(m_replicas.begin(), m_replicas.end(), [service, software](const std::pair<const std::string, replica>& item) {
--- a/src/libs/rollout/replicapool.h
+++ b/src/libs/rollout/replicapool.h
@@ -170,6 +170,9 @@
 
     /// Best replica for a request, or null when none qualifies.
     const replica* pick(const replica_criteria& criteria, instant now) const;
+    /// As pick(), without the \a excluded replicas, which are admitted again when no other one qualifies. Wants a permit when the
+    /// best replica is one of last resort, or none qualifies.
+    const replica* pickOrWantPermit(replica_criteria criteria, std::vector<std::string>& excluded, instant now);
     /// Whether a replica of \a service with this version of the software takes requests, now or after others have ended.
     bool isInUse(std::string_view service, std::string_view software) const;
     /// Whether the replica should get requests only when no other one takes them: it failed a short time
--- a/src/libs/rollout/rewardscheduler.cpp
+++ b/src/libs/rollout/rewardscheduler.cpp
@@ -212,16 +212,9 @@
     const bool isRepeated = pending->second.isRepeated();
     if (!hasRoom(load, slotsPerModel(target->service), isRepeated, share, now))
         return;
-    replica_criteria criteria { target->service, pending->second.excluded };
+    replica_criteria criteria { target->service, {} };
     criteria.usesPermits = true;
-    const replica_pool::replica* replica = m_pool.pick(criteria, now);
-    if (!replica && !pending->second.excluded.empty()) {
-        pending->second.excluded.clear();
-        criteria.excluded = {};
-        replica = m_pool.pick(criteria, now);
-    }
-    if (!replica || m_pool.isLastResort(*replica, now))
-        m_pool.wantPermit(criteria, now);
+    const replica_pool::replica* const replica = m_pool.pickOrWantPermit(criteria, pending->second.excluded, now);
     if (!replica)
         return;
     const reward_number call = ++m_lastCall;
