Rollout: Ask only once for a faster replica for a run without events

moveRun() picked a replica twice with the same criteria when the run had no text whose software version counts; each pick goes over all replicas. The second one is made only with the version added. No behaviour changes.

--- a/src/libs/rollout/itemscheduler.cpp
+++ b/src/libs/rollout/itemscheduler.cpp
@@ -434,10 +434,11 @@
     if (!m_pool.pick(criteria, now))
         return false;
     item_state& item = m_items[key];
-    if (item.output.lastEvent != 0)
+    if (item.output.lastEvent != 0) {
         criteria.software = item.output.software;
-    if (!m_pool.pick(criteria, now))
-        return true;
+        if (!m_pool.pick(criteria, now))
+            return true;
+    }
     ++m_counters.runsMoved;
     item.excluded.push_back(state.replica);
     cancel(run, "a faster replica has room", now);
