Gateway: Keep with each write alone whether it may have been appended

The writer had the same fact twice: for the writes in flight, and with each write that was taken apart from an append. The copy for the writes in flight is gone; all of them have been in the same appends, so the first one tells. No behaviour changes; the cases of tst_partitionwriter with unknown outcomes before refusals of both kinds pass as before.

--- a/src/libs/gateway/partitionwriter.cpp
+++ b/src/libs/gateway/partitionwriter.cpp
@@ -58,18 +58,15 @@
     std::size_t bytes = 0;
     while (!m_queue.empty()) {
         bytes += bytesOf(m_queue.front().records);
-        const bool isAlone = m_queue.front().isSuspect || (!m_sending.empty() && m_sending.front().isSuspect);
-        if (!m_sending.empty() && (bytes > maxAppendBytes || isAlone))
+        if (!m_sending.empty() && (bytes > maxAppendBytes || m_queue.front().isSuspect || m_sending.front().isSuspect))
             break;
         m_queue.front().firstSentAt = bootNow();
         m_sending.push_back(std::move(m_queue.front()));
         m_queue.pop_front();
     }
     m_isBusy = !m_sending.empty();
-    if (!m_isBusy)
-        return;
-    m_mayHaveBeenAppended = m_sending.front().mayHaveBeenAppended;
-    send();
+    if (m_isBusy)
+        send();
 }
 
 void partition_writer::send()
@@ -93,7 +90,7 @@
         return;
     case append_status::Refused:
         ++m_failures;
-        if (!m_mayHaveBeenAppended)
+        if (!mayHaveBeenAppended())
             failRefusedWrites();
         retryLater();
         return;
@@ -103,8 +100,7 @@
         return;
     case append_status::Unknown:
         ++m_failures;
-        m_mayHaveBeenAppended = true;
-        reportUnknown();
+        noteUnknown();
         retryLater();
         return;
     case append_status::WrongSequence:
@@ -151,13 +147,11 @@
 void partition_writer::isolateUnacceptable()
 {
     // The sequence number goes to other records now, which must not be taken for a repetition of these.
-    if (m_mayHaveBeenAppended)
+    if (mayHaveBeenAppended())
         ++m_identity.epoch;
     std::vector<pending_write> refused = std::exchange(m_sending, {});
-    for (pending_write& item : refused) {
+    for (pending_write& item : refused)
         item.isSuspect = true;
-        item.mayHaveBeenAppended = m_mayHaveBeenAppended;
-    }
     if (refused.size() > 1) {
         m_queue.insert(m_queue.begin(), std::make_move_iterator(refused.begin()), std::make_move_iterator(refused.end()));
         sendNext();
@@ -183,9 +177,10 @@
         sendNext();
 }
 
-void partition_writer::reportUnknown()
+void partition_writer::noteUnknown()
 {
     for (pending_write& item : m_sending) {
+        item.mayHaveBeenAppended = true;
         const bool isOverdue = bootNow() - item.firstSentAt >= unknownOutcomeDelay;
         if (item.mode != write_mode::FailOnRefusal || item.isReported || !isOverdue)
             continue;
--- a/src/libs/gateway/partitionwriter.h
+++ b/src/libs/gateway/partitionwriter.h
@@ -61,11 +61,13 @@
         bool isReported = false;
         /// It was in an append that the log will never take, so it is sent by itself.
         bool isSuspect = false;
-        /// An append of it had an unknown outcome.
+        /// An append of it had an unknown outcome, so a refusal of its repetition proves nothing.
         bool mayHaveBeenAppended = false;
         instant firstSentAt {};
     };
 
+    /// Whether the writes in flight, which have been in the same appends, may have been appended.
+    bool mayHaveBeenAppended() const { return m_sending.front().mayHaveBeenAppended; }
     static void report(const pending_write& item, const append_report& report);
     void sendNext();
     void send();
@@ -77,7 +79,8 @@
     void isolateUnacceptable();
     /// Queues a write that the log will not take behind all others, in case that it does some time.
     void putBehind(pending_write item);
-    void reportUnknown();
+    /// Notes that the writes in flight may have been appended, and reports those for which that is so for long.
+    void noteUnknown();
     void retryLater();
 
     shared_log& m_log;
@@ -89,8 +92,6 @@
     std::vector<keyed_record> m_records;
     /// An append is in flight or waits for its retry.
     bool m_isBusy = false;
-    /// An append of the writes in flight had an unknown outcome, so a refusal of its repetition proves nothing.
-    bool m_mayHaveBeenAppended = false;
     retry_pause m_retryPause;
     std::uint64_t m_appends = 0;
     std::uint64_t m_failures = 0;
