Rollout: Let the ledger tell which texts belong to one batch alone

It is batch_ledger::textsOnlyOf() now, where decisions are apart from I/O, and skips the batch itself as a whole.

--- a/src/libs/gateway/journal.cpp
+++ b/src/libs/gateway/journal.cpp
@@ -53,28 +53,6 @@
         return accepted ? std::optional<batch_submission>(accepted->submission) : std::nullopt;
     }
 
-    /// Texts of \a batch to which no other batch of \a ledger refers.
-    std::vector<text_reference> textsOnlyOf(const ledger_batch& batch, const batch_ledger& ledger)
-    {
-        std::map<std::string_view, text_reference> own;
-        for (const ledger_result& result : batch.results) {
-            if (result.reference)
-                own.emplace(result.reference->key, *result.reference);
-        }
-        for (const std::string& id : ledger.order()) {
-            const ledger_batch& other = *ledger.find(id);
-            for (const ledger_result& result : other.results) {
-                if (result.reference && &other != &batch)
-                    own.erase(result.reference->key);
-            }
-        }
-        std::vector<text_reference> references;
-        references.reserve(own.size());
-        for (const std::pair<const std::string_view, text_reference>& text : own)
-            references.push_back(text.second);
-        return references;
-    }
-
 }
 
 journal::journal(boost::asio::io_context& context, shared_log& log, const journal_options& options, std::string writer,
@@ -417,7 +395,7 @@
                 continue;
             }
             removeFromLog(id);
-            m_texts.remove(textsOnlyOf(batch, m_ledger));
+            m_texts.remove(m_ledger.textsOnlyOf(batch));
         }
         m_ledger.forget(id);
         forget(journalName(id));
--- a/src/libs/rollout/batchledger.cpp
+++ b/src/libs/rollout/batchledger.cpp
@@ -211,6 +211,28 @@
     return closed;
 }
 
+std::vector<text_reference> batch_ledger::textsOnlyOf(const ledger_batch& batch) const
+{
+    std::map<std::string_view, text_reference> own;
+    for (const ledger_result& result : batch.results) {
+        if (result.reference)
+            own.emplace(result.reference->key, *result.reference);
+    }
+    for (const std::pair<const std::string, ledger_batch>& other : m_batches) {
+        if (&other.second == &batch)
+            continue;
+        for (const ledger_result& result : other.second.results) {
+            if (result.reference)
+                own.erase(result.reference->key);
+        }
+    }
+    std::vector<text_reference> references;
+    references.reserve(own.size());
+    for (const std::pair<const std::string_view, text_reference>& text : own)
+        references.push_back(text.second);
+    return references;
+}
+
 void batch_ledger::forget(std::string_view id)
 {
     std::erase(m_order, id);
--- a/src/libs/rollout/batchledger.h
+++ b/src/libs/rollout/batchledger.h
@@ -114,6 +114,8 @@
     std::span<const std::string> order() const { return m_order; }
     /// Batches that are no longer open and that this process learned of before \a limit.
     std::vector<std::string> closedBefore(instant limit) const;
+    /// Texts of the results of \a batch to which no other batch refers.
+    std::vector<text_reference> textsOnlyOf(const ledger_batch& batch) const;
     /// Removes the batch.
     void forget(std::string_view id);
 
