--- a/tests/auto/system/platformfleet.cpp
+++ b/tests/auto/system/platformfleet.cpp
@@ -134,6 +134,30 @@
     run([this] { m_store->refuseReads({}, {}); });
 }
 
+void platform_fleet::writeReplicaEntries()
+{
+    m_engine->writeEntry();
+    m_shop->writeEntry();
+    for (const std::unique_ptr<replica_standin>& shop : m_moreShops)
+        shop->writeEntry();
+}
+
+void platform_fleet::redirectReplicas(std::size_t daemon, const std::string& address)
+{
+    run([this, daemon, &address] {
+        m_store->redirectReplicas(m_settings[daemon]["gateway"]["store"], address);
+        writeReplicaEntries();
+    });
+}
+
+void platform_fleet::redirectNothing()
+{
+    run([this] {
+        m_store->redirectReplicas({}, {});
+        writeReplicaEntries();
+    });
+}
+
 void platform_fleet::start(std::size_t daemon)
 {
     m_daemons[daemon] = std::make_unique<daemon_process>(m_folder.string(), m_settings[daemon]);
--- a/tests/auto/system/platformfleet.h
+++ b/tests/auto/system/platformfleet.h
@@ -74,8 +74,14 @@
     /// From now on the store refuses \a daemon, and no other one, to read \a topic; all topics when it is empty.
     void refuseReads(std::size_t daemon, const std::string& topic);
     void refuseNothing();
+    /// From now on \a daemon, and no other one, finds \a address in place of all replicas.
+    void redirectReplicas(std::size_t daemon, const std::string& address);
+    /// From now on all daemons find the replicas.
+    void redirectNothing();
 
 private:
+    void writeReplicaEntries();
+
     boost::asio::io_context m_context;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
     std::unique_ptr<store_standin> m_store;
--- /dev/null
+++ b/tests/auto/system/tst_replicaaccess.cpp
@@ -0,0 +1,72 @@
+#include "freeaddresses.h"
+#include "platformfleet.h"
+#include "silentaddress.h"
+
+#include <client/testclient.h>
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <thread>
+
+using namespace ragwortreach::Tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// The platform judges a daemon that has lost its replicas from this time on.
+constexpr std::chrono::seconds contactTime { 3 };
+constexpr int callCount = 15;
+
+/// Reply of \a daemon to call \a number on the route with the prefix \a path.
+http_reply callShop(const platform_fleet& fleet, std::size_t daemon, const std::string& path, int number)
+{
+    const std::string id = path + "call-" + std::to_string(number);
+    return send(fleet.caller(daemon), "POST", path + "1", "linen", { { "Host", "lace.example" }, { "Request-Id", id }, { "Deadline-Ms", "800" } });
+}
+
+/// Number of calls to \a daemon that are served at their first attempt.
+int countServed(const platform_fleet& fleet, std::size_t daemon, const std::string& path, int firstNumber)
+{
+    int served = 0;
+    for (int number = firstNumber; number < firstNumber + callCount; ++number)
+        served += callShop(fleet, daemon, path, number).status == 200 ? 1 : 0;
+    return served;
+}
+
+struct cut_case {
+    const char* name;
+    bool isSilent;
+};
+
+const cut_case cutCases[] = {
+    { "new connections to replicas hang", true },
+    { "new connections to replicas are refused", false },
+};
+
+}
+
+// Callers of a daemon without a path to any replica timed out or were refused, while other daemons served theirs.
+TEST_CASE("Callers of a daemon that had lost its paths to all replicas were not served", "[.known-red]")
+{
+    for (const cut_case& row : cutCases) {
+        INFO(row.name);
+        const silent_address silent;
+        platform_fleet fleet(3);
+        fleet.addShops(2);
+        CHECK(callShop(fleet, 0, "/score/", 0).status == 200);
+        fleet.redirectReplicas(0, row.isSilent ? silent.text() : freeAddresses(1).front());
+        for (int number = 1; number <= 3; ++number) {
+            callShop(fleet, 0, "/score/", number);
+            std::this_thread::sleep_for(contactTime / 3);
+        }
+        CHECK(countServed(fleet, 0, "/score/", 100) == callCount);
+        const int runs = fleet.run([&fleet] { return fleet.shop().runs(); }) + fleet.runsAtMoreShops();
+        CHECK(countServed(fleet, 0, "/orders/", 200) == callCount);
+        CHECK(fleet.run([&fleet] { return fleet.shop().runs(); }) + fleet.runsAtMoreShops() == runs + callCount);
+        CHECK(countServed(fleet, 1, "/score/", 300) == callCount);
+        fleet.redirectNothing();
+        std::this_thread::sleep_for(contactTime);
+        CHECK(countServed(fleet, 0, "/score/", 400) == callCount);
+    }
+}
--- a/tests/platform/storestandin.cpp
+++ b/tests/platform/storestandin.cpp
@@ -105,6 +105,22 @@
     m_refusedTopic = std::move(topic);
 }
 
+void store_standin::redirectReplicas(std::string address, std::string replicaAddress)
+{
+    m_redirectedAddress = std::move(address);
+    m_redirectedReplicas = std::move(replicaAddress);
+}
+
+keyed_record store_standin::shown(keyed_record record, const std::string& partitionKey, const std::string& address) const
+{
+    if (address != m_redirectedAddress || partitionKey != "keyed.servers/0" || !record.value)
+        return record;
+    json entry = json::parse(*record.value);
+    entry["address"] = m_redirectedReplicas;
+    record.value = entry.dump();
+    return record;
+}
+
 void store_standin::setReadRate(double bytesPerSecond)
 {
     m_readRate = bytesPerSecond;
@@ -147,11 +163,11 @@
     else if (m_behaviour == store_behaviour::Unresponsive)
         m_unanswered.push_back(exchange);
     else if (path == "/api/log-read")
-        read(exchange);
+        read(exchange, address);
     else if (path == "/api/log-newest" && !m_slowTopic.empty() && partitionKey(exchange.request()).starts_with(m_slowTopic + "/"))
-        m_latePages.push_back({ exchange, std::chrono::steady_clock::now() + latePageDelay });
+        m_latePages.push_back({ exchange, address, std::chrono::steady_clock::now() + latePageDelay });
     else if (path == "/api/log-newest")
-        newest(exchange);
+        newest(exchange, address);
     else
         exchange.respond({ 404, {}, {} });
 }
@@ -187,12 +203,12 @@
     exchange.respond({ 200, {}, json { { "offset", offset }, { "end", target.records.size() } }.dump() });
 }
 
-void store_standin::read(const http_exchange& exchange)
+void store_standin::read(const http_exchange& exchange, const std::string& address)
 {
     const http_request& request = exchange.request();
     const std::chrono::milliseconds wait { queryNumber(request, "wait_ms") };
     const std::size_t maxKilobytes = queryValue(request.target, "max_kb") ? queryNumber(request, "max_kb") : defaultReadKilobytes;
-    m_waiting.push_back({ exchange, partitionKey(request), queryNumber(request, "from"), maxKilobytes * 1024, std::chrono::steady_clock::now() + wait });
+    m_waiting.push_back({ exchange, address, partitionKey(request), queryNumber(request, "from"), maxKilobytes * 1024, std::chrono::steady_clock::now() + wait });
     answerWaiting(false);
 }
 
@@ -223,12 +239,14 @@
         if (end > waiting.from && bytes > waiting.maxBytes)
             break;
     }
-    if (end > waiting.from)
-        body += platform::encodeRecords(std::span(source.records).subspan(waiting.from, end - waiting.from));
+    std::vector<keyed_record> records;
+    for (std::size_t offset = waiting.from; offset < end; ++offset)
+        records.push_back(shown(source.records[offset], waiting.partitionKey, waiting.address));
+    body += platform::encodeRecords(records);
     respondToRead(waiting.exchange, { 200, {}, std::move(body) });
 }
 
-void store_standin::newest(const http_exchange& exchange)
+void store_standin::newest(const http_exchange& exchange, const std::string& address)
 {
     const http_request& request = exchange.request();
     const partition& source = m_partitions[partitionKey(request)];
@@ -243,7 +261,7 @@
         hasMore = items.size() == m_pageSize || (!items.empty() && bytes > maxPageBytes);
         if (hasMore)
             break;
-        items.push_back({ { "key", item.first }, { "value", platform::encodeBase64(*item.second.value) }, { "offset", item.second.offset } });
+        items.push_back({ { "key", item.first }, { "value", platform::encodeBase64(*shown(item.second, partitionKey(request), address).value) }, { "offset", item.second.offset } });
     }
     respondToRead(exchange, { 200, {}, json { { "items", items }, { "more_pages", hasMore }, { "end", source.records.size() } }.dump() });
 }
@@ -273,7 +291,7 @@
     std::erase_if(m_latePages, [this, now](const late_page& page) {
         if (now < page.answerAt)
             return false;
-        newest(page.exchange);
+        newest(page.exchange, page.address);
         return true;
     });
 }
--- a/tests/platform/storestandin.h
+++ b/tests/platform/storestandin.h
@@ -32,6 +32,8 @@
     std::string addAddress();
     /// Answers reads of \a topic, of all topics when it is empty, with status 503 at \a address; at none when that is empty.
     void refuseReads(std::string address, std::string topic);
+    /// Lists all replicas at \a replicaAddress to who reads the list at \a address; to nobody when that is empty.
+    void redirectReplicas(std::string address, std::string replicaAddress);
     void setBehaviour(store_behaviour behaviour) { m_behaviour = behaviour; }
     /// Delays the pages of newest values of \a topic by half a second from now on.
     void setSlowPages(const std::string& topic) { m_slowTopic = topic; }
@@ -56,6 +58,8 @@
     /// Long poll that waits for records at or after \c from.
     struct waiting_read {
         http_exchange exchange;
+        /// Address at which the read arrived.
+        std::string address;
         std::string partitionKey;
         std::uint64_t from = 0;
         /// Limit for the records of the answer, but for the first one.
@@ -65,8 +69,10 @@
 
     void answer(const http_exchange& exchange, const std::string& address);
     void append(const http_exchange& exchange);
-    void read(const http_exchange& exchange);
-    void newest(const http_exchange& exchange);
+    void read(const http_exchange& exchange, const std::string& address);
+    void newest(const http_exchange& exchange, const std::string& address);
+    /// \a record as it is shown at \a address.
+    keyed_record shown(keyed_record record, const std::string& partitionKey, const std::string& address) const;
     void answerLatePages();
     /// Responds to a read, at the reading rate if one is set.
     void respondToRead(const http_exchange& exchange, http_response response);
@@ -81,6 +87,8 @@
     std::vector<std::unique_ptr<http_server>> m_servers;
     std::string m_refusingAddress;
     std::string m_refusedTopic;
+    std::string m_redirectedAddress;
+    std::string m_redirectedReplicas;
     boost::asio::steady_timer m_timer;
     store_behaviour m_behaviour = store_behaviour::Serving;
     std::map<std::string, partition> m_partitions;
@@ -89,6 +97,7 @@
     /// Request for a page of newest values that is answered late.
     struct late_page {
         http_exchange exchange;
+        std::string address;
         std::chrono::steady_clock::time_point answerAt;
     };
     std::list<late_page> m_latePages;
