Gateway: Leave work to daemons with access, and know the addresses of all of them

Whether another daemon may do the work follows from what the others say alone. - The table of daemons was renewed only when gossip knew a new member. An announcement that was read after that left its address out. - A statement got a little younger with each daemon that passed it on, so old ones came back as news. They have a number now. An attempt that began before a replica was reached no longer counts as a loss after it: access was lost twice more right after each cut.

--- a/src/libs/gateway/accesswatch.cpp
+++ b/src/libs/gateway/accesswatch.cpp
@@ -20,18 +20,26 @@
     /// Time after which a daemon without access says so again; shorter than peer_table::statementRetention.
     constexpr duration repeatInterval = std::chrono::seconds(3);
 
+    /// The time since the start of the VM grows across restarts of the process, too.
+    std::uint64_t statementNumber(instant now)
+    {
+        return static_cast<std::uint64_t>(now.time_since_epoch().count());
+    }
+
 }
 
 /// Connection to a replica that is closed as soon as it is established.
 struct access_watch::check {
     check(boost::asio::io_context& context, std::string checkedReplica)
         : replica(std::move(checkedReplica))
+        , startedAt(bootNow())
         , socket(context)
         , timer(context, connectTimeout)
     {
     }
 
     std::string replica;
+    instant startedAt;
     tcp::socket socket;
     boot_timer timer;
 };
@@ -70,7 +78,7 @@
 
 bool access_watch::shouldLeaveWork() const
 {
-    return !hasAccess() && m_facts.peers().hasCandidate(bootNow());
+    return !hasAccess() && m_facts.peers().hasPeerWithAccess(bootNow());
 }
 
 void access_watch::tick()
@@ -112,7 +120,7 @@
     m_checks.erase(found);
     const instant now = bootNow();
     if (failure)
-        m_facts.access().noteFailure(ended->replica, *failure, now);
+        m_facts.access().noteFailure(ended->replica, *failure, ended->startedAt);
     else
         m_facts.access().noteReached(now);
     tellOthers(now);
@@ -126,7 +134,7 @@
         return;
     m_saidLost = isLost;
     m_saidAt = now;
-    m_facts.learnFromAnswer(access_statement { m_vm, !isLost, now });
+    m_facts.learnFromAnswer(access_statement { m_vm, !isLost, statementNumber(now), now });
     if (!isChange)
         return;
     m_counters.losses += isLost ? 1 : 0;
--- a/src/libs/gateway/answernotes.cpp
+++ b/src/libs/gateway/answernotes.cpp
@@ -1,5 +1,7 @@
 #include "answernotes.h"
 
+#include "bootclock.h"
+
 namespace ragwortreach {
 
 namespace {
@@ -20,12 +22,12 @@
         gate.noteLimit(replica, answer.limit);
 }
 
-void noteUnanswered(replica_gate& gate, const replica_instance& replica, result_code code, duration took)
+void noteUnanswered(replica_gate& gate, const replica_instance& replica, result_code code, instant begunAt)
 {
     if (code == result_code::UpstreamUnreachable)
-        gate.noteUnreached(replica, took > maxRefusalTime ? access_failure::ConnectTimedOut : access_failure::Refused);
+        gate.noteUnreached(replica, bootNow() - begunAt > maxRefusalTime ? access_failure::ConnectTimedOut : access_failure::Refused, begunAt);
     else if (code == result_code::UpstreamTimeout)
-        gate.noteUnreached(replica, access_failure::Silent);
+        gate.noteUnreached(replica, access_failure::Silent, begunAt);
 }
 
 platform::replica_answer noteResponse(replica_gate& gate, const replica_instance& replica, std::string_view id, const http_response& response)
--- a/src/libs/gateway/callrelay.cpp
+++ b/src/libs/gateway/callrelay.cpp
@@ -511,7 +511,7 @@
     if (call->peer.empty()) {
         tellGuard(*call, end, outcome);
         if (call->answer.head().status == 0)
-            noteUnanswered(m_gate, call->replica, outcome.code, bootNow() - call->attemptStartedAt);
+            noteUnanswered(m_gate, call->replica, outcome.code, call->attemptStartedAt);
     }
     concludeAttempt(number, end, outcome.detail);
 }
@@ -643,7 +643,7 @@
         return;
     const bool isUnansweredByReplica = call->isAttemptOpen && call->peer.empty() && !call->hasProgress;
     if (isUnansweredByReplica) {
-        noteUnanswered(m_gate, call->replica, result_code::UpstreamTimeout, bootNow() - call->attemptStartedAt);
+        noteUnanswered(m_gate, call->replica, result_code::UpstreamTimeout, call->attemptStartedAt);
         m_guard.noteInterrupted(call->digest, call->replica, call->address, interruption::TimedOut);
     }
     fail(number, 504, "the call timed out");
--- a/src/libs/gateway/crashwatch.cpp
+++ b/src/libs/gateway/crashwatch.cpp
@@ -150,7 +150,7 @@
     m_probes.erase(found);
     if (!hasEnded)
         return;
-    m_facts.noteUnreached(replica, access_failure::Refused);
+    m_facts.noteUnreached(replica, access_failure::Refused, ended->interruptedAt);
     // Behind a cut, replicas seem to have ended.
     if (m_facts.access().isLost())
         return;
--- a/src/libs/gateway/factexchange.cpp
+++ b/src/libs/gateway/factexchange.cpp
@@ -153,9 +153,9 @@
     learnFromAnswer(replica_leaving { replica, bootNow() });
 }
 
-void fact_exchange::noteUnreached(const replica_instance& replica, access_failure failure)
+void fact_exchange::noteUnreached(const replica_instance& replica, access_failure failure, instant begunAt)
 {
-    m_access.noteFailure(replica.id, failure, bootNow());
+    m_access.noteFailure(replica.id, failure, begunAt);
 }
 
 permit_number fact_exchange::ask(std::vector<replica_instance> replicas, duration maxWait, std::function<void(const permit_outcome&)> onOutcome)
--- a/src/libs/gateway/factexchange.h
+++ b/src/libs/gateway/factexchange.h
@@ -46,7 +46,7 @@
 
     void noteLimit(const replica_instance& replica, std::optional<double> perSecond) override;
     void noteLeaving(const replica_instance& replica) override;
-    void noteUnreached(const replica_instance& replica, access_failure failure) override;
+    void noteUnreached(const replica_instance& replica, access_failure failure, instant begunAt) override;
     permit_number ask(std::vector<replica_instance> replicas, duration maxWait, std::function<void(const permit_outcome&)> onOutcome) override;
     void cancel(permit_number number) override;
 
--- a/src/libs/gateway/fleetlink.cpp
+++ b/src/libs/gateway/fleetlink.cpp
@@ -85,6 +85,8 @@
     for (const std::pair<const std::string, vm_list_entry>& item : m_entries)
         list.entries.push_back(item.second);
     handle(list);
+    // Members that gossip made known before have their addresses now.
+    m_handlers.onChanged();
 }
 
 void fleet_link::handle(const membership_event& event)
--- a/src/libs/gateway/itemrunner.cpp
+++ b/src/libs/gateway/itemrunner.cpp
@@ -256,7 +256,7 @@
         return;
     const run_end end = classifyEnd(*found->second, outcome);
     if (found->second->answer.status == 0)
-        noteUnanswered(m_gate, found->second->replica, outcome.code, bootNow() - found->second->sentAt);
+        noteUnanswered(m_gate, found->second->replica, outcome.code, found->second->sentAt);
     if (end != run_end::Complete && end != run_end::NotRun)
         m_log.write(log_line(log_level::Info, "run_ended")
                         .with("item", found->second->item)
--- a/src/libs/gateway/rewardcaller.cpp
+++ b/src/libs/gateway/rewardcaller.cpp
@@ -103,7 +103,7 @@
     m_calls.erase(found);
     const reward_answer answer = classifyResponse(*call, outcome, response);
     const duration took = bootNow() - call->sentAt;
-    noteUnanswered(m_gate, call->replica, outcome.code, took);
+    noteUnanswered(m_gate, call->replica, outcome.code, call->sentAt);
     if (answer.end == reward_end::Scored) {
         m_latency.microseconds += static_cast<std::uint64_t>(took.count());
         ++m_latency.calls;
--- a/src/libs/rollout/accessstatement.h
+++ b/src/libs/rollout/accessstatement.h
@@ -2,6 +2,7 @@
 
 #include <core/instant.h>
 
+#include <cstdint>
 #include <string>
 
 namespace ragwortreach {
@@ -10,6 +11,8 @@
 struct access_statement {
     std::string vm;
     bool hasAccess = true;
+    /// Grows with each statement of the VM, since times shift a little with each daemon that passes a statement on.
+    std::uint64_t number = 0;
     instant statedAt {};
 };
 
--- a/src/libs/rollout/peertable.cpp
+++ b/src/libs/rollout/peertable.cpp
@@ -14,7 +14,7 @@
 bool peer_table::merge(const access_statement& statement)
 {
     access_statement& known = m_statements[statement.vm];
-    if (!known.vm.empty() && statement.statedAt <= known.statedAt)
+    if (!known.vm.empty() && statement.number <= known.number)
         return false;
     known = statement;
     return true;
@@ -39,18 +39,21 @@
     m_failedAt[std::string(vm)] = now;
 }
 
-bool peer_table::isCandidate(const peer& candidate, instant now) const
+bool peer_table::saysLost(const peer& candidate, instant now) const
 {
-    const auto failed = m_failedAt.find(candidate.vm);
-    if (failed != m_failedAt.end() && now - failed->second <= failurePause)
-        return false;
     const auto statement = m_statements.find(candidate.vm);
-    return statement == m_statements.end() || statement->second.hasAccess || now - statement->second.statedAt > statementRetention;
+    return statement != m_statements.end() && !statement->second.hasAccess && now - statement->second.statedAt <= statementRetention;
+}
+
+bool peer_table::hasFailed(const peer& candidate, instant now) const
+{
+    const auto failed = m_failedAt.find(candidate.vm);
+    return failed != m_failedAt.end() && now - failed->second <= failurePause;
 }
 
-bool peer_table::hasCandidate(instant now) const
+bool peer_table::hasPeerWithAccess(instant now) const
 {
-    return std::any_of(m_peers.begin(), m_peers.end(), [this, now](const peer& candidate) { return isCandidate(candidate, now); });
+    return std::any_of(m_peers.begin(), m_peers.end(), [this, now](const peer& candidate) { return !saysLost(candidate, now); });
 }
 
 const peer* peer_table::choose(std::span<const std::string> excluded, instant now)
@@ -58,7 +61,8 @@
     std::vector<const peer*> near;
     std::vector<const peer*> far;
     for (const peer& candidate : m_peers) {
-        if (isCandidate(candidate, now) && std::find(excluded.begin(), excluded.end(), candidate.vm) == excluded.end())
+        const bool isExcluded = std::find(excluded.begin(), excluded.end(), candidate.vm) != excluded.end();
+        if (!isExcluded && !saysLost(candidate, now) && !hasFailed(candidate, now))
             (candidate.dataCentre == m_dataCentre ? near : far).push_back(&candidate);
     }
     const std::vector<const peer*>& candidates = near.empty() ? far : near;
--- a/src/libs/rollout/peertable.h
+++ b/src/libs/rollout/peertable.h
@@ -45,11 +45,12 @@
     void noteFailed(std::string_view vm, instant now);
     /// Daemon to pass a call on to, none of \a excluded; null when there is none.
     const peer* choose(std::span<const std::string> excluded, instant now);
-    /// Whether any daemon may have access.
-    bool hasCandidate(instant now) const;
+    /// Whether a daemon is alive that does not say that it has no access. It may have failed a short time ago.
+    bool hasPeerWithAccess(instant now) const;
 
 private:
-    bool isCandidate(const peer& candidate, instant now) const;
+    bool saysLost(const peer& candidate, instant now) const;
+    bool hasFailed(const peer& candidate, instant now) const;
 
     std::string m_dataCentre;
     std::vector<peer> m_peers;
--- a/src/libs/rollout/replicaaccess.cpp
+++ b/src/libs/rollout/replicaaccess.cpp
@@ -14,8 +14,10 @@
     m_wantedChecks = 0;
 }
 
-void replica_access::noteFailure(std::string_view replica, access_failure failure, instant now)
+void replica_access::noteFailure(std::string_view replica, access_failure failure, instant begunAt)
 {
+    if (m_reachedAt && begunAt < *m_reachedAt)
+        return;
     switch (failure) {
     case access_failure::Refused:
         m_failed.emplace(replica);
@@ -25,7 +27,7 @@
         m_isDoubtful = true;
         break;
     case access_failure::Silent:
-        if (wasReachedRecently(now))
+        if (wasReachedRecently(begunAt))
             return;
         m_isDoubtful = true;
         break;
--- a/src/libs/rollout/replicaaccess.h
+++ b/src/libs/rollout/replicaaccess.h
@@ -42,7 +42,8 @@
     void setListed(std::size_t replicas) { m_listed = replicas; }
     /// A new connection to a replica was established.
     void noteReached(instant now);
-    void noteFailure(std::string_view replica, access_failure failure, instant now);
+    /// An attempt or a check that began at \a begunAt failed.
+    void noteFailure(std::string_view replica, access_failure failure, instant begunAt);
     /// Another daemon has lost its access, so this one checks its own.
     void noteOtherLost(instant now);
 
@@ -53,7 +54,7 @@
     std::vector<replica_instance> takeChecks(const replica_pool& pool, instant now);
 
 private:
-    bool wasReachedRecently(instant now) const { return m_reachedAt && now - *m_reachedAt < reachedRetention; }
+    bool wasReachedRecently(instant time) const { return m_reachedAt && time - *m_reachedAt < reachedRetention; }
 
     std::size_t m_listed = 0;
     std::optional<instant> m_reachedAt;
--- a/src/libs/rollout/replicagate.h
+++ b/src/libs/rollout/replicagate.h
@@ -30,8 +30,8 @@
     virtual void noteLimit(const replica_instance& replica, std::optional<double> perSecond) = 0;
     /// Notes that \a replica announced its leaving in an answer.
     virtual void noteLeaving(const replica_instance& replica) = 0;
-    /// An attempt did not reach \a replica.
-    virtual void noteUnreached(const replica_instance& replica, access_failure failure) = 0;
+    /// An attempt that began at \a begunAt did not reach \a replica.
+    virtual void noteUnreached(const replica_instance& replica, access_failure failure, instant begunAt) = 0;
     /// Asks for a permit to send a request to one of \a replicas. \a onOutcome is called once from the event loop, unless
     /// the ask is cancelled.
     virtual permit_number ask(std::vector<replica_instance> replicas, duration maxWait, std::function<void(const permit_outcome&)> onOutcome) = 0;
--- a/src/libs/wire/factcodec.cpp
+++ b/src/libs/wire/factcodec.cpp
@@ -79,6 +79,7 @@
     {
         out.set_vm(statement.vm);
         out.set_has_access(statement.hasAccess);
+        out.set_number(statement.number);
         out.set_age_us(toMicroseconds(now - statement.statedAt));
     }
 
@@ -116,7 +117,7 @@
             const wire::AccessStatement& access = in.access();
             if (access.vm().empty())
                 return std::nullopt;
-            return access_statement { access.vm(), access.has_access(), now - toDuration(access.age_us()) };
+            return access_statement { access.vm(), access.has_access(), access.number(), now - toDuration(access.age_us()) };
         }
         case wire::Fact::FACT_NOT_SET:
             return std::nullopt;
--- a/tests/auto/gateway/tst_callrelay.cpp
+++ b/tests/auto/gateway/tst_callrelay.cpp
@@ -72,7 +72,7 @@
 
     void noteLimit(const replica_instance&, std::optional<double>) override { }
     void noteLeaving(const replica_instance& replica) override { m_pool.noteLeaving({ replica, bootNow() }); }
-    void noteUnreached(const replica_instance&, access_failure failure) override { m_failures.push_back(failure); }
+    void noteUnreached(const replica_instance&, access_failure failure, instant) override { m_failures.push_back(failure); }
     const std::vector<access_failure>& failures() const { return m_failures; }
     permit_number ask(std::vector<replica_instance> replicas, duration, std::function<void(const permit_outcome&)> onOutcome) override
     {
--- a/tests/auto/gateway/tst_itemrunner.cpp
+++ b/tests/auto/gateway/tst_itemrunner.cpp
@@ -21,7 +21,7 @@
 class open_gate : public replica_gate {
 public:
     void noteLimit(const replica_instance&, std::optional<double>) override { }
-    void noteUnreached(const replica_instance&, access_failure) override { }
+    void noteUnreached(const replica_instance&, access_failure, instant) override { }
     void noteLeaving(const replica_instance&) override { }
     permit_number ask(std::vector<replica_instance>, duration, std::function<void(const permit_outcome&)>) override { return 0; }
     void cancel(permit_number) override { }
--- a/tests/auto/rollout/tst_peertable.cpp
+++ b/tests/auto/rollout/tst_peertable.cpp
@@ -50,18 +50,22 @@
 TEST_CASE("Calls go to daemons with access, those of the own data centre first, and not again to one that failed")
 {
     peer_table table("north-a", 7);
-    CHECK_FALSE(table.hasCandidate(at(10s)));
+    CHECK_FALSE(table.hasPeerWithAccess(at(10s)));
     table.setPeers(threePeers);
     CHECK(chosen(table, {}, 10s) == std::set<std::string> { "a1", "a2" });
     CHECK(chosen(table, { "a1" }, 10s) == std::set<std::string> { "a2" });
-    CHECK(table.merge({ "a2", false, at(10s) }));
+    CHECK(table.merge({ "a2", false, 1, at(10s) }));
     CHECK(chosen(table, {}, 10s) == std::set<std::string> { "a1" });
     CHECK(chosen(table, { "a1" }, 10s) == std::set<std::string> { "b1" });
     table.noteFailed("a1", at(10s));
     CHECK(chosen(table, {}, 10s) == std::set<std::string> { "b1" });
+    // Daemons that failed may still have access, so a daemon without access keeps no work because of them.
+    table.noteFailed("b1", at(10s));
+    CHECK(chosen(table, {}, 10s).empty());
+    CHECK(table.hasPeerWithAccess(at(10s)));
     CHECK(chosen(table, {}, 11100ms) == std::set<std::string> { "a1" });
-    CHECK(table.merge({ "a2", true, at(11s) }));
-    CHECK_FALSE(table.merge({ "a2", false, at(10500ms) }));
+    CHECK(table.merge({ "a2", true, 2, at(11s) }));
+    CHECK_FALSE(table.merge({ "a2", false, 1, at(11500ms) }));
     CHECK(chosen(table, {}, 11100ms) == std::set<std::string> { "a1", "a2" });
 }
 
@@ -69,9 +73,9 @@
 {
     peer_table table("north-a", 7);
     table.setPeers({ threePeers[0] });
-    table.merge({ "a1", false, at(10s) });
-    CHECK_FALSE(table.hasCandidate(at(19s)));
-    CHECK(table.hasCandidate(at(21s)));
+    table.merge({ "a1", false, 1, at(10s) });
+    CHECK_FALSE(table.hasPeerWithAccess(at(19s)));
+    CHECK(table.hasPeerWithAccess(at(21s)));
     table.forgetOld(at(21s));
     CHECK(table.statements().empty());
 }
@@ -83,7 +87,7 @@
         fact_network<access_knowledge> network(size, 20);
         const std::size_t lost = size * 6 / 10;
         for (std::size_t index = 0; index < lost; ++index)
-            network.learn(index, access_statement { std::to_string(index), false, network.now() });
+            network.learn(index, access_statement { std::to_string(index), false, 1, network.now() });
         network.run(contactTime);
         std::size_t known = 0;
         for (std::size_t index = 0; index < size; ++index)
--- a/tests/auto/rollout/tst_replicaaccess.cpp
+++ b/tests/auto/rollout/tst_replicaaccess.cpp
@@ -112,3 +112,14 @@
         CHECK_FALSE(fixture.access.isLost());
     }
 }
+
+TEST_CASE("An attempt that began before a replica was reached says nothing of the access afterwards")
+{
+    access_fixture fixture(3);
+    fixture.access.noteReached(at(10s));
+    fixture.access.noteFailure("r0", access_failure::ConnectTimedOut, at(9900ms));
+    fixture.access.noteFailure("r1", access_failure::ConnectTimedOut, at(9900ms));
+    CHECK_FALSE(fixture.access.isLost());
+    CHECK_FALSE(fixture.access.isDoubtful());
+    CHECK(fixture.access.takeChecks(fixture.pool, at(10200ms)).empty());
+}
--- a/tests/auto/wire/tst_factcodec.cpp
+++ b/tests/auto/wire/tst_factcodec.cpp
@@ -48,11 +48,12 @@
 TEST_CASE("What a daemon says of its access, and its address for calls, are unchanged after encoding and decoding")
 {
     for (const bool hasAccess : { false, true }) {
-        const std::optional<fact_message> decoded = decodeFactMessage(encodeFactMessage({ { access_statement { "vm-1", hasAccess, sentAt - 2s } }, std::nullopt }, sentAt), receivedAt);
+        const std::optional<fact_message> decoded = decodeFactMessage(encodeFactMessage({ { access_statement { "vm-1", hasAccess, 9, sentAt - 2s } }, std::nullopt }, sentAt), receivedAt);
         REQUIRE(decoded);
         const access_statement& statement = std::get<access_statement>(decoded->facts.at(0));
         CHECK(statement.vm == "vm-1");
         CHECK(statement.hasAccess == hasAccess);
+        CHECK(statement.number == 9);
         CHECK(statement.statedAt == receivedAt - 2s);
     }
     vm_list_entry entry;
