Rollout: Lose access only when checks have failed, and blame requests for crashes in any case

Two replicas that were down at once made access seem lost for a moment, and the first mend blamed nobody meanwhile, so a crash was not counted. It was a fault of that mend, not of the load: the same order of events follows from reading.

Access is lost now only when the checks that follow a failure have failed, and crashes are blamed as before the mend.

--- a/src/libs/gateway/accesswatch.cpp
+++ b/src/libs/gateway/accesswatch.cpp
@@ -96,8 +96,10 @@
     const endpoint address = parseEndpoint(listed ? listed->entry.address : std::string()).value_or(endpoint {});
     boost::system::error_code invalid;
     const boost::asio::ip::address host = boost::asio::ip::make_address(address.host, invalid);
-    if (invalid)
+    if (invalid) {
+        m_facts.access().noteCheckFailure(replica.id, access_failure::Refused, bootNow());
         return;
+    }
     ++m_counters.checks;
     const std::uint64_t number = ++m_lastCheck;
     check& started = *m_checks.emplace(number, std::make_unique<check>(m_context, replica.id)).first->second;
@@ -120,7 +122,7 @@
     m_checks.erase(found);
     const instant now = bootNow();
     if (failure)
-        m_facts.access().noteFailure(ended->replica, *failure, ended->startedAt);
+        m_facts.access().noteCheckFailure(ended->replica, *failure, ended->startedAt);
     else
         m_facts.access().noteReached(now);
     tellOthers(now);
--- a/src/libs/gateway/crashwatch.cpp
+++ b/src/libs/gateway/crashwatch.cpp
@@ -150,10 +150,6 @@
     m_probes.erase(found);
     if (!hasEnded)
         return;
-    m_facts.noteUnreached(replica, access_failure::Refused, ended->interruptedAt);
-    // Behind a cut, replicas seem to have ended.
-    if (m_facts.access().isLost())
-        return;
     for (const probe::interrupted_request& request : ended->requests)
         m_facts.learnFromAnswer(request_crash { request.digest, replica, ended->interruptedAt });
 }
--- a/src/libs/rollout/replicaaccess.h
+++ b/src/libs/rollout/replicaaccess.h
@@ -27,7 +27,7 @@
 ///
 /// The paths of one VM to all replicas may be cut while callers and other daemons reach it. A failed attempt may also come
 /// from its replica alone. So a failure is followed by checks, connections to other replicas, and access counts as lost when
-/// two replicas were not reached and none was reached since. Only new connections prove access: open ones may live on while
+/// these have failed, too, and two replicas were not reached since one was. Only new connections prove access: open ones may live on while
 /// new ones are refused. While access is lost one replica after the other is checked until one is reached.
 class replica_access {
 public:
@@ -42,15 +42,17 @@
     void setListed(std::size_t replicas) { m_listed = replicas; }
     /// A new connection to a replica was established.
     void noteReached(instant now);
-    /// An attempt or a check that began at \a begunAt failed.
+    /// An attempt that began at \a begunAt failed.
     void noteFailure(std::string_view replica, access_failure failure, instant begunAt);
+    /// A check that began at \a begunAt failed.
+    void noteCheckFailure(std::string_view replica, access_failure failure, instant begunAt);
     /// Another daemon has lost its access, so this one checks its own.
     void noteOtherLost(instant now);
 
     bool isLost() const { return m_isLost; }
     /// Whether the last attempt hung and no replica was reached since, so that further ones may hang, too.
     bool isDoubtful() const { return m_isDoubtful; }
-    /// Replicas in \a pool to connect to now, with their addresses in the list.
+    /// Replicas in \a pool to connect to now. Each check has to end with noteReached() or noteCheckFailure().
     std::vector<replica_instance> takeChecks(const replica_pool& pool, instant now);
 
 private:
@@ -63,6 +65,8 @@
     bool m_isLost = false;
     bool m_isDoubtful = false;
     std::size_t m_wantedChecks = 0;
+    /// Checks that have been taken and have not ended, since a replica was reached.
+    std::size_t m_openChecks = 0;
     instant m_checkedAt {};
     /// Replica that was checked last.
     std::string m_lastChecked;
