--- a/src/libs/gateway/accesswatch.cpp
+++ b/src/libs/gateway/accesswatch.cpp
@@ -17,6 +17,9 @@
     using boost::asio::ip::tcp;
 
     constexpr duration connectTimeout = std::chrono::milliseconds(300);
+    /// Least time between two statements. Each goes to all daemons and may make them check their own paths, so access that
+    /// comes and goes must not become as many messages.
+    constexpr duration minStatementInterval = std::chrono::seconds(1);
     /// Time after which a daemon without access says so again; shorter than peer_table::statementRetention.
     constexpr duration repeatInterval = std::chrono::seconds(3);
 
@@ -132,7 +135,9 @@
 {
     const bool isLost = !hasAccess();
     const bool isChange = isLost != m_saidLost;
-    if (!isChange && !(isLost && now - m_saidAt >= repeatInterval))
+    const duration silence = now - m_saidAt;
+    const bool isDue = isChange ? silence >= minStatementInterval : isLost && silence >= repeatInterval;
+    if (!isDue)
         return;
     m_saidLost = isLost;
     m_saidAt = now;
