Gateway, Tests: Share what a test daemon knows of routes, and drop what the exchange of facts kept twice

A last read of the change: route_knowledge stood in two test files, the exchange kept the name of its VM beside the membership view that has it, and two const accessors were never called.

--- a/src/libs/gateway/factexchange.cpp
+++ b/src/libs/gateway/factexchange.cpp
@@ -31,7 +31,6 @@
     , m_routes(routes)
     , m_logger(logger)
     , m_onPermit(std::move(onPermit))
-    , m_vm(local.vm)
     , m_peers(local.dataCentre, std::random_device()())
     , m_agent(local.vm, pool.limits())
     , m_spread(std::random_device()())
@@ -97,7 +96,7 @@
 {
     if (!m_peers.merge(statement))
         return false;
-    if (!statement.hasAccess && statement.vm != m_vm)
+    if (!statement.hasAccess && statement.vm != m_link.view().local().vm)
         m_access.noteOtherLost(now);
     return true;
 }
--- a/src/libs/gateway/factexchange.h
+++ b/src/libs/gateway/factexchange.h
@@ -56,10 +56,8 @@
     void learnConfiguration(std::uint64_t version) { learn(configuration_read { version, bootNow() }, logSource); }
     /// What this daemon knows of its own access to replicas.
     replica_access& access() { return m_access; }
-    const replica_access& access() const { return m_access; }
     /// The other daemons, with what they say of their access.
     peer_table& peers() { return m_peers; }
-    const peer_table& peers() const { return m_peers; }
     const request_quarantine& quarantine() const { return m_quarantine; }
     /// Whether no daemon was lost sight of a short time ago.
     bool isFleetInSight() const { return !m_link.hasLost(); }
@@ -112,7 +110,6 @@
     std::function<void()> m_onPermit;
     stream_handlers m_streamHandlers;
     request_quarantine m_quarantine;
-    std::string m_vm;
     replica_access m_access;
     peer_table m_peers;
     permit_agent m_agent;
--- a/tests/auto/gateway/tst_configurationage.cpp
+++ b/tests/auto/gateway/tst_configurationage.cpp
@@ -1,14 +1,13 @@
 #include "operatorlog.h"
 
 #include <gateway/topicfollower.h>
-#include <rollout/routetable.h>
 #include <support/factnetwork.h>
+#include <support/routeknowledge.h>
 
 #include <catch2/catch.hpp>
 
 #include <memory>
 #include <string>
-#include <variant>
 #include <vector>
 
 using namespace ragwortreach;
@@ -22,13 +21,6 @@
 constexpr duration applyTime = 1500ms;
 constexpr duration step = 1ms;
 
-struct route_knowledge {
-    route_table routes;
-
-    bool merge(const fact& item, instant) { return routes.noteRead(std::get<configuration_read>(item)); }
-    std::vector<fact> facts() const { return routes.newestRead().version == 0 ? std::vector<fact> {} : std::vector<fact> { routes.newestRead() }; }
-};
-
 /// Daemons that read the configuration from one log and tell each other which version they have read.
 class reading_fleet {
 public:
--- a/tests/auto/rollout/tst_supersededroutes.cpp
+++ b/tests/auto/rollout/tst_supersededroutes.cpp
@@ -1,10 +1,9 @@
-#include <rollout/routetable.h>
 #include <support/factnetwork.h>
 #include <support/rolloutfixture.h>
+#include <support/routeknowledge.h>
 
 #include <catch2/catch.hpp>
 
-#include <variant>
 #include <vector>
 
 using namespace ragwortreach;
@@ -17,14 +16,6 @@
 /// Time within which the daemons that can read the log read a new configuration.
 constexpr std::size_t readSpreadMs = 60;
 
-/// What a daemon knows of the configuration.
-struct route_knowledge {
-    route_table routes;
-
-    bool merge(const fact& item, instant) { return routes.noteRead(std::get<configuration_read>(item)); }
-    std::vector<fact> facts() const { return routes.newestRead().version == 0 ? std::vector<fact> {} : std::vector<fact> { routes.newestRead() }; }
-};
-
 /// Fleet of which the first daemons cannot read the log.
 class route_fleet {
 public:
