Gateway: Tell refusals of the log from broken connections

The lines topic_behind and topic_regained counted both as refused reads, so they could not tell a log that lives and turns this daemon away from one that is out of reach. Reads and pages name a refusal now; what follows from it has not changed.

--- a/src/libs/gateway/textrequests.cpp
+++ b/src/libs/gateway/textrequests.cpp
@@ -66,7 +66,7 @@
 void text_requests::applyRange(pending_iterator pending, const range_request& range, const read_outcome& outcome)
 {
     text_answer answer = emptyAnswer(*pending);
-    answer.isAnswered = outcome.status != read_status::Unavailable;
+    answer.isAnswered = outcome.status == read_status::Done || outcome.status == read_status::Expired;
     answer.firstOffset = range.from;
     answer.endOffset = range.from;
     if (outcome.status == read_status::Expired) {
--- a/src/libs/gateway/topicfollower.cpp
+++ b/src/libs/gateway/topicfollower.cpp
@@ -105,10 +105,10 @@
 
 void topic_follower::onReadDone(std::uint64_t number, instant sentAt, const read_outcome& outcome)
 {
-    const bool isAnswered = outcome.status != read_status::Unavailable;
+    const bool isAnswered = outcome.status == read_status::Done || outcome.status == read_status::Expired;
     const bool isOvertaken = number != m_readNumber;
     if (!isAnswered)
-        ++(bootNow() - sentAt < longestAnswerTime ? m_tail.refusedReads : m_tail.unansweredReads);
+        countFailure(outcome, sentAt);
     for (const keyed_record& record : outcome.records)
         m_tail.receivedBytes += record.bytes();
     if (isAnswered)
@@ -125,6 +125,7 @@
     case read_status::Expired:
         readSnapshot();
         return;
+    case read_status::Refused:
     case read_status::Unavailable:
         if (m_openReads == 0)
             retryLater(&topic_follower::readTail);
@@ -135,6 +136,16 @@
     }
 }
 
+void topic_follower::countFailure(const read_outcome& outcome, instant sentAt)
+{
+    if (outcome.status == read_status::Refused)
+        ++m_tail.refusedReads;
+    else if (bootNow() - sentAt < longestAnswerTime)
+        ++m_tail.brokenReads;
+    else
+        ++m_tail.unansweredReads;
+}
+
 /// To be called once the records that a read sent at \a sentAt returned have been delivered.
 void topic_follower::confirm(instant sentAt)
 {
--- a/src/libs/gateway/topicfollower.h
+++ b/src/libs/gateway/topicfollower.h
@@ -40,8 +40,10 @@
     std::uint64_t overdueReads = 0;
     /// Reads without an answer in time.
     std::uint64_t unansweredReads = 0;
-    /// Reads that failed before: the log refused them, or could not be reached.
+    /// Reads that the log answered with a refusal.
     std::uint64_t refusedReads = 0;
+    /// Reads that ended otherwise before their time: the log could not be reached, or the connection broke.
+    std::uint64_t brokenReads = 0;
     /// Bytes of keys and values in the answers.
     std::uint64_t receivedBytes = 0;
 };
@@ -102,6 +104,7 @@
     void onReadDone(std::uint64_t number, instant sentAt, const read_outcome& outcome);
     void applyTail(instant sentAt, const read_outcome& outcome);
     void confirm(instant sentAt);
+    void countFailure(const read_outcome& outcome, instant sentAt);
     void learnPatience(std::uint64_t number, instant sentAt);
     void recordReadResult(bool isDone);
     void retryLater(void (topic_follower::*step)());
--- a/src/libs/gateway/topicwatch.cpp
+++ b/src/libs/gateway/topicwatch.cpp
@@ -62,6 +62,7 @@
                        .with("overdue_reads", tail.overdueReads - topic.logged.overdueReads)
                        .with("unanswered_reads", tail.unansweredReads - topic.logged.unansweredReads)
                        .with("refused_reads", tail.refusedReads - topic.logged.refusedReads)
+                       .with("broken_reads", tail.brokenReads - topic.logged.brokenReads)
                        .with("received_bytes", tail.receivedBytes - topic.logged.receivedBytes));
     topic.loggedAt = now;
     topic.logged = tail;
--- a/src/libs/rollout/sharedlog.h
+++ b/src/libs/rollout/sharedlog.h
@@ -87,6 +87,9 @@
     Done,
     /// The log no longer retains the record at the offset.
     Expired,
+    /// The log answered that it does not serve the read. It may serve others.
+    Refused,
+    /// No answer, or none that can be read.
     Unavailable,
 };
 
@@ -102,6 +105,8 @@
 /// One page of the newest record of each key.
 struct newest_outcome {
     bool isDone = false;
+    /// The log answered that it does not serve the read. It may serve others.
+    bool isRefused = false;
     std::vector<keyed_record> records;
     bool hasMore = false;
     std::uint64_t end = 0;
--- a/tests/auto/gateway/operatorlog.cpp
+++ b/tests/auto/gateway/operatorlog.cpp
@@ -83,7 +83,7 @@
         return;
     }
     m_log.m_time.callAfter(callTime, [this, whenDone = std::move(onDone)] {
-        newest_outcome page { true, {}, false, visibleEnd() };
+        newest_outcome page { true, false, {}, false, visibleEnd() };
         if (page.end > 0)
             page.records.push_back(m_log.recordAt(page.end - 1));
         whenDone(page);
--- a/tests/auto/gateway/ratedlog.cpp
+++ b/tests/auto/gateway/ratedlog.cpp
@@ -130,7 +130,7 @@
     send(bytes, [&from, offsets = std::move(offsets), hasMore, end, call] {
         if (!call->onSent)
             return;
-        newest_outcome outcome { true, {}, hasMore, end };
+        newest_outcome outcome { true, false, {}, hasMore, end };
         for (const std::uint64_t offset : offsets)
             outcome.records.push_back(from.records[offset].record);
         std::exchange(call->onSent, {})(outcome);
