Tests: Show calls that go by an older configuration while the log refuses all daemons in sight, and a soak from outside

The soak runs real daemons whose configuration changes every 2 to 5 s while the log answers some or all of them 503 or 429, resets their connections or is silent, drops its history, and processes are stopped, killed and replaced by another build; some daemons see no other one. configuration_judge tells from what callers sent, replicas got and operators were told whether the platform's bounds held; it has a table test.

--- /dev/null
+++ b/tests/auto/system/configurationsoak.cpp
@@ -0,0 +1,224 @@
+#include "configurationsoak.h"
+
+#include <client/testclient.h>
+#include <gateway/bootclock.h>
+
+#include <algorithm>
+#include <csignal>
+
+namespace ragwortreach::Tests {
+
+namespace {
+
+    constexpr duration stepTime = std::chrono::milliseconds(50);
+    constexpr duration callPause = std::chrono::milliseconds(40);
+    /// Quiet time at the end, in which all daemons have to follow the newest configuration.
+    constexpr duration calmTime = std::chrono::seconds(4);
+    constexpr duration shortestChangeTime = std::chrono::seconds(2);
+    constexpr duration longestChangeTime = std::chrono::seconds(5);
+    constexpr duration shortestFaultPause = std::chrono::milliseconds(500);
+    constexpr duration longestFaultPause = std::chrono::seconds(4);
+    constexpr duration shortestFault = std::chrono::seconds(1);
+    constexpr duration longestFault = std::chrono::seconds(14);
+    constexpr duration longestStop = std::chrono::seconds(3);
+
+    std::string serviceOf(std::uint64_t version)
+    {
+        return version == 1 ? "shop" : "shop-" + std::to_string(version);
+    }
+
+    disturbance_kind kindOf(store_access access)
+    {
+        return access == store_access::Busy || access == store_access::TooManyRequests ? disturbance_kind::Refused : disturbance_kind::Unanswered;
+    }
+
+}
+
+configuration_soak::configuration_soak(soak_options options)
+    : m_options(std::move(options))
+    , m_fleet(m_options.daemons)
+    , m_random(m_options.seed)
+{
+    for (std::size_t daemon = 0; daemon < m_options.alone; ++daemon)
+        m_fleet.restartAlone(m_options.daemons - 1 - daemon);
+    for (std::size_t daemon = 0; !m_options.otherProgram.empty() && daemon < m_options.daemons / 2; ++daemon)
+        m_fleet.restart(daemon, m_options.otherProgram);
+    for (std::size_t daemon = 0; daemon < m_options.daemons; ++daemon)
+        m_fleet.waitReady(daemon);
+    m_judge.noteChange(m_version, bootNow());
+}
+
+duration configuration_soak::randomTime(duration shortest, duration longest)
+{
+    return duration(std::uniform_int_distribution<duration::rep>(shortest.count(), longest.count())(m_random));
+}
+
+std::size_t configuration_soak::randomDaemon()
+{
+    return std::uniform_int_distribution<std::size_t>(0, m_options.daemons - 1)(m_random);
+}
+
+bool configuration_soak::isDisturbed(std::size_t daemon) const
+{
+    return std::any_of(m_faults.begin(), m_faults.end(), [daemon](const open_fault& fault) { return fault.daemon == daemon; });
+}
+
+/// Each version moves the route to a service of its own, so that the replica that gets a call tells the version.
+void configuration_soak::change()
+{
+    ++m_version;
+    m_fleet.addService(serviceOf(m_version));
+    m_fleet.moveRewardRoute(static_cast<int>(m_version), serviceOf(m_version));
+    m_judge.noteChange(m_version, bootNow());
+}
+
+void configuration_soak::turnAway(store_access access, std::size_t count)
+{
+    std::vector<std::size_t> daemons(m_options.daemons);
+    for (std::size_t daemon = 0; daemon < daemons.size(); ++daemon)
+        daemons[daemon] = daemon;
+    std::shuffle(daemons.begin(), daemons.end(), m_random);
+    const instant until = bootNow() + randomTime(shortestFault, longestFault);
+    for (const std::size_t daemon : std::span<const std::size_t>(daemons).first(count)) {
+        if (isDisturbed(daemon))
+            continue;
+        const std::size_t number = m_judge.noteDisturbance({ daemon, kindOf(access), bootNow() });
+        m_fleet.setStoreAccess(daemon, access);
+        m_faults.push_back({ daemon, number, access, false, until });
+    }
+}
+
+void configuration_soak::stopProcess()
+{
+    const std::size_t daemon = randomDaemon();
+    if (isDisturbed(daemon))
+        return;
+    const std::size_t number = m_judge.noteDisturbance({ daemon, disturbance_kind::Process, bootNow() });
+    m_fleet.daemon(daemon).signal(SIGSTOP);
+    m_faults.push_back({ daemon, number, store_access::Serving, true, bootNow() + randomTime(shortestFault, longestStop) });
+}
+
+void configuration_soak::restart(std::size_t daemon)
+{
+    const std::size_t number = m_judge.noteDisturbance({ daemon, disturbance_kind::Process, bootNow() });
+    m_fleet.restart(daemon);
+    m_judge.noteEnd(number, bootNow());
+}
+
+/// Ends the next daemon of the other program, and starts the present one in its place.
+void configuration_soak::replaceNext()
+{
+    if (m_options.otherProgram.empty() || m_replaced >= m_options.daemons / 2 || isDisturbed(m_replaced))
+        return;
+    restart(m_replaced++);
+}
+
+void configuration_soak::beginFault()
+{
+    const std::size_t all = m_options.daemons;
+    const std::size_t counts[] = { 1, all / 2, all };
+    const store_access kinds[] = { store_access::Busy, store_access::TooManyRequests, store_access::Resetting, store_access::Silent };
+    const std::size_t draw = std::uniform_int_distribution<std::size_t>(0, 7)(m_random);
+    if (draw < std::size(kinds)) {
+        turnAway(kinds[draw], counts[std::uniform_int_distribution<std::size_t>(0, std::size(counts) - 1)(m_random)]);
+        return;
+    }
+    const std::size_t daemon = randomDaemon();
+    if (draw == 4)
+        stopProcess();
+    else if (draw == 5 && !isDisturbed(daemon))
+        restart(daemon);
+    else if (draw == 6)
+        m_fleet.run([this] { m_fleet.store().compact(); });
+    else
+        replaceNext();
+}
+
+void configuration_soak::end(const open_fault& fault)
+{
+    if (fault.isStopped)
+        m_fleet.daemon(fault.daemon).signal(SIGCONT);
+    else
+        m_fleet.setStoreAccess(fault.daemon, store_access::Serving);
+    m_judge.noteEnd(fault.number, bootNow());
+}
+
+void configuration_soak::endFaults(instant before)
+{
+    std::erase_if(m_faults, [this, before](const open_fault& fault) {
+        if (fault.until > before)
+            return false;
+        end(fault);
+        return true;
+    });
+}
+
+/// Sends one call after the other to \a daemon, whether or not it is ready.
+void configuration_soak::callAll(std::size_t daemon)
+{
+    for (int number = 0; !m_isOver; ++number) {
+        judged_call call { daemon, std::to_string(daemon) + "-" + std::to_string(number), bootNow(), {} };
+        call.status = send(m_fleet.caller(daemon), "POST", "/score/1", "linen", { { "Host", "lace.example" }, { "Request-Id", call.id }, { "Deadline-Ms", "1000" } }).status;
+        call.answeredAt = bootNow();
+        {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            m_calls.push_back(std::move(call));
+        }
+        std::this_thread::sleep_for(callPause);
+    }
+}
+
+void configuration_soak::findVersions()
+{
+    std::map<std::string, std::uint64_t> versions;
+    for (std::uint64_t version = 1; version <= m_version; ++version) {
+        for (const std::string& id : m_fleet.startedAt(serviceOf(version)))
+            versions[id] = std::max(versions[id], version);
+    }
+    for (judged_call& call : m_calls) {
+        const auto found = versions.find(call.id);
+        if (found != versions.end())
+            call.version = found->second;
+    }
+}
+
+void configuration_soak::run()
+{
+    std::vector<std::thread> callers;
+    for (std::size_t daemon = 0; daemon < m_options.daemons; ++daemon)
+        callers.emplace_back([this, daemon] { callAll(daemon); });
+    const instant end = bootNow() + m_options.time;
+    instant nextChange = bootNow() + shortestChangeTime;
+    instant nextFault = bootNow() + shortestFaultPause;
+    while (bootNow() < end) {
+        endFaults(bootNow());
+        if (bootNow() >= nextChange) {
+            change();
+            nextChange = bootNow() + randomTime(shortestChangeTime, longestChangeTime);
+        }
+        if (bootNow() >= nextFault) {
+            beginFault();
+            nextFault = bootNow() + randomTime(shortestFaultPause, longestFaultPause);
+        }
+        std::this_thread::sleep_for(stepTime);
+    }
+    endFaults(instant::max());
+    std::this_thread::sleep_for(calmTime);
+    m_isOver = true;
+    for (std::thread& caller : callers)
+        caller.join();
+    findVersions();
+}
+
+std::vector<std::size_t> configuration_soak::daemonsBehind() const
+{
+    std::vector<std::size_t> behind;
+    for (std::size_t daemon = 0; daemon < m_options.daemons; ++daemon) {
+        const auto last = std::find_if(m_calls.rbegin(), m_calls.rend(), [daemon](const judged_call& call) { return call.daemon == daemon; });
+        if (last == m_calls.rend() || last->version != m_version)
+            behind.push_back(daemon);
+    }
+    return behind;
+}
+
+}
--- /dev/null
+++ b/tests/auto/system/configurationsoak.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "configurationjudge.h"
+#include "platformfleet.h"
+
+#include <atomic>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace ragwortreach::Tests {
+
+struct soak_options {
+    std::uint64_t seed = 1;
+    std::size_t daemons = 5;
+    /// Of these, daemons that see no other one.
+    std::size_t alone = 1;
+    std::chrono::seconds time { 30 };
+    /// Program that the first half of the daemons runs until it is replaced, one daemon after the other; none when empty.
+    std::string otherProgram {};
+};
+
+/// Real daemons whose configuration changes every few seconds while their log and their processes fail in series and
+/// overlapping, and callers that send calls to each of them all the while.
+class configuration_soak {
+public:
+    explicit configuration_soak(soak_options options);
+
+    /// Runs to the end. All that failed is well again in the last seconds.
+    void run();
+    /// Calls in the order in which they were sent to each daemon.
+    const std::vector<judged_call>& calls() const { return m_calls; }
+    const configuration_judge& judge() const { return m_judge; }
+    /// Daemons whose last calls did not go by the newest version.
+    std::vector<std::size_t> daemonsBehind() const;
+
+private:
+    struct open_fault {
+        std::size_t daemon = 0;
+        std::size_t number = 0;
+        store_access access = store_access::Serving;
+        bool isStopped = false;
+        instant until {};
+    };
+
+    duration randomTime(duration shortest, duration longest);
+    std::size_t randomDaemon();
+    void change();
+    void beginFault();
+    void turnAway(store_access access, std::size_t count);
+    void stopProcess();
+    void restart(std::size_t daemon);
+    void replaceNext();
+    void endFaults(instant before);
+    void end(const open_fault& fault);
+    bool isDisturbed(std::size_t daemon) const;
+    void callAll(std::size_t daemon);
+    void findVersions();
+
+    soak_options m_options;
+    platform_fleet m_fleet;
+    std::mt19937_64 m_random;
+    configuration_judge m_judge;
+    std::uint64_t m_version = 1;
+    std::vector<open_fault> m_faults;
+    std::size_t m_replaced = 0;
+    std::atomic<bool> m_isOver = false;
+    std::mutex m_mutex;
+    std::vector<judged_call> m_calls;
+};
+
+}
--- a/tests/auto/system/daemonprocess.cpp
+++ b/tests/auto/system/daemonprocess.cpp
@@ -21,13 +21,13 @@
 
 }
 
-daemon_process::daemon_process(const std::string& folder, const nlohmann::json& settings)
+daemon_process::daemon_process(const std::string& folder, const nlohmann::json& settings, const std::string& otherProgram)
     : m_settings(settings)
 {
     const std::string path = folder + "/" + vm() + ".json";
     std::ofstream(path) << settings.dump();
     const char* buildDir = std::getenv("RAGWORTREACH_BUILD_DIR");
-    std::string program = std::string(buildDir ? buildDir : ".") + "/src/apps/ragwortreachd/ragwortreachd";
+    std::string program = otherProgram.empty() ? std::string(buildDir ? buildDir : ".") + "/src/apps/ragwortreachd/ragwortreachd" : otherProgram;
     std::string flag = "--settings=" + path;
     std::array<char*, 3> arguments { program.data(), flag.data(), nullptr };
     m_pid = fork();
--- a/tests/auto/system/daemonprocess.h
+++ b/tests/auto/system/daemonprocess.h
@@ -12,8 +12,8 @@
 class daemon_process {
 public:
     /// Writes \a settings to a file in \a folder and starts the daemon with it. The program is taken from the build
-    /// directory in RAGWORTREACH_BUILD_DIR, or from the current directory.
-    daemon_process(const std::string& folder, const nlohmann::json& settings);
+    /// directory in RAGWORTREACH_BUILD_DIR, or from the current directory, unless \a otherProgram names its path.
+    daemon_process(const std::string& folder, const nlohmann::json& settings, const std::string& otherProgram = {});
     ~daemon_process();
     daemon_process(const daemon_process&) = delete;
     daemon_process& operator=(const daemon_process&) = delete;
--- a/tests/auto/system/platformfleet.cpp
+++ b/tests/auto/system/platformfleet.cpp
@@ -91,6 +91,19 @@
     });
 }
 
+void platform_fleet::addService(const std::string& name)
+{
+    run([this, &name] { m_services[name] = std::make_unique<replica_standin>(m_context, *m_store, name + "-replica", name, ""); });
+}
+
+std::set<std::string> platform_fleet::startedAt(const std::string& service)
+{
+    return run([this, &service] {
+        const auto added = m_services.find(service);
+        return added == m_services.end() ? m_shop->startedIds() : added->second->startedIds();
+    });
+}
+
 int platform_fleet::runsAtMoreShops()
 {
     return run([this] {
@@ -124,6 +137,17 @@
     run([this, &reduced] { m_store->put("keyed.op", "config", reduced.dump()); });
 }
 
+void platform_fleet::moveRewardRoute(int version, const std::string& service)
+{
+    json moved = configuration(version, {});
+    for (json& route : moved["routes"]) {
+        if (route["name"] == "rewards")
+            route["service"] = service;
+    }
+    moved["services"].push_back({ { "name", service } });
+    run([this, &moved] { m_store->put("keyed.op", "config", moved.dump()); });
+}
+
 void platform_fleet::refuseReads(std::size_t daemon, const std::string& topic)
 {
     run([this, daemon, &topic] { m_store->refuseReads(m_settings[daemon]["gateway"]["store"], topic); });
@@ -134,6 +158,11 @@
     run([this] { m_store->refuseReads({}, {}); });
 }
 
+void platform_fleet::setStoreAccess(std::size_t daemon, store_access access)
+{
+    run([this, daemon, access] { m_store->setAccess(storeAddress(daemon), access); });
+}
+
 void platform_fleet::writeReplicaEntries()
 {
     m_engine->writeEntry();
@@ -163,6 +192,18 @@
     m_daemons[daemon] = std::make_unique<daemon_process>(m_folder.string(), m_settings[daemon]);
 }
 
+void platform_fleet::restart(std::size_t daemon, const std::string& program)
+{
+    m_daemons[daemon]->killAndWait();
+    m_daemons[daemon] = std::make_unique<daemon_process>(m_folder.string(), m_settings[daemon], program);
+}
+
+void platform_fleet::restartAlone(std::size_t daemon)
+{
+    m_settings[daemon]["gateway"].erase("gossip");
+    restart(daemon);
+}
+
 void platform_fleet::killAll()
 {
     for (const std::unique_ptr<daemon_process>& daemon : m_daemons) {
--- a/tests/auto/system/platformfleet.h
+++ b/tests/auto/system/platformfleet.h
@@ -11,8 +11,10 @@
 
 #include <filesystem>
 #include <future>
+#include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -46,6 +48,10 @@
     void addEngine();
     /// Adds \a count replicas of the shop.
     void addShops(int count);
+    /// Adds the service \a name with one plain replica.
+    void addService(const std::string& name);
+    /// Ids of the requests that were started at the replica of a service that addService() added, or of "shop".
+    std::set<std::string> startedAt(const std::string& service);
     /// Number of runs at the replicas that addShops() added.
     int runsAtMoreShops();
     /// Number of times that requests ended replicas of the shop.
@@ -59,6 +65,10 @@
     std::string readiness(std::size_t daemon) const { return m_settings[daemon]["gateway"]["readiness"]; }
     daemon_process& daemon(std::size_t daemon) { return *m_daemons[daemon]; }
     void start(std::size_t daemon);
+    /// Kills \a daemon and starts it again, from \a program if that is not empty.
+    void restart(std::size_t daemon, const std::string& program = {});
+    /// Kills \a daemon and starts it again as one that sees no other daemon.
+    void restartAlone(std::size_t daemon);
     /// Kills all daemons with SIGKILL and waits for their end.
     void killAll();
     /// Whether /api/readyz of a daemon has status 200.
@@ -69,11 +79,15 @@
     void configure(int version, const std::vector<std::string>& addedRollouts = {});
     /// Writes the configuration without the route "rewards", with \a version, to the store.
     void dropRewardRoute(int version);
+    /// Writes the configuration with the route "rewards" to \a service, with \a version, to the store.
+    void moveRewardRoute(int version, const std::string& service);
     /// From now on the store refuses \a daemon, and no other one, to read the configuration.
     void refuseConfiguration(std::size_t daemon) { refuseReads(daemon, "keyed.op"); }
     /// From now on the store refuses \a daemon, and no other one, to read \a topic; all topics when it is empty.
     void refuseReads(std::size_t daemon, const std::string& topic);
     void refuseNothing();
+    /// How the store treats all requests of \a daemon from now on.
+    void setStoreAccess(std::size_t daemon, store_access access);
     /// From now on \a daemon, and no other one, finds \a address in place of all replicas.
     void redirectReplicas(std::size_t daemon, const std::string& address);
     /// From now on all daemons find the replicas.
@@ -89,6 +103,7 @@
     std::unique_ptr<replica_standin> m_addedEngine;
     std::unique_ptr<replica_standin> m_shop;
     std::vector<std::unique_ptr<replica_standin>> m_moreShops;
+    std::map<std::string, std::unique_ptr<replica_standin>> m_services;
     std::filesystem::path m_folder;
     std::vector<nlohmann::json> m_settings;
     std::vector<std::unique_ptr<daemon_process>> m_daemons;
--- /dev/null
+++ b/tests/auto/system/tst_configurationsoak.cpp
@@ -0,0 +1,90 @@
+#include "configurationsoak.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdlib>
+#include <iostream>
+#include <string>
+
+using namespace ragwortreach;
+using namespace ragwortreach::Tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+const instant start = instant {} + 100s;
+
+/// A call 1 s before the change to version 2, then one after it; the store may turn the daemon away meanwhile.
+struct judged_case {
+    const char* name;
+    duration sentAfter;
+    int status;
+    std::uint64_t version;
+    std::uint64_t formerVersion;
+    std::optional<disturbance_kind> kind;
+    std::size_t broken;
+};
+
+const judged_case judgedCases[] = {
+    { "in time", 1900ms, 200, 1, 1, {}, 0 },
+    { "late", 2100ms, 200, 1, 1, {}, 1 },
+    { "late, and the store refuses", 6900ms, 200, 1, 1, disturbance_kind::Refused, 0 },
+    { "later than the store's refusal allows", 7100ms, 200, 1, 1, disturbance_kind::Refused, 1 },
+    { "late without answers of the store", 20s, 200, 1, 1, disturbance_kind::Unanswered, 0 },
+    { "late at a process that was stopped", 20s, 200, 1, 1, disturbance_kind::Process, 0 },
+    { "older than the call before", 1500ms, 200, 1, 2, {}, 1 },
+    { "denied", 1500ms, 404, 2, 1, {}, 1 },
+    { "refused", 20s, 503, 2, 1, {}, 0 },
+};
+
+/// Number in the environment variable \a name; \a missing without it.
+std::uint64_t environmentNumber(const char* name, std::uint64_t missing)
+{
+    const char* const text = std::getenv(name);
+    return text ? std::stoull(text) : missing;
+}
+
+/// Options of the short soak of a test run, or of a longer one that is started by hand.
+soak_options soakOptions()
+{
+    soak_options options;
+    options.seed = environmentNumber("SOAK_SEED", options.seed);
+    options.daemons = environmentNumber("SOAK_DAEMONS", options.daemons);
+    options.alone = environmentNumber("SOAK_ALONE", options.alone);
+    options.time = std::chrono::seconds(environmentNumber("SOAK_SECONDS", static_cast<std::uint64_t>(options.time.count())));
+    const char* const other = std::getenv("SOAK_OTHER_PROGRAM");
+    options.otherProgram = other ? other : "";
+    return options;
+}
+
+}
+
+TEST_CASE("The judge of the configuration tells calls that went by an older one too late")
+{
+    for (const judged_case& row : judgedCases) {
+        INFO(row.name);
+        configuration_judge judge;
+        judge.noteChange(1, start);
+        judge.noteChange(2, start + 10s);
+        if (row.kind)
+            judge.noteDisturbance({ 0, *row.kind, start + 9s });
+        const judged_call former { 0, "former", start + 10s + 100ms, start + 10s + 150ms, 200, row.formerVersion };
+        const instant sentAt = start + 10s + row.sentAfter;
+        CHECK(judge.brokenRules({ former, { 0, "call", sentAt, sentAt + 10ms, row.status, row.version } }).size() == row.broken);
+    }
+}
+
+// Seeded by SOAK_SEED; SOAK_DAEMONS, SOAK_ALONE, SOAK_SECONDS and SOAK_OTHER_PROGRAM make it longer by hand.
+TEST_CASE("Soak: daemons follow each configuration in time while the log and their processes fail", "[.known-red]")
+{
+    const soak_options options = soakOptions();
+    INFO("Seed " << options.seed << ", " << options.daemons << " daemons, " << options.alone << " of them alone, " << options.time.count() << " s");
+    configuration_soak soak(options);
+    soak.run();
+    for (const std::pair<const std::string, duration>& delay : soak.judge().greatestDelays(soak.calls()))
+        std::cout << "seed " << options.seed << ": " << delay.first << ": " << std::chrono::duration_cast<std::chrono::milliseconds>(delay.second).count() << " ms\n";
+    std::cout << "seed " << options.seed << ": " << soak.calls().size() << " calls\n";
+    for (const std::string& broken : soak.judge().brokenRules(soak.calls()))
+        FAIL_CHECK(broken);
+    CHECK(soak.daemonsBehind().empty());
+}
--- a/tests/auto/system/tst_oldroutes.cpp
+++ b/tests/auto/system/tst_oldroutes.cpp
@@ -40,6 +40,20 @@
     { "everything", "" },
 };
 
+/// Time that the platform adds to applyTime while its store turns daemons away.
+constexpr std::chrono::seconds disturbedTime { 5 };
+
+/// Fleet of which the store refuses all daemons while it serves the operators.
+struct refused_fleet_case {
+    std::size_t daemons;
+    store_access access;
+};
+
+const refused_fleet_case refusedFleetCases[] = {
+    { 1, store_access::TooManyRequests },
+    { 3, store_access::Busy },
+};
+
 }
 
 // A daemon that the store turned away went on serving by routes that had been dropped.
@@ -67,6 +81,34 @@
     }
 }
 
+// Daemons that all were refused, or that saw no other one, went on by old routes for as long as that lasted.
+TEST_CASE("Calls went by an older configuration without a bound while the log refused all daemons in sight", "[.known-red]")
+{
+    for (const refused_fleet_case& row : refusedFleetCases) {
+        INFO(row.daemons << " daemons");
+        platform_fleet fleet(row.daemons);
+        for (std::size_t daemon = 0; daemon < row.daemons; ++daemon)
+            fleet.setStoreAccess(daemon, row.access);
+        std::this_thread::sleep_for(readWait);
+        fleet.dropRewardRoute(2);
+        std::this_thread::sleep_for(applyTime + disturbedTime);
+        const int runs = runsAtShop(fleet);
+        for (std::size_t daemon = 0; daemon < row.daemons; ++daemon) {
+            const http_reply reply = callRewards(fleet, daemon, static_cast<int>(daemon));
+            CHECK(reply.status == 503);
+            CHECK(reply.headers.contains("Retry-After"));
+            CHECK_FALSE(fleet.isReady(daemon));
+        }
+        CHECK(runsAtShop(fleet) == runs);
+        for (std::size_t daemon = 0; daemon < row.daemons; ++daemon)
+            fleet.setStoreAccess(daemon, store_access::Serving);
+        for (std::size_t daemon = 0; daemon < row.daemons; ++daemon) {
+            CHECK(waitUntil([&fleet, daemon] { return callRewards(fleet, daemon, 10).status == 404; }));
+            fleet.waitReady(daemon);
+        }
+    }
+}
+
 TEST_CASE("Daemons serve by the routes that they have while the log refuses reads to all of them")
 {
     platform_fleet fleet(3);
--- a/tests/platform/storestandin.cpp
+++ b/tests/platform/storestandin.cpp
@@ -99,6 +99,13 @@
     return *address;
 }
 
+void store_standin::setAccess(const std::string& address, store_access access)
+{
+    m_access[address] = access;
+    if (access != store_access::Silent)
+        m_ignored.erase(address);
+}
+
 void store_standin::refuseReads(std::string address, std::string topic)
 {
     m_refusingAddress = std::move(address);
@@ -150,8 +157,31 @@
     return count;
 }
 
+bool store_standin::turnAway(const http_exchange& exchange, const std::string& address)
+{
+    switch (m_access[address]) {
+    case store_access::Serving:
+        return false;
+    case store_access::Busy:
+        exchange.respond({ 503, {}, {} });
+        return true;
+    case store_access::TooManyRequests:
+        exchange.respond({ 429, {}, {} });
+        return true;
+    case store_access::Resetting:
+        exchange.abort();
+        return true;
+    case store_access::Silent:
+        m_ignored.emplace(address, exchange);
+        return true;
+    }
+    return false;
+}
+
 void store_standin::answer(const http_exchange& exchange, const std::string& address)
 {
+    if (turnAway(exchange, address))
+        return;
     const std::string_view path = targetPath(exchange.request().target);
     const bool isRefusedRead = path != "/api/log-append" && address == m_refusingAddress && (m_refusedTopic.empty() || partitionKey(exchange.request()).starts_with(m_refusedTopic + "/"));
     if (m_behaviour == store_behaviour::Refusing || isRefusedRead) {
--- a/tests/platform/storestandin.h
+++ b/tests/platform/storestandin.h
@@ -22,6 +22,19 @@
     Unresponsive,
 };
 
+/// How the store treats all requests that arrive at one of its addresses.
+enum class store_access {
+    Serving,
+    /// Status 503.
+    Busy,
+    /// Status 429.
+    TooManyRequests,
+    /// The connection is reset.
+    Resetting,
+    /// No answer.
+    Silent,
+};
+
 /// Stand-in of the log of the users' platform: keyed topics with the append, read and newest-values requests that
 /// the daemon uses. May only be used on the thread of its io_context.
 class store_standin {
@@ -30,6 +43,8 @@
 
     /// Opens a further address of the same store, and returns it.
     std::string addAddress();
+    /// Treats requests at \a address so from now on, but for reads that wait already.
+    void setAccess(const std::string& address, store_access access);
     /// Answers reads of \a topic, of all topics when it is empty, with status 503 at \a address; at none when that is empty.
     void refuseReads(std::string address, std::string topic);
     /// Lists all replicas at \a replicaAddress to who reads the list at \a address; to nobody when that is empty.
@@ -68,6 +83,8 @@
     };
 
     void answer(const http_exchange& exchange, const std::string& address);
+    /// Refuses a request at \a address, or leaves it without an answer; false when it is to be served.
+    bool turnAway(const http_exchange& exchange, const std::string& address);
     void append(const http_exchange& exchange);
     void read(const http_exchange& exchange, const std::string& address);
     void newest(const http_exchange& exchange, const std::string& address);
@@ -85,6 +102,9 @@
 
     boost::asio::io_context& m_context;
     std::vector<std::unique_ptr<http_server>> m_servers;
+    std::map<std::string, store_access> m_access;
+    /// Requests at silent addresses, by address.
+    std::multimap<std::string, http_exchange> m_ignored;
     std::string m_refusingAddress;
     std::string m_refusedTopic;
     std::string m_redirectedAddress;
