--- a/src/libs/core/resultcode.cpp
+++ b/src/libs/core/resultcode.cpp
@@ -37,6 +37,7 @@
         result_code_info { result_code::OutcomeUnknown, run_state::Unknown, 502, "OutcomeUnknown", "Nobody can tell whether the call ran; ask the owner of the upstream before repeating it." },
         result_code_info { result_code::UpstreamRefused, run_state::No, 502, "UpstreamRefused", "The upstream refused the call and says that it did not run." },
         result_code_info { result_code::CallerGone, run_state::Unknown, 499, "CallerGone", "The caller closed its connection before the answer was whole." },
+        result_code_info { result_code::UpstreamInvalid, run_state::Unknown, 502, "UpstreamInvalid", "The upstream sent bytes that are no answer of the protocol; the call may have run." },
         result_code_info { result_code::KeyConflict, run_state::No, 409, "KeyConflict", "The idempotency key was used with another body; use a new key for a new order." },
         result_code_info { result_code::KeyInUse, run_state::Unknown, 409, "KeyInUse", "A call with this idempotency key is under way; retry later with the same key." },
         result_code_info { result_code::BatchConflict, run_state::No, 409, "BatchConflict", "The batch exists with other content; open a batch under a new id." },
--- a/src/libs/core/resultcode.h
+++ b/src/libs/core/resultcode.h
@@ -41,6 +41,7 @@
     OutcomeUnknown = 305,
     UpstreamRefused = 306,
     CallerGone = 307,
+    UpstreamInvalid = 308,
 
     KeyConflict = 400,
     KeyInUse = 401,
--- a/tests/auto/gateway/tst_callrelay.cpp
+++ b/tests/auto/gateway/tst_callrelay.cpp
@@ -100,6 +100,7 @@
     void setAccess(bool hasAccess) { m_hasAccess = hasAccess; }
     void setDoubtful(bool isDoubtful) { m_isDoubtful = isDoubtful; }
     void add(const std::string& vm, const std::string& address) { m_peers.push_back({ vm, "north-a", address }); }
+    void replace(std::size_t index, const std::string& address) { m_peers[index].address = address; }
     const std::vector<std::string>& failed() const { return m_failed; }
 
     bool hasAccess() const override { return m_hasAccess; }
@@ -872,6 +873,35 @@
     }
 }
 
+// MIXED: a replica in trouble answered with status 000, and the caller got that as its answer.
+TEST_CASE("A status that is none of the protocol reached the caller as the answer", "[.known-red]")
+{
+    struct row {
+        route_kind kind;
+        int status;
+    };
+    const row rows[] = { { route_kind::Idempotent, 200 }, { route_kind::NonIdempotent, 502 }, { route_kind::Streaming, 502 } };
+    for (const char* const status : { "000", "001", "099", "600", "999", "20x" }) {
+        for (const row& row : rows) {
+            for (const bool isPassedOn : { false, true }) {
+                INFO("status " << status << (isPassedOn ? " of another daemon, " : " of a replica, ") << row.status << " expected");
+                passing_fixture fixture(behaviour::Complete, row.kind);
+                byte_replica invalid(fixture.context, "HTTP/1.1 " + std::string(status) + " None\r\nRequest-Id: mine\r\nServer-Stamp: s\r\nContent-Length: 7\r\n\r\npattern", connection_end::Closed);
+                byte_replica sound(fixture.context, "HTTP/1.1 200 OK\r\nRequest-Id: mine\r\nServer-Stamp: s\r\nContent-Length: 7\r\n\r\npattern", connection_end::Closed);
+                fixture.replace(0, invalid.address());
+                fixture.replace(1, sound.address());
+                fixture.peers.setAccess(!isPassedOn);
+                fixture.peers.replace(0, invalid.address());
+                const http_response answer = fixture.answer();
+                CHECK(answer.status == row.status);
+                CHECK(invalid.requests() == 1);
+                CHECK(fixture.guard.crashes() == 0);
+                CHECK(fixture.gate.failures().empty());
+            }
+        }
+    }
+}
+
 TEST_CASE("A replica that announced its leaving in any answer gets no further request, and the answer that said so ends whole")
 {
     struct row {
--- a/tests/auto/net/tst_httpclient.cpp
+++ b/tests/auto/net/tst_httpclient.cpp
@@ -107,6 +107,34 @@
     { "announced body", "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n", "x" },
 };
 
+/// Head of an answer, and whether the protocol allows it.
+struct head_case {
+    const char* name;
+    const char* head;
+    bool isValid;
+};
+
+const head_case headCases[] = {
+    { "status 000", "HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n", false },
+    { "status 001", "HTTP/1.1 001 One\r\nContent-Length: 0\r\n\r\n", false },
+    { "status 099", "HTTP/1.1 099 Many\r\nContent-Length: 0\r\n\r\n", false },
+    { "status 600", "HTTP/1.1 600 Beyond\r\nContent-Length: 0\r\n\r\n", false },
+    { "status 700", "HTTP/1.1 700 Beyond\r\nContent-Length: 0\r\n\r\n", false },
+    { "status 999", "HTTP/1.1 999 Beyond\r\nContent-Length: 0\r\n\r\n", false },
+    { "a letter in the status", "HTTP/1.1 20x OK\r\nContent-Length: 0\r\n\r\n", false },
+    { "a space in the status", "HTTP/1.1 2 0 OK\r\nContent-Length: 0\r\n\r\n", false },
+    { "a negative status", "HTTP/1.1 -20 OK\r\nContent-Length: 0\r\n\r\n", false },
+    { "a status of four digits", "HTTP/1.1 2000 OK\r\nContent-Length: 0\r\n\r\n", false },
+    { "two status lines", "HTTP/1.1 200 OK\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false },
+    { "a switch of protocols, and bytes of another one", "HTTP/1.1 101 Switch\r\n\r\n\x01\x02\r\n\r\n", false },
+    { "an interim answer, then status 000", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n", false },
+    { "no reason", "HTTP/1.1 200\r\nContent-Length: 0\r\n\r\n", true },
+    { "an empty reason", "HTTP/1.1 200 \r\nContent-Length: 0\r\n\r\n", true },
+    { "HTTP/1.0", "HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n", true },
+    { "an unknown status within a class", "HTTP/1.1 299 Fine\r\nContent-Length: 0\r\n\r\n", true },
+    { "the last status", "HTTP/1.1 599 Bad\r\nContent-Length: 0\r\n\r\n", true },
+};
+
 struct unsendable_case {
     const char* name;
     http_request request;
@@ -158,6 +186,18 @@
     CHECK(ended->code == result_code::UpstreamTimeout);
 }
 
+// MIXED: an answer with status 000 passed for one.
+TEST_CASE("An answer whose status is none of the protocol passed for an answer", "[.known-red]")
+{
+    for (const head_case& row : headCases) {
+        INFO(row.name);
+        boost::asio::io_context context;
+        endless_peer peer(context, row.head, {});
+        const result_code code = callPeer(context, peer.address()).outcome.code;
+        CHECK(code == (row.isValid ? result_code::Ok : result_code::UpstreamInvalid));
+    }
+}
+
 TEST_CASE("Interim answers before the final one are skipped, and a long sound answer arrives whole")
 {
     boost::asio::io_context context;
