Gateway, Platform: Pass calls on with the version of the configuration that their daemon has

What callers saw: calls at a daemon without access to replicas went by an older configuration after they had gone by a newer one (CONFIG, comes back older). Change: the call says which version its daemon has, and a daemon with an older one refuses it as not run, so that it goes on to the next one. Class: a view with no bound on its age, here of the second daemon that takes part in a call.

--- a/src/libs/gateway/callrelay.cpp
+++ b/src/libs/gateway/callrelay.cpp
@@ -377,7 +377,7 @@
     const std::uint32_t left = call.progress.maxAttempts - std::min(call.progress.attempts, call.progress.maxAttempts);
     call.peerAttempts = std::max(1U, call.progress.kind == route_kind::Idempotent ? left - std::min(left, 1U) : left);
     ++m_counters.passedOn;
-    const platform::peer_request_options sent { call.progress.deadline - bootNow(), call.answer.lastEvent(), call.peerAttempts };
+    const platform::peer_request_options sent { call.progress.deadline - bootNow(), call.answer.lastEvent(), call.peerAttempts, m_routes.version() };
     openAttempt(number, platform::encodePeerRequest(call.exchange.request(), sent), true);
     return true;
 }
--- a/src/libs/gateway/gatewayhost.cpp
+++ b/src/libs/gateway/gatewayhost.cpp
@@ -336,8 +336,13 @@
 
 void gateway_host::state::servePeer(const http_exchange& exchange)
 {
-    if (!refuseUnready(exchange))
-        serveByRoute(exchange, platform::decodeCallerRequest(exchange.request()), call_source::Peer);
+    if (refuseUnready(exchange))
+        return;
+    const platform::caller_request caller = platform::decodeCallerRequest(exchange.request());
+    if (caller.configuration > routes.version())
+        refuseOutdated(exchange, configuration_state::Superseded);
+    else
+        serveByRoute(exchange, caller, call_source::Peer);
 }
 
 void gateway_host::state::serveByRoute(const http_exchange& exchange, const platform::caller_request& caller, call_source source)
--- a/tests/auto/system/tst_replicaaccess.cpp
+++ b/tests/auto/system/tst_replicaaccess.cpp
@@ -6,6 +6,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -16,6 +17,8 @@
 
 /// The platform judges a daemon that has lost its replicas from this time on.
 constexpr std::chrono::seconds contactTime { 3 };
+/// Time from a call that went by a configuration until no later call of the daemon goes by an older one.
+constexpr std::chrono::milliseconds revertTime { 250 };
 constexpr int callCount = 15;
 
 /// Reply of \a daemon to call \a number on the route with the prefix \a path.
@@ -70,3 +73,32 @@
         CHECK(countServed(fleet, 0, "/score/", 400) == callCount);
     }
 }
+
+// CONFIG: of the daemons to which calls were passed on, one had an older configuration than another.
+TEST_CASE("Calls that were passed on went by an older configuration after they had gone by a newer one")
+{
+    platform_fleet fleet(3);
+    fleet.redirectReplicas(0, freeAddresses(1).front());
+    for (int number = 0; number < 3; ++number) {
+        callShop(fleet, 0, "/score/", number);
+        std::this_thread::sleep_for(contactTime / 3);
+    }
+    fleet.setStoreAccess(1, store_access::Busy);
+    // Reads under way still get their answer.
+    std::this_thread::sleep_for(800ms);
+    fleet.addService("shop-2");
+    std::this_thread::sleep_for(200ms);
+    fleet.moveRewardRoute(2, "shop-2");
+    std::optional<std::chrono::steady_clock::time_point> newerAt;
+    for (int number = 100; number < 160; ++number) {
+        const int status = callShop(fleet, 0, "/score/", number).status;
+        const std::string id = "/score/call-" + std::to_string(number);
+        const bool isOlder = fleet.startedAt("shop").contains(id);
+        CHECK_FALSE((isOlder && newerAt && std::chrono::steady_clock::now() - *newerAt > revertTime));
+        CHECK((status == 200 || status == 503));
+        if (!newerAt && fleet.startedAt("shop-2").contains(id))
+            newerAt = std::chrono::steady_clock::now();
+        std::this_thread::sleep_for(10ms);
+    }
+    CHECK(newerAt);
+}
