Rollout, Gateway: Keep what a daemon says of its access to replicas until it says otherwise

Cause: a daemon without access said so each 3 s, each statement was news for all others, was passed on by each of them, got a line at each, and made each that had not reached a replica check its own paths. With 50 of 80 VMs cut off that is 1,300 lines a second. Change: a statement holds while its daemon is alive and says nothing else; it is repeated each 10 s only. A daemon about which others know something untrue, such as a statement from before its restart, says so. Ruled out: no repeats at all, since a statement may be lost for all others at once.

--- a/src/libs/gateway/accesswatch.cpp
+++ b/src/libs/gateway/accesswatch.cpp
@@ -20,15 +20,6 @@
     /// Least time between two statements. Each goes to all daemons and may make them check their own paths, so access that
     /// comes and goes must not become as many messages.
     constexpr duration minStatementInterval = std::chrono::seconds(1);
-    /// Time after which a daemon without access says so again; shorter than peer_table::statementRetention.
-    constexpr duration repeatInterval = std::chrono::seconds(3);
-
-    /// The time since the start of the VM grows across restarts of the process, too.
-    std::uint64_t statementNumber(instant now)
-    {
-        return static_cast<std::uint64_t>(now.time_since_epoch().count());
-    }
-
 }
 
 /// Connection to a replica that is closed as soon as it is established.
@@ -81,7 +72,7 @@
 
 bool access_watch::shouldLeaveWork() const
 {
-    return !hasAccess() && m_facts.peers().hasPeerWithAccess(bootNow());
+    return !hasAccess() && m_facts.peers().hasPeerWithAccess();
 }
 
 void access_watch::tick()
@@ -131,19 +122,16 @@
     tellOthers(now);
 }
 
+/// States what is not known of this VM: its last statement is not true any more, may be one of a process before this one, or
+/// is so old that this daemon has forgotten it.
 void access_watch::tellOthers(instant now)
 {
     const bool isLost = !hasAccess();
-    const bool isChange = isLost != m_saidLost;
-    const duration silence = now - m_saidAt;
-    const bool isDue = isChange ? silence >= minStatementInterval : isLost && silence >= repeatInterval;
-    if (!isDue)
+    const peer_table& peers = m_facts.peers();
+    if (isLost == peers.saysLost(m_vm) || now - m_saidAt < minStatementInterval)
         return;
-    m_saidLost = isLost;
     m_saidAt = now;
-    m_facts.learnFromAnswer(access_statement { m_vm, !isLost, statementNumber(now), now });
-    if (!isChange)
-        return;
+    m_facts.learnFromAnswer(access_statement { m_vm, !isLost, peers.nextNumber(m_vm, now), now });
     m_counters.losses += isLost ? 1 : 0;
     m_log.write(log_line(log_level::Warning, isLost ? "access_lost" : "access_regained").with("checks", m_counters.checks));
 }
--- a/src/libs/gateway/accesswatch.h
+++ b/src/libs/gateway/accesswatch.h
@@ -57,7 +57,6 @@
     log& m_log;
     std::map<std::uint64_t, std::unique_ptr<check>> m_checks;
     std::uint64_t m_lastCheck = 0;
-    bool m_saidLost = false;
     instant m_saidAt {};
     access_counters m_counters;
 };
--- a/src/libs/rollout/peertable.cpp
+++ b/src/libs/rollout/peertable.cpp
@@ -30,7 +30,10 @@
 
 void peer_table::forgetOld(instant now)
 {
-    std::erase_if(m_statements, [now](const std::pair<const std::string, access_statement>& item) { return now - item.second.statedAt > statementRetention; });
+    std::erase_if(m_statements, [this, now](const std::pair<const std::string, access_statement>& item) {
+        const bool isOld = now - item.second.statedAt > statementRetention;
+        return isOld && (item.second.hasAccess || !isPeer(item.first));
+    });
     std::erase_if(m_failedAt, [now](const std::pair<const std::string, instant>& item) { return now - item.second > failurePause; });
 }
 
@@ -39,10 +42,23 @@
     m_failedAt[std::string(vm)] = now;
 }
 
-bool peer_table::saysLost(const peer& candidate, instant now) const
+bool peer_table::isPeer(std::string_view vm) const
 {
-    const auto statement = m_statements.find(candidate.vm);
-    return statement != m_statements.end() && !statement->second.hasAccess && now - statement->second.statedAt <= statementRetention;
+    return std::any_of(m_peers.begin(), m_peers.end(), [vm](const peer& candidate) { return candidate.vm == vm; });
+}
+
+bool peer_table::saysLost(std::string_view vm) const
+{
+    const auto statement = m_statements.find(vm);
+    return statement != m_statements.end() && !statement->second.hasAccess;
+}
+
+/// The time since the start of the VM grows across restarts of the process.
+std::uint64_t peer_table::nextNumber(std::string_view vm, instant now) const
+{
+    const std::uint64_t time = static_cast<std::uint64_t>(now.time_since_epoch().count());
+    const auto statement = m_statements.find(vm);
+    return statement == m_statements.end() ? time : std::max(time, statement->second.number + 1);
 }
 
 bool peer_table::hasFailed(const peer& candidate, instant now) const
@@ -51,9 +67,9 @@
     return failed != m_failedAt.end() && now - failed->second <= failurePause;
 }
 
-bool peer_table::hasPeerWithAccess(instant now) const
+bool peer_table::hasPeerWithAccess() const
 {
-    return std::any_of(m_peers.begin(), m_peers.end(), [this, now](const peer& candidate) { return !saysLost(candidate, now); });
+    return std::any_of(m_peers.begin(), m_peers.end(), [this](const peer& candidate) { return !saysLost(candidate.vm); });
 }
 
 const peer* peer_table::choose(std::span<const std::string> excluded, instant now)
@@ -62,7 +78,7 @@
     std::vector<const peer*> far;
     for (const peer& candidate : m_peers) {
         const bool isExcluded = std::find(excluded.begin(), excluded.end(), candidate.vm) != excluded.end();
-        if (!isExcluded && !saysLost(candidate, now) && !hasFailed(candidate, now))
+        if (!isExcluded && !saysLost(candidate.vm) && !hasFailed(candidate, now))
             (candidate.dataCentre == m_dataCentre ? near : far).push_back(&candidate);
     }
     const std::vector<const peer*>& candidates = near.empty() ? far : near;
--- a/src/libs/rollout/peertable.h
+++ b/src/libs/rollout/peertable.h
@@ -24,10 +24,11 @@
 /// The other daemons, and what they say of their access to replicas.
 ///
 /// One of them is chosen at random, so that the calls of a VM that is cut off are spread over the others: those of the own
-/// data centre first. A daemon that says that it has no access is not chosen, and one that failed is left out for a while.
+/// data centre first. A daemon that says that it has no access is not chosen until it says otherwise, and one that failed is
+/// left out for a while.
 class peer_table {
 public:
-    /// A daemon without access says so again sooner than this.
+    /// Time after which the statement of a daemon that is not alive any more is forgotten.
     static constexpr duration statementRetention = std::chrono::seconds(10);
     static constexpr duration failurePause = std::chrono::seconds(1);
 
@@ -37,6 +38,10 @@
     void setPeers(std::vector<peer> peers) { m_peers = std::move(peers); }
     /// Notes what a daemon says of itself; false when something as new was known.
     bool merge(const access_statement& statement);
+    /// Whether the last statement of \a vm says that it has no access.
+    bool saysLost(std::string_view vm) const;
+    /// Number for the next statement of \a vm, which may have made some before its process started.
+    std::uint64_t nextNumber(std::string_view vm, instant now) const;
     /// All statements, for daemons that start later.
     std::vector<access_statement> statements() const;
     void forgetOld(instant now);
@@ -46,10 +51,10 @@
     /// Daemon to pass a call on to, none of \a excluded; null when there is none.
     const peer* choose(std::span<const std::string> excluded, instant now);
     /// Whether a daemon is alive that does not say that it has no access. It may have failed a short time ago.
-    bool hasPeerWithAccess(instant now) const;
+    bool hasPeerWithAccess() const;
 
 private:
-    bool saysLost(const peer& candidate, instant now) const;
+    bool isPeer(std::string_view vm) const;
     bool hasFailed(const peer& candidate, instant now) const;
 
     std::string m_dataCentre;
