Rollout, Gateway: Let any answer of the log end its refusal, and count a loss of access once

A newest configuration that nobody can read is never confirmed, so one 429 would have stopped a daemon for good. A daemon without access that repeated its statement after 10 s would have counted a further loss.

--- a/src/libs/gateway/accesswatch.cpp
+++ b/src/libs/gateway/accesswatch.cpp
@@ -132,6 +132,8 @@
         return;
     m_saidAt = now;
     m_facts.learnFromAnswer(access_statement { m_vm, !isLost, peers.nextNumber(m_vm, now), now });
+    if (isLost == std::exchange(m_wasLost, isLost))
+        return;
     m_counters.losses += isLost ? 1 : 0;
     m_log.write(log_line(log_level::Warning, isLost ? "access_lost" : "access_regained").with("checks", m_counters.checks));
 }
--- a/src/libs/gateway/accesswatch.h
+++ b/src/libs/gateway/accesswatch.h
@@ -57,6 +57,8 @@
     log& m_log;
     std::map<std::uint64_t, std::unique_ptr<check>> m_checks;
     std::uint64_t m_lastCheck = 0;
+    /// What this daemon said last, at m_saidAt.
+    bool m_wasLost = false;
     instant m_saidAt {};
     access_counters m_counters;
 };
--- a/src/libs/gateway/platformview.cpp
+++ b/src/libs/gateway/platformview.cpp
@@ -70,7 +70,7 @@
           { [this](std::span<const keyed_record> all, std::span<const keyed_record>) { applyOperatorRecords(all); },
               [this](std::span<const keyed_record> records) { applyOperatorRecords(records); },
               [this] { confirmConfiguration(); },
-              [this] { m_routes.noteRefusal(); } })
+              [this] { m_routes.setRefused(true); } })
     , m_replicas(context, log, { platform::replicaTopic(), replicaWait, activePollIntervals.replicas },
           { [this](std::span<const keyed_record> all, std::span<const keyed_record>) { applyReplicaSnapshot(all); },
               [this](std::span<const keyed_record> records) { applyReplicaRecords(records); } })
@@ -91,6 +91,7 @@
 
 void platform_view::confirmConfiguration()
 {
+    m_routes.setRefused(false);
     if (m_routes.isReady() && m_isConfigurationReadable)
         m_routes.setConfirmedAt(m_operators.confirmedAt());
 }
--- a/src/libs/gateway/platformview.h
+++ b/src/libs/gateway/platformview.h
@@ -45,7 +45,8 @@
     class operator_visitor;
 
     void applyOperatorRecords(std::span<const keyed_record> records);
-    /// Tells the route table that its configuration is current, unless there is none or the newest one cannot be read.
+    /// Tells the route table that the log serves, and that its configuration is current, unless there is none or the newest
+    /// one cannot be read.
     void confirmConfiguration();
     void applyReplicaSnapshot(std::span<const keyed_record> all);
     void applyReplicaRecords(std::span<const keyed_record> records);
--- a/src/libs/rollout/routetable.cpp
+++ b/src/libs/rollout/routetable.cpp
@@ -16,12 +16,6 @@
     return true;
 }
 
-void route_table::setConfirmedAt(instant confirmedAt)
-{
-    m_confirmedAt = confirmedAt;
-    m_isRefused = false;
-}
-
 bool route_table::noteRead(const configuration_read& read)
 {
     if (read.version <= m_newestRead.version)
--- a/src/libs/rollout/routetable.h
+++ b/src/libs/rollout/routetable.h
@@ -53,9 +53,9 @@
 
     /// All configurations that the operators wrote until this time have been set; the epoch while none was read.
     instant confirmedAt() const { return m_confirmedAt; }
-    void setConfirmedAt(instant confirmedAt);
-    /// The log answered that it does not show this daemon the configuration. Holds until the next confirmation.
-    void noteRefusal() { m_isRefused = true; }
+    void setConfirmedAt(instant confirmedAt) { m_confirmedAt = confirmedAt; }
+    /// Sets whether the log answers that it does not show this daemon the configuration.
+    void setRefused(bool isRefused) { m_isRefused = isRefused; }
 
     /// Notes which version this or another daemon has read; false when one as new was known to have been read.
     bool noteRead(const configuration_read& read);
--- a/tests/auto/gateway/tst_configurationage.cpp
+++ b/tests/auto/gateway/tst_configurationage.cpp
@@ -127,14 +127,17 @@
 
     void confirm(std::size_t index, const reader& from)
     {
-        if (!from.isEnded)
-            m_network.knowledge(index).routes.setConfirmedAt(from.follower->confirmedAt());
+        if (from.isEnded)
+            return;
+        route_table& routes = m_network.knowledge(index).routes;
+        routes.setRefused(false);
+        routes.setConfirmedAt(from.follower->confirmedAt());
     }
 
     void noteRefusal(std::size_t index, const reader& from)
     {
         if (!from.isEnded)
-            m_network.knowledge(index).routes.noteRefusal();
+            m_network.knowledge(index).routes.setRefused(true);
     }
 
     void learn(std::size_t index, std::uint64_t version)
--- a/tests/auto/rollout/tst_routetable.cpp
+++ b/tests/auto/rollout/tst_routetable.cpp
@@ -157,12 +157,11 @@
         configuration.version = 1;
         routes.setConfiguration(configuration);
         routes.setConfirmedAt(now - row.age);
-        if (row.isRefused)
-            routes.noteRefusal();
+        routes.setRefused(row.isRefused);
         CHECK(routes.state(now) == row.state);
         CHECK(routes.allows(configuration_use::ChooseService, now) == (row.state == configuration_state::Current));
         CHECK(routes.allows(configuration_use::DenyRoute, now) == row.mayDeny);
-        routes.setConfirmedAt(now);
+        routes.setRefused(false);
         CHECK(routes.state(now + 60s) == configuration_state::Current);
     }
 }
