--- a/tests/auto/system/configurationsoak.cpp
+++ b/tests/auto/soak/configurationsoak.cpp
@@ -5,6 +5,9 @@
 
 #include <algorithm>
 #include <csignal>
+#include <iterator>
+#include <map>
+#include <span>
 
 namespace ragwortreach::Tests {
 
--- a/tests/auto/system/configurationsoak.h
+++ b/tests/auto/soak/configurationsoak.h
@@ -1,7 +1,8 @@
 #pragma once
 
 #include "configurationjudge.h"
-#include "platformfleet.h"
+
+#include <system/platformfleet.h>
 
 #include <atomic>
 #include <mutex>
