--- a/src/libs/gateway/accesswatch.cpp
+++ b/src/libs/gateway/accesswatch.cpp
@@ -20,6 +20,7 @@
     /// Least time between two statements. Each goes to all daemons and may make them check their own paths, so access that
     /// comes and goes must not become as many messages.
     constexpr duration minStatementInterval = std::chrono::seconds(1);
+
 }
 
 /// Connection to a replica that is closed as soon as it is established.
--- a/src/libs/gateway/gatewayhost.cpp
+++ b/src/libs/gateway/gatewayhost.cpp
@@ -56,6 +56,7 @@
     /// Time after which records of a batch that nobody requests any more are no longer read.
     constexpr duration fetchRetention = std::chrono::seconds(10);
     constexpr std::string_view modelLeasePrefix = "model/";
+    constexpr std::string_view nothingReadReason = "no configuration or list of replicas has been read";
     constexpr int okStatus = 200;
     constexpr int notFoundStatus = 404;
     constexpr int timeoutStatus = 504;
@@ -153,11 +154,12 @@
         topics.add(facts.announcements());
         for (const std::unique_ptr<topic_follower>& follower : batchJournal.followers())
             topics.add(*follower);
-        orderer.plan().setLoadShare(daemonSettings.loadShare);
-        routes.setMaxUnconfirmedTime(daemonSettings.configurationApply + daemonSettings.configurationGrace);
+        applySettings();
     }
 
     std::error_code listen(http_server& server, const std::string& address, std::string& detail) const;
+    /// Tells the components the settings that may change while the process runs; the leases have theirs from the start.
+    void applySettings();
     void applyConfiguration();
     void updateLeases();
     void updatePollIntervals();
@@ -243,6 +245,12 @@
     return error;
 }
 
+void gateway_host::state::applySettings()
+{
+    orderer.plan().setLoadShare(settings.loadShare);
+    routes.setMaxUnconfirmedTime(settings.configurationApply + settings.configurationGrace);
+}
+
 void gateway_host::state::applyConfiguration()
 {
     facts.learnConfiguration(routes.version());
@@ -424,7 +432,7 @@
     case configuration_state::Current:
         return "";
     case configuration_state::Missing:
-        return "no configuration has been read";
+        return nothingReadReason;
     case configuration_state::Superseded:
         return "a newer configuration is in force";
     case configuration_state::Unconfirmed:
@@ -438,7 +446,7 @@
     if (drain.hasBegun())
         return "stopping";
     if (!platformView.isReady())
-        return "no configuration or list of replicas has been read";
+        return nothingReadReason;
     const std::string_view outdated = outdatedReason();
     if (!outdated.empty())
         return outdated;
@@ -630,11 +638,10 @@
     daemon.settings.orderLease = settings.orderLease;
     daemon.settings.loadShare = settings.loadShare;
     daemon.settings.processorShare = settings.processorShare;
-    daemon.leaseClient.agent().setOptions({ settings.orderLease, settings.processorShare });
-    daemon.orderer.plan().setLoadShare(settings.loadShare);
     daemon.settings.configurationApply = settings.configurationApply;
     daemon.settings.configurationGrace = settings.configurationGrace;
-    daemon.routes.setMaxUnconfirmedTime(settings.configurationApply + settings.configurationGrace);
+    daemon.leaseClient.agent().setOptions({ settings.orderLease, settings.processorShare });
+    daemon.applySettings();
     daemon.logger.write(log_line(log_level::Info, "settings_reloaded").with("vm", settings.vm).with("needs_restart", needsRestart));
 }
 
--- a/src/libs/net/httpcall.cpp
+++ b/src/libs/net/httpcall.cpp
@@ -29,15 +29,17 @@
         return error == boost::asio::error::would_block;
     }
 
-    bool isInterim(int status)
+    /// No request asks for another protocol.
+    bool isInterim(unsigned status)
     {
-        return status >= 100 && status < 200 && status != static_cast<int>(http::status::switching_protocols);
+        return http::to_status_class(status) == http::status_class::informational && status != static_cast<unsigned>(http::status::switching_protocols);
     }
 
-    /// Whether \a status is one of a final answer. No request asks for another protocol.
-    bool isFinal(int status)
+    /// Whether \a status is one of a final answer.
+    bool isFinal(unsigned status)
     {
-        return status >= 200 && status < 600;
+        const http::status_class statusClass = http::to_status_class(status);
+        return statusClass != http::status_class::informational && statusClass != http::status_class::unknown;
     }
 
     /// Whether \a error says that bytes cannot be parsed, not that they ended.
@@ -223,7 +225,7 @@
 /// Skips interim answers, of which an upstream may send some before the final one.
 void http_call::onHeadRead()
 {
-    const int status = static_cast<int>(m_parser->get().result_int());
+    const unsigned status = m_parser->get().result_int();
     if (isFinal(status)) {
         reportHead();
         return;
@@ -301,11 +303,11 @@
         finish({ result_code::UpstreamTimeout, "No complete answer in time from " + addressAndError });
         return;
     }
-    if (!m_isHeadRead && isMalformed(error) && error != http::error::body_limit) {
+    const bool isCutShort = m_isHeadRead || error == http::error::body_limit;
+    if (!isCutShort && isMalformed(error)) {
         finish({ result_code::UpstreamInvalid, "No answer of the protocol from " + addressAndError });
         return;
     }
-    const bool isCutShort = m_isHeadRead || error == http::error::body_limit;
     const result_code code = isCutShort ? result_code::UpstreamTruncated : result_code::UpstreamBroken;
     finish({ code, "The connection was closed before the answer was complete, " + addressAndError });
 }
--- a/src/libs/rollout/peertable.cpp
+++ b/src/libs/rollout/peertable.cpp
@@ -11,6 +11,12 @@
 {
 }
 
+void peer_table::setPeers(std::vector<peer> peers)
+{
+    m_peers = std::move(peers);
+    std::sort(m_peers.begin(), m_peers.end(), [](const peer& first, const peer& second) { return first.vm < second.vm; });
+}
+
 bool peer_table::merge(const access_statement& statement)
 {
     access_statement& known = m_statements[statement.vm];
@@ -44,7 +50,9 @@
 
 bool peer_table::isPeer(std::string_view vm) const
 {
-    return std::any_of(m_peers.begin(), m_peers.end(), [vm](const peer& candidate) { return candidate.vm == vm; });
+    const auto isBefore = [](const peer& candidate, std::string_view name) { return candidate.vm < name; };
+    const std::vector<peer>::const_iterator found = std::lower_bound(m_peers.begin(), m_peers.end(), vm, isBefore);
+    return found != m_peers.end() && found->vm == vm;
 }
 
 bool peer_table::saysLost(std::string_view vm) const
--- a/src/libs/rollout/peertable.h
+++ b/src/libs/rollout/peertable.h
@@ -35,7 +35,7 @@
     explicit peer_table(std::string dataCentre, std::uint64_t seed);
 
     /// Sets the daemons that are alive, except this one.
-    void setPeers(std::vector<peer> peers) { m_peers = std::move(peers); }
+    void setPeers(std::vector<peer> peers);
     /// Notes what a daemon says of itself; false when something as new was known.
     bool merge(const access_statement& statement);
     /// Whether the last statement of \a vm says that it has no access.
@@ -58,6 +58,7 @@
     bool hasFailed(const peer& candidate, instant now) const;
 
     std::string m_dataCentre;
+    /// By the names of their VMs.
     std::vector<peer> m_peers;
     std::map<std::string, access_statement, std::less<>> m_statements;
     std::map<std::string, instant, std::less<>> m_failedAt;
--- a/tests/auto/soak/configurationjudge.cpp
+++ b/tests/auto/soak/configurationjudge.cpp
@@ -14,6 +14,12 @@
         return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count()) + " ms";
     }
 
+    /// Whether \a noted and the time after it, \a contact, are over at \a at.
+    bool isOver(const disturbance& noted, duration contact, instant at)
+    {
+        return noted.until != instant::max() && at > noted.until + contact;
+    }
+
     std::string describe(const judged_call& call)
     {
         return "call " + call.id + " at daemon " + std::to_string(call.daemon);
@@ -35,14 +41,14 @@
 bool configuration_judge::isDisturbed(std::size_t daemon, disturbance_kind kind, instant at) const
 {
     return std::any_of(m_disturbances.begin(), m_disturbances.end(), [this, daemon, kind, at](const disturbance& noted) {
-        return noted.daemon == daemon && noted.kind == kind && noted.from <= at && (noted.until == instant::max() || at <= noted.until + m_bounds.contact);
+        return noted.daemon == daemon && noted.kind == kind && noted.from <= at && !isOver(noted, m_bounds.contact, at);
     });
 }
 
 bool configuration_judge::isStoreDisturbed(instant from, instant until) const
 {
     return std::any_of(m_disturbances.begin(), m_disturbances.end(), [this, from, until](const disturbance& noted) {
-        return noted.kind != disturbance_kind::Process && noted.from <= until && (noted.until == instant::max() || from <= noted.until + m_bounds.contact);
+        return noted.kind != disturbance_kind::Process && noted.from <= until && !isOver(noted, m_bounds.contact, from);
     });
 }
 
--- a/tests/auto/system/platformfleet.cpp
+++ b/tests/auto/system/platformfleet.cpp
@@ -124,9 +124,14 @@
     });
 }
 
+void platform_fleet::writeConfiguration(const json& configuration)
+{
+    run([this, &configuration] { m_store->put("keyed.op", "config", configuration.dump()); });
+}
+
 void platform_fleet::configure(int version, const std::vector<std::string>& addedRollouts)
 {
-    run([this, version, &addedRollouts] { m_store->put("keyed.op", "config", configuration(version, addedRollouts).dump()); });
+    writeConfiguration(configuration(version, addedRollouts));
 }
 
 void platform_fleet::dropRewardRoute(int version)
@@ -134,7 +139,7 @@
     json reduced = configuration(version, {});
     json& routes = reduced["routes"];
     routes.erase(std::remove_if(routes.begin(), routes.end(), [](const json& route) { return route["name"] == "rewards"; }), routes.end());
-    run([this, &reduced] { m_store->put("keyed.op", "config", reduced.dump()); });
+    writeConfiguration(reduced);
 }
 
 void platform_fleet::moveRewardRoute(int version, const std::string& service)
@@ -145,12 +150,12 @@
             route["service"] = service;
     }
     moved["services"].push_back({ { "name", service } });
-    run([this, &moved] { m_store->put("keyed.op", "config", moved.dump()); });
+    writeConfiguration(moved);
 }
 
 void platform_fleet::refuseReads(std::size_t daemon, const std::string& topic)
 {
-    run([this, daemon, &topic] { m_store->refuseReads(m_settings[daemon]["gateway"]["store"], topic); });
+    run([this, daemon, &topic] { m_store->refuseReads(storeAddress(daemon), topic); });
 }
 
 void platform_fleet::refuseNothing()
@@ -174,7 +179,7 @@
 void platform_fleet::redirectReplicas(std::size_t daemon, const std::string& address)
 {
     run([this, daemon, &address] {
-        m_store->redirectReplicas(m_settings[daemon]["gateway"]["store"], address);
+        m_store->redirectReplicas(storeAddress(daemon), address);
         writeReplicaEntries();
     });
 }
@@ -187,15 +192,15 @@
     });
 }
 
-void platform_fleet::start(std::size_t daemon)
+void platform_fleet::start(std::size_t daemon, const std::string& program)
 {
-    m_daemons[daemon] = std::make_unique<daemon_process>(m_folder.string(), m_settings[daemon]);
+    m_daemons[daemon] = std::make_unique<daemon_process>(m_folder.string(), m_settings[daemon], program);
 }
 
 void platform_fleet::restart(std::size_t daemon, const std::string& program)
 {
     m_daemons[daemon]->killAndWait();
-    m_daemons[daemon] = std::make_unique<daemon_process>(m_folder.string(), m_settings[daemon], program);
+    start(daemon, program);
 }
 
 void platform_fleet::restartAlone(std::size_t daemon)
--- a/tests/auto/system/platformfleet.h
+++ b/tests/auto/system/platformfleet.h
@@ -64,7 +64,8 @@
     /// Address of the readiness port of a daemon.
     std::string readiness(std::size_t daemon) const { return m_settings[daemon]["gateway"]["readiness"]; }
     daemon_process& daemon(std::size_t daemon) { return *m_daemons[daemon]; }
-    void start(std::size_t daemon);
+    /// Starts \a daemon, from \a program if that is not empty.
+    void start(std::size_t daemon, const std::string& program = {});
     /// Kills \a daemon and starts it again, from \a program if that is not empty.
     void restart(std::size_t daemon, const std::string& program = {});
     /// Kills \a daemon and starts it again as one that sees no other daemon.
@@ -94,6 +95,7 @@
     void redirectNothing();
 
 private:
+    void writeConfiguration(const nlohmann::json& configuration);
     void writeReplicaEntries();
 
     boost::asio::io_context m_context;
