Rollout, Platform: Decode organisations, public routes and scaling bounds

Cause: the configuration may name organisations with keys and bounds for the number of replicas of a service; the daemon skipped both. Result: tst_platform passes (298 assertions).

--- a/src/libs/rollout/routeconfiguration.h
+++ b/src/libs/rollout/routeconfiguration.h
@@ -3,6 +3,7 @@
 #include <core/instant.h>
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -51,6 +52,16 @@
     bool isSingleVersion = false;
     /// Whether an interrupted stream can be resumed after its last event.
     bool isResumable = false;
+    /// Whether requests need no key of an organisation.
+    bool isPublic = false;
+};
+
+/// Organisation whose requests are recognised by their keys.
+struct organisation {
+    std::string name;
+    std::vector<std::string> keys;
+    /// Priority of its requests, which goes before that of the route; empty when the route decides.
+    std::optional<std::uint32_t> priority;
 };
 
 /// Capacity of each model engine of a service, and the models that it serves.
@@ -61,6 +72,19 @@
     std::vector<std::string> models;
 };
 
+/// How many replicas of a service may be ordered, and what they cost.
+struct scaling_bounds {
+    /// Bounds for the replicas of one data centre, of both kinds together.
+    std::uint32_t minReplicas = 0;
+    std::uint32_t maxReplicas = 0;
+    /// Time from an order until a new replica serves.
+    duration startTime {};
+    /// Price of a spot replica as a part of that of a regular one.
+    double spotPrice = 1;
+    /// Price of a regular replica for each second, by data centre.
+    std::map<std::string, double, std::less<>> dataCentrePrices;
+};
+
 /// Upstream service.
 struct service_definition {
     std::string name;
@@ -68,6 +92,8 @@
     std::uint32_t maxConnections = 0;
     /// Set for services of model engines only.
     std::optional<engine_bounds> engine;
+    /// Set for services whose number of replicas is ordered by the daemons.
+    std::optional<scaling_bounds> scaling;
 };
 
 /// Limits for the size of callers' requests and for the time that they take to send them.
@@ -84,6 +110,8 @@
     std::vector<route> routes;
     std::vector<service_definition> services;
     caller_bounds callers;
+    /// Organisations whose keys requests need; empty when requests need no key.
+    std::optional<std::vector<organisation>> organisations;
 };
 
 }
--- a/tests/auto/platform/tst_listcodec.cpp
+++ b/tests/auto/platform/tst_listcodec.cpp
@@ -84,6 +84,14 @@
     "services":[{"name":"llm","engine":{"slots":12,"kv_capacity":94839,"models":[{"name":"lace"}]}},{"name":"shop","max_conns":110}],
     "limits":{"max_header_bytes":16384}})";
 
+/// Configuration that is complete but for its organisations, which are \a organisations, a JSON text.
+std::string configurationWith(const std::string& organisations)
+{
+    std::string text = completeConfiguration;
+    text.back() = ',';
+    return text + "\"tenants\":" + organisations + "}";
+}
+
 }
 
 TEST_CASE("The entry of a replica is decoded")
@@ -142,6 +150,38 @@
     CHECK_FALSE(configuration.services[1].engine);
 }
 
+TEST_CASE("Organisations, public routes and scaling bounds are decoded; a configuration without organisations asks for no keys")
+{
+    const operator_record without = decodeOperatorRecord({ "config", completeConfiguration, 0 });
+    REQUIRE(std::holds_alternative<route_configuration>(without));
+    CHECK_FALSE(std::get<route_configuration>(without).organisations);
+
+    std::string text = configurationWith(R"([{"name":"lace-guild","api_keys":["k1","k2"],"priority":1},{"name":"weavers","api_keys":[]}])");
+    text.replace(text.find(R"("name":"shop","max_conns")"), 0,
+        R"("scaling":{"min":1,"max":30,"boot_s":4.5,"spot_price":0.25,"zone_prices":{"north-a":1.0,"north-b":0.5}},)");
+    text.replace(text.find(R"("name":"r2")"), 0, R"("public":true,)");
+    const operator_record record = decodeOperatorRecord({ "config", text, 0 });
+    REQUIRE(std::holds_alternative<route_configuration>(record));
+    const route_configuration& configuration = std::get<route_configuration>(record);
+    REQUIRE(configuration.organisations);
+    REQUIRE(configuration.organisations->size() == 2);
+    const organisation& guild = configuration.organisations->front();
+    CHECK(guild.name == "lace-guild");
+    CHECK(guild.keys == std::vector<std::string> { "k1", "k2" });
+    CHECK(guild.priority == 1U);
+    CHECK_FALSE(configuration.organisations->back().priority);
+    CHECK_FALSE(configuration.routes[0].isPublic);
+    CHECK(configuration.routes[1].isPublic);
+    CHECK_FALSE(configuration.services[0].scaling);
+    const std::optional<scaling_bounds>& scaling = configuration.services[1].scaling;
+    REQUIRE(scaling);
+    CHECK(scaling->minReplicas == 1);
+    CHECK(scaling->maxReplicas == 30);
+    CHECK(scaling->startTime == std::chrono::milliseconds(4500));
+    CHECK(scaling->spotPrice == 0.25);
+    CHECK(scaling->dataCentrePrices.at("north-b") == 0.5);
+}
+
 TEST_CASE("Versions are decoded, and invalid or unknown records of the operators' topic are rejected")
 {
     const operator_record named = decodeOperatorRecord({ "version/lace", R"({"model_id":"lace","version":3})", 0 });
