Gateway, Rollout: Mend what a review of keys and usage reports found

Cause: a removal of one process's counts dropped the reports of newer windows in the ledger, so they were added up and sent once more, possibly with other counts; counts of the last second were lost when a daemon stopped; a report without an answer delayed the next ones beyond their due time; a call that was passed on could be counted twice; slow calls were counted after their window had been reported; in large fleets a window was added up before all processes wrote; a reload did not compete for the new lease; a caller with a new key could be told that its batch is unknown.

--- a/src/libs/gateway/batchhandler.cpp
+++ b/src/libs/gateway/batchhandler.cpp
@@ -184,11 +184,7 @@
 
 bool batch_handler::tryResolve(const received_call& received)
 {
-    if (isForeign(received.batch, received.identity)) {
-        received.exchange.respond(unknownBatchAnswer());
-        return true;
-    }
-    const bool isListed = m_journal.isListed(received.batch);
+    const bool isListed = m_journal.isListed(received.batch) && !isForeign(received.batch, received.identity);
     const bool needsRecords = !std::holds_alternative<platform::end_batch_call>(received.call);
     if (isListed && (m_journal.ledger().find(received.batch) || !needsRecords)) {
         std::visit(call_visitor(*this, received), received.call);
@@ -213,7 +209,8 @@
 void batch_handler::answerUnknown(const received_call& received)
 {
     const http_response answer = unknownBatchAnswer();
-    if (!std::holds_alternative<platform::end_batch_call>(received.call) || m_journal.isEnded(received.batch)) {
+    const bool isUnlisted = !m_journal.isListed(received.batch);
+    if (!isUnlisted || !std::holds_alternative<platform::end_batch_call>(received.call) || m_journal.isEnded(received.batch)) {
         received.exchange.respond(answer);
         return;
     }
--- a/src/libs/gateway/callrelay.cpp
+++ b/src/libs/gateway/callrelay.cpp
@@ -81,7 +81,10 @@
     /// Standing of the request at the begin of the attempt.
     request_standing standing = request_standing::Clear;
     bool isOnTrial = false;
+    /// The usage meter has counted the call, here or at the daemon that passed it on.
     bool isCounted = false;
+    /// The present attempt is the one that was counted.
+    bool isCountedAttempt = false;
     /// A part of the replica's own answer has arrived in this attempt.
     bool hasProgress = false;
     /// A part of the replica's answer was sent to the caller, so that no other replica can take over, and the attempt has
@@ -131,6 +134,7 @@
     call->retryDelay = retryAfter(route);
     call->objective = route.objective;
     call->isResumable = route.isResumable;
+    call->isCounted = caller.isCounted;
     call->arrivedAt = bootNow();
     call->progress.kind = route.kind;
     call->source = source;
@@ -354,6 +358,9 @@
     beginTrial(call);
     const platform::replica_request_options sent { call.replica.id, call.progress.deadline - now, call.answer.lastEvent(), call.caller.identity.organisation };
     openAttempt(number, platform::encodeReplicaRequest(call.exchange.request(), sent), hasAlternative);
+    // A model engine begins a request with its first token, a plain service when it gets it.
+    if (!isAtEngine(call))
+        noteBegun(call);
 }
 
 bool call_relay::isOutOfReach(const relayed_call& call) const
@@ -378,7 +385,7 @@
     const std::uint32_t left = call.progress.maxAttempts - std::min(call.progress.attempts, call.progress.maxAttempts);
     call.peerAttempts = std::max(1U, call.progress.kind == route_kind::Idempotent ? left - std::min(left, 1U) : left);
     ++m_counters.passedOn;
-    const platform::peer_request_options sent { call.progress.deadline - bootNow(), call.answer.lastEvent(), call.peerAttempts, m_routes.version() };
+    const platform::peer_request_options sent { call.progress.deadline - bootNow(), call.answer.lastEvent(), call.peerAttempts, m_routes.version(), call.isCounted };
     openAttempt(number, platform::encodePeerRequest(call.exchange.request(), sent), true);
     return true;
 }
@@ -425,7 +432,8 @@
         // What ends replicas ends them before their answer begins.
         m_guard.noteAnswered(call->digest);
         endTrial(*call);
-        noteBegun(*call);
+        if (call->peer.empty())
+            noteBegun(*call);
     }
     if (!call->answer.read(piece)) {
         rejectAnswer(*call, number);
@@ -437,15 +445,27 @@
         pauseUntilDrained(*call, number);
 }
 
-/// A model engine begins a request with its first token, a plain service when it takes it.
+bool call_relay::isAtEngine(const relayed_call& call) const
+{
+    const service_definition* const service = m_routes.service(call.service);
+    return service && service->engine;
+}
+
 void call_relay::noteBegun(relayed_call& call)
 {
-    const std::string organisation = call.caller.identity.organisation.value_or("");
-    if (!m_usage || organisation.empty() || !call.peer.empty() || std::exchange(call.isCounted, true))
+    const std::optional<std::string>& organisation = call.caller.identity.organisation;
+    if (!m_usage || !organisation || organisation->empty() || std::exchange(call.isCounted, true))
         return;
-    const service_definition* const service = m_routes.service(call.service);
-    const bool isEngine = service && service->engine;
-    m_usage->noteBegun(organisation, isEngine ? bootNow() : call.attemptStartedAt);
+    call.isCountedAttempt = true;
+    m_usage->noteBegun(*organisation, isAtEngine(call) ? bootNow() : call.attemptStartedAt);
+}
+
+void call_relay::noteNotBegun(relayed_call& call)
+{
+    if (!std::exchange(call.isCountedAttempt, false))
+        return;
+    call.isCounted = false;
+    m_usage->noteNotBegun(*call.caller.identity.organisation, call.attemptStartedAt);
 }
 
 /// A part of the replica's answer was sent to the caller.
@@ -565,8 +585,10 @@
     noteAttemptEnd(call, end, now);
     ++call.progress.tries;
     const bool hasRun = end == attempt_end::Interrupted || end == attempt_end::AnsweredFailure || end == attempt_end::Answered;
+    if (!hasRun)
+        noteNotBegun(call);
+    call.isCountedAttempt = false;
     if (hasRun) {
-        noteBegun(call);
         call.progress.attempts += call.peer.empty() ? 1 : call.peerAttempts;
         call.progress.mayHaveRun = true;
     }
@@ -702,10 +724,8 @@
     endTrial(*call);
     if (call->permit != 0)
         m_gate.cancel(call->permit);
-    if (call->isAttemptOpen) {
-        noteBegun(*call);
+    if (call->isAttemptOpen)
         m_pool.finished(call->replica.id, replica_outcome::Cancelled, {}, bootNow());
-    }
 }
 
 }
--- a/src/libs/gateway/callrelay.h
+++ b/src/libs/gateway/callrelay.h
@@ -112,8 +112,12 @@
     void endWithoutReplica(std::uint64_t number, std::string_view reason);
     void readHead(std::uint64_t number, const http_response_head& head);
     void readBody(std::uint64_t number, std::string_view piece);
-    /// Reports to the usage meter, once for each call, that a replica began to run it.
+    /// Whether the call goes to a model engine.
+    bool isAtEngine(const relayed_call& call) const;
+    /// Counts the call at the usage meter, once.
     void noteBegun(relayed_call& call);
+    /// Takes the count back if the attempt that ends was the one that was counted.
+    void noteNotBegun(relayed_call& call);
     void bindToReplica(relayed_call& call);
     /// Stops reading from the replica until the caller has taken what is queued.
     void pauseUntilDrained(relayed_call& call, std::uint64_t number);
--- a/src/libs/gateway/dutycaller.cpp
+++ b/src/libs/gateway/dutycaller.cpp
@@ -47,6 +47,7 @@
     options.timeout = m_options.isFencingEnforced ? fencedTimeout : lease_agent::maxOrderTransitTime;
     options.bodyLimit = maxAnswerBytes;
     const platform::duty_authority authority { m_vm, m_leases.fencingToken(subject.lease) };
+    m_lastTokens[subject.name] = authority.fencingToken;
     m_client.callBuffered(m_options.address, makeRequest(authority), options,
         [this, whenDone = std::move(onDone)](const http_outcome& outcome, const http_response& response) { whenDone(count(outcome, response)); });
 }
@@ -73,7 +74,7 @@
 
 void duty_caller::giveUpToken(const duty_subject& subject)
 {
-    const std::uint64_t token = m_leases.fencingToken(subject.lease);
+    const std::uint64_t token = m_lastTokens[subject.name];
     m_refusedTokens[subject.name] = token;
     m_log.write(log_line(log_level::Warning, "duty_fenced").with("subject", subject.name).with("fencing", token));
 }
--- a/src/libs/gateway/dutycaller.h
+++ b/src/libs/gateway/dutycaller.h
@@ -54,7 +54,8 @@
     bool mayCall(const duty_subject& subject) const;
     /// Makes the call that \a makeRequest returns; \a onDone is called once. To be called only while mayCall().
     void call(const duty_subject& subject, const request_factory& makeRequest, outcome_handler onDone);
-    /// Lets no further call on \a subject be made under the present fencing token, since the platform has seen a higher one.
+    /// Lets no further call on \a subject be made under the fencing token of the last one, since the platform has seen a
+    /// higher one.
     void giveUpToken(const duty_subject& subject);
     const duty_counters& counters() const { return m_counters; }
 
@@ -66,6 +67,8 @@
     std::string m_vm;
     log& m_log;
     duty_options m_options;
+    /// Fencing tokens of the last calls, by subject.
+    std::map<std::string, std::uint64_t, std::less<>> m_lastTokens;
     /// Fencing tokens that the platform refused, by subject.
     std::map<std::string, std::uint64_t, std::less<>> m_refusedTokens;
     duty_counters m_counters;
--- a/src/libs/gateway/gatewayhost.cpp
+++ b/src/libs/gateway/gatewayhost.cpp
@@ -433,7 +433,9 @@
 
 void gateway_host::state::serveBatchCall(const http_exchange& exchange, platform::caller_request caller, const platform::batch_call& call)
 {
-    if (!admit(exchange, caller, routes.hasPublicBatches(caller.host)))
+    // Who brings a key asks for a batch of its organisation, which is not to be told as unknown while the key may be new.
+    const bool isPublic = platform::keyOf(exchange.request()).empty() && routes.hasPublicBatches(caller.host);
+    if (!admit(exchange, caller, isPublic))
         return;
     if (!refuseLate(exchange, caller, batchCallTime, {}))
         batchHandler.answer(exchange, caller, call);
@@ -613,7 +615,7 @@
     if (now >= drain.answersEnd() && !std::exchange(hasEndedRequests, true))
         endOpenRequests();
     const std::size_t openExchanges = callerServer.openExchanges() + peerServer.openExchanges();
-    const bool isIdle = openExchanges == 0 && pendingWrites == 0;
+    const bool isIdle = openExchanges == 0 && pendingWrites == 0 && !usage.hasPendingCounts();
     if ((drain.mayEnd(now) && isIdle) || drain.isOver(now)) {
         logger.write(log_line(log_level::Info, "stopped").with("open_calls", openExchanges).with("records_waiting", pendingWrites));
         context.stop();
@@ -694,6 +696,8 @@
     daemon.settings.duties = settings.duties;
     daemon.leaseClient.agent().setOptions({ settings.orderLease, settings.processorShare });
     daemon.applySettings();
+    if (daemon.routes.isReady())
+        daemon.updateLeases();
     daemon.logger.write(log_line(log_level::Info, "settings_reloaded").with("vm", settings.vm).with("needs_restart", needsRestart));
 }
 
--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -117,7 +117,7 @@
         return {
             { counter("ragwortreach_duty_calls_total", "Calls to the platform that one daemon at a time makes"), duties.sent },
             { counter("ragwortreach_duty_calls_done_total", "Of these, calls that the platform carried out"), duties.done },
-            { counter("ragwortreach_duty_calls_refused_total", "Of these, calls that were refused for their fencing token, or since what was ordered is not to be had"), duties.refused },
+            { counter("ragwortreach_duty_calls_refused_total", "Of these, calls that were refused for their fencing token, or since what was ordered is not available"), duties.refused },
             { counter("ragwortreach_duty_calls_too_many_total", "Of these, calls that were refused since the fleet calls too often"), duties.tooMany },
             { counter("ragwortreach_duty_calls_unanswered_total", "Of these, calls without a usable answer in time"), duties.unanswered },
             { counter("ragwortreach_usage_windows_added_total", "Windows of usage that were added up here"), usage.added },
--- a/src/libs/gateway/usagereporter.cpp
+++ b/src/libs/gateway/usagereporter.cpp
@@ -15,7 +15,7 @@
 
     constexpr duration readWait = std::chrono::milliseconds(1000);
     constexpr duration holderPollInterval = std::chrono::milliseconds(100);
-    constexpr duration idlePollInterval = std::chrono::seconds(10);
+    constexpr duration idlePollInterval = std::chrono::seconds(2);
     /// Least time between two records of counts of a process.
     constexpr duration minWriteInterval = std::chrono::seconds(1);
     /// Each append takes a few milliseconds of the partition's time, so the processes of a large fleet write more rarely.
@@ -24,6 +24,8 @@
     constexpr duration maxRetryPause = std::chrono::seconds(2);
     constexpr duration removalInterval = std::chrono::seconds(5);
     constexpr std::size_t maxRemovals = 200;
+    /// Windows of which the number of tries is kept; older ones are not reported any more.
+    constexpr std::uint64_t maxTrackedWindows = 1000;
 
     topic_partition usageTopic()
     {
@@ -60,18 +62,18 @@
 void usage_reporter::setBounds(const std::optional<usage_bounds>& bounds)
 {
     m_bounds = bounds;
-    if (!bounds)
-        return;
-    m_counter.setBounds(*bounds);
-    sampleTime();
+    m_counter.setBounds(bounds);
+    if (bounds)
+        sampleTime();
 }
 
 void usage_reporter::tick(std::size_t daemons)
 {
     if (!m_bounds)
         return;
+    m_writeInterval = std::max(minWriteInterval, writeTimePerDaemon * static_cast<duration::rep>(daemons));
     sampleTime();
-    writeCounts(daemons);
+    writeCounts();
     updateHolder();
     if (!m_isHolder || !m_follower.isReady() || !m_caller.mayCall(subject()))
         return;
@@ -86,18 +88,22 @@
         m_time.addSample(now, timeOfDay());
 }
 
-void usage_reporter::writeCounts(std::size_t daemons)
+bool usage_reporter::hasPendingCounts() const
+{
+    return m_bounds && (m_isWritingCounts || m_counter.hasUnwritten(bootNow()));
+}
+
+void usage_reporter::writeCounts()
 {
     const instant now = bootNow();
-    const duration interval = std::max(minWriteInterval, writeTimePerDaemon * static_cast<duration::rep>(daemons));
-    if (m_isWritingCounts || now - m_countsWrittenAt < interval || !m_counter.hasNews(now))
+    if (m_isWritingCounts || now - m_countsWrittenAt < m_writeInterval || !m_counter.hasUnwritten(now))
         return;
     m_isWritingCounts = true;
     m_countsWrittenAt = now;
-    m_writer.write({ encode("counts/" + m_instance, process_usage { m_counter.takeWindows(now) }) }, write_mode::FailOnRefusal, [this](const append_report& report) {
+    m_writer.write({ encode("counts/" + m_instance, process_usage { m_counter.windowsToWrite(now) }) }, write_mode::FailOnRefusal, [this](const append_report& report) {
         m_isWritingCounts = false;
         if (report.status != append_status::Done)
-            m_counter.putBack();
+            m_counter.markUnwritten();
     });
 }
 
@@ -115,14 +121,18 @@
 void usage_reporter::report()
 {
     const instant now = bootNow();
-    const usage_view view { *m_time.at(now), *m_time.at(m_follower.confirmedAt()) };
+    const usage_view view { *m_time.at(now), *m_time.at(m_follower.confirmedAt()), m_writeInterval };
     const usage_steps steps = usage_plan(*m_bounds).steps(m_ledger, view);
     for (const usage_report& addition : steps.additions) {
         if (!m_written.contains(addition.window))
             write(addition);
     }
-    if (!steps.calls.empty() && !m_isCalling && now >= m_retryAt)
-        send(steps.calls.front());
+    if (m_isCalling || now < m_retryAt)
+        return;
+    const std::vector<usage_report>::const_iterator next = std::min_element(steps.calls.begin(), steps.calls.end(),
+        [this](const usage_report& left, const usage_report& right) { return m_tries[left.window] < m_tries[right.window]; });
+    if (next != steps.calls.end())
+        send(*next);
 }
 
 void usage_reporter::write(const usage_report& report)
@@ -142,6 +152,8 @@
 void usage_reporter::send(const usage_report& report)
 {
     m_isCalling = true;
+    ++m_tries[report.window];
+    m_tries.erase(m_tries.begin(), m_tries.lower_bound(report.window - std::min<std::uint64_t>(report.window, maxTrackedWindows)));
     m_caller.call(
         subject(), [&report](const platform::duty_authority& authority) { return platform::encodeUsageReport(report, authority); },
         [this, report](platform::duty_outcome outcome) { onSent(report, outcome); });
--- a/src/libs/gateway/usagereporter.h
+++ b/src/libs/gateway/usagereporter.h
@@ -10,6 +10,7 @@
 #include <rollout/usageplan.h>
 #include <rollout/walltime.h>
 
+#include <map>
 #include <optional>
 #include <set>
 #include <span>
@@ -31,7 +32,8 @@
 /// Reports to the platform how many requests of each organisation began in each window of time.
 ///
 /// Each process writes what it counted to a topic of the log. The holder of the lease "usage" adds the counts of a window
-/// up, writes the report to the same topic, and sends what it read back from there. Only holders read the topic.
+/// up, writes the report to the same topic, and sends what it read back from there. A process reads the topic from the time
+/// on at which it first holds the lease.
 class usage_reporter {
 public:
     static constexpr std::string_view leaseName = "usage";
@@ -46,11 +48,13 @@
     usage_meter& meter() { return m_counter; }
     /// Writes, adds up and sends what is due. \a daemons: number of daemons that are alive. To be called periodically.
     void tick(std::size_t daemons);
+    /// Whether counts are not in the log yet.
+    bool hasPendingCounts() const;
     const usage_counters& counters() const { return m_counters; }
 
 private:
     void sampleTime();
-    void writeCounts(std::size_t daemons);
+    void writeCounts();
     void updateHolder();
     void report();
     void write(const usage_report& report);
@@ -72,6 +76,10 @@
     partition_writer m_writer;
     /// Windows whose report this process has written and not read back.
     std::set<std::uint64_t> m_written;
+    /// Number of calls that reported a window, so that one without an answer does not delay the others.
+    std::map<std::uint64_t, std::uint32_t> m_tries;
+    /// Least time between two records of counts of a process.
+    duration m_writeInterval {};
     bool m_isHolder = false;
     bool m_isFollowing = false;
     bool m_isWritingCounts = false;
--- a/src/libs/rollout/organisationtable.cpp
+++ b/src/libs/rollout/organisationtable.cpp
@@ -13,7 +13,7 @@
     constexpr std::size_t maxKeyBytes = 512;
     constexpr std::size_t maxNameBytes = 256;
 
-    /// Whether \a text can be sent as the value of a header and has no blanks.
+    /// Whether \a text can be a key: printable and without blanks.
     bool isVisibleAscii(std::string_view text)
     {
         return std::all_of(text.begin(), text.end(), [](char byte) { return byte > ' ' && byte <= '~'; });
@@ -29,6 +29,13 @@
         return difference == 0;
     }
 
+    /// Whether \a text can be sent as the value of a header.
+    bool hasNoControls(std::string_view text)
+    {
+        constexpr char deleteByte = 0x7f;
+        return std::none_of(text.begin(), text.end(), [](char byte) { return static_cast<unsigned char>(byte) < ' ' || byte == deleteByte; });
+    }
+
     std::string_view keyFault(std::string_view key)
     {
         if (key.empty())
@@ -44,7 +51,7 @@
             return "has no name";
         if (name.size() > maxNameBytes)
             return "has a name that is too long";
-        return isVisibleAscii(name) ? "" : "has a name with blanks or with bytes that are not printable";
+        return hasNoControls(name) ? "" : "has a name with control characters";
     }
 
 }
--- a/src/libs/rollout/routetable.cpp
+++ b/src/libs/rollout/routetable.cpp
@@ -109,7 +109,9 @@
         if (other.priority < priority && other.kind != route_kind::Rollout && std::any_of(other.targets.begin(), other.targets.end(), isShared))
             priorities.insert(other.priority);
     }
-    for (const organisation& caller : m_configuration.organisations.value_or(std::vector<organisation>())) {
+    if (!m_configuration.organisations)
+        return priorities.size();
+    for (const organisation& caller : *m_configuration.organisations) {
         if (caller.priority && *caller.priority < priority)
             priorities.insert(*caller.priority);
     }
--- a/src/libs/rollout/usageledger.cpp
+++ b/src/libs/rollout/usageledger.cpp
@@ -49,13 +49,15 @@
         m_keys[key].lastWindow = std::visit(usage_visitor(*this, key, offset), *record);
         return;
     }
-    m_processes.erase(key);
     const auto known = m_keys.find(key);
     if (known == m_keys.end())
         return;
-    // Reports are removed long after anybody could send them, all those of a window together.
-    m_reports.erase(m_reports.begin(), m_reports.lower_bound(known->second.lastWindow));
-    m_accepted.erase(m_accepted.begin(), m_accepted.lower_bound(known->second.lastWindow));
+    // A process may have counted again while the removal of its last record was under way, so that record proves nothing
+    // of the reports.
+    if (m_processes.erase(key) == 0) {
+        m_reports.erase(known->second.lastWindow);
+        m_accepted.erase(known->second.lastWindow);
+    }
     m_keys.erase(known);
 }
 
--- a/src/libs/rollout/usageplan.cpp
+++ b/src/libs/rollout/usageplan.cpp
@@ -17,6 +17,7 @@
 usage_steps usage_plan::steps(const usage_ledger& ledger, const usage_view& view) const
 {
     usage_steps result;
+    const duration earliest = settlingTime + view.writeInterval;
     const duration latest = std::max(earliest, m_bounds.dueTime / 2);
     // A report that is twice as late as allowed is of no use any more.
     for (std::uint64_t window = windowAt(view.now - 2 * m_bounds.dueTime); endOf(window) + earliest <= view.now; ++window) {
@@ -32,7 +33,6 @@
         if (!isDue)
             continue;
         result.additions.push_back({ window, ledger.sumOf(window) });
-        result.incomplete += isClosed ? 0U : 1U;
     }
     return result;
 }
--- a/src/libs/rollout/usageplan.h
+++ b/src/libs/rollout/usageplan.h
@@ -15,14 +15,14 @@
     duration now {};
     /// All records that were written before this time are in the ledger.
     duration confirmedAt {};
+    /// Longest time that a process of the fleet waits before it writes what it counted.
+    duration writeInterval {};
 };
 
 /// What the holder of the lease on usage reports does next.
 struct usage_steps {
     /// Reports to write to the log; they may not be sent before they were read back from it.
     std::vector<usage_report> additions;
-    /// Of these, windows that some process had not closed.
-    std::uint64_t incomplete = 0;
     /// Reports to send to the platform, the oldest first.
     std::vector<usage_report> calls;
 };
@@ -35,9 +35,9 @@
 /// left for a successor of the holder and for repeated calls.
 class usage_plan {
 public:
-    /// Time after the end of a window before which it is not added up: processes close it by then, and their records take
-    /// some time.
-    static constexpr duration earliest = std::chrono::milliseconds(1500);
+    /// Time after the end of a window before which it is not added up, besides the interval in which processes write: their
+    /// records take some time.
+    static constexpr duration settlingTime = std::chrono::milliseconds(500);
     /// Records of windows that ended longer ago are removed from the log.
     static constexpr duration retention = std::chrono::seconds(60);
 
--- a/tests/auto/gateway/tst_callrelay.cpp
+++ b/tests/auto/gateway/tst_callrelay.cpp
@@ -362,6 +362,11 @@
 class recording_meter : public usage_meter {
 public:
     void noteBegun(std::string_view organisation, instant) override { ++m_counts[std::string(organisation)]; }
+    void noteNotBegun(std::string_view organisation, instant) override
+    {
+        if (--m_counts[std::string(organisation)] == 0)
+            m_counts.erase(std::string(organisation));
+    }
     const std::map<std::string, int>& counts() const { return m_counts; }
 
 private:
@@ -635,6 +640,14 @@
     passedOn.relay.setUsageMeter(meter);
     CHECK(passedOn.answer().status == 200);
     CHECK(meter.counts().empty());
+
+    relay_fixture counted(behaviour::Complete, behaviour::Complete, route_kind::Idempotent);
+    counted.source = call_source::Peer;
+    counted.identity.organisation = "guild";
+    counted.relay.setUsageMeter(meter);
+    counted.request = platform::encodePeerRequest(counted.request, { 10s, 0, 2, 0, true });
+    CHECK(counted.answer().status == 200);
+    CHECK(meter.counts().empty());
 }
 
 TEST_CASE("When no other daemon takes calls, a call without a replica in reach is refused as not run")
--- a/tests/auto/system/platformfleet.cpp
+++ b/tests/auto/system/platformfleet.cpp
@@ -135,6 +135,11 @@
     writeConfiguration(configuration(version, addedRollouts));
 }
 
+std::string platform_fleet::metrics(std::size_t daemon) const
+{
+    return send(m_settings[daemon]["gateway"]["metrics"], "GET", "/metrics").body;
+}
+
 void platform_fleet::configureOrganisations(int version, const json& organisations)
 {
     json extended = configuration(version, {});
--- a/tests/auto/system/tst_usagereports.cpp
+++ b/tests/auto/system/tst_usagereports.cpp
@@ -140,6 +140,19 @@
     fleet.checkReports(served);
 }
 
+// A daemon that stopped did not write what it had counted last.
+TEST_CASE("The requests that a daemon had passed on right before it stopped are reported")
+{
+    reporting_fleet fleet(3);
+    const std::size_t holder = fleet.holderAfter(0);
+    const std::size_t other = (holder + 1) % 3;
+    const int served = fleet.callBoth(other);
+    fleet.daemon(other).signal(SIGTERM);
+    CHECK(fleet.daemon(other).wait() == 0);
+    CHECK(fleet.isReported(served));
+    fleet.checkReports(served);
+}
+
 // A new holder that added the windows up anew, or an old one that woke, reported a window with two counts.
 TEST_CASE("Reports go on with a higher fencing token when the holder is killed or suspended")
 {
