--- a/tests/platform/dutystandin.cpp
+++ b/tests/platform/dutystandin.cpp
@@ -34,7 +34,7 @@
     call.path = request.target;
     call.holder = headerValue(request.headers, "Duty-Holder").value_or("");
     call.fencingToken = std::stoull(std::string(headerValue(request.headers, "Fencing-Token").value_or("0")));
-    call.body = json::parse(request.body);
+    call.text = request.body;
     std::uint64_t& highest = m_highestTokens[call.path];
     m_lowerTokens += call.fencingToken < highest ? 1 : 0;
     highest = std::max(highest, call.fencingToken);
@@ -59,9 +59,9 @@
 {
     if (call.path != "/usage")
         return;
-    const std::uint64_t window = call.body.at("window_id").get<std::uint64_t>();
-    const auto added = m_windows.emplace(window, call.body.at("counts"));
-    m_conflicts += added.first->second == call.body.at("counts") ? 0 : 1;
+    const json body = call.body();
+    const auto added = m_windows.emplace(body.at("window_id").get<std::uint64_t>(), body.at("counts"));
+    m_conflicts += added.first->second == body.at("counts") ? 0 : 1;
 }
 
 }
--- a/tests/platform/dutystandin.h
+++ b/tests/platform/dutystandin.h
@@ -25,8 +25,10 @@
     std::string path;
     std::string holder;
     std::uint64_t fencingToken = 0;
-    nlohmann::json body;
+    std::string text;
     bool isCarriedOut = false;
+
+    nlohmann::json body() const { return nlohmann::json::parse(text); }
 };
 
 /// Stand-in of the platform's interface for calls that one daemon at a time makes. It compares no fencing tokens. May only
