--- a/tests/auto/system/daemonprocess.h
+++ b/tests/auto/system/daemonprocess.h
@@ -23,6 +23,8 @@
     std::string vm() const { return m_settings["vm"]; }
     /// True until wait() or killAndWait() has been called.
     bool isRunning() const { return m_pid > 0; }
+    /// Id of the process; 0 when it does not run.
+    pid_t pid() const { return m_pid; }
     /// Sends \a signal to the process without waiting for its end.
     void signal(int signal) const;
     /// Waits for the end of the process. Returns its exit code, or -1 when a signal ended it.
--- a/tests/auto/system/platformfleet.h
+++ b/tests/auto/system/platformfleet.h
@@ -65,6 +65,8 @@
     std::string caller(std::size_t daemon) const { return m_settings[daemon]["gateway"]["caller"]; }
     /// Address of the readiness port of a daemon.
     std::string readiness(std::size_t daemon) const { return m_settings[daemon]["gateway"]["readiness"]; }
+    /// Address that the settings "gateway" of a daemon have under \a key.
+    std::string address(std::size_t daemon, const std::string& key) const { return m_settings[daemon]["gateway"][key]; }
     daemon_process& daemon(std::size_t daemon) { return *m_daemons[daemon]; }
     /// Starts \a daemon, from \a program if that is not empty.
     void start(std::size_t daemon, const std::string& program = {});
