--- a/tests/auto/system/tst_callerbounds.cpp
+++ b/tests/auto/system/tst_callerbounds.cpp
@@ -5,7 +5,6 @@
 
 #include <catch2/catch.hpp>
 
-#include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
@@ -178,6 +177,31 @@
     return read < static_cast<ssize_t>(statusBegin + statusDigits) ? 0 : std::stoi(answer.substr(statusBegin, statusDigits));
 }
 
+void limitDescriptors(pid_t pid)
+{
+    const rlimit limit { descriptorLimit, descriptorLimit };
+    REQUIRE(prlimit(pid, RLIMIT_NOFILE, &limit, nullptr) == 0);
+}
+
+/// Opens the connections of the crowd to \a address.
+std::vector<std::unique_ptr<abusive_caller>> openCrowd(boost::asio::io_context& context, const std::string& address, const load_case& load)
+{
+    const std::optional<endpoint> parsed = parseEndpoint(address);
+    REQUIRE(parsed);
+    const tcp::endpoint remote { boost::asio::ip::make_address(parsed->host), parsed->port };
+    std::vector<std::unique_ptr<abusive_caller>> callers;
+    for (std::size_t number = 0; number < crowd; ++number)
+        callers.push_back(std::make_unique<abusive_caller>(context, remote, load));
+    return callers;
+}
+
+/// Checks that ordinary requests to the port at \a address and to the caller port are answered.
+void checkAnswered(const platform_fleet& fleet, const std::string& address, const std::string& target)
+{
+    CHECK(statusOf(address, target) == 200);
+    CHECK(statusOf(fleet.caller(0), "/score/1") == 200);
+}
+
 /// Sends \a load to \a port and checks what has to hold meanwhile and afterwards. \a areDescriptorsFew: the process may
 /// open no more than descriptorLimit.
 void check(const load_case& load, const port_case& port, bool areDescriptorsFew)
@@ -185,22 +209,15 @@
     platform_fleet fleet(1);
     const pid_t pid = fleet.daemon(0).pid();
     REQUIRE(statusOf(fleet.caller(0), "/score/1") == 200);
-    if (areDescriptorsFew) {
-        const rlimit limit { descriptorLimit, descriptorLimit };
-        REQUIRE(prlimit(pid, RLIMIT_NOFILE, &limit, nullptr) == 0);
-    }
+    if (areDescriptorsFew)
+        limitDescriptors(pid);
     const std::string address = fleet.address(0, port.setting);
-    const std::optional<endpoint> parsed = parseEndpoint(address);
-    REQUIRE(parsed);
     const std::size_t before = residentKilobytes(pid);
     peak_use peak;
     boost::asio::io_context context;
-    std::vector<std::unique_ptr<abusive_caller>> callers;
-    for (std::size_t number = 0; number < crowd; ++number)
-        callers.push_back(std::make_unique<abusive_caller>(context, tcp::endpoint { boost::asio::ip::make_address(parsed->host), parsed->port }, load));
+    std::vector<std::unique_ptr<abusive_caller>> callers = openCrowd(context, address, load);
     sendLoad(callers, pid, peak);
-    CHECK(statusOf(address, port.target) == 200);
-    CHECK(statusOf(fleet.caller(0), "/score/1") == 200);
+    checkAnswered(fleet, address, port.target);
     peak.measure(pid);
     CHECK(residentKilobytes(pid) > 0);
     CHECK(peak.kilobytes < before + maxGrowthKilobytes);
