Net: Bound the unfinished requests and connections of a process

Each connection was bounded to 64 KiB of unparsed data, the total was not: a crowd of 400 callers that end no head, chunk line or trailer made a daemon grow by more than 16 MB, and a crowd of any kind used up its descriptors.

connection_guard keeps account of the connections and unfinished bytes of all servers that share it. Over the bound of bytes it closes the connection with the most, over that of connections the one that has waited longest; one with an open exchange only loses its pipelined requests. http_session reads and parses by itself, since Beast's composed reads report nothing until a head is complete. Discarded input of all sessions goes into one buffer, and a large head leaves no large buffer behind. After a failed accept() the server pauses for 20 ms instead of trying again at once.

--- /dev/null
+++ b/src/libs/net/connectionguard.cpp
@@ -0,0 +1,128 @@
+#include "connectionguard.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ragwortreach {
+
+namespace {
+
+    constexpr std::size_t memoryShare = 16;
+    constexpr std::size_t minUnfinishedBytes = std::size_t { 2 } * 1024 * 1024;
+    constexpr std::size_t maxUnfinishedBytes = std::size_t { 32 } * 1024 * 1024;
+
+}
+
+std::size_t connection_guard::unfinishedBytesFor(std::size_t memoryBytes)
+{
+    return std::clamp(memoryBytes / memoryShare, minUnfinishedBytes, maxUnfinishedBytes);
+}
+
+std::size_t connection_guard::connectionsFor(std::size_t descriptors)
+{
+    const std::size_t unreserved = descriptors - std::min(descriptors, reservedDescriptors);
+    return std::max(unreserved / 2, minConnections);
+}
+
+std::size_t connection_guard::maxConnections() const
+{
+    return connectionsFor(std::min(m_allowedDescriptors, m_processDescriptors));
+}
+
+connection_guard::connection_number connection_guard::add(port_number port, relief_handler onRelief)
+{
+    const connection_number connection = ++m_lastConnection;
+    m_entries[connection] = { port, std::move(onRelief), 0, std::nullopt };
+    ++m_connectionsOfPort[port];
+    setWaiting(connection);
+    return connection;
+}
+
+void connection_guard::remove(connection_number connection)
+{
+    const auto it = m_entries.find(connection);
+    if (it == m_entries.end())
+        return;
+    setUnfinished(connection, 0);
+    setServed(connection);
+    --m_connectionsOfPort[it->second.port];
+    m_entries.erase(it);
+}
+
+void connection_guard::setServed(connection_number connection)
+{
+    const auto it = m_entries.find(connection);
+    if (it == m_entries.end() || !it->second.waitingSince)
+        return;
+    m_waiting.erase(*it->second.waitingSince);
+    it->second.waitingSince.reset();
+}
+
+void connection_guard::setWaiting(connection_number connection)
+{
+    const auto it = m_entries.find(connection);
+    if (it == m_entries.end() || it->second.waitingSince)
+        return;
+    it->second.waitingSince = ++m_lastWait;
+    m_waiting.emplace(m_lastWait, connection);
+}
+
+void connection_guard::setUnfinished(connection_number connection, std::size_t bytes)
+{
+    const auto it = m_entries.find(connection);
+    if (it == m_entries.end() || it->second.unfinished == bytes)
+        return;
+    std::size_t& unfinished = it->second.unfinished;
+    if (unfinished > 0)
+        m_bySize.erase({ unfinished, connection });
+    m_unfinishedBytes = m_unfinishedBytes - unfinished + bytes;
+    unfinished = bytes;
+    if (bytes > 0)
+        m_bySize.insert({ bytes, connection });
+}
+
+void connection_guard::enforce()
+{
+    while (m_unfinishedBytes > m_maxUnfinishedBytes)
+        relieve(m_bySize.begin()->connection, relief_reason::UnfinishedBytes);
+    while (m_entries.size() > maxConnections()) {
+        const std::optional<connection_number> connection = longestWaiting();
+        if (!connection)
+            return;
+        relieve(*connection, relief_reason::Connections);
+    }
+}
+
+void connection_guard::relieveDescriptors()
+{
+    ++m_counters.acceptsFailed;
+    const std::optional<connection_number> connection = longestWaiting();
+    if (connection)
+        relieve(*connection, relief_reason::Descriptors);
+}
+
+std::optional<connection_guard::connection_number> connection_guard::longestWaiting() const
+{
+    const auto it = std::find_if(m_waiting.begin(), m_waiting.end(), [this](const auto& waiting) {
+        return m_connectionsOfPort.at(m_entries.at(waiting.second).port) > connectionsKeptPerPort;
+    });
+    if (it == m_waiting.end())
+        return std::nullopt;
+    return it->second;
+}
+
+void connection_guard::relieve(connection_number connection, relief_reason reason)
+{
+    const entry& relieved = m_entries.at(connection);
+    const relief_handler onRelief = relieved.onRelief;
+    if (relieved.waitingSince) {
+        remove(connection);
+        ++(reason == relief_reason::UnfinishedBytes ? m_counters.closedForBytes : m_counters.closedForCount);
+    } else {
+        setUnfinished(connection, 0);
+        ++m_counters.pipelinesDiscarded;
+    }
+    onRelief();
+}
+
+}
--- a/src/libs/net/httpserver.cpp
+++ b/src/libs/net/httpserver.cpp
@@ -82,8 +82,8 @@
 }
 
 http_server::http_server(boost::asio::io_context& context, const http_server_limits& limits,
-    request_handler onRequest, error_handler onError)
-    : m_state(std::make_shared<Internal::http_server_state>(context, limits, std::move(onRequest), std::move(onError)))
+    request_handler onRequest, error_handler onError, std::shared_ptr<connection_guard> guard)
+    : m_state(std::make_shared<Internal::http_server_state>(context, limits, std::move(onRequest), std::move(onError), std::move(guard)))
 {
 }
 
--- a/src/libs/net/httpserver.h
+++ b/src/libs/net/httpserver.h
@@ -17,6 +17,8 @@
 
 namespace ragwortreach {
 
+class connection_guard;
+
 namespace Internal {
     class http_session;
     class http_server_state;
@@ -80,8 +82,9 @@
     /// Makes the response to a request that exceeds a limit or cannot be parsed, or whose body finds no room (MemoryFull).
     using error_handler = std::function<http_response(std::error_code)>;
 
+    /// \a guard: bounds the connections of all servers that share it; without one the server has one of its own.
     http_server(boost::asio::io_context& context, const http_server_limits& limits, request_handler onRequest,
-        error_handler onError);
+        error_handler onError, std::shared_ptr<connection_guard> guard = nullptr);
     ~http_server();
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
--- a/src/libs/net/httpsession.cpp
+++ b/src/libs/net/httpsession.cpp
@@ -4,11 +4,16 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/read.hpp>
 
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <iterator>
+#include <limits>
+
+#include <sys/resource.h>
 
 namespace ragwortreach::Internal {
 
@@ -20,6 +25,22 @@
 
     /// Time that a caller has to read the last answer on a connection and close it.
     constexpr std::chrono::seconds closeTimeout { 2 };
+    /// Time until connections are accepted again after a failure. Without it the process would only try to accept.
+    constexpr std::chrono::milliseconds acceptPause { 20 };
+    /// Memory of a parsed header field beside its text, about: a node of the parser and two strings of the request.
+    constexpr std::size_t fieldOverhead = 128;
+
+    /// Size up to which a buffer is kept for what comes next on its connection.
+    constexpr std::size_t keptBufferBytes = 4096;
+
+    /// File descriptors that this process may open. The limit may be lowered while the process runs.
+    std::size_t processDescriptors()
+    {
+        rlimit limit {};
+        if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
+            return std::numeric_limits<std::size_t>::max();
+        return limit.rlim_cur;
+    }
 
     std::string headText(const http_response_head& head, bool isKeepAlive)
     {
@@ -74,18 +95,22 @@
     , m_readTimer(m_socket.get_executor())
     , m_heldBody(m_server->budget)
     , m_heldAnswer(m_server->budget)
+    , m_connection(m_server->guard->add(m_server->port, [this] { relieve(); }))
 {
     m_server->sessions.push_back(*this);
 }
 
 http_session::~http_session()
 {
+    m_server->guard->remove(m_connection);
     if (m_isExchangeOpen)
         --m_server->openExchanges;
 }
 
 void http_session::start()
 {
+    if (!m_socket.is_open())
+        return;
     error_code ignored;
     m_socket.set_option(tcp::no_delay(true), ignored);
     awaitRequest();
@@ -165,32 +190,120 @@
     m_parser.emplace();
     m_parser->header_limit(static_cast<std::uint32_t>(std::min(m_server->limits.headerBytes, maxUnparsedBytes)));
     m_parser->body_limit(m_server->limits.bodyBytes);
-    http::async_read_header(m_socket, m_buffer, *m_parser, [self = self_pointer(this)](const error_code& error, std::size_t) {
-        if (error) {
-            self->onRequestRead(error);
-            return;
+    m_headBytes = 0;
+    m_isHeadRead = false;
+    parse();
+}
+
+void http_session::readMore()
+{
+    const std::size_t size = boost::beast::read_size(m_buffer, maxUnparsedBytes);
+    if (size == 0) {
+        onRequestRead(http::make_error_code(http::error::buffer_overflow));
+        return;
+    }
+    m_socket.async_read_some(m_buffer.prepare(size),
+        [self = self_pointer(this)](const error_code& error, std::size_t bytes) { self->onBytesRead(error, bytes); });
+}
+
+void http_session::onBytesRead(const error_code& error, std::size_t bytes)
+{
+    // The connection may have been closed after the bytes had arrived.
+    if (!m_socket.is_open())
+        return;
+    m_buffer.commit(bytes);
+    if (!error) {
+        parse();
+        return;
+    }
+    error_code result = error;
+    if (error == boost::asio::error::eof) {
+        result = http::make_error_code(http::error::end_of_stream);
+        if (m_parser->got_some()) {
+            result = {};
+            m_parser->put_eof(result);
         }
-        self->startReadTimer();
-        self->readBody();
-    });
+    }
+    onRequestRead(result);
 }
 
-void http_session::readBody()
+void http_session::parse()
 {
-    if (!holdBody()) {
+    while (parsePart()) { }
+}
+
+bool http_session::parsePart()
+{
+    error_code error = http::make_error_code(http::error::need_more);
+    if (m_buffer.size() > 0) {
+        const std::size_t parsed = m_parser->put(m_buffer.data(), error);
+        m_buffer.consume(parsed);
+        if (!m_isHeadRead)
+            m_headBytes += parsed;
+    }
+    const bool needsMore = error == http::error::need_more;
+    if (error && !needsMore) {
+        onRequestRead(error);
+        return false;
+    }
+    if (!m_isHeadRead && m_parser->is_header_done())
+        onHeadRead();
+    if (m_isHeadRead && !holdBody()) {
         refuseBody();
-        return;
+        return false;
     }
     if (m_parser->is_done()) {
         onRequestRead({});
+        return false;
+    }
+    if (m_buffer.size() > 0 && !needsMore)
+        return true;
+    reportUnfinished();
+    if (m_socket.is_open())
+        readMore();
+    return false;
+}
+
+void http_session::onHeadRead()
+{
+    m_isHeadRead = true;
+    m_headBytes += fieldOverhead * static_cast<std::size_t>(std::distance(m_parser->get().begin(), m_parser->get().end()));
+    shrinkBuffer();
+    startReadTimer();
+}
+
+void http_session::reportUnfinished()
+{
+    const self_pointer self(this);
+    // An empty buffer is at most of the size that is kept.
+    const std::size_t buffered = m_buffer.size() == 0 ? 0 : m_buffer.capacity();
+    m_server->guard->setUnfinished(m_connection, m_headBytes + buffered);
+    m_server->guard->enforce();
+}
+
+void http_session::relieve()
+{
+    const self_pointer self(this);
+    if (!m_isExchangeOpen || m_isAnswerComplete) {
+        handleDisconnect();
         return;
     }
-    http::async_read_some(m_socket, m_buffer, *m_parser, [self = self_pointer(this)](const error_code& error, std::size_t) {
-        if (error)
-            self->onRequestRead(error);
-        else
-            self->readBody();
-    });
+    freeBuffer();
+    m_isKeepAlive = false;
+    watchForDisconnect();
+}
+
+/// A large head must not leave a large buffer behind on a connection that may stay open for long.
+void http_session::shrinkBuffer()
+{
+    if (m_buffer.capacity() > keptBufferBytes)
+        m_buffer.shrink_to_fit();
+}
+
+void http_session::freeBuffer()
+{
+    m_buffer.clear();
+    m_buffer.shrink_to_fit();
 }
 
 /// The room of an announced body is held from the begin, so that a body that was begun is not refused for one that came
@@ -245,7 +358,14 @@
 
 void http_session::rejectRequest(result_code code)
 {
+    if (code == result_code::HeaderTooLarge)
+        m_server->guard->noteHeaderTooLarge();
+    else if (code == result_code::MalformedRequest)
+        m_server->guard->noteMalformed();
     m_parser.reset();
+    m_headBytes = 0;
+    freeBuffer();
+    m_server->guard->setUnfinished(m_connection, 0);
     m_heldBody.set(0);
     m_isKeepAlive = false;
     m_isExchangeOpen = true;
@@ -272,7 +392,11 @@
     m_isAnswerComplete = false;
     ++m_server->openExchanges;
     ++m_number;
+    m_headBytes = 0;
+    shrinkBuffer();
+    m_server->guard->setServed(m_connection);
     watchForDisconnect();
+    reportUnfinished();
     m_server->onRequest(http_exchange(self_pointer(this), m_number));
 }
 
@@ -328,6 +452,7 @@
 void http_session::endStream()
 {
     m_isAnswerComplete = true;
+    m_server->guard->setWaiting(m_connection);
     if (m_isChunked && !m_isHead)
         m_pending += "0\r\n\r\n";
     flush();
@@ -425,8 +550,9 @@
 
 void http_session::discardInput()
 {
-    m_buffer.clear();
-    m_socket.async_read_some(m_buffer.prepare(maxUnparsedBytes), [self = self_pointer(this)](const error_code& error, std::size_t) {
+    freeBuffer();
+    m_server->guard->setUnfinished(m_connection, 0);
+    m_socket.async_read_some(boost::asio::buffer(m_server->discarded), [self = self_pointer(this)](const error_code& error, std::size_t) {
         if (error)
             self->close();
         else
@@ -450,16 +576,21 @@
 void http_session::close()
 {
     m_readTimer.cancel();
+    m_server->guard->remove(m_connection);
     error_code ignored;
     m_socket.close(ignored);
 }
 
 http_server_state::http_server_state(boost::asio::io_context& context, const http_server_limits& serverLimits,
-    http_server::request_handler requestHandler, http_server::error_handler errorHandler)
+    http_server::request_handler requestHandler, http_server::error_handler errorHandler,
+    std::shared_ptr<connection_guard> sharedGuard)
     : limits(serverLimits)
     , onRequest(std::move(requestHandler))
     , onError(std::move(errorHandler))
+    , guard(sharedGuard ? std::move(sharedGuard) : std::make_shared<connection_guard>())
+    , port(guard->addPort())
     , acceptor(context)
+    , acceptTimer(context)
     , budget(byte_budget::defaultLimit, serverLimits.bodyBytes)
 {
 }
@@ -487,14 +618,28 @@
     acceptor.async_accept([self = shared_from_this()](const error_code& error, tcp::socket socket) {
         if (!self->acceptor.is_open())
             return;
-        if (!error) {
-            const boost::intrusive_ptr<http_session> session(new http_session(self, std::move(socket)));
-            session->start();
+        if (error) {
+            self->pauseAccepting();
+            return;
         }
+        const boost::intrusive_ptr<http_session> session(new http_session(self, std::move(socket)));
+        self->guard->setProcessDescriptors(processDescriptors());
+        self->guard->enforce();
+        session->start();
         self->accept();
     });
 }
 
+void http_server_state::pauseAccepting()
+{
+    guard->relieveDescriptors();
+    acceptTimer.expires_after(acceptPause);
+    acceptTimer.async_wait([self = shared_from_this()](const error_code& error) {
+        if (!error && self->acceptor.is_open())
+            self->accept();
+    });
+}
+
 void http_server_state::closeIdle()
 {
     for (auto it = sessions.begin(); it != sessions.end(); ++it)
@@ -511,6 +656,7 @@
 {
     error_code ignored;
     acceptor.close(ignored);
+    acceptTimer.cancel();
     for (auto it = sessions.begin(); it != sessions.end(); ++it)
         it->closeIfIdle();
 }
--- a/src/libs/net/httpsession.h
+++ b/src/libs/net/httpsession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bytebudget.h"
+#include "connectionguard.h"
 #include "httpserver.h"
 #include "messagelimits.h"
 
@@ -14,6 +15,7 @@
 #include <boost/intrusive/list.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
+#include <array>
 #include <optional>
 
 namespace ragwortreach::Internal {
@@ -54,10 +56,23 @@
 
     void readRequest();
     void awaitRequest();
+    /// Reads what comes next of the request.
+    void readMore();
+    void onBytesRead(const boost::system::error_code& error, std::size_t bytes);
+    /// Parses what has been read, until the request is complete or more has to be read.
+    void parse();
+    /// Parses one part of what has been read; false when the request is complete or refused, or more has to be read.
+    bool parsePart();
+    void onHeadRead();
+    /// Reports what the connection holds of unfinished requests, which may close this connection or others.
+    void reportUnfinished();
+    /// Closes the connection for the bounds of the process, or discards its pipelined requests while an exchange is open.
+    void relieve();
+    void shrinkBuffer();
+    /// Clears the buffer and gives its memory back.
+    void freeBuffer();
     void startCloseTimer(duration timeout);
     void startReadTimer();
-    /// Reads the rest of the request, unless its body does not fit into what the server may hold.
-    void readBody();
     /// Holds what is announced of the body, or what has arrived of it; false when that is too much beside other bytes.
     bool holdBody();
     void refuseBody();
@@ -86,6 +101,9 @@
     boost::asio::steady_timer m_readTimer;
     boost::beast::flat_buffer m_buffer { maxUnparsedBytes };
     std::optional<boost::beast::http::request_parser<growing_body>> m_parser;
+    /// Memory that the parsed head of an incomplete request takes, about.
+    std::size_t m_headBytes = 0;
+    bool m_isHeadRead = false;
     http_request m_request;
     std::function<void()> m_onDisconnect;
     std::function<void()> m_onDrained;
@@ -94,6 +112,7 @@
     held_bytes m_heldAnswer;
     std::string m_pending;
     std::string m_sending;
+    connection_guard::connection_number m_connection;
     std::uint64_t m_number = 0;
     bool m_isExchangeOpen = false;
     bool m_isAnswerBegun = false;
@@ -109,10 +128,12 @@
 class http_server_state : public std::enable_shared_from_this<http_server_state> {
 public:
     http_server_state(boost::asio::io_context& context, const http_server_limits& limits,
-        http_server::request_handler onRequest, http_server::error_handler onError);
+        http_server::request_handler onRequest, http_server::error_handler onError, std::shared_ptr<connection_guard> guard);
 
     std::error_code listen(const endpoint& address);
     void accept();
+    /// Accepts connections again after a pause, since there may be no file descriptor for one.
+    void pauseAccepting();
     void closeIdle();
     void answerOpen(const http_response& response);
     void stopAccepting();
@@ -120,7 +141,12 @@
     http_server_limits limits;
     http_server::request_handler onRequest;
     http_server::error_handler onError;
+    std::shared_ptr<connection_guard> guard;
+    connection_guard::port_number port;
     boost::asio::ip::tcp::acceptor acceptor;
+    boost::asio::steady_timer acceptTimer;
+    /// Where all sessions read what is discarded.
+    std::array<char, maxUnparsedBytes> discarded {};
     boost::intrusive::list<http_session, boost::intrusive::constant_time_size<false>> sessions;
     byte_budget budget;
     std::size_t openExchanges = 0;
--- a/tests/auto/net/tst_httpserver.cpp
+++ b/tests/auto/net/tst_httpserver.cpp
@@ -1,4 +1,5 @@
 #include <core/resultcode.h>
+#include <net/connectionguard.h>
 #include <net/httpclient.h>
 #include <net/httpserver.h>
 
@@ -14,6 +15,10 @@
 #include <array>
 #include <charconv>
 #include <memory>
+#include <vector>
+
+#include <sys/resource.h>
+#include <unistd.h>
 
 using namespace ragwortreach;
 using boost::asio::ip::tcp;
@@ -464,3 +469,121 @@
         }
     }
 }
+
+namespace {
+
+/// Server on a loopback address whose connections are bounded by a guard, and connections to it.
+struct guarded_server {
+    explicit guarded_server(http_server::request_handler onRequest)
+        : server(context, {}, std::move(onRequest), answerError, guard)
+    {
+        REQUIRE_FALSE(server.listen({ "127.0.0.1", 0 }));
+    }
+
+    tcp::socket connect(std::string_view sent)
+    {
+        tcp::socket socket(context);
+        socket.connect({ boost::asio::ip::make_address("127.0.0.1"), server.port() });
+        boost::asio::write(socket, boost::asio::buffer(sent));
+        return socket;
+    }
+
+    /// Runs the server until \a condition holds, at most 20 s.
+    template <typename predicate>
+    bool runUntil(predicate condition)
+    {
+        const std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+        while (!condition() && std::chrono::steady_clock::now() < end)
+            context.run_one_for(std::chrono::milliseconds(10));
+        return condition();
+    }
+
+    /// What arrives on \a socket until the server closes it.
+    std::string readAll(tcp::socket& socket)
+    {
+        std::string text;
+        boost::system::error_code error;
+        bool isClosed = false;
+        boost::asio::async_read(socket, boost::asio::dynamic_buffer(text), [&](const boost::system::error_code&, std::size_t) { isClosed = true; });
+        runUntil([&isClosed] { return isClosed; });
+        return text;
+    }
+
+    boost::asio::io_context context;
+    std::shared_ptr<connection_guard> guard = std::make_shared<connection_guard>();
+    http_server server;
+};
+
+}
+
+TEST_CASE("Of the unfinished heads that exceed the bound of the process, the largest is closed and the others are served")
+{
+    guarded_server guarded([](const http_exchange& exchange) { exchange.respond({ 200, { { "Connection", "close" } }, "ok" }); });
+    guarded.guard->setUnfinishedBytes(10000);
+    tcp::socket small = guarded.connect("GET / HTTP/1.1\r\nHost: lace.example\r\n");
+    REQUIRE(guarded.runUntil([&] { return guarded.guard->unfinishedBytes() > 0; }));
+    tcp::socket large = guarded.connect("GET / HTTP/1.1\r\nX-Long: " + std::string(12000, 'h'));
+    REQUIRE(guarded.runUntil([&] { return guarded.guard->counters().closedForBytes == 1; }));
+    CHECK(guarded.readAll(large).empty());
+    boost::asio::write(small, boost::asio::buffer(std::string_view("Connection: close\r\n\r\n")));
+    CHECK(guarded.readAll(small).find("200 OK") != std::string::npos);
+    CHECK(guarded.guard->counters().closedForBytes == 1);
+    CHECK(guarded.guard->unfinishedBytes() == 0);
+}
+
+TEST_CASE("Many small fields of a complete head count as long as the body is missing")
+{
+    guarded_server guarded([](const http_exchange&) {});
+    guarded.guard->setUnfinishedBytes(100000);
+    std::string head = "POST / HTTP/1.1\r\nContent-Length: 10\r\n";
+    for (int field = 0; field < 1000; ++field)
+        head += "a:\r\n";
+    tcp::socket socket = guarded.connect(head + "\r\n");
+    CHECK(guarded.runUntil([&] { return guarded.guard->counters().closedForBytes == 1; }));
+}
+
+TEST_CASE("Pipelined requests over the bound of the process are discarded, and the request before them is answered whole")
+{
+    std::vector<http_exchange> exchanges;
+    guarded_server guarded([&exchanges](const http_exchange& exchange) { exchanges.push_back(exchange); });
+    std::string requests = "GET / HTTP/1.1\r\nX-Long: " + std::string(9000, 'h') + "\r\n\r\n";
+    for (int number = 0; number < 200; ++number)
+        requests += "GET / HTTP/1.1\r\n\r\n";
+    tcp::socket socket = guarded.connect(requests);
+    REQUIRE(guarded.runUntil([&] { return exchanges.size() == 1; }));
+    guarded.guard->setUnfinishedBytes(0);
+    guarded.guard->enforce();
+    CHECK(guarded.guard->counters().pipelinesDiscarded == 1);
+    CHECK(guarded.guard->unfinishedBytes() == 0);
+    exchanges[0].respond({ 200, {}, "whole" });
+    const std::string answer = guarded.readAll(socket);
+    CHECK(answer.find("Connection: close") != std::string::npos);
+    CHECK(answer.ends_with("\r\n\r\nwhole"));
+    CHECK(exchanges.size() == 1);
+    // They hold sockets, which must not outlive the context.
+    exchanges.clear();
+}
+
+TEST_CASE("Without a descriptor for a connection the server pauses, and accepts again once there is one")
+{
+    guarded_server guarded([](const http_exchange& exchange) { exchange.respond({ 200, {}, "ok" }); });
+    const std::string request = "GET / HTTP/1.1\r\nConnection: close\r\n\r\n";
+    tcp::socket socket = guarded.connect(request);
+    rlimit before {};
+    REQUIRE(getrlimit(RLIMIT_NOFILE, &before) == 0);
+    // The lowest free descriptor is the next one to be used.
+    const int lowestFree = dup(0);
+    REQUIRE(lowestFree > 0);
+    close(lowestFree);
+    const rlimit none { static_cast<rlim_t>(lowestFree), before.rlim_max };
+    REQUIRE(setrlimit(RLIMIT_NOFILE, &none) == 0);
+    const std::chrono::steady_clock::time_point begin = std::chrono::steady_clock::now();
+    guarded.runUntil([&] { return guarded.guard->counters().acceptsFailed >= 5; });
+    // Failures are at least the pause of 20 ms apart.
+    const std::chrono::steady_clock::duration took = std::chrono::steady_clock::now() - begin;
+    const std::uint64_t failures = guarded.guard->counters().acceptsFailed;
+    setrlimit(RLIMIT_NOFILE, &before);
+    CHECK(failures >= 5);
+    CHECK((failures - 1) * std::chrono::milliseconds(20) <= took);
+    CHECK(guarded.readAll(socket).find("200 OK") != std::string::npos);
+}
