Gateway, Service: Derive the bounds of connections from the VM and report closings

The servers of a process share one guard. Closings are counted by kind in the metrics, and a line callers_limited is written for each kind at most once a second.

--- a/src/libs/gateway/gatewayhost.cpp
+++ b/src/libs/gateway/gatewayhost.cpp
@@ -5,6 +5,7 @@
 #include "batchloader.h"
 #include "bootclock.h"
 #include "callrelay.h"
+#include "connectionwatch.h"
 #include "crashwatch.h"
 #include "errorresponses.h"
 #include "factexchange.h"
@@ -21,6 +22,7 @@
 #include "usagereporter.h"
 #include "weightorderer.h"
 
+#include <net/connectionguard.h>
 #include <net/httpclient.h>
 #include <net/httpserver.h>
 #include <platform/requestcodec.h>
@@ -34,6 +36,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <limits>
 #include <random>
 
 namespace ragwortreach {
@@ -143,14 +146,15 @@
         , relay(ioContext, client, pool, facts, access, crashes, streams, routes, daemonLog)
         , batchHandler(batchJournal, routes, daemonLog)
         , callerServer(
-              ioContext, callerLimits(), [this](const http_exchange& exchange) { serve(exchange); }, malformedResponse)
+              ioContext, callerLimits(), [this](const http_exchange& exchange) { serve(exchange); }, malformedResponse, guard)
         , peerServer(
-              ioContext, callerLimits(), [this](const http_exchange& exchange) { servePeer(exchange); }, malformedResponse)
+              ioContext, callerLimits(), [this](const http_exchange& exchange) { servePeer(exchange); }, malformedResponse, guard)
         , readinessServer(
-              ioContext, {}, [this](const http_exchange& exchange) { answerReadiness(exchange); }, malformedResponse)
+              ioContext, {}, [this](const http_exchange& exchange) { answerReadiness(exchange); }, malformedResponse, guard)
         , metricsServer(
-              ioContext, {}, [this](const http_exchange& exchange) { answerMetrics(exchange); }, malformedResponse)
+              ioContext, {}, [this](const http_exchange& exchange) { answerMetrics(exchange); }, malformedResponse, guard)
         , topics(daemonLog)
+        , connections(*guard, daemonLog)
         , timer(ioContext)
     {
         topics.add(platformView.operators());
@@ -227,11 +231,14 @@
     weight_orderer orderer;
     call_relay relay;
     batch_handler batchHandler;
+    /// Bounds the connections of all ports.
+    std::shared_ptr<connection_guard> guard = std::make_shared<connection_guard>();
     http_server callerServer;
     http_server peerServer;
     http_server readinessServer;
     http_server metricsServer;
     topic_watch topics;
+    connection_watch connections;
     boost::asio::steady_timer timer;
     drain_plan drain;
     std::uint64_t lateRefusals = 0;
@@ -260,6 +267,8 @@
 
 void gateway_host::state::applySettings()
 {
+    guard->setUnfinishedBytes(settings.memoryBytes ? connection_guard::unfinishedBytesFor(*settings.memoryBytes) : connection_guard::defaultUnfinishedBytes);
+    guard->setDescriptors(settings.maxDescriptors.value_or(std::numeric_limits<std::size_t>::max()));
     orderer.plan().setLoadShare(settings.loadShare);
     routes.setMaxUnconfirmedTime(settings.configurationApply + settings.configurationGrace);
     routes.setKeyRevocation(settings.keyRevocation);
@@ -517,7 +526,7 @@
 void gateway_host::state::answerMetrics(const http_exchange& exchange)
 {
     const gateway_readings readings { relay.counters(), access.counters(), batchHandler.counters(), loader.counters(), scheduler.counters(), scheduler.rewards(), runner.rewardLatency(), runner.workCounters(), orderer.counters(), platformView.counters(), facts, streams.counters(),
-        batchJournal.counters(), batchJournal.snapshots(), batchJournal.texts().counters(), progress.counters(), pool.keptAway(), lateRefusals, outdatedRefusals, admissions, duties.counters(), usage.counters(), routes.version(), relay.openCalls(), scheduler.runs(), batchJournal.pendingWrites(), isReady() };
+        batchJournal.counters(), batchJournal.snapshots(), batchJournal.texts().counters(), progress.counters(), pool.keptAway(), lateRefusals, outdatedRefusals, admissions, duties.counters(), usage.counters(), routes.version(), relay.openCalls(), scheduler.runs(), batchJournal.pendingWrites(), isReady(), guard->counters(), guard->connections(), guard->unfinishedBytes() };
     exchange.respond({ okStatus, { { "Content-Type", "text/plain; version=0.0.4" } }, metricsText(readings) });
 }
 
@@ -567,6 +576,7 @@
             return;
         logReadinessChange();
         topics.tick(bootNow());
+        connections.tick(bootNow());
         if (heldModels.size() != scheduler.ownedModelCount() || (batchJournal.isReady() && !std::exchange(wasLedgerReady, true)))
             assignWork();
         platformView.tick();
@@ -692,6 +702,8 @@
     daemon.settings.configurationGrace = settings.configurationGrace;
     daemon.settings.keyRevocation = settings.keyRevocation;
     daemon.settings.duties = settings.duties;
+    daemon.settings.memoryBytes = settings.memoryBytes;
+    daemon.settings.maxDescriptors = settings.maxDescriptors;
     daemon.leaseClient.agent().setOptions({ settings.orderLease, settings.processorShare });
     daemon.applySettings();
     daemon.logger.write(log_line(log_level::Info, "settings_reloaded").with("vm", settings.vm).with("needs_restart", needsRestart));
--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -127,6 +127,20 @@
         };
     }
 
+    std::vector<reading> connectionReadings(const gateway_readings& from)
+    {
+        return {
+            { counter("ragwortreach_connections_closed_unfinished_total", "Connections that were closed since the unfinished requests of all held too many bytes"), from.callers.closedForBytes },
+            { counter("ragwortreach_pipelines_discarded_total", "Connections whose pipelined requests were discarded for the same reason"), from.callers.pipelinesDiscarded },
+            { counter("ragwortreach_connections_closed_crowd_total", "Connections that were closed since too many were open"), from.callers.closedForCount },
+            { counter("ragwortreach_accepts_failed_total", "Times that accepting a connection failed, mostly for want of file descriptors"), from.callers.acceptsFailed },
+            { counter("ragwortreach_heads_too_large_total", "Requests that were refused since their head is larger than the limit"), from.callers.headersTooLarge },
+            { counter("ragwortreach_malformed_requests_total", "Requests that were refused since they cannot be parsed"), from.callers.malformed },
+            { gauge("ragwortreach_connections_open", "Connections of callers, of all ports"), from.connections },
+            { gauge("ragwortreach_unfinished_request_bytes", "Bytes of unfinished requests that the daemon holds"), from.unfinishedBytes },
+        };
+    }
+
     void add(metrics& all, std::span<const reading> readings)
     {
         for (const reading& item : readings) {
@@ -242,6 +256,7 @@
     add(all, rewardReadings(from.rewards, from.rewardLatency));
     add(all, workReadings(from.work));
     add(all, dutyReadings(from.duties, from.usage));
+    add(all, connectionReadings(from));
     return all.prometheusText();
 }
 
--- a/src/libs/gateway/gatewaymetrics.h
+++ b/src/libs/gateway/gatewaymetrics.h
@@ -14,6 +14,7 @@
 #include "weightorderer.h"
 #include "workwatch.h"
 
+#include <net/connectionguard.h>
 #include <rollout/itemscheduler.h>
 
 #include <string>
@@ -56,6 +57,9 @@
     std::size_t runs = 0;
     std::size_t recordsWaiting = 0;
     bool isReady = false;
+    connection_counters callers;
+    std::size_t connections = 0;
+    std::size_t unfinishedBytes = 0;
 };
 
 /// \a readings in the Prometheus text format, version 0.0.4.
--- a/src/libs/gateway/gatewaysettings.cpp
+++ b/src/libs/gateway/gatewaysettings.cpp
@@ -45,6 +45,8 @@
         "key_revocation_ms": { "type": "integer", "minimum": 500, "maximum": 600000, "description": "milliseconds, from 500 to 600000" },
         "load_share": { "type": "number", "minimum": 0.001, "maximum": 1, "description": "a part of the replicas of a service, from 0.001 to 1" },
         "processor_share": { "type": "number", "minimum": 0.001, "maximum": 1024, "description": "cores, from 0.001 to 1024" },
+        "memory_mb": { "type": "number", "minimum": 1, "maximum": 1048576, "description": "mebibytes, from 1 to 1048576" },
+        "max_descriptors": { "type": "integer", "minimum": 1, "maximum": 16777216, "description": "a whole number from 1 to 16777216" },
         "duty_api": { "type": "string", "description": "an IP number and a port, such as 127.0.0.1:8080" },
         "duties": { "type": "array", "items": { "type": "string" }, "description": "a list of strings" },
         "usage_window_s": { "type": "number", "minimum": 0.1, "maximum": 86400, "description": "seconds, from 0.1 to 86400" },
@@ -56,6 +58,7 @@
   }
 })json";
 
+    constexpr double bytesPerMebibyte = 1024 * 1024;
     constexpr std::array levels { log_level::Debug, log_level::Info, log_level::Warning, log_level::Error };
 
     bool readAddress(const json& object, const char* key, std::string& address, std::string& detail)
@@ -132,6 +135,10 @@
     if (gateway.contains("key_revocation_ms"))
         read.keyRevocation = readMilliseconds(gateway, "key_revocation_ms", {});
     read.loadShare = gateway.value("load_share", read.loadShare);
+    if (gateway.contains("memory_mb"))
+        read.memoryBytes = static_cast<std::size_t>(gateway["memory_mb"].get<double>() * bytesPerMebibyte);
+    if (gateway.contains("max_descriptors"))
+        read.maxDescriptors = gateway["max_descriptors"].get<std::size_t>();
     read.processorShare = gateway.value("processor_share", read.processorShare);
     read.stopTime = readSeconds(gateway, "stop_s", read.stopTime);
     const std::string levelName = document.value("log_level", std::string("info"));
--- a/src/libs/gateway/gatewaysettings.h
+++ b/src/libs/gateway/gatewaysettings.h
@@ -55,6 +55,10 @@
     std::optional<duration> keyRevocation;
     /// Share of the replicas of a service that may load weights at once without slowing each other down, from 0 to 1.
     double loadShare = 0.2;
+    /// Memory of the VM in bytes; empty when it is not known.
+    std::optional<std::size_t> memoryBytes;
+    /// File descriptors that the process may use; empty when only its own limit is known.
+    std::optional<std::size_t> maxDescriptors;
     /// Processor cores of the VM; may be a fraction of one.
     double processorShare = 1;
     /// Time from the request to stop until the platform kills the process.
--- a/src/libs/service/daemonhost.cpp
+++ b/src/libs/service/daemonhost.cpp
@@ -11,6 +11,7 @@
 #include <core/cataloguereader.h>
 #include <core/daemoncontext.h>
 #include <core/daemoncore.h>
+#include <net/connectionguard.h>
 #include <net/httpclient.h>
 #include <net/httpserver.h>
 #include <support/log.h>
@@ -99,9 +100,9 @@
         , timer(ioContext)
         , drainTimer(ioContext)
         , callerServer(
-              ioContext, limitsOf(daemonSettings), [this](const http_exchange& exchange) { callers->handle(exchange); }, answerError)
+              ioContext, limitsOf(daemonSettings), [this](const http_exchange& exchange) { callers->handle(exchange); }, answerError, guard)
         , adminServer(
-              ioContext, limitsOf(daemonSettings), [this](const http_exchange& exchange) { admin->handle(exchange); }, answerError)
+              ioContext, limitsOf(daemonSettings), [this](const http_exchange& exchange) { admin->handle(exchange); }, answerError, guard)
     {
     }
 
@@ -142,6 +143,8 @@
     host_metrics hostMetrics;
     boost::asio::steady_timer timer;
     boost::asio::steady_timer drainTimer;
+    /// Bounds the connections of both ports.
+    std::shared_ptr<connection_guard> guard = std::make_shared<connection_guard>();
     http_server callerServer;
     http_server adminServer;
     std::deque<daemon_event> queue;
--- a/tests/auto/gateway/tst_gatewaysettings.cpp
+++ b/tests/auto/gateway/tst_gatewaysettings.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr const char* validSettings = R"({"vm":"vm1","data_centre":"north-a","region":"north","log_level":"warning","gateway":{
-    "caller":"127.0.0.1:1","readiness":"127.0.0.1:2","metrics":"127.0.0.1:3","store":"127.0.0.1:4","order_lease_ms":2500,"configuration_apply_ms":3000,"configuration_grace_ms":6000,"stop_s":7.5}})";
+    "caller":"127.0.0.1:1","readiness":"127.0.0.1:2","metrics":"127.0.0.1:3","store":"127.0.0.1:4","order_lease_ms":2500,"configuration_apply_ms":3000,"configuration_grace_ms":6000,"memory_mb":88.5,"max_descriptors":1024,"stop_s":7.5}})";
 
 struct settings_case {
     const char* name;
@@ -20,6 +20,9 @@
     { "missing key", R"({"vm":"v","data_centre":"d","region":"r","gateway":{"caller":"127.0.0.1:1","readiness":"127.0.0.1:2","metrics":"127.0.0.1:3"}})", "store" },
     { "unknown key", R"({"vm":"v","data_centre":"d","region":"r","extra":1,"gateway":{"caller":"127.0.0.1:1","readiness":"127.0.0.1:2","metrics":"127.0.0.1:3","store":"127.0.0.1:4"}})", "extra" },
     { "host name instead of an IP address", R"({"vm":"v","data_centre":"d","region":"r","gateway":{"caller":"localhost:1","readiness":"127.0.0.1:2","metrics":"127.0.0.1:3","store":"127.0.0.1:4"}})", "localhost:1" },
+    { "no memory", R"({"vm":"v","data_centre":"d","region":"r","gateway":{"caller":"127.0.0.1:1","readiness":"127.0.0.1:2","metrics":"127.0.0.1:3","store":"127.0.0.1:4","memory_mb":0}})", "memory_mb" },
+    { "no descriptors", R"({"vm":"v","data_centre":"d","region":"r","gateway":{"caller":"127.0.0.1:1","readiness":"127.0.0.1:2","metrics":"127.0.0.1:3","store":"127.0.0.1:4","max_descriptors":0}})", "max_descriptors" },
+    { "descriptors that are no number", R"({"vm":"v","data_centre":"d","region":"r","gateway":{"caller":"127.0.0.1:1","readiness":"127.0.0.1:2","metrics":"127.0.0.1:3","store":"127.0.0.1:4","max_descriptors":"many"}})", "max_descriptors" },
 };
 
 }
@@ -37,6 +40,8 @@
     CHECK(settings.configurationGrace == std::chrono::milliseconds(6000));
     CHECK(settings.stopTime == std::chrono::milliseconds(7500));
     CHECK(settings.log.level == log_level::Warning);
+    CHECK(settings.memoryBytes == std::size_t { 177 } * 512 * 1024);
+    CHECK(settings.maxDescriptors == std::size_t { 1024 });
 }
 
 TEST_CASE("Invalid settings are reported by key or value and leave the settings unchanged")
