Platform: Encode orders of replicas, decode which replicas may be reclaimed

Cause: the platform takes orders of replicas by POST /scale and marks spot replicas in their list entries; neither was known. Change: encodeScaling(), and the fields spot and leaves_ms of a replica's entry. Odd values of both are ignored, since the replica can serve without them, as before.

--- a/src/libs/rollout/replicapool.h
+++ b/src/libs/rollout/replicapool.h
@@ -34,6 +34,10 @@
     std::string software;
     /// Version of the weights of each model.
     std::map<std::string, std::uint64_t, std::less<>> weights;
+    /// Whether the platform may reclaim the replica at any time.
+    bool isSpot = false;
+    /// Time that is left to a draining replica, as of the entry; empty when the replica does not say so.
+    std::optional<duration> leavesIn {};
 };
 
 /// Outcome of a request as it bears on the health of the replica.
--- a/tests/auto/platform/tst_dutycodec.cpp
+++ b/tests/auto/platform/tst_dutycodec.cpp
@@ -26,3 +26,14 @@
     for (const int status : { 0, 202, 400, 404, 500, 503 })
         CHECK(decodeDutyOutcome(status) == duty_outcome::Unknown);
 }
+
+TEST_CASE("An order of replicas names the service, the data centre and the number, and says whether they are spot replicas")
+{
+    const http_request regular = encodeScaling({ { "engines", "north-a", false }, 6 }, { "entry-a1", 12 });
+    CHECK(regular.target == "/scale");
+    CHECK(headerValue(regular.headers, "Duty-Holder") == "entry-a1");
+    CHECK(headerValue(regular.headers, "Fencing-Token") == "12");
+    CHECK(nlohmann::json::parse(regular.body) == nlohmann::json({ { "service", "engines" }, { "zone", "north-a" }, { "group_count", 6 } }));
+    const http_request spot = encodeScaling({ { "engines", "north-a", true }, 0 }, { "entry-a1", 12 });
+    CHECK(nlohmann::json::parse(spot.body) == nlohmann::json({ { "service", "engines" }, { "zone", "north-a" }, { "group_count", 0 }, { "spot", true } }));
+}
--- a/tests/auto/platform/tst_listcodec.cpp
+++ b/tests/auto/platform/tst_listcodec.cpp
@@ -114,6 +114,24 @@
 }
 
 // Odd entries of other writers ended the daemons that read them, or were taken for replicas of four billion slots.
+TEST_CASE("An entry says whether its replica may be reclaimed and how soon it leaves; odd values of both are ignored")
+{
+    const std::optional<replica_entry> leaving = decodeReplicaEntry("r-1", entryWith("spot", R"(true,"leaves_ms":2500.5)"));
+    REQUIRE(leaving);
+    CHECK(leaving->isSpot);
+    CHECK(leaving->leavesIn == std::chrono::milliseconds(2500));
+    const std::optional<replica_entry> regular = decodeReplicaEntry("r-1", entryWith("spot", "false"));
+    REQUIRE(regular);
+    CHECK(!regular->isSpot);
+    CHECK(!regular->leavesIn);
+    for (const char* odd : { "1", "\"true\"", "null", "true,\"leaves_ms\":-1", "true,\"leaves_ms\":1e300", "true,\"leaves_ms\":\"2500\"" }) {
+        const std::optional<replica_entry> entry = decodeReplicaEntry("r-1", entryWith("spot", odd));
+        REQUIRE(entry);
+        CHECK(!entry->leavesIn);
+        CHECK(entry->isSpot == std::string_view(odd).starts_with("true"));
+    }
+}
+
 TEST_CASE("An entry with an odd value names no replica")
 {
     REQUIRE(decodeReplicaEntry("i-1", entryWith("slots", "12")));
