Net, Gateway: Bound the answers that callers do not read

A trial of tst_callerbounds with 3,500 connections (a scratch copy; the test itself has 400) that pipeline requests to the metrics port and read nothing made the daemon grow by 115,264 KB: each held one complete answer.

The bytes of complete answers that callers have not read may be twice the bound of unfinished requests; over that the connection whose answer has waited longest is closed. An answer that is the only one is never cut off.

--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -132,6 +132,7 @@
         return {
             { counter("ragwortreach_connections_closed_unfinished_total", "Connections that were closed since the unfinished requests of all held too many bytes"), from.callers.closedForBytes },
             { counter("ragwortreach_pipelines_discarded_total", "Connections whose pipelined requests were discarded for the same reason"), from.callers.pipelinesDiscarded },
+            { counter("ragwortreach_connections_closed_unread_total", "Connections that were closed since answers that callers had not read held too many bytes"), from.callers.closedForUnread },
             { counter("ragwortreach_connections_closed_crowd_total", "Connections that were closed since too many were open"), from.callers.closedForCount },
             { counter("ragwortreach_accepts_failed_total", "Times that accepting a connection failed, mostly for want of file descriptors"), from.callers.acceptsFailed },
             { counter("ragwortreach_heads_too_large_total", "Requests that were refused since their head is larger than the limit"), from.callers.headersTooLarge },
--- a/src/libs/net/connectionguard.cpp
+++ b/src/libs/net/connectionguard.cpp
@@ -32,7 +32,7 @@
 connection_guard::connection_number connection_guard::add(port_number port, relief_handler onRelief)
 {
     const connection_number connection = ++m_lastConnection;
-    m_entries[connection] = { port, std::move(onRelief), 0, std::nullopt };
+    m_entries[connection] = { port, std::move(onRelief), 0, 0, std::nullopt };
     ++m_connectionsOfPort[port];
     setWaiting(connection);
     return connection;
@@ -54,6 +54,7 @@
     const auto it = m_entries.find(connection);
     if (it == m_entries.end() || !it->second.waitingSince)
         return;
+    setUnread(connection, 0);
     m_waiting.erase(*it->second.waitingSince);
     it->second.waitingSince.reset();
 }
@@ -81,10 +82,30 @@
         m_bySize.insert({ bytes, connection });
 }
 
+void connection_guard::setUnread(connection_number connection, std::size_t bytes)
+{
+    const auto it = m_entries.find(connection);
+    if (it == m_entries.end() || !it->second.waitingSince)
+        return;
+    m_unreadBytes = m_unreadBytes - it->second.unread + bytes;
+    it->second.unread = bytes;
+    if (bytes > 0)
+        m_unread.emplace(*it->second.waitingSince, connection);
+    else
+        m_unread.erase(*it->second.waitingSince);
+}
+
+bool connection_guard::isExceeded() const
+{
+    return m_unfinishedBytes > m_maxUnfinishedBytes || isUnreadExceeded() || m_entries.size() > maxConnections();
+}
+
 void connection_guard::enforce()
 {
     while (m_unfinishedBytes > m_maxUnfinishedBytes)
         relieve(m_bySize.begin()->connection, relief_reason::UnfinishedBytes);
+    while (isUnreadExceeded())
+        relieve(m_unread.begin()->second, relief_reason::UnreadAnswers);
     while (m_entries.size() > maxConnections()) {
         const std::optional<connection_number> connection = longestWaiting();
         if (!connection)
@@ -111,13 +132,27 @@
     return it->second;
 }
 
+std::uint64_t& connection_guard::counterOf(relief_reason reason)
+{
+    switch (reason) {
+    case relief_reason::UnfinishedBytes:
+        return m_counters.closedForBytes;
+    case relief_reason::UnreadAnswers:
+        return m_counters.closedForUnread;
+    case relief_reason::Connections:
+    case relief_reason::Descriptors:
+        break;
+    }
+    return m_counters.closedForCount;
+}
+
 void connection_guard::relieve(connection_number connection, relief_reason reason)
 {
     const entry& relieved = m_entries.at(connection);
     const relief_handler onRelief = relieved.onRelief;
     if (relieved.waitingSince) {
         remove(connection);
-        ++(reason == relief_reason::UnfinishedBytes ? m_counters.closedForBytes : m_counters.closedForCount);
+        ++counterOf(reason);
     } else {
         setUnfinished(connection, 0);
         ++m_counters.pipelinesDiscarded;
--- a/src/libs/net/connectionguard.h
+++ b/src/libs/net/connectionguard.h
@@ -14,6 +14,8 @@
 enum class relief_reason {
     /// The unfinished requests of all connections hold too many bytes.
     UnfinishedBytes,
+    /// Complete answers that callers have not read hold too many bytes.
+    UnreadAnswers,
     /// Too many connections are open.
     Connections,
     /// The process has no file descriptor left to accept a connection.
@@ -26,6 +28,8 @@
     std::uint64_t closedForBytes = 0;
     /// Connections with an open exchange whose pipelined requests were discarded for the same reason.
     std::uint64_t pipelinesDiscarded = 0;
+    /// Closed since complete answers that callers had not read held too many bytes.
+    std::uint64_t closedForUnread = 0;
     /// Closed since too many connections were open.
     std::uint64_t closedForCount = 0;
     /// Times that accepting a connection failed, mostly for want of file descriptors.
@@ -50,6 +54,9 @@
     using relief_handler = std::function<void()>;
 
     static constexpr std::size_t defaultUnfinishedBytes = std::size_t { 8 } * 1024 * 1024;
+    /// Bound of the bytes of unread answers, as a multiple of that of unfinished requests. Callers hold answers by right,
+    /// and a single one may be larger than the bound.
+    static constexpr std::size_t unreadShare = 2;
     /// Descriptors for replicas, the log, other daemons and files.
     static constexpr std::size_t reservedDescriptors = 200;
     static constexpr std::size_t minConnections = 16;
@@ -80,7 +87,10 @@
     /// The connection waits for its caller from now on: for a request, or for the caller to read a complete answer.
     void setWaiting(connection_number connection);
     void setUnfinished(connection_number connection, std::size_t bytes);
+    /// Bytes of a complete answer that wait for the caller. Ignored while the connection is served.
+    void setUnread(connection_number connection, std::size_t bytes);
 
+    bool isExceeded() const;
     /// Relieves connections until the bounds hold, as far as connections may be relieved.
     void enforce();
     /// Closes the connection that has waited longest, since no descriptor is left to accept another one.
@@ -97,6 +107,7 @@
         port_number port = 0;
         relief_handler onRelief;
         std::size_t unfinished = 0;
+        std::size_t unread = 0;
         /// Orders the connections by the time since which they wait; empty while the connection is served.
         std::optional<std::uint64_t> waitingSince;
     };
@@ -111,7 +122,9 @@
         }
     };
 
+    bool isUnreadExceeded() const { return m_unreadBytes > m_maxUnfinishedBytes * unreadShare && m_unread.size() > 1; }
     std::optional<connection_number> longestWaiting() const;
+    std::uint64_t& counterOf(relief_reason reason);
     void relieve(connection_number connection, relief_reason reason);
 
     std::size_t m_maxUnfinishedBytes = defaultUnfinishedBytes;
@@ -121,8 +134,11 @@
     std::set<by_size> m_bySize;
     /// Connections that may be closed, by the order in which they began to wait.
     std::map<std::uint64_t, connection_number> m_waiting;
+    /// Those of them with an unread answer.
+    std::map<std::uint64_t, connection_number> m_unread;
     std::map<port_number, std::size_t> m_connectionsOfPort;
     std::size_t m_unfinishedBytes = 0;
+    std::size_t m_unreadBytes = 0;
     std::uint64_t m_lastWait = 0;
     connection_number m_lastConnection = 0;
     port_number m_lastPort = 0;
--- a/src/libs/net/httpsession.cpp
+++ b/src/libs/net/httpsession.cpp
@@ -3,6 +3,7 @@
 #include <core/resultcode.h>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/read.hpp>
@@ -456,6 +457,10 @@
     if (m_isChunked && !m_isHead)
         m_pending += "0\r\n\r\n";
     flush();
+    m_server->guard->setUnread(m_connection, queuedBytes());
+    // The handler that ended the answer is still running, so no connection is closed here.
+    if (m_server->guard->isExceeded())
+        boost::asio::post(m_socket.get_executor(), [server = m_server] { server->guard->enforce(); });
 }
 
 void http_session::abort()
@@ -510,6 +515,8 @@
         freeMemory(m_sending);
     m_sending.clear();
     m_heldAnswer.set(queuedBytes());
+    if (m_isAnswerComplete)
+        m_server->guard->setUnread(m_connection, queuedBytes());
 }
 
 void http_session::completeExchange()
--- a/tests/auto/net/tst_connectionguard.cpp
+++ b/tests/auto/net/tst_connectionguard.cpp
@@ -187,3 +187,33 @@
     CHECK(noting.relieved == "a");
     CHECK(guard.counters().acceptsFailed == 2);
 }
+
+TEST_CASE("Of the answers that nobody reads, the one that has waited longest is dropped, and a single one never")
+{
+    noting_guard noting;
+    connection_guard& guard = noting.guard;
+    guard.setUnfinishedBytes(500);
+    const connection_guard::port_number port = guard.addPort();
+    const auto a = noting.add(port, 'a');
+    const auto b = noting.add(port, 'b');
+    const auto c = noting.add(port, 'c');
+    guard.setUnread(c, 400);
+    guard.setUnread(b, 600);
+    guard.enforce();
+    CHECK(noting.relieved.empty());
+    CHECK_FALSE(guard.isExceeded());
+    guard.setServed(a);
+    guard.setUnread(a, 5000);
+    CHECK_FALSE(guard.isExceeded());
+    guard.setWaiting(a);
+    guard.setUnread(a, 5000);
+    CHECK(guard.isExceeded());
+    guard.enforce();
+    CHECK(noting.relieved == "bc");
+    CHECK(guard.counters().closedForUnread == 2);
+    guard.setServed(a);
+    guard.setUnread(noting.add(port, 'd'), 1000);
+    guard.setUnread(noting.add(port, 'e'), 1);
+    guard.enforce();
+    CHECK(noting.relieved == "bcd");
+}
--- a/tests/auto/net/tst_httpserver.cpp
+++ b/tests/auto/net/tst_httpserver.cpp
@@ -587,3 +587,19 @@
     CHECK((failures - 1) * std::chrono::milliseconds(20) <= took);
     CHECK(guarded.readAll(socket).find("200 OK") != std::string::npos);
 }
+
+TEST_CASE("Answers that callers do not read are held within the bound of the process")
+{
+    constexpr std::size_t answerBytes = std::size_t { 8 } * 1024 * 1024;
+    guarded_server guarded([](const http_exchange& exchange) { exchange.respond({ 200, { { "Connection", "close" } }, std::string(answerBytes, 'a') }); });
+    // Two of the answers are over the bound.
+    guarded.guard->setUnfinishedBytes(answerBytes - 1);
+    constexpr std::size_t callers = 4;
+    std::vector<tcp::socket> sockets;
+    sockets.reserve(callers);
+    for (std::size_t number = 0; number < callers; ++number)
+        sockets.push_back(guarded.connect("GET / HTTP/1.1\r\nConnection: close\r\n\r\n"));
+    CHECK(guarded.runUntil([&] { return guarded.guard->counters().closedForUnread == 3; }));
+    CHECK(guarded.readAll(sockets[3]).size() > answerBytes);
+    CHECK(guarded.guard->counters().closedForUnread == 3);
+}
