Rollout: Release replicas again in a data centre that lost some beyond the need

Cause: a group with fewer replicas than ordered, which no load needed, counted as losing replicas for ever, so none was released there any more. Change: another number than was ordered is taken for ordered after 60 s, in both directions. The test of reclaimed spot replicas lets the platform have others, so that an order of them would show.

--- a/src/libs/rollout/scalingplan.cpp
+++ b/src/libs/rollout/scalingplan.cpp
@@ -188,14 +188,14 @@
         known.ordered = listed;
     if (listed >= known.ordered)
         known.isRepeated = false;
-    if (!isSettled || listed <= known.ordered) {
-        known.aboveSince.reset();
+    if (!isSettled || listed == known.ordered) {
+        known.differsSince.reset();
         return;
     }
-    if (!known.aboveSince)
-        known.aboveSince = now;
-    // More replicas for a short time are rather those of an upgrade than those of another order.
-    if (now - *known.aboveSince >= quietTime)
+    if (!known.differsSince)
+        known.differsSince = now;
+    // More replicas for a short time are rather those of an upgrade than those of another order, and lost ones may return.
+    if (now - *known.differsSince >= quietTime)
         known.ordered = listed;
 }
 
--- a/src/libs/rollout/scalingplan.h
+++ b/src/libs/rollout/scalingplan.h
@@ -91,8 +91,8 @@
         instant settlesAt {};
         /// The last order replaced lost replicas, and had the number of the one before.
         bool isRepeated = false;
-        /// Since when more were listed than ordered.
-        std::optional<instant> aboveSince;
+        /// Since when another number was listed than ordered.
+        std::optional<instant> differsSince;
     };
     struct service_state {
         /// The last demands as they were observed.
--- a/tests/auto/rollout/tst_scalingplan.cpp
+++ b/tests/auto/rollout/tst_scalingplan.cpp
@@ -245,7 +245,6 @@
     load.draining.assign(load.running[{ "engines", "b", true }], { { "engines", "b", true }, true });
     REQUIRE(!load.draining.empty());
     load.setRunning("b", true, 0);
-    load.hasSpot = false;
     load.run(2s + startTime);
     CHECK(load.total() >= total);
     REQUIRE(load.orders.size() > before);
@@ -256,6 +255,20 @@
     CHECK(load.ordersDown() == 0);
 }
 
+// Replicas were released where others had just been lost, or never again.
+TEST_CASE("In a data centre that lost replicas beyond the need none is released for a minute, and later as usual")
+{
+    replay load(3);
+    load.runBatch(0, 50s);
+    load.setRunning("c", false, 2);
+    load.run(58s);
+    CHECK(load.ordersDown() > 0);
+    for (const accepted_order& item : load.orders)
+        CHECK(item.order.group.dataCentre != "c");
+    load.run(400s);
+    CHECK(load.total() == 3);
+}
+
 // An order of spot replicas that were not to be had was repeated while the load waited.
 TEST_CASE("A refused order of spot replicas is replaced by one of regular ones for a minute")
 {
