Rollout: Let batches ask for no more replicas than are listed

Cause: a burst of items, which the replicas work off in time, counted as a demand of all replicas, to which the plan adds a quarter. Change: the demand of batches is capped so that with the quarter on top it is the number listed. Lost replicas are still replaced.

--- a/src/libs/rollout/replicademand.cpp
+++ b/src/libs/rollout/replicademand.cpp
@@ -54,7 +54,7 @@
         }
         // Without a replica, one is busy as soon as there is work, so that the first one is ordered.
         const double available = static_cast<double>(std::max<std::size_t>(1, countListed(pool, service.name)));
-        demand.batch = std::min(available, static_cast<double>(items) / std::max(1U, service.engine->slots));
+        demand.batch = std::min(available / scaling_plan::headroom, static_cast<double>(items) / std::max(1U, service.engine->slots));
     }
     return demands;
 }
--- a/src/libs/rollout/scalingplan.cpp
+++ b/src/libs/rollout/scalingplan.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-    /// Replicas for each busy one: a quarter is left for load that grows while new replicas start.
-    constexpr double headroom = 1.25;
     /// The median of three looks leaves out a peak that only one of them shows, and follows a step at the second.
     constexpr std::size_t smoothedLooks = 3;
     constexpr int lowerDelayStarts = 4;
@@ -19,7 +17,7 @@
     std::uint32_t replicasFor(double busy)
     {
         constexpr double tolerance = 1e-3;
-        return static_cast<std::uint32_t>(std::ceil(std::clamp(busy * headroom - tolerance, 0.0, 1e6)));
+        return static_cast<std::uint32_t>(std::ceil(std::clamp(busy * scaling_plan::headroom - tolerance, 0.0, 1e6)));
     }
 
     double median(std::vector<double> values)
--- a/src/libs/rollout/scalingplan.h
+++ b/src/libs/rollout/scalingplan.h
@@ -54,6 +54,8 @@
 /// shrinks in small steps. Regular replicas serve the customers and the part of the load that is always there.
 class scaling_plan {
 public:
+    /// Replicas for each busy one: a quarter is left for load that grows while new replicas start.
+    static constexpr double headroom = 1.25;
     /// No order is given before the demand and the list were observed for this time.
     static constexpr duration observationTime = std::chrono::seconds(10);
     /// The number of replicas shrinks only when the load was lower for this time, or for several start times if that is longer.
