--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -112,7 +112,7 @@
         };
     }
 
-    std::vector<reading> dutyReadings(const duty_counters& duties, const usage_counters& usage)
+    std::vector<reading> dutyReadings(const duty_counters& duties, const usage_counters& usage, const scaling_counters& scaling)
     {
         return {
             { counter("ragwortreach_duty_calls_total", "Calls to the platform that one daemon at a time makes"), duties.sent },
@@ -124,6 +124,24 @@
             { counter("ragwortreach_usage_windows_incomplete_total", "Of these, windows that a process had not closed in time"), usage.incomplete },
             { counter("ragwortreach_usage_reports_accepted_total", "Reports of usage that the platform accepted from this daemon"), usage.accepted },
             { counter("ragwortreach_usage_records_unreadable_total", "Records of usage that were skipped"), usage.unreadable },
+            { counter("ragwortreach_replica_orders_total", "Orders of a number of replicas that this daemon sent"), scaling.ordered },
+            { counter("ragwortreach_replica_orders_accepted_total", "Of these, orders that the platform accepted"), scaling.accepted },
+            { counter("ragwortreach_replica_orders_unavailable_total", "Of these, orders of spot replicas when there were none"), scaling.unavailable },
+        };
+    }
+
+    std::vector<reading> connectionReadings(const gateway_readings& from)
+    {
+        return {
+            { counter("ragwortreach_connections_closed_unfinished_total", "Connections that were closed since the unfinished requests of all held too many bytes"), from.callers.closedForBytes },
+            { counter("ragwortreach_pipelines_discarded_total", "Connections whose pipelined requests were discarded for the same reason"), from.callers.pipelinesDiscarded },
+            { counter("ragwortreach_connections_closed_unread_total", "Connections that were closed since answers that callers had not read held too many bytes"), from.callers.closedForUnread },
+            { counter("ragwortreach_connections_closed_crowd_total", "Connections that were closed since too many were open"), from.callers.closedForCount },
+            { counter("ragwortreach_accepts_failed_total", "Times that accepting a connection failed, mostly for want of file descriptors"), from.callers.acceptsFailed },
+            { counter("ragwortreach_heads_too_large_total", "Requests that were refused since their head is larger than the limit"), from.callers.headersTooLarge },
+            { counter("ragwortreach_malformed_requests_total", "Requests that were refused since they cannot be parsed"), from.callers.malformed },
+            { gauge("ragwortreach_connections_open", "Connections of callers, of all ports"), from.connections },
+            { gauge("ragwortreach_unfinished_request_bytes", "Bytes of unfinished requests that the daemon holds"), from.unfinishedBytes },
         };
     }
 
@@ -241,7 +259,8 @@
     add(all, factReadings(from.facts));
     add(all, rewardReadings(from.rewards, from.rewardLatency));
     add(all, workReadings(from.work));
-    add(all, dutyReadings(from.duties, from.usage));
+    add(all, dutyReadings(from.duties, from.usage, from.scaling));
+    add(all, connectionReadings(from));
     return all.prometheusText();
 }
 
--- a/src/libs/gateway/gatewaymetrics.h
+++ b/src/libs/gateway/gatewaymetrics.h
@@ -8,12 +8,14 @@
 #include "journal.h"
 #include "platformview.h"
 #include "progressstore.h"
+#include "replicascaler.h"
 #include "rewardcaller.h"
 #include "streamfinder.h"
 #include "usagereporter.h"
 #include "weightorderer.h"
 #include "workwatch.h"
 
+#include <net/connectionguard.h>
 #include <rollout/itemscheduler.h>
 
 #include <string>
@@ -51,11 +53,15 @@
     admission_counters admissions;
     duty_counters duties;
     usage_counters usage;
+    scaling_counters scaling;
     std::uint64_t configuration = 0;
     std::size_t openCalls = 0;
     std::size_t runs = 0;
     std::size_t recordsWaiting = 0;
     bool isReady = false;
+    connection_counters callers;
+    std::size_t connections = 0;
+    std::size_t unfinishedBytes = 0;
 };
 
 /// \a readings in the Prometheus text format, version 0.0.4.
--- a/tests/auto/system/platformfleet.h
+++ b/tests/auto/system/platformfleet.h
@@ -67,6 +67,8 @@
     std::string readiness(std::size_t daemon) const { return m_settings[daemon]["gateway"]["readiness"]; }
     /// Text of the metrics of a daemon.
     std::string metrics(std::size_t daemon) const;
+    /// Address that the settings "gateway" of a daemon have under \a key.
+    std::string address(std::size_t daemon, const std::string& key) const { return m_settings[daemon]["gateway"][key]; }
     daemon_process& daemon(std::size_t daemon) { return *m_daemons[daemon]; }
     /// Starts \a daemon, from \a program if that is not empty.
     void start(std::size_t daemon, const std::string& program = {});
@@ -86,6 +88,8 @@
     void setGatewaySetting(std::size_t daemon, const std::string& name, const nlohmann::json& value) { m_settings[daemon]["gateway"][name] = value; }
     /// Writes the configuration with \a organisations, in the platform's format, with \a version, to the store.
     void configureOrganisations(int version, const nlohmann::json& organisations);
+    /// Writes the configuration with the bounds \a scaling, in the platform's format, for the replicas of the shop, with \a version, to the store.
+    void configureScaling(int version, const nlohmann::json& scaling);
     /// Writes the configuration without the route "rewards", with \a version, to the store.
     void dropRewardRoute(int version);
     /// Writes the configuration with the route "rewards" to \a service, with \a version, to the store.
