Net, Rollout, Gateway: Mend what a review of connection bounds and replica orders found

Cause: an unanswered release could be repeated below what is needed; an order that is repeated was not checked against the lease when its data centre had left the view; replicas that were released could not be ordered back, since batches ask for no more than are listed; an empty buffer of 64 KiB that a long chunk line had left was not counted.

--- a/src/libs/gateway/replicascaler.cpp
+++ b/src/libs/gateway/replicascaler.cpp
@@ -87,6 +87,9 @@
     }
     if (m_batches.isReady() && now - m_batches.confirmedAt() < maxKnowledgeAge)
         result.demands = replicaDemands(configuration, m_batches.ledger(), m_pool, m_batches.fetchBatchesOf(scaledModels(configuration)));
+    // Batches ask for no more replicas than are listed, so one that was released would not be ordered again.
+    for (std::pair<const std::string, service_demand>& demand : result.demands)
+        demand.second.isComplete = false;
     for (const std::pair<std::string, std::string>& site : sites) {
         if (!m_caller.mayCall(subjectOf(site.first, site.second)))
             result.barred.insert(site);
@@ -96,6 +99,9 @@
 
 void replica_scaler::send(const scaling_order& order)
 {
+    // An order that is repeated may be for a data centre that is no longer in the view.
+    if (!m_caller.mayCall(subjectOf(order.group.service, order.group.dataCentre)))
+        return;
     m_isCalling = true;
     ++m_counters.ordered;
     m_caller.call(
--- a/src/libs/net/connectionguard.cpp
+++ b/src/libs/net/connectionguard.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-    constexpr std::size_t memoryShare = 16;
+    constexpr std::size_t memoryDivisor = 16;
     constexpr std::size_t minUnfinishedBytes = std::size_t { 2 } * 1024 * 1024;
     constexpr std::size_t maxUnfinishedBytes = std::size_t { 32 } * 1024 * 1024;
 
@@ -15,7 +15,7 @@
 
 std::size_t connection_guard::unfinishedBytesFor(std::size_t memoryBytes)
 {
-    return std::clamp(memoryBytes / memoryShare, minUnfinishedBytes, maxUnfinishedBytes);
+    return std::clamp(memoryBytes / memoryDivisor, minUnfinishedBytes, maxUnfinishedBytes);
 }
 
 std::size_t connection_guard::connectionsFor(std::size_t descriptors)
--- a/src/libs/net/connectionguard.h
+++ b/src/libs/net/connectionguard.h
@@ -49,14 +49,14 @@
 public:
     using port_number = std::uint32_t;
     using connection_number = std::uint64_t;
-    /// Closes the connection, or discards its pipelined requests while an exchange is open on it. It must not call the
-    /// guard before the connection has done so.
+    /// Closes the connection, or discards its pipelined requests while an exchange is open on it. It may remove
+    /// its own connection.
     using relief_handler = std::function<void()>;
 
     static constexpr std::size_t defaultUnfinishedBytes = std::size_t { 8 } * 1024 * 1024;
-    /// Bound of the bytes of unread answers, as a multiple of that of unfinished requests. Callers hold answers by right,
-    /// and a single one may be larger than the bound.
-    static constexpr std::size_t unreadShare = 2;
+    /// Bound of the bytes of unread answers, as a multiple of that of unfinished requests. Answers take room that
+    /// callers are entitled to, and a single one may be larger than the bound.
+    static constexpr std::size_t unreadFactor = 2;
     /// Descriptors for replicas, the log, other daemons and files.
     static constexpr std::size_t reservedDescriptors = 200;
     static constexpr std::size_t minConnections = 16;
@@ -122,7 +122,7 @@
         }
     };
 
-    bool isUnreadExceeded() const { return m_unreadBytes > m_maxUnfinishedBytes * unreadShare && m_unread.size() > 1; }
+    bool isUnreadExceeded() const { return m_unreadBytes > m_maxUnfinishedBytes * unreadFactor && m_unread.size() > 1; }
     std::optional<connection_number> longestWaiting() const;
     std::uint64_t& counterOf(relief_reason reason);
     void relieve(connection_number connection, relief_reason reason);
--- a/src/libs/net/httpsession.cpp
+++ b/src/libs/net/httpsession.cpp
@@ -276,6 +276,8 @@
 void http_session::reportUnfinished()
 {
     const self_pointer self(this);
+    if (m_buffer.size() == 0)
+        shrinkBuffer();
     // An empty buffer is at most of the size that is kept.
     const std::size_t buffered = m_buffer.size() == 0 ? 0 : m_buffer.capacity();
     m_server->guard->setUnfinished(m_connection, m_headBytes + buffered);
--- a/src/libs/rollout/scalingplan.cpp
+++ b/src/libs/rollout/scalingplan.cpp
@@ -283,10 +283,10 @@
         const service_view known = viewOf(service, view);
         if (m_unanswered && m_unanswered->group.service == service.name) {
             const replica_group& group = m_unanswered->group;
-            const bool isLowering = m_unanswered->count < m_groups[group].ordered;
+            const std::uint32_t released = difference(m_groups[group].ordered, m_unanswered->count);
             const bool isBarred = view.barred.contains({ group.service, group.dataCentre });
             // An order to release replicas is not repeated when they are needed again.
-            if (!isBarred && (!isLowering || known.total() > known.need.total))
+            if (!isBarred && (released == 0 || difference(known.total(), released) >= known.need.kept))
                 return m_unanswered;
         }
         std::optional<scaling_order> order = planService(known);
