--- a/src/libs/gateway/callrelay.cpp
+++ b/src/libs/gateway/callrelay.cpp
@@ -359,7 +359,7 @@
     const platform::replica_request_options sent { call.replica.id, call.progress.deadline - now, call.answer.lastEvent(), call.caller.identity.organisation };
     openAttempt(number, platform::encodeReplicaRequest(call.exchange.request(), sent), hasAlternative);
     // A model engine begins a request with its first token, a plain service when it gets it.
-    if (!isAtEngine(call))
+    if (call.caller.identity.organisation && !isAtEngine(call))
         noteBegun(call);
 }
 
--- a/src/libs/gateway/replicascaler.cpp
+++ b/src/libs/gateway/replicascaler.cpp
@@ -17,8 +17,6 @@
     /// Replicas and batches that were confirmed longer ago are not known. A read of the log waits for up to a second when
     /// nothing is written.
     constexpr duration maxKnowledgeAge = std::chrono::seconds(4);
-    constexpr duration firstRetryPause = std::chrono::milliseconds(300);
-    constexpr duration maxRetryPause = std::chrono::seconds(2);
 
     /// The platform compares the fencing tokens of the orders for a service in a data centre, of both kinds of replicas.
     duty_subject subjectOf(const std::string& service, const std::string& dataCentre)
@@ -49,7 +47,7 @@
     m_lookedAt = now;
     const scaling_view known = view(now);
     m_plan.observe(known);
-    if (m_isCalling || now < m_retryAt)
+    if (m_isCalling || !m_pause.isOver(now))
         return;
     const std::optional<scaling_order> order = m_plan.next(known);
     if (order)
@@ -62,7 +60,7 @@
     if (isHolder == std::exchange(m_isHolder, isHolder))
         return;
     m_plan.clear();
-    m_retryPause = {};
+    m_pause.reset();
     m_log.write(log_line(log_level::Info, "scaling_holder").with("is_holder", isHolder).with("fencing", m_leases.fencingToken(leaseName)));
 }
 
@@ -130,7 +128,7 @@
     switch (outcome) {
     case platform::duty_outcome::Done:
         ++m_counters.accepted;
-        m_retryPause = {};
+        m_pause.reset();
         return scaling_outcome::Accepted;
     case platform::duty_outcome::Refused:
         if (order.group.isSpot) {
@@ -143,8 +141,7 @@
     case platform::duty_outcome::Unknown:
         break;
     }
-    m_retryPause = std::clamp(2 * m_retryPause, firstRetryPause, maxRetryPause);
-    m_retryAt = bootNow() + m_retryPause;
+    m_pause.noteFailure(bootNow());
     return outcome == platform::duty_outcome::Unknown ? scaling_outcome::Unknown : scaling_outcome::Refused;
 }
 
--- a/src/libs/gateway/replicascaler.h
+++ b/src/libs/gateway/replicascaler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dutycaller.h"
+#include "dutypause.h"
 #include "journal.h"
 #include "topicfollower.h"
 
@@ -54,9 +55,8 @@
     bool m_isHolder = false;
     bool m_isCalling = false;
     instant m_lookedAt {};
-    /// Time before which no order is sent, after one without an answer or one call too many.
-    instant m_retryAt {};
-    duration m_retryPause {};
+    /// No order is sent during it, after one without an answer or one call too many.
+    duty_pause m_pause;
     scaling_counters m_counters;
 };
 
--- a/src/libs/gateway/usagereporter.cpp
+++ b/src/libs/gateway/usagereporter.cpp
@@ -20,8 +20,6 @@
     constexpr duration minWriteInterval = std::chrono::seconds(1);
     /// Each append takes a few milliseconds of the partition's time, so the processes of a large fleet write more rarely.
     constexpr duration writeTimePerDaemon = std::chrono::milliseconds(10);
-    constexpr duration firstRetryPause = std::chrono::milliseconds(300);
-    constexpr duration maxRetryPause = std::chrono::seconds(2);
     constexpr duration removalInterval = std::chrono::seconds(5);
     constexpr std::size_t maxRemovals = 200;
     /// Windows of which the number of tries is kept; older ones are not reported any more.
@@ -127,7 +125,7 @@
         if (!m_written.contains(addition.window))
             write(addition);
     }
-    if (m_isCalling || now < m_retryAt)
+    if (m_isCalling || !m_pause.isOver(now))
         return;
     const std::vector<usage_report>::const_iterator next = std::min_element(steps.calls.begin(), steps.calls.end(),
         [this](const usage_report& left, const usage_report& right) { return m_tries[left.window] < m_tries[right.window]; });
@@ -170,7 +168,7 @@
     switch (outcome) {
     case platform::duty_outcome::Done:
         ++m_counters.accepted;
-        m_retryPause = {};
+        m_pause.reset();
         m_ledger.apply("accepted/" + std::to_string(report.window), usage_accepted { report.window }, 0);
         m_writer.write({ encode("accepted/" + std::to_string(report.window), usage_accepted { report.window }) }, write_mode::FailOnRefusal, {});
         return;
@@ -179,8 +177,7 @@
         return;
     case platform::duty_outcome::TooMany:
     case platform::duty_outcome::Unknown:
-        m_retryPause = std::clamp(2 * m_retryPause, firstRetryPause, maxRetryPause);
-        m_retryAt = bootNow() + m_retryPause;
+        m_pause.noteFailure(bootNow());
         return;
     }
 }
--- a/src/libs/gateway/usagereporter.h
+++ b/src/libs/gateway/usagereporter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dutycaller.h"
+#include "dutypause.h"
 #include "partitionwriter.h"
 #include "topicfollower.h"
 
@@ -87,9 +88,8 @@
     bool m_isRemoving = false;
     instant m_countsWrittenAt {};
     instant m_removedAt {};
-    /// Time before which no report is sent, after one that was not accepted.
-    instant m_retryAt {};
-    duration m_retryPause {};
+    /// No report is sent during it, after one that was not accepted.
+    duty_pause m_pause;
     usage_counters m_counters;
 };
 
--- a/src/libs/rollout/usageledger.cpp
+++ b/src/libs/rollout/usageledger.cpp
@@ -46,19 +46,19 @@
 void usage_ledger::apply(const std::string& key, const std::optional<usage_record>& record, std::uint64_t offset)
 {
     if (record) {
-        m_keys[key].lastWindow = std::visit(usage_visitor(*this, key, offset), *record);
+        m_lastWindows[key] = std::visit(usage_visitor(*this, key, offset), *record);
         return;
     }
-    const auto known = m_keys.find(key);
-    if (known == m_keys.end())
+    const auto known = m_lastWindows.find(key);
+    if (known == m_lastWindows.end())
         return;
     // A process may have counted again while the removal of its last record was under way, so that record proves nothing
     // of the reports.
     if (m_processes.erase(key) == 0) {
-        m_reports.erase(known->second.lastWindow);
-        m_accepted.erase(known->second.lastWindow);
+        m_reports.erase(known->second);
+        m_accepted.erase(known->second);
     }
-    m_keys.erase(known);
+    m_lastWindows.erase(known);
 }
 
 const usage_report* usage_ledger::reportOf(std::uint64_t window) const
@@ -92,8 +92,8 @@
 std::vector<std::string> usage_ledger::keysBefore(std::uint64_t window, std::size_t max) const
 {
     std::vector<std::string> keys;
-    for (const std::pair<const std::string, logged_key>& item : m_keys) {
-        if (keys.size() < max && item.second.lastWindow < window)
+    for (const std::pair<const std::string, std::uint64_t>& item : m_lastWindows) {
+        if (keys.size() < max && item.second < window)
             keys.push_back(item.first);
     }
     return keys;
--- a/src/libs/rollout/usageledger.h
+++ b/src/libs/rollout/usageledger.h
@@ -38,15 +38,12 @@
         usage_report report;
         std::uint64_t offset = 0;
     };
-    /// Newest window that a record concerns.
-    struct logged_key {
-        std::uint64_t lastWindow = 0;
-    };
 
     std::map<std::string, process_usage, std::less<>> m_processes;
     std::map<std::uint64_t, logged_report> m_reports;
     std::set<std::uint64_t> m_accepted;
-    std::map<std::string, logged_key, std::less<>> m_keys;
+    /// Newest window that the record of each key concerns.
+    std::map<std::string, std::uint64_t, std::less<>> m_lastWindows;
 };
 
 }
--- a/tests/auto/system/platformfleet.cpp
+++ b/tests/auto/system/platformfleet.cpp
@@ -135,6 +135,20 @@
     writeConfiguration(configuration(version, addedRollouts));
 }
 
+std::size_t platform_fleet::daemonOn(const std::string& vm) const
+{
+    const auto isOnVm = [&vm](const std::unique_ptr<daemon_process>& daemon) { return daemon->vm() == vm; };
+    return static_cast<std::size_t>(std::find_if(m_daemons.begin(), m_daemons.end(), isOnVm) - m_daemons.begin());
+}
+
+http_reply platform_fleet::callShop(std::size_t daemon, const std::string& id, const std::string& key, header_map headers) const
+{
+    headers.insert({ { "Host", "lace.example" }, { "Request-Id", id }, { "Deadline-Ms", "5000" } });
+    if (!key.empty())
+        headers["Authorization"] = "Bearer " + key;
+    return send(caller(daemon), "POST", "/score/1", "linen", headers);
+}
+
 std::string platform_fleet::metrics(std::size_t daemon) const
 {
     return send(m_settings[daemon]["gateway"]["metrics"], "GET", "/metrics").body;
--- a/tests/auto/system/platformfleet.h
+++ b/tests/auto/system/platformfleet.h
@@ -2,6 +2,7 @@
 
 #include "daemonprocess.h"
 
+#include <client/testclient.h>
 #include <platform/dutystandin.h>
 #include <platform/replicastandin.h>
 #include <platform/storestandin.h>
@@ -70,6 +71,10 @@
     /// Address that the settings "gateway" of a daemon have under \a key.
     std::string address(std::size_t daemon, const std::string& key) const { return m_settings[daemon]["gateway"][key]; }
     daemon_process& daemon(std::size_t daemon) { return *m_daemons[daemon]; }
+    /// Index of the daemon on \a vm; the number of daemons when there is none.
+    std::size_t daemonOn(const std::string& vm) const;
+    /// Reply of a daemon to the request \a id to the shop with \a key, or without one when it is empty.
+    http_reply callShop(std::size_t daemon, const std::string& id, const std::string& key, header_map headers = {}) const;
     /// Starts \a daemon, from \a program if that is not empty.
     void start(std::size_t daemon, const std::string& program = {});
     /// Kills \a daemon and starts it again, from \a program if that is not empty.
--- a/tests/auto/system/tst_organisations.cpp
+++ b/tests/auto/system/tst_organisations.cpp
@@ -33,20 +33,10 @@
         configureOrganisations(2, organisationsWith({ "guild-key", "other-guild-key" }));
         for (std::size_t daemon = 0; daemon < daemons; ++daemon) {
             waitReady(daemon);
-            waitUntil([this, daemon] { return callShop(*this, daemon, "probe", "no-key").status == 401; });
+            waitUntil([this, daemon] { return callShop(daemon, "probe", "no-key").status == 401; });
         }
     }
 
-    static http_reply callShop(const platform_fleet& fleet, std::size_t daemon, const std::string& id, const std::string& key, header_map headers = {})
-    {
-        headers.insert({ { "Host", "lace.example" }, { "Request-Id", id }, { "Deadline-Ms", "5000" } });
-        if (!key.empty())
-            headers["Authorization"] = "Bearer " + key;
-        return send(fleet.caller(daemon), "POST", "/score/1", "linen", headers);
-    }
-
-    http_reply call(std::size_t daemon, const std::string& id, const std::string& key, const header_map& headers = {}) const { return callShop(*this, daemon, id, key, headers); }
-
     http_reply callBatch(std::size_t daemon, const std::string& method, const std::string& key) const
     {
         return send(caller(daemon), method, "/api/lots/b-1?after=0", nullptr, { { "Host", "lace.example" }, { "Authorization", "Bearer " + key } });
@@ -94,10 +84,10 @@
 TEST_CASE("A replica is told the organisation of the key and never the key, whatever the caller sends")
 {
     keyed_fleet fleet(1);
-    CHECK(fleet.call(0, "c-1", "guild-key", { { "Tenant", "weavers" } }).status == 200);
-    CHECK(fleet.call(0, "c-2", "weavers-key").status == 200);
+    CHECK(fleet.callShop(0, "c-1", "guild-key", { { "Tenant", "weavers" } }).status == 200);
+    CHECK(fleet.callShop(0, "c-2", "weavers-key").status == 200);
     for (const char* const key : { "", "guild-ke", "guild-key2", "unknown" })
-        CHECK(fleet.call(0, "c-3", key).status == 401);
+        CHECK(fleet.callShop(0, "c-3", key).status == 401);
     CHECK(fleet.organisationsAtShop() == std::map<std::string, std::string> { { "c-1", "guild" }, { "c-2", "weavers" } });
     CHECK_FALSE(fleet.hasReplicaSeenKey());
 }
@@ -108,8 +98,8 @@
     fleet.configureOrganisations(3, organisationsWith({ "other-guild-key", "added-key" }));
     for (std::size_t daemon = 0; daemon < 2; ++daemon) {
         const std::string id = "c-" + std::to_string(daemon);
-        CHECK(waitUntil([&fleet, daemon, &id] { return fleet.call(daemon, id, "added-key").status == 200; }));
-        CHECK(fleet.call(daemon, id + "-old", "guild-key").status == 401);
+        CHECK(waitUntil([&fleet, daemon, &id] { return fleet.callShop(daemon, id, "added-key").status == 200; }));
+        CHECK(fleet.callShop(daemon, id + "-old", "guild-key").status == 401);
     }
     CHECK_FALSE(fleet.organisationsAtShop().contains("c-0-old"));
 }
@@ -124,13 +114,13 @@
         fleet.configureOrganisations(3, organisationsWith({ "other-guild-key" }));
         std::this_thread::sleep_for(revocationTime);
         const std::size_t runs = fleet.runsAtShop();
-        const http_reply reply = fleet.call(0, "c-1", "guild-key");
+        const http_reply reply = fleet.callShop(0, "c-1", "guild-key");
         CHECK(reply.status == 503);
         CHECK(reply.headers.contains("Retry-After"));
         CHECK(fleet.runsAtShop() == runs);
         fleet.setStoreAccess(0, store_access::Serving);
-        CHECK(waitUntil([&fleet] { return fleet.call(0, "c-2", "guild-key").status == 401; }));
-        CHECK(waitUntil([&fleet] { return fleet.call(0, "c-3", "other-guild-key").status == 200; }));
+        CHECK(waitUntil([&fleet] { return fleet.callShop(0, "c-2", "guild-key").status == 401; }));
+        CHECK(waitUntil([&fleet] { return fleet.callShop(0, "c-3", "other-guild-key").status == 200; }));
     }
 }
 
@@ -143,9 +133,9 @@
     fleet.configureOrganisations(3, organisationsWith({ "other-guild-key" }));
     std::this_thread::sleep_for(revocationTime);
     fleet.daemon(0).signal(SIGCONT);
-    CHECK(fleet.call(0, "c-1", "guild-key").status == 503);
+    CHECK(fleet.callShop(0, "c-1", "guild-key").status == 503);
     fleet.restart(0);
-    CHECK(waitUntil([&fleet] { return fleet.call(0, "c-2", "guild-key").status == 503; }));
+    CHECK(waitUntil([&fleet] { return fleet.callShop(0, "c-2", "guild-key").status == 503; }));
     CHECK_FALSE(fleet.organisationsAtShop().contains("c-1"));
     CHECK_FALSE(fleet.organisationsAtShop().contains("c-2"));
 }
@@ -175,7 +165,7 @@
     const json shared = json::array({ { { "name", "guild" }, { "api_keys", { "guild-key" } } }, { { "name", "weavers" }, { "api_keys", { "guild-key" } } } });
     fleet.configureOrganisations(3, shared);
     CHECK(waitUntil([&fleet] { return fleet.metrics(0).find("ragwortreach_platform_records_unreadable_total 1") != std::string::npos; }));
-    CHECK(fleet.call(0, "c-1", "other-guild-key").status == 200);
+    CHECK(fleet.callShop(0, "c-1", "other-guild-key").status == 200);
     fleet.configureOrganisations(4, organisationsWith({ "added-key" }));
-    CHECK(waitUntil([&fleet] { return fleet.call(0, "c-2", "added-key").status == 200; }));
+    CHECK(waitUntil([&fleet] { return fleet.callShop(0, "c-2", "added-key").status == 200; }));
 }
--- a/tests/auto/system/tst_replicascaling.cpp
+++ b/tests/auto/system/tst_replicascaling.cpp
@@ -17,7 +17,6 @@
 struct scaling_fleet : platform_fleet {
     scaling_fleet(std::size_t daemons, int shops)
         : platform_fleet(daemons)
-        , count(daemons)
     {
         addShops(shops - 1);
         for (std::size_t daemon = 0; daemon < daemons; ++daemon) {
@@ -46,16 +45,6 @@
         return waitUntil([this, former] { return orders().size() > former; });
     }
 
-    /// Index of the daemon that sent \a order.
-    std::size_t senderOf(const duty_record& order)
-    {
-        for (std::size_t index = 0; index < count; ++index) {
-            if (daemon(index).vm() == order.holder)
-                return index;
-        }
-        return count;
-    }
-
     /// Marks the replica "shop-2" as one that drains.
     void drainSecondShop()
     {
@@ -63,8 +52,6 @@
             { "seq_no", 2 }, { "leaves_ms", 2000 } };
         run([this, &entry] { store().put("keyed.servers", "shop-2", entry.dump()); });
     }
-
-    std::size_t count;
 };
 
 }
@@ -81,7 +68,7 @@
     const duty_record first = fleet.orders().front();
     CHECK(first.path == "/scale");
     CHECK(first.body() == json({ { "service", "shop" }, { "zone", "north-a" }, { "group_count", 2 } }));
-    const std::size_t holder = fleet.senderOf(first);
+    const std::size_t holder = fleet.daemonOn(first.holder);
     REQUIRE(holder < 3);
     fleet.daemon(holder).killAndWait();
     const std::size_t former = fleet.orders().size();
--- a/tests/auto/system/tst_usagereports.cpp
+++ b/tests/auto/system/tst_usagereports.cpp
@@ -18,7 +18,6 @@
 struct reporting_fleet : platform_fleet {
     explicit reporting_fleet(std::size_t daemons)
         : platform_fleet(daemons)
-        , count(daemons)
     {
         for (std::size_t daemon = 0; daemon < daemons; ++daemon) {
             setGatewaySetting(daemon, "duty_api", duties().address());
@@ -33,27 +32,21 @@
         // Calls that are refused do not count.
         waitUntil([this, daemons] {
             for (std::size_t daemon = 0; daemon < daemons; ++daemon) {
-                if (call(daemon, "probe", "no-key") != 401)
+                if (callShop(daemon, "probe", "no-key").status != 401)
                     return false;
             }
             return true;
         });
     }
 
-    int call(std::size_t daemon, const std::string& id, const std::string& key) const
-    {
-        const header_map headers { { "Host", "lace.example" }, { "Request-Id", id }, { "Deadline-Ms", "5000" }, { "Authorization", "Bearer " + key } };
-        return send(caller(daemon), "POST", "/score/1", "linen", headers).status;
-    }
-
     /// Calls of both organisations at \a daemon; returns how many of each were served.
     int callBoth(std::size_t daemon)
     {
         int served = 0;
         for (int number = 0; number < 5; ++number) {
             const std::string id = "c-" + std::to_string(++lastCall);
-            const int status = call(daemon, id, "guild-key");
-            served += status == 200 && call(daemon, id + "-w", "weavers-key") == 200 ? 1 : 0;
+            const int status = callShop(daemon, id, "guild-key").status;
+            served += status == 200 && callShop(daemon, id + "-w", "weavers-key").status == 200 ? 1 : 0;
         }
         return served;
     }
@@ -72,12 +65,7 @@
     std::size_t holderAfter(std::size_t calls)
     {
         waitUntil([this, calls] { return run([this, calls] { return duties().calls().size() > calls; }); });
-        const std::string vm = run([this] { return duties().calls().back().holder; });
-        for (std::size_t index = 0; index < count; ++index) {
-            if (daemon(index).vm() == vm)
-                return index;
-        }
-        return count;
+        return daemonOn(run([this] { return duties().calls().back().holder; }));
     }
 
     std::size_t calls()
@@ -102,7 +90,6 @@
         });
     }
 
-    std::size_t count;
     int lastCall = 0;
 };
 
