--- a/tests/auto/system/platformfleet.cpp
+++ b/tests/auto/system/platformfleet.cpp
@@ -171,6 +171,13 @@
     writeConfiguration(extended);
 }
 
+void platform_fleet::configureLimits(int version, const json& limits)
+{
+    json extended = configuration(version, {});
+    extended["limits"] = limits;
+    writeConfiguration(extended);
+}
+
 void platform_fleet::dropRewardRoute(int version)
 {
     json reduced = configuration(version, {});
--- a/tests/auto/system/platformfleet.h
+++ b/tests/auto/system/platformfleet.h
@@ -95,6 +95,8 @@
     void configureOrganisations(int version, const nlohmann::json& organisations);
     /// Writes the configuration with the bounds \a scaling, in the platform's format, for the replicas of the shop, with \a version, to the store.
     void configureScaling(int version, const nlohmann::json& scaling);
+    /// Writes the configuration with \a limits of what callers send, in the platform's format, with \a version, to the store.
+    void configureLimits(int version, const nlohmann::json& limits);
     /// Writes the configuration without the route "rewards", with \a version, to the store.
     void dropRewardRoute(int version);
     /// Writes the configuration with the route "rewards" to \a service, with \a version, to the store.
