--- a/src/libs/net/httpserver.cpp
+++ b/src/libs/net/httpserver.cpp
@@ -1,6 +1,6 @@
 #include "httpserver.h"
 
-#include "httpsession.h"
+#include "httpserverstate.h"
 
 namespace ragwortreach {
 
--- a/src/libs/net/httpsession.h
+++ b/src/libs/net/httpsession.h
@@ -2,7 +2,7 @@
 
 #include "bytebudget.h"
 #include "connectionguard.h"
-#include "httpserver.h"
+#include "httpmessage.h"
 #include "messagelimits.h"
 
 #include <core/resultcode.h>
@@ -15,11 +15,15 @@
 #include <boost/intrusive/list.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
-#include <array>
+#include <functional>
+#include <memory>
 #include <optional>
+#include <string>
 
 namespace ragwortreach::Internal {
 
+class http_server_state;
+
 /// Connection of one caller; it carries one exchange after another.
 class http_session : public boost::intrusive_ref_counter<http_session, boost::thread_unsafe_counter>,
                      public boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
@@ -129,32 +133,4 @@
     bool m_isKeepAlive = false;
 };
 
-/// State shared by the sessions of one server.
-class http_server_state : public std::enable_shared_from_this<http_server_state> {
-public:
-    http_server_state(boost::asio::io_context& context, const http_server_limits& limits,
-        http_server::request_handler onRequest, http_server::error_handler onError, std::shared_ptr<connection_guard> guard);
-
-    std::error_code listen(const endpoint& address);
-    void accept();
-    /// Accepts connections again after a pause, since there may be no file descriptor for one.
-    void pauseAccepting();
-    void closeIdle();
-    void answerOpen(const http_response& response);
-    void stopAccepting();
-
-    http_server_limits limits;
-    http_server::request_handler onRequest;
-    http_server::error_handler onError;
-    std::shared_ptr<connection_guard> guard;
-    connection_guard::port_number port;
-    boost::asio::ip::tcp::acceptor acceptor;
-    boost::asio::steady_timer acceptTimer;
-    /// Where all sessions read what is discarded.
-    std::array<char, maxUnparsedBytes> discarded {};
-    boost::intrusive::list<http_session, boost::intrusive::constant_time_size<false>> sessions;
-    std::size_t openExchanges = 0;
-    bool isDraining = false;
-};
-
 }
