--- a/src/libs/gateway/batchhandler.cpp
+++ b/src/libs/gateway/batchhandler.cpp
@@ -61,11 +61,6 @@
             + " are possible; submit fewer items in a batch.";
     }
 
-    http_response unknownBatchAnswer()
-    {
-        return failureResponse(notFoundStatus, result_code::UnknownBatch, "There is no such batch.");
-    }
-
     http_response bytesAnswer(std::string body)
     {
         return { okStatus, { { "Content-Type", "application/octet-stream" } }, std::move(body) };
@@ -208,7 +203,7 @@
 /// effect.
 void batch_handler::answerUnknown(const received_call& received)
 {
-    const http_response answer = unknownBatchAnswer();
+    const http_response answer = failureResponse(notFoundStatus, result_code::UnknownBatch, "There is no such batch.");
     const bool isUnlisted = !m_journal.isListed(received.batch);
     if (!isUnlisted || !std::holds_alternative<platform::end_batch_call>(received.call) || m_journal.isEnded(received.batch)) {
         received.exchange.respond(answer);
--- a/src/libs/gateway/batchhandler.h
+++ b/src/libs/gateway/batchhandler.h
@@ -31,10 +31,10 @@
 
 /// Serves the batch requests of trainers: submitting a batch, listing its results, reading the body of an item, ending it.
 ///
-/// The batches of other organisations do not exist for a caller. Any daemon can answer for any batch from its ledger. It fetches a batch that the journal lists and the ledger lacks. A
-/// call on a batch that is not listed waits for a read of the journal that began after the call arrived: only that proves
-/// that there is no such batch. A daemon whose ledger may be behind the journal refuses the call with 503, so that the
-/// trainer repeats it.
+/// The batches of other organisations do not exist for a caller. Any daemon can answer for any batch from its ledger. It
+/// fetches a batch that the journal lists and the ledger lacks. A call on a batch that is not listed waits for a read of
+/// the journal that began after the call arrived: only that proves that there is no such batch. A daemon whose ledger may
+/// be behind the journal refuses the call with 503, so that the trainer repeats it.
 ///
 /// While the log is slow, a call waits for its batch and its texts until shortly before the caller would leave. A list is
 /// then answered with the results whose texts have been read, so each attempt gets further than the one before; it is
--- a/src/libs/gateway/usagereporter.cpp
+++ b/src/libs/gateway/usagereporter.cpp
@@ -169,8 +169,7 @@
     case platform::duty_outcome::Done:
         ++m_counters.accepted;
         m_pause.reset();
-        m_ledger.apply("accepted/" + std::to_string(report.window), usage_accepted { report.window }, 0);
-        m_writer.write({ encode("accepted/" + std::to_string(report.window), usage_accepted { report.window }) }, write_mode::FailOnRefusal, {});
+        noteAccepted(report.window);
         return;
     case platform::duty_outcome::Refused:
         m_caller.giveUpToken(subject());
@@ -182,6 +181,14 @@
     }
 }
 
+void usage_reporter::noteAccepted(std::uint64_t window)
+{
+    const std::string key = "accepted/" + std::to_string(window);
+    const usage_accepted accepted { window };
+    m_ledger.apply(key, accepted, 0);
+    m_writer.write({ encode(key, accepted) }, write_mode::FailOnRefusal, {});
+}
+
 void usage_reporter::removeObsolete()
 {
     const instant now = bootNow();
--- a/src/libs/gateway/usagereporter.h
+++ b/src/libs/gateway/usagereporter.h
@@ -61,6 +61,8 @@
     void write(const usage_report& report);
     void send(const usage_report& report);
     void onSent(const usage_report& report, platform::duty_outcome outcome);
+    /// Notes here and in the log that the platform accepted the report of \a window.
+    void noteAccepted(std::uint64_t window);
     void removeObsolete();
     void apply(std::span<const keyed_record> records);
     keyed_record encode(std::string key, const usage_record& record) const;
--- a/src/libs/net/httpsession.cpp
+++ b/src/libs/net/httpsession.cpp
@@ -267,7 +267,6 @@
 void http_session::onHeadRead()
 {
     m_isHeadRead = true;
-    m_isReadingBody = true;
     m_headBytes += fieldOverhead * static_cast<std::size_t>(std::distance(m_parser->get().begin(), m_parser->get().end()));
     shrinkBuffer();
     startReadTimer();
@@ -318,9 +317,11 @@
     const std::size_t held = body.empty() ? announced : std::max(announced, memoryOf(body));
     if (held == 0)
         return true;
-    m_server->guard->noteBodyPart(m_connection, steadyNow());
     if (!makeRoomFor(held))
         return false;
+    // Most bodies arrive with their heads, and are never unfinished.
+    if (!m_parser->is_done())
+        m_server->guard->noteBodyPart(m_connection, steadyNow());
     if (announced > byte_budget::maxSmallBytes)
         body.reserve(announced);
     return true;
@@ -385,7 +386,6 @@
     freeBuffer();
     m_server->guard->setUnfinished(m_connection, 0);
     m_server->guard->endBody(m_connection);
-    m_isReadingBody = false;
     m_heldBody.set(0);
     m_isKeepAlive = false;
     m_isExchangeOpen = true;
@@ -407,7 +407,6 @@
         m_request.headers.push_back({ std::string(it->name_string()), std::string(it->value()) });
     m_request.body = std::move(message.body());
     m_server->guard->endBody(m_connection);
-    m_isReadingBody = false;
     m_isExchangeOpen = true;
     m_isAnswerBegun = false;
     m_isAnswerComplete = false;
@@ -607,7 +606,7 @@
     error_code ignored;
     m_socket.close(ignored);
     // Handlers that are still queued keep the session alive; the body of an incomplete request is not to wait for them.
-    if (std::exchange(m_isReadingBody, false)) {
+    if (m_parser && !m_parser->is_done()) {
         m_parser.reset();
         m_heldBody.set(0);
     }
--- a/src/libs/net/httpsession.h
+++ b/src/libs/net/httpsession.h
@@ -111,8 +111,6 @@
     /// Memory that the parsed head of an incomplete request takes, about.
     std::size_t m_headBytes = 0;
     bool m_isHeadRead = false;
-    /// The head of a request has been read, and its body is not complete.
-    bool m_isReadingBody = false;
     http_request m_request;
     std::function<void()> m_onDisconnect;
     std::function<void()> m_onDrained;
--- a/tests/auto/system/tst_bodybounds.cpp
+++ b/tests/auto/system/tst_bodybounds.cpp
@@ -74,11 +74,10 @@
 /// Starts the daemon again with the bounds of the test, and with bodies of at most \a maxBodyBytes.
 void startBounded(platform_fleet& fleet, std::size_t maxBodyBytes)
 {
-    fleet.daemon(0).killAndWait();
     fleet.setGatewaySetting(0, "memory_mb", memoryMegabytes);
     fleet.setGatewaySetting(0, "max_descriptors", descriptors);
     fleet.configureLimits(1, { { "max_body_bytes", maxBodyBytes }, { "header_timeout_ms", 60000 }, { "idle_timeout_ms", 60000 } });
-    fleet.start(0);
+    fleet.restart(0);
     fleet.waitReady(0);
     REQUIRE(statusOfRequest(fleet.caller(0), ordinaryCall) == 200);
 }
