Platform, Gateway: Log why reads of a topic failed, and size and time of each configuration

The lines of the incident could not tell a record that is larger than a read accepts from one that takes too long or that takes long to decode: a read that broke was counted, without a reason. topic_behind names what happened to the last read that failed; configuration_in_force names the bytes of the record and the time that it took; the size is a metric, too. No decision is changed.

--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -247,6 +247,7 @@
         { gauge("ragwortreach_calls_open", "Calls under way"), from.openCalls },
         { gauge("ragwortreach_item_runs_open", "Runs of items under way"), from.runs },
         { gauge("ragwortreach_journal_records_waiting", "Records that are not in the journal yet"), from.recordsWaiting },
+        { gauge("ragwortreach_configuration_bytes", "Size of the configuration in force, in bytes of its text"), from.view.configurationBytes },
         { gauge("ragwortreach_ready", "1 when the daemon is ready"), from.isReady ? 1U : 0U },
     };
     metrics all;
--- a/src/libs/gateway/platformview.cpp
+++ b/src/libs/gateway/platformview.cpp
@@ -48,10 +48,14 @@
         if (!m_view.m_routes.setConfiguration(configuration))
             return;
         ++m_view.m_counters.configurations;
+        m_view.m_counters.configurationBytes = m_record.bytes();
+        const duration took = bootNow() - m_view.m_decodeStart;
         m_view.m_logger.write(log_line(log_level::Info, "configuration_in_force")
                                   .with("configuration", configuration.version)
                                   .with("routes", configuration.routes.size())
-                                  .with("offset", m_record.offset));
+                                  .with("offset", m_record.offset)
+                                  .with("bytes", m_record.bytes())
+                                  .with("took_us", took.count()));
         m_view.m_handlers.onConfiguration();
     }
 
@@ -85,8 +89,10 @@
 
 void platform_view::applyOperatorRecords(std::span<const keyed_record> records)
 {
-    for (const keyed_record& record : records)
+    for (const keyed_record& record : records) {
+        m_decodeStart = bootNow();
         std::visit(operator_visitor(*this, record), platform::decodeOperatorRecord(record));
+    }
 }
 
 void platform_view::confirmConfiguration()
--- a/src/libs/gateway/platformview.h
+++ b/src/libs/gateway/platformview.h
@@ -17,6 +17,8 @@
     std::uint64_t configurations = 0;
     std::uint64_t replicaEntries = 0;
     std::uint64_t unreadable = 0;
+    /// Size of the configuration in force, in bytes of its text.
+    std::uint64_t configurationBytes = 0;
 };
 
 /// Follows the topics of the platform and applies them to the route table and the replica pool: the configuration set by
@@ -62,6 +64,8 @@
     topic_follower m_operators;
     topic_follower m_replicas;
     bool m_isConfigurationReadable = true;
+    /// Time at which decoding the present record began.
+    instant m_decodeStart {};
     view_counters m_counters;
 };
 
--- a/src/libs/gateway/topicfollower.cpp
+++ b/src/libs/gateway/topicfollower.cpp
@@ -140,6 +140,7 @@
 
 void topic_follower::noteFailure(const read_outcome& outcome, instant sentAt)
 {
+    m_lastFailure = outcome.detail;
     if (outcome.status == read_status::Refused) {
         ++m_tail.refusedReads;
         reportRefusal();
--- a/src/libs/gateway/topicfollower.h
+++ b/src/libs/gateway/topicfollower.h
@@ -96,6 +96,8 @@
     /// Records that the partition had after the last one that was delivered, when the last answer was sent.
     std::uint64_t backlog() const { return m_end - std::min(m_next, m_end); }
     const topic_partition& topicPartition() const { return m_options.topicPartition; }
+    /// What happened to the last read that failed; empty while none has.
+    const std::string& lastFailure() const { return m_lastFailure; }
 
 private:
     void applySnapshot(newest_records newest);
@@ -141,6 +143,7 @@
     instant m_confirmedAt {};
     instant m_regainedAt {};
     std::uint64_t m_readFailures = 0;
+    std::string m_lastFailure;
     snapshot_counters m_snapshots;
     tail_counters m_tail;
 };
--- a/src/libs/gateway/topicwatch.cpp
+++ b/src/libs/gateway/topicwatch.cpp
@@ -63,7 +63,8 @@
                        .with("unanswered_reads", tail.unansweredReads - topic.logged.unansweredReads)
                        .with("refused_reads", tail.refusedReads - topic.logged.refusedReads)
                        .with("broken_reads", tail.brokenReads - topic.logged.brokenReads)
-                       .with("received_bytes", tail.receivedBytes - topic.logged.receivedBytes));
+                       .with("received_bytes", tail.receivedBytes - topic.logged.receivedBytes)
+                       .with("last_failure", follower.lastFailure()));
     topic.loggedAt = now;
     topic.logged = tail;
 }
--- a/src/libs/rollout/sharedlog.h
+++ b/src/libs/rollout/sharedlog.h
@@ -100,6 +100,8 @@
     std::uint64_t end = 0;
     /// With Expired, the first offset that the log retains; 0 when it did not say so.
     std::uint64_t firstRetained = 0;
+    /// With Refused and Unavailable, what happened.
+    std::string detail {};
 };
 
 /// One page of the newest record of each key.
