Tests: Show that large configurations never come in force

The soak gets the same among small changes, one record that no daemon has the memory for, and a store that answers late, with a rate that all readers share; the stand-in counts the bytes for each of them.

--- a/tests/auto/soak/configurationjudge.cpp
+++ b/tests/auto/soak/configurationjudge.cpp
@@ -102,6 +102,8 @@
         return "without answers of the store";
     if (isDisturbed(call.daemon, disturbance_kind::Refused, call.sentAt))
         return "refused by the store";
+    if (isDisturbed(call.daemon, disturbance_kind::Slow, call.sentAt))
+        return "answered late by the store";
     return "calm";
 }
 
--- a/tests/auto/soak/configurationjudge.h
+++ b/tests/auto/soak/configurationjudge.h
@@ -29,6 +29,8 @@
     Refused,
     /// The daemon gets no answer of the store.
     Unanswered,
+    /// The store answers late.
+    Slow,
     /// The process was stopped, killed or started.
     Process,
 };
--- a/tests/auto/soak/configurationsoak.h
+++ b/tests/auto/soak/configurationsoak.h
@@ -19,6 +19,8 @@
     /// Of these, daemons that see no other one.
     std::size_t alone = 1;
     std::chrono::seconds time { 30 };
+    /// Memory of each daemon in MiB; without a bound when it is 0.
+    std::size_t memory = 120;
     /// Program that the first half of the daemons runs until it is replaced, one daemon after the other; none when empty.
     std::string otherProgram {};
 };
@@ -36,6 +38,10 @@
     const configuration_judge& judge() const { return m_judge; }
     /// Daemons whose last calls did not go by the newest version.
     std::vector<std::size_t> daemonsBehind() const;
+    /// Size in bytes of the largest configuration that calls went by.
+    std::size_t largestInForce() const;
+    /// Bytes of the store's answers to reads, of the daemon that got most.
+    std::uint64_t mostReadBytes();
 
 private:
     struct open_fault {
@@ -43,6 +49,7 @@
         std::size_t number = 0;
         store_access access = store_access::Serving;
         bool isStopped = false;
+        bool isSlow = false;
         instant until {};
     };
 
@@ -52,6 +59,7 @@
     void beginFault();
     void turnAway(store_access access, std::size_t count);
     void stopProcess();
+    void slowDown();
     void restart(std::size_t daemon);
     void replaceNext();
     void endFaults(instant before);
@@ -65,6 +73,9 @@
     std::mt19937_64 m_random;
     configuration_judge m_judge;
     std::uint64_t m_version = 1;
+    std::size_t m_largeChanges = 0;
+    /// Size in bytes of each version of the configuration.
+    std::map<std::uint64_t, std::size_t> m_sizes;
     std::vector<open_fault> m_faults;
     std::size_t m_replaced = 0;
     std::atomic<bool> m_isOver = false;
--- a/tests/auto/system/tst_oldroutes.cpp
+++ b/tests/auto/system/tst_oldroutes.cpp
@@ -29,6 +29,9 @@
     return fleet.run([&fleet] { return fleet.shop().runs(); });
 }
 
+/// Routes that configurations have beside the usual ones: records of .3, 1 and 4 MB.
+constexpr std::size_t addedRouteCounts[] = { 2000, 6000, 24000 };
+
 /// Topic of which the store refuses reads to one daemon.
 struct refusal_case {
     const char* name;
@@ -56,6 +59,29 @@
 
 }
 
+// A configuration that was larger than a read allowed for was never in force, and calls went by the one before.
+TEST_CASE("A large configuration was never in force", "[.known-red]")
+{
+    platform_fleet fleet(3);
+    int version = 1;
+    for (const std::size_t addedRoutes : addedRouteCounts) {
+        ++version;
+        const std::string service = "shop-" + std::to_string(version);
+        fleet.addService(service);
+        INFO(fleet.moveRewardRoute(version, service, addedRoutes) << " bytes");
+        std::this_thread::sleep_for(applyTime);
+        for (std::size_t daemon = 0; daemon < 3; ++daemon) {
+            CHECK(callRewards(fleet, daemon, static_cast<int>(daemon)).status == 200);
+            const header_map headers { { "Host", "lace.example" }, { "Request-Id", "added-" + std::to_string(daemon) }, { "Deadline-Ms", "5000" } };
+            CHECK(send(fleet.caller(daemon), "POST", "/added-" + std::to_string(addedRoutes - 1) + "/1", "linen", headers).status == 200);
+        }
+        CHECK(fleet.startedAt(service) == std::set<std::string> { "call-0", "call-1", "call-2" });
+        fleet.restart(0);
+        fleet.waitReady(0);
+        fleet.run([&fleet] { fleet.store().compact(); });
+    }
+}
+
 // A daemon that the store turned away went on serving by routes that had been dropped.
 TEST_CASE("A call went by an older configuration at a daemon that the store had turned away")
 {
