Platform, Rollout: Decode a configuration route by route, and index what each call asks of it

A configuration was parsed into a tree of JSON as a whole before its routes were taken, several times the text in memory beside the configuration in force and the next one; and each call walked all routes for the priorities of its service and all services for its own. parseJsonList() hands on one route after the other and keeps none; route_table has indexes, whose keys refer to the configuration. A configuration is moved into the table, not copied.

--- a/src/libs/core/jsonreader.cpp
+++ b/src/libs/core/jsonreader.cpp
@@ -4,15 +4,42 @@
 
 using nlohmann::json;
 
+namespace {
+
+    /// Depth of the names of the outermost object, and of the elements of its lists.
+    constexpr int nameDepth = 1;
+    constexpr int elementDepth = 2;
+
+    /// Parses \a text; \a keeps decides which values are kept.
+    json parse(std::string_view text, int maxDepth, const json::parser_callback_t& keeps)
+    {
+        bool isTooDeep = false;
+        const json::parser_callback_t limitDepth = [&isTooDeep, &keeps, maxDepth](int depth, json::parse_event_t event, json& value) {
+            isTooDeep = isTooDeep || depth > maxDepth;
+            return !isTooDeep && keeps(depth, event, value);
+        };
+        json value = json::parse(text.begin(), text.end(), limitDepth, false);
+        return isTooDeep ? json(json::value_t::discarded) : value;
+    }
+
+}
+
 json parseJson(std::string_view text, int maxDepth)
 {
-    bool isTooDeep = false;
-    const json::parser_callback_t limitDepth = [&isTooDeep, maxDepth](int depth, json::parse_event_t, json&) {
-        isTooDeep = isTooDeep || depth > maxDepth;
-        return !isTooDeep;
-    };
-    json value = json::parse(text.begin(), text.end(), limitDepth, false);
-    return isTooDeep ? json(json::value_t::discarded) : value;
+    return parse(text, maxDepth, [](int, json::parse_event_t, json&) { return true; });
+}
+
+json parseJsonList(std::string_view text, std::string_view name, const std::function<void(const json&)>& onElement)
+{
+    bool isInList = false;
+    return parse(text, maxJsonDepth, [&isInList, name, &onElement](int depth, json::parse_event_t event, json& value) {
+        if (event == json::parse_event_t::key && depth == nameDepth)
+            isInList = value.get_ref<const std::string&>() == name;
+        const bool isElement = isInList && event == json::parse_event_t::object_end && depth == elementDepth;
+        if (isElement)
+            onElement(value);
+        return !isElement;
+    });
 }
 
 void throwInvalid(const char* what, const json& value)
--- a/src/libs/core/jsonreader.h
+++ b/src/libs/core/jsonreader.h
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <concepts>
+#include <functional>
 #include <limits>
 #include <optional>
 #include <string>
@@ -18,6 +19,10 @@
 /// more than \a maxDepth levels: copying, comparing and printing a value take stack for each of its levels.
 nlohmann::json parseJson(std::string_view text, int maxDepth = maxJsonDepth);
 
+/// As parseJson(), but passes each object of the list \a name of the outermost object to \a onElement and leaves it out of the
+/// value, so that a long list is never in memory as a whole. What \a onElement throws is thrown.
+nlohmann::json parseJsonList(std::string_view text, std::string_view name, const std::function<void(const nlohmann::json&)>& onElement);
+
 /// Throws a json::exception that says \a what is wrong with \a value.
 [[noreturn]] void throwInvalid(const char* what, const nlohmann::json& value);
 
--- a/src/libs/rollout/routetable.cpp
+++ b/src/libs/rollout/routetable.cpp
@@ -1,14 +1,12 @@
 #include "routetable.h"
 
-#include <algorithm>
-#include <set>
-
 namespace ragwortreach {
 
 bool route_table::setConfiguration(route_configuration configuration)
 {
     if (configuration.version <= m_configuration.version)
         return false;
+    clearIndex();
     m_configuration = std::move(configuration);
     if (m_newestRead.version <= m_configuration.version)
         m_supersededAt.reset();
@@ -51,15 +49,41 @@
     return false;
 }
 
-void route_table::index()
+void route_table::clearIndex()
 {
     m_byHost.clear();
     m_byName.clear();
-    for (const route& entry : m_configuration.routes) {
-        m_byHost[entry.host][entry.pathPrefix] = &entry;
-        m_byName[entry.name] = &entry;
+    m_services.clear();
+    m_publicBatchHosts.clear();
+    m_callPriorities.clear();
+    m_organisationPriorities.clear();
+}
+
+void route_table::index()
+{
+    for (const service_definition& service : m_configuration.services)
+        m_services.insert({ service.name, &service });
+    for (const route& entry : m_configuration.routes)
+        index(entry);
+    const std::span<const organisation> organisations = m_configuration.organisations ? std::span<const organisation>(*m_configuration.organisations) : std::span<const organisation>();
+    for (const organisation& caller : organisations) {
+        if (caller.priority)
+            m_organisationPriorities.insert(*caller.priority);
     }
-    m_organisations.setOrganisations(m_configuration.organisations ? std::span<const organisation>(*m_configuration.organisations) : std::span<const organisation>());
+    m_organisations.setOrganisations(organisations);
+}
+
+void route_table::index(const route& entry)
+{
+    m_byHost[entry.host][entry.pathPrefix] = &entry;
+    m_byName[entry.name] = &entry;
+    const bool isRollout = entry.kind == route_kind::Rollout;
+    if (isRollout && entry.isPublic)
+        m_publicBatchHosts.insert(entry.host);
+    if (isRollout)
+        return;
+    for (const route_target& target : entry.targets)
+        m_callPriorities[target.service].insert(entry.priority);
 }
 
 const route* route_table::find(std::string_view host, std::string_view path) const
@@ -87,33 +111,22 @@
 
 const service_definition* route_table::service(std::string_view name) const
 {
-    for (const service_definition& service : m_configuration.services) {
-        if (service.name == name)
-            return &service;
-    }
-    return nullptr;
+    const auto found = m_services.find(name);
+    return found == m_services.end() ? nullptr : found->second;
 }
 
 bool route_table::hasPublicBatches(std::string_view host) const
 {
-    return std::any_of(m_configuration.routes.begin(), m_configuration.routes.end(), [host](const route& route) { return route.isPublic && route.kind == route_kind::Rollout && route.host == host; });
+    return m_publicBatchHosts.contains(host);
 }
 
 std::size_t route_table::countMoreUrgent(const route& route, std::uint32_t priority) const
 {
-    const auto isShared = [&route](const route_target& target) {
-        return std::any_of(route.targets.begin(), route.targets.end(), [&target](const route_target& own) { return own.service == target.service; });
-    };
-    std::set<std::uint32_t> priorities;
-    for (const ragwortreach::route& other : m_configuration.routes) {
-        if (other.priority < priority && other.kind != route_kind::Rollout && std::any_of(other.targets.begin(), other.targets.end(), isShared))
-            priorities.insert(other.priority);
-    }
-    if (!m_configuration.organisations)
-        return priorities.size();
-    for (const organisation& caller : *m_configuration.organisations) {
-        if (caller.priority && *caller.priority < priority)
-            priorities.insert(*caller.priority);
+    std::set<std::uint32_t> priorities(m_organisationPriorities.begin(), m_organisationPriorities.lower_bound(priority));
+    for (const route_target& target : route.targets) {
+        const auto found = m_callPriorities.find(target.service);
+        if (found != m_callPriorities.end())
+            priorities.insert(found->second.begin(), found->second.lower_bound(priority));
     }
     return priorities.size();
 }
--- a/src/libs/rollout/routetable.h
+++ b/src/libs/rollout/routetable.h
@@ -5,8 +5,8 @@
 #include "routeconfiguration.h"
 
 #include <algorithm>
-#include <map>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <unordered_map>
 
@@ -101,6 +101,8 @@
 
 private:
     void index();
+    void index(const route& entry);
+    void clearIndex();
 
     route_configuration m_configuration;
     instant m_confirmedAt {};
@@ -109,8 +111,15 @@
     configuration_read m_newestRead;
     /// Time from which a newer configuration is known to be in force; empty while none is.
     std::optional<instant> m_supersededAt;
-    std::map<std::string, std::map<std::string, const route*, std::less<>>, std::less<>> m_byHost;
-    std::map<std::string, const route*, std::less<>> m_byName;
+    // The keys of these refer to the configuration.
+    std::unordered_map<std::string_view, std::unordered_map<std::string_view, const route*>> m_byHost;
+    std::unordered_map<std::string_view, const route*> m_byName;
+    std::unordered_map<std::string_view, const service_definition*> m_services;
+    /// Hosts with routes for batches that need no key.
+    std::set<std::string_view> m_publicBatchHosts;
+    /// Priorities of the calls that go to each service, and those of the organisations.
+    std::unordered_map<std::string_view, std::set<std::uint32_t>> m_callPriorities;
+    std::set<std::uint32_t> m_organisationPriorities;
     std::optional<duration> m_keyRevocation;
     organisation_table m_organisations;
 };
