--- a/tests/auto/platform/tst_storeclient.cpp
+++ b/tests/auto/platform/tst_storeclient.cpp
@@ -2,7 +2,6 @@
 #include <platform/storeclient.h>
 #include <platform/storestandin.h>
 
-
 #include <catch2/catch.hpp>
 
 #include <boost/asio/io_context.hpp>
--- a/tests/auto/system/tst_oldroutes.cpp
+++ b/tests/auto/system/tst_oldroutes.cpp
@@ -32,6 +32,9 @@
 /// Routes that configurations have beside the usual ones: records of .3, 1 and 4 MB.
 constexpr std::size_t addedRouteCounts[] = { 2000, 6000, 24000 };
 
+/// Memory in MiB of a VM that holds configurations of up to 1 MiB.
+constexpr int smallMemory = 24;
+
 /// Topic of which the store refuses reads to one daemon.
 struct refusal_case {
     const char* name;
@@ -82,6 +85,36 @@
     }
 }
 
+// Nothing bounded the use of the configuration before one that no daemon can hold.
+TEST_CASE("Calls went by an older configuration while the newest one was larger than the daemon has memory for")
+{
+    platform_fleet fleet(2);
+    for (std::size_t daemon = 0; daemon < 2; ++daemon) {
+        fleet.setGatewaySetting(daemon, "memory_mb", smallMemory);
+        fleet.restart(daemon);
+        fleet.waitReady(daemon);
+    }
+    // The reads of the former processes.
+    std::this_thread::sleep_for(readWait);
+    const std::uint64_t readBefore = fleet.run([&fleet] { return fleet.store().readBytes(fleet.storeAddress(0)); });
+    const std::size_t size = fleet.moveRewardRoute(2, "shop", addedRouteCounts[2]);
+    std::this_thread::sleep_for(applyTime);
+    for (std::size_t daemon = 0; daemon < 2; ++daemon) {
+        const http_reply reply = callRewards(fleet, daemon, static_cast<int>(daemon));
+        CHECK(reply.status == 503);
+        CHECK(reply.headers.contains("Retry-After"));
+        CHECK_FALSE(fleet.isReady(daemon));
+        CHECK(fleet.metrics(daemon).find("ragwortreach_platform_records_oversized_total 1\n") != std::string::npos);
+    }
+    CHECK(runsAtShop(fleet) == 0);
+    CHECK(fleet.run([&fleet] { return fleet.store().readBytes(fleet.storeAddress(0)); }) - readBefore < 2 * size);
+    fleet.moveRewardRoute(3, "shop", addedRouteCounts[0]);
+    for (std::size_t daemon = 0; daemon < 2; ++daemon) {
+        fleet.waitReady(daemon);
+        CHECK(callRewards(fleet, daemon, 10 + static_cast<int>(daemon)).status == 200);
+    }
+}
+
 // A daemon that the store turned away went on serving by routes that had been dropped.
 TEST_CASE("A call went by an older configuration at a daemon that the store had turned away")
 {
