Gateway: Pass no calls on to daemons that may not route by their configuration

Calls at a daemon without a path to replicas go to others, three at most. A daemon that has refused calls for its configuration now says that it takes none, with the statement that it also makes when it has lost its access, a second apart at least. The readiness check has a class of its own, since gateway_host had grown too large.

--- a/src/libs/gateway/accesswatch.cpp
+++ b/src/libs/gateway/accesswatch.cpp
@@ -123,16 +123,19 @@
     tellOthers(now);
 }
 
+/// A daemon that must not route by its configuration refuses all calls, as one that has no access does.
+///
 /// States what is not known of this VM: its last statement is not true any more, may be one of a process before this one, or
 /// is so old that this daemon has forgotten it.
 void access_watch::tellOthers(instant now)
 {
     const bool isLost = !hasAccess();
+    const bool takesCalls = !isLost && m_mayRoute;
     const peer_table& peers = m_facts.peers();
-    if (isLost == peers.saysLost(m_vm) || now - m_saidAt < minStatementInterval)
+    if (takesCalls != peers.saysLost(m_vm) || now - m_saidAt < minStatementInterval)
         return;
     m_saidAt = now;
-    m_facts.learnFromAnswer(access_statement { m_vm, !isLost, peers.nextNumber(m_vm, now), now });
+    m_facts.learnFromAnswer(access_statement { m_vm, takesCalls, peers.nextNumber(m_vm, now), now });
     if (isLost == std::exchange(m_wasLost, isLost))
         return;
     m_counters.losses += isLost ? 1 : 0;
--- a/src/libs/gateway/accesswatch.h
+++ b/src/libs/gateway/accesswatch.h
@@ -26,7 +26,8 @@
     std::uint64_t losses = 0;
 };
 
-/// Finds out whether this daemon reaches replicas, tells the other daemons, and chooses those that take its calls meanwhile.
+/// Finds out whether this daemon reaches replicas, tells the other daemons whether it takes their calls, and chooses those that
+/// take its own meanwhile.
 class access_watch : public call_peers {
 public:
     access_watch(boost::asio::io_context& context, fact_exchange& facts, const replica_pool& pool, std::string vm, log& log);
@@ -39,6 +40,8 @@
 
     /// Whether another daemon should do the work that this one cannot do without replicas.
     bool shouldLeaveWork() const;
+    /// Sets whether calls may be routed by the configuration of this daemon. While not, the others pass no calls on to it.
+    void setMayRoute(bool mayRoute) { m_mayRoute = mayRoute; }
     /// Starts the checks that are due, and tells the others of changes. To be called periodically.
     void tick();
     const access_counters& counters() const { return m_counters; }
@@ -57,7 +60,8 @@
     log& m_log;
     std::map<std::uint64_t, std::unique_ptr<check>> m_checks;
     std::uint64_t m_lastCheck = 0;
-    /// What this daemon said last, at m_saidAt.
+    bool m_mayRoute = true;
+    /// Whether access was lost at the last statement, which was made at m_saidAt.
     bool m_wasLost = false;
     instant m_saidAt {};
     access_counters m_counters;
--- a/src/libs/gateway/gatewayhost.cpp
+++ b/src/libs/gateway/gatewayhost.cpp
@@ -17,6 +17,7 @@
 #include "platformview.h"
 #include "pollintervals.h"
 #include "progressstore.h"
+#include "readinesscheck.h"
 #include "replicascaler.h"
 #include "streamfinder.h"
 #include "topicwatch.h"
@@ -46,8 +47,6 @@
 namespace {
 
     constexpr std::chrono::milliseconds tickInterval { 25 };
-    /// A daemon whose ledger was confirmed longer ago reports that it is not ready, so that callers reach others.
-    constexpr duration maxLedgerAge = std::chrono::milliseconds(1500);
     /// Time that a call on a batch takes at most, while the log answers.
     constexpr duration batchCallTime = std::chrono::milliseconds(1500);
     /// Time after which a closed batch is removed from the ledger; trainers may read it for two minutes.
@@ -63,7 +62,6 @@
     /// Time after which records of a batch that nobody requests any more are no longer read.
     constexpr duration fetchRetention = std::chrono::seconds(10);
     constexpr std::string_view modelLeasePrefix = "model/";
-    constexpr std::string_view nothingReadReason = "no configuration or list of replicas has been read";
     constexpr int okStatus = 200;
     constexpr int unauthorizedStatus = 401;
     constexpr int notFoundStatus = 404;
@@ -161,7 +159,7 @@
         , peerServer(
               ioContext, callerLimits(), [this](const http_exchange& exchange) { servePeer(exchange); }, malformedResponse, guard)
         , readinessServer(
-              ioContext, monitoringLimits(), [this](const http_exchange& exchange) { answerReadiness(exchange); }, malformedResponse, guard)
+              ioContext, monitoringLimits(), [this](const http_exchange& exchange) { readiness.answer(exchange); }, malformedResponse, guard)
         , metricsServer(
               ioContext, monitoringLimits(), [this](const http_exchange& exchange) { answerMetrics(exchange); }, malformedResponse, guard)
         , topics(daemonLog)
@@ -204,14 +202,7 @@
     /// Refuses a request that the daemon, which stops, may not be able to answer in time; false when it takes the request.
     bool refuseLate(const http_exchange& exchange, const platform::caller_request& caller, duration longest, duration usual);
     duration usualTime(const route& route) const;
-    void answerReadiness(const http_exchange& exchange);
     void answerMetrics(const http_exchange& exchange);
-    bool isReady() const { return unreadyReason().empty(); }
-    /// Why the configuration must not be used; empty when it may be.
-    std::string_view outdatedReason() const;
-    /// Why callers should not be routed to this daemon; empty when they should.
-    std::string_view unreadyReason() const;
-    void logReadinessChange();
     void loadBatches();
     void tick();
     void checkStop();
@@ -253,6 +244,7 @@
     connection_watch connections;
     boost::asio::steady_timer timer;
     drain_plan drain;
+    readiness_check readiness { drain, platformView, routes, batchJournal, logger };
     std::uint64_t lateRefusals = 0;
     std::uint64_t outdatedRefusals = 0;
     admission_counters admissions;
@@ -261,8 +253,6 @@
     std::set<std::string, std::less<>> heldModels;
     /// Models that were taken over, whose batches are not loaded yet; their saved texts are recovered once they are.
     std::set<std::string, std::less<>> modelsToRecover;
-    instant startedAt = bootNow();
-    std::string_view loggedUnreadyReason = "not started";
     bool wasLedgerReady = false;
     bool hasReleasedLeases = false;
     bool hasClosedIdle = false;
@@ -507,72 +497,13 @@
     return longest;
 }
 
-std::string_view gateway_host::state::outdatedReason() const
-{
-    switch (routes.state(bootNow())) {
-    case configuration_state::Current:
-        return "";
-    case configuration_state::Missing:
-        return nothingReadReason;
-    case configuration_state::Superseded:
-        return "a newer configuration is in force";
-    case configuration_state::TooLarge:
-        return "the newest configuration is larger than this daemon has memory for";
-    case configuration_state::Unconfirmed:
-        return "the log has not shown whether a newer configuration is in force";
-    }
-    return "";
-}
-
-std::string_view gateway_host::state::unreadyReason() const
-{
-    if (drain.hasBegun())
-        return "stopping";
-    if (!platformView.isReady())
-        return nothingReadReason;
-    const std::string_view outdated = outdatedReason();
-    if (!outdated.empty())
-        return outdated;
-    if (!batchJournal.isReady())
-        return "the journal has not been read";
-    return bootNow() - batchJournal.confirmedAt() < maxLedgerAge ? "" : "the ledger is behind the log";
-}
-
-void gateway_host::state::answerReadiness(const http_exchange& exchange)
-{
-    if (!platform::isReadinessCheck(exchange.request()))
-        exchange.respond(failureResponse(notFoundStatus, result_code::UnknownRoute, "There is no such page."));
-    else if (isReady())
-        exchange.respond({ okStatus, {}, "ready\n" });
-    else
-        exchange.respond(refusalResponse(result_code::Draining, "The daemon is not ready.", retryDelay));
-}
-
 void gateway_host::state::answerMetrics(const http_exchange& exchange)
 {
     const gateway_readings readings { relay.counters(), access.counters(), batchHandler.counters(), loader.counters(), scheduler.counters(), scheduler.rewards(), runner.rewardLatency(), runner.workCounters(), orderer.counters(), platformView.counters(), facts, streams.counters(),
-        batchJournal.counters(), batchJournal.snapshots(), batchJournal.texts().counters(), progress.counters(), pool.keptAway(), lateRefusals, outdatedRefusals, admissions, duties.counters(), usage.counters(), scaler.counters(), routes.version(), relay.openCalls(), scheduler.runs(), batchJournal.pendingWrites(), isReady(), guard->counters(), guard->connections(), guard->unfinishedBytes(), guard->bodies().held() };
+        batchJournal.counters(), batchJournal.snapshots(), batchJournal.texts().counters(), progress.counters(), pool.keptAway(), lateRefusals, outdatedRefusals, admissions, duties.counters(), usage.counters(), scaler.counters(), routes.version(), relay.openCalls(), scheduler.runs(), batchJournal.pendingWrites(), readiness.isReady(), guard->counters(), guard->connections(), guard->unfinishedBytes(), guard->bodies().held() };
     exchange.respond({ okStatus, { { "Content-Type", "text/plain; version=0.0.4" } }, metricsText(readings) });
 }
 
-void gateway_host::state::logReadinessChange()
-{
-    const std::string_view reason = unreadyReason();
-    if (reason == std::exchange(loggedUnreadyReason, reason))
-        return;
-    const snapshot_counters snapshots = batchJournal.snapshots();
-    const duration sinceStart = bootNow() - startedAt;
-    logger.write(log_line(log_level::Info, "readiness_changed")
-                     .with("ready", reason.empty())
-                     .with("reason", reason)
-                     .with("configuration", routes.version())
-                     .with("since_start_us", sinceStart.count())
-                     .with("journal_snapshots", snapshots.snapshots)
-                     .with("journal_pages", snapshots.pages)
-                     .with("journal_bytes", snapshots.bytes)
-                     .with("journal_failed_pages", snapshots.failedPages));
-}
-
 /// Loads the batches of the models that this daemon owns. Closed batches stay loaded for the reuse time, since a trainer
 /// may submit their groups again.
 void gateway_host::state::loadBatches()
@@ -599,13 +530,14 @@
     timer.async_wait([this](const boost::system::error_code& error) {
         if (error)
             return;
-        logReadinessChange();
+        readiness.tick();
         topics.tick(bootNow());
         connections.tick(bootNow());
         if (heldModels.size() != scheduler.ownedModelCount() || (batchJournal.isReady() && !std::exchange(wasLedgerReady, true)))
             assignWork();
         platformView.tick();
         facts.tick();
+        access.setMayRoute(!routes.isReady() || routes.allows(configuration_use::ChooseService, bootNow()));
         access.tick();
         streams.tick();
         batchHandler.tick();
