--- a/tests/auto/platform/tst_recordframe.cpp
+++ b/tests/auto/platform/tst_recordframe.cpp
@@ -48,6 +48,7 @@
 {
     REQUIRE(rc::check([](const std::vector<std::string>& values, const std::vector<std::uint8_t>& pieces) {
         std::vector<keyed_record> records;
+        records.reserve(values.size());
         for (const std::string& value : values)
             records.push_back({ "key", value.empty() ? std::nullopt : std::optional<std::string>(value), 7 + records.size() });
         const std::string body = number8(99) + number8(3) + encodeRecords(records);
--- a/tests/auto/platform/tst_storeclient.cpp
+++ b/tests/auto/platform/tst_storeclient.cpp
@@ -74,7 +74,7 @@
         fixture.put("before", 10);
         fixture.put("config", row.bytes);
         fixture.put("after", 10);
-        read_range range { 1, {}, 64 * 1024 };
+        read_range range { 1, {}, megabyte / 16 };
         range.maxRecordBytes = row.maxRecordBytes;
         const read_outcome outcome = fixture.read(range);
         REQUIRE(outcome.status == read_status::Done);
--- a/tests/bench/configurationbench.cpp
+++ b/tests/bench/configurationbench.cpp
@@ -51,9 +51,12 @@
     const clock_type::time_point start = clock_type::now();
     for (int call = 0; call < FLAGS_lookups; ++call) {
         const int number = call * 7919 % count;
-        const route* const matching = routes.find(hostOf(number), "/path-" + std::to_string(number) + "/item");
-        found += matching && routes.service(matching->targets.front().service) ? 1 + routes.countMoreUrgent(*matching, matching->priority) : 0;
-        found += routes.hasPublicBatches(matching->host) ? 1 : 0;
+        const std::string host = hostOf(number);
+        const route* const matching = routes.find(host, "/path-" + std::to_string(number) + "/item");
+        if (!matching || !routes.service(matching->targets.front().service))
+            continue;
+        found += 1 + routes.countMoreUrgent(*matching, matching->priority);
+        found += routes.hasPublicBatches(host) ? 1 : 0;
     }
     return found == 0 ? 0 : microsecondsSince(start) / FLAGS_lookups;
 }
