--- a/tests/auto/system/tst_replicaaccess.cpp
+++ b/tests/auto/system/tst_replicaaccess.cpp
@@ -21,6 +21,11 @@
 /// Time from a call that went by a configuration until no later call of the daemon goes by an older one.
 constexpr std::chrono::milliseconds revertTime { 250 };
 constexpr int callCount = 15;
+/// Daemons that cannot read the newest configuration.
+constexpr std::size_t behindCount = 4;
+/// Calls so far apart that a daemon asks again those that have refused the call before.
+constexpr int sparseCallCount = 8;
+constexpr std::chrono::milliseconds peerFailurePause { 1100 };
 
 /// Reply of \a daemon to call \a number on the route with the prefix \a path.
 http_reply callShop(const platform_fleet& fleet, std::size_t daemon, const std::string& path, int number)
@@ -103,6 +108,31 @@
     }
 }
 
+// A call goes to three other daemons at most, and which of them were behind was not known.
+TEST_CASE("Callers of a daemon without a path to replicas were refused while most others were behind")
+{
+    const silent_address silent;
+    platform_fleet fleet(behindCount + 2);
+    fleet.redirectReplicas(0, silent.text());
+    for (int number = 1; number <= 3; ++number) {
+        callShop(fleet, 0, "/score/", number);
+        std::this_thread::sleep_for(contactTime / 3);
+    }
+    for (std::size_t daemon = 1; daemon <= behindCount; ++daemon)
+        fleet.setStoreAccess(daemon, store_access::Busy);
+    // Reads under way still get their answer.
+    std::this_thread::sleep_for(1s);
+    fleet.addService("shop-2");
+    fleet.moveRewardRoute(2, "shop-2");
+    std::this_thread::sleep_for(contactTime);
+    int served = 0;
+    for (int number = 100; number < 100 + sparseCallCount; ++number) {
+        served += callShop(fleet, 0, "/score/", number).status == 200 ? 1 : 0;
+        std::this_thread::sleep_for(peerFailurePause);
+    }
+    CHECK(served == sparseCallCount);
+}
+
 // CONFIG: of the daemons to which calls were passed on, one had an older configuration than another.
 TEST_CASE("Calls that were passed on went by an older configuration after they had gone by a newer one")
 {
