Gateway: Count records that are too large with those that were skipped

Two further metrics made the text of all metrics longer than what tst_callerbounds allows 400 callers to leave unread: 17 MB in place of 16; without them 14 MB (three plays each). The counter of skipped records says the same, and the size of a configuration is in configuration_in_force.

--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -243,12 +243,10 @@
         { counter("ragwortreach_configurations_total", "Configurations that came in force"), from.view.configurations },
         { counter("ragwortreach_replica_entries_total", "Entries of replicas that were read"), from.view.replicaEntries },
         { counter("ragwortreach_platform_records_unreadable_total", "Records of the platform that were skipped"), from.view.unreadable },
-        { counter("ragwortreach_platform_records_oversized_total", "Records and pages of the operators that were larger than this daemon takes"), from.view.oversized },
         { gauge("ragwortreach_configuration_version", "Version of the configuration in force"), from.configuration },
         { gauge("ragwortreach_calls_open", "Calls under way"), from.openCalls },
         { gauge("ragwortreach_item_runs_open", "Runs of items under way"), from.runs },
         { gauge("ragwortreach_journal_records_waiting", "Records that are not in the journal yet"), from.recordsWaiting },
-        { gauge("ragwortreach_configuration_bytes", "Size of the configuration in force, in bytes of its text"), from.view.configurationBytes },
         { gauge("ragwortreach_ready", "1 when the daemon is ready"), from.isReady ? 1U : 0U },
     };
     metrics all;
--- a/src/libs/gateway/platformview.cpp
+++ b/src/libs/gateway/platformview.cpp
@@ -52,7 +52,6 @@
         if (!m_view.m_routes.setConfiguration(std::move(configuration)))
             return;
         ++m_view.m_counters.configurations;
-        m_view.m_counters.configurationBytes = m_record.bytes();
         const duration took = bootNow() - m_view.m_decodeStart;
         m_view.m_logger.write(log_line(log_level::Info, "configuration_in_force")
                                   .with("configuration", m_view.m_routes.version())
@@ -191,7 +190,7 @@
 
 void platform_view::reportOversized(const oversized_record& record)
 {
-    ++m_counters.oversized;
+    ++m_counters.unreadable;
     m_logger.write(log_line(log_level::Warning, "record_too_large")
                        .with("code", static_cast<int>(result_code::MemoryFull))
                        .with("topic", m_operators.topicPartition().topic)
--- a/src/libs/gateway/platformview.h
+++ b/src/libs/gateway/platformview.h
@@ -16,11 +16,8 @@
 struct view_counters {
     std::uint64_t configurations = 0;
     std::uint64_t replicaEntries = 0;
+    /// Records that were skipped, among them those of the operators that are larger than this daemon takes.
     std::uint64_t unreadable = 0;
-    /// Size of the configuration in force, in bytes of its text.
-    std::uint64_t configurationBytes = 0;
-    /// Records and pages of the operators that are larger than this daemon takes.
-    std::uint64_t oversized = 0;
 };
 
 /// Follows the topics of the platform and applies them to the route table and the replica pool: the configuration set by
--- a/tests/auto/system/tst_oldroutes.cpp
+++ b/tests/auto/system/tst_oldroutes.cpp
@@ -104,7 +104,7 @@
         CHECK(reply.status == 503);
         CHECK(reply.headers.contains("Retry-After"));
         CHECK_FALSE(fleet.isReady(daemon));
-        CHECK(fleet.metrics(daemon).find("ragwortreach_platform_records_oversized_total 1\n") != std::string::npos);
+        CHECK(fleet.metrics(daemon).find("ragwortreach_platform_records_unreadable_total 1\n") != std::string::npos);
     }
     CHECK(runsAtShop(fleet) == 0);
     CHECK(fleet.run([&fleet] { return fleet.store().readBytes(fleet.storeAddress(0)); }) - readBefore < 2 * size);
