--- a/src/libs/gateway/batchfetch.cpp
+++ b/src/libs/gateway/batchfetch.cpp
@@ -30,7 +30,7 @@
     if (m_isReading || now < m_notBefore)
         return;
     m_isReading = true;
-    continueNewestPages(m_log, m_topicPartition, m_prefix, std::exchange(m_newest, {}), [self = weak_from_this()](newest_records newest) {
+    continueNewestPages(m_log, { m_topicPartition, m_prefix }, std::exchange(m_newest, {}), [self = weak_from_this()](newest_records newest) {
         const std::shared_ptr<batch_fetch> fetch = self.lock();
         if (fetch)
             fetch->onRead(std::move(newest));
--- a/src/libs/gateway/newestpages.cpp
+++ b/src/libs/gateway/newestpages.cpp
@@ -130,9 +130,9 @@
     return { all.begin(), std::lower_bound(all.begin(), all.end(), newest.end, isBefore) };
 }
 
-void continueNewestPages(shared_log& log, const topic_partition& topicPartition, const std::string& prefix, newest_records previous, std::function<void(newest_records)> onDone)
+void continueNewestPages(shared_log& log, const newest_query& query, newest_records previous, std::function<void(newest_records)> onDone)
 {
-    std::make_shared<page_reader>(log, newest_query { topicPartition, prefix }, std::move(onDone))->resume(std::move(previous));
+    std::make_shared<page_reader>(log, query, std::move(onDone))->resume(std::move(previous));
 }
 
 void followNewestPages(boost::asio::io_context& context, shared_log& log, const newest_query& query, newest_records previous, std::function<void(newest_records)> onDone)
--- a/src/libs/gateway/newestpages.h
+++ b/src/libs/gateway/newestpages.h
@@ -50,8 +50,8 @@
 /// Sorts the records by their offsets, and returns those before the end that the first page named. The later ones come with
 /// the tail, in order.
 std::span<keyed_record> sortByOffset(newest_records& newest);
-/// Resumes a read of the keys that begin with \a prefix after the pages in \a previous, or begins it.
-void continueNewestPages(shared_log& log, const topic_partition& topicPartition, const std::string& prefix, newest_records previous, std::function<void(newest_records)> onDone);
+/// Resumes a read of \a query after the pages in \a previous, or begins it.
+void continueNewestPages(shared_log& log, const newest_query& query, newest_records previous, std::function<void(newest_records)> onDone);
 /// As continueNewestPages(), but requests a page that is overdue again over new connections, and the first answer counts.
 ///
 /// An open connection may have gone silent in an outage. The log may also be busy with the pages of a fleet, and sends each
--- a/src/libs/gateway/platformview.cpp
+++ b/src/libs/gateway/platformview.cpp
@@ -30,9 +30,11 @@
 
 class platform_view::operator_visitor {
 public:
-    operator_visitor(platform_view& view, const keyed_record& record)
+    /// \a startedAt: decoding the record began.
+    operator_visitor(platform_view& view, const keyed_record& record, instant startedAt)
         : m_view(view)
         , m_record(record)
+        , m_startedAt(startedAt)
     {
     }
 
@@ -52,7 +54,7 @@
         if (!m_view.m_routes.setConfiguration(std::move(configuration)))
             return;
         ++m_view.m_counters.configurations;
-        const duration took = bootNow() - m_view.m_decodeStart;
+        const duration took = bootNow() - m_startedAt;
         m_view.m_logger.write(log_line(log_level::Info, "configuration_in_force")
                                   .with("configuration", m_view.m_routes.version())
                                   .with("routes", m_view.m_routes.configuration().routes.size())
@@ -65,6 +67,7 @@
 private:
     platform_view& m_view;
     const keyed_record& m_record;
+    instant m_startedAt;
 };
 
 platform_view::platform_view(boost::asio::io_context& context, shared_log& log, route_table& routes, replica_pool& pool,
@@ -105,8 +108,8 @@
 void platform_view::applyOperatorRecords(std::span<const keyed_record> records)
 {
     for (const keyed_record& record : records) {
-        m_decodeStart = bootNow();
-        std::visit(operator_visitor(*this, record), platform::decodeOperatorRecord(record));
+        const instant startedAt = bootNow();
+        std::visit(operator_visitor(*this, record, startedAt), platform::decodeOperatorRecord(record));
     }
 }
 
@@ -119,7 +122,7 @@
 
 void platform_view::applyOversized(const oversized_record& record)
 {
-    reportOversized(record);
+    ++m_counters.unreadable;
     if (!platform::mayBeConfiguration(record))
         return;
     m_isConfigurationReadable = false;
@@ -188,19 +191,6 @@
         m_pool.remove(id);
 }
 
-void platform_view::reportOversized(const oversized_record& record)
-{
-    ++m_counters.unreadable;
-    m_logger.write(log_line(log_level::Warning, "record_too_large")
-                       .with("code", static_cast<int>(result_code::MemoryFull))
-                       .with("topic", m_operators.topicPartition().topic)
-                       .with("key", record.key)
-                       .with("offset", record.offset)
-                       .with("bytes", record.bytes)
-                       .with("max_bytes", m_operators.maxRecordBytes())
-                       .with("remedy", "write a smaller configuration, or give the VM more memory"));
-}
-
 void platform_view::reportUnreadable(const keyed_record& record, std::string_view reason)
 {
     ++m_counters.unreadable;
--- a/src/libs/gateway/platformview.h
+++ b/src/libs/gateway/platformview.h
@@ -59,8 +59,6 @@
     void applyReplicaRecords(std::span<const keyed_record> records);
     void applyReplicaRecord(const keyed_record& record);
     void removeReplica(const std::string& id);
-    /// Logs and counts a record of the operators that is too large.
-    void reportOversized(const oversized_record& record);
     /// Logs and counts a record that cannot be decoded.
     void reportUnreadable(const keyed_record& record, std::string_view reason = {});
 
@@ -71,8 +69,6 @@
     topic_follower m_operators;
     topic_follower m_replicas;
     bool m_isConfigurationReadable = true;
-    /// Time at which decoding the present record began.
-    instant m_decodeStart {};
     view_counters m_counters;
 };
 
--- a/src/libs/gateway/progressstore.cpp
+++ b/src/libs/gateway/progressstore.cpp
@@ -139,7 +139,7 @@
     const topic_partition topicPartition = m_writers.topicPartition(m_writers.partitionOf(started.model));
     const std::string prefix = modelPrefix(started.model);
     newest_records previous = std::exchange(started.pages, {});
-    continueNewestPages(m_log, topicPartition, prefix, std::move(previous),
+    continueNewestPages(m_log, { topicPartition, prefix }, std::move(previous),
         [this, recovery = std::move(started)](newest_records pages) mutable { onRead(recovery, std::move(pages)); });
 }
 
--- a/src/libs/gateway/topicfollower.cpp
+++ b/src/libs/gateway/topicfollower.cpp
@@ -174,8 +174,8 @@
 
 void topic_follower::onProbeDone(std::uint64_t number, instant sentAt, const read_outcome& outcome)
 {
-    const bool isAnswered = outcome.status == read_status::Done;
-    if (!isAnswered || outcome.end <= m_next) {
+    const bool isBehind = outcome.status == read_status::Done && outcome.end > m_next;
+    if (!isBehind) {
         onReadDone(number, sentAt, outcome);
         return;
     }
@@ -187,13 +187,6 @@
     repeatRead();
 }
 
-/// Answers of the present read that arrive from now on are late.
-void topic_follower::endRead()
-{
-    ++m_readNumber;
-    m_timer.cancel();
-}
-
 void topic_follower::onReadDone(std::uint64_t number, instant sentAt, const read_outcome& outcome)
 {
     const bool isAnswered = outcome.status == read_status::Done || outcome.status == read_status::Expired;
@@ -207,8 +200,10 @@
     if (isOvertaken)
         return;
     --m_openReads;
-    if (isAnswered)
-        endRead();
+    if (isAnswered) {
+        ++m_readNumber;
+        m_timer.cancel();
+    }
     recordReadResult(isAnswered);
     switch (outcome.status) {
     case read_status::Expired:
@@ -297,6 +292,7 @@
 void topic_follower::passOver(const oversized_record& record)
 {
     ++m_tail.oversizedRecords;
+    m_lastOversized = record;
     if (m_handlers.onOversized)
         m_handlers.onOversized(record);
 }
--- a/src/libs/gateway/topicfollower.h
+++ b/src/libs/gateway/topicfollower.h
@@ -112,6 +112,8 @@
     /// Takes effect with the next read.
     void setMaxRecordBytes(std::size_t bytes) { m_options.maxRecordBytes = bytes; }
     std::size_t maxRecordBytes() const { return m_options.maxRecordBytes; }
+    /// The last record or page that was larger than this daemon takes; unset while there was none.
+    const oversized_record& lastOversized() const { return m_lastOversized; }
     /// What happened to the last read that failed; empty while none has.
     const std::string& lastFailure() const { return m_lastFailure; }
 
@@ -128,7 +130,6 @@
     void onProbeDone(std::uint64_t number, instant sentAt, const read_outcome& outcome);
     void noteEnd(std::uint64_t end);
     void onReadDone(std::uint64_t number, instant sentAt, const read_outcome& outcome);
-    void endRead();
     void passOver(const oversized_record& record);
     void applyTail(instant sentAt, const read_outcome& outcome);
     void confirm(instant sentAt);
@@ -174,6 +175,7 @@
     instant m_regainedAt {};
     std::uint64_t m_readFailures = 0;
     std::string m_lastFailure;
+    oversized_record m_lastOversized;
     snapshot_counters m_snapshots;
     tail_counters m_tail;
 };
--- a/src/libs/gateway/topicwatch.cpp
+++ b/src/libs/gateway/topicwatch.cpp
@@ -1,5 +1,6 @@
 #include "topicwatch.h"
 
+#include <core/resultcode.h>
 #include <support/log.h>
 #include <support/logline.h>
 
@@ -40,11 +41,17 @@
     const std::uint64_t oversized = topic.follower->tail().oversizedRecords;
     if (oversized == std::exchange(topic.oversizedRecords, oversized))
         return;
-    m_logger.write(log_line(log_level::Warning, "records_passed_over")
+    const oversized_record& last = topic.follower->lastOversized();
+    m_logger.write(log_line(log_level::Warning, "record_too_large")
+                       .with("code", static_cast<int>(result_code::MemoryFull))
                        .with("topic", topic.follower->topicPartition().topic)
                        .with("partition", topic.follower->topicPartition().partition)
+                       .with("key", last.key)
+                       .with("offset", last.offset)
+                       .with("bytes", last.bytes)
+                       .with("max_bytes", topic.follower->maxRecordBytes())
                        .with("records", oversized)
-                       .with("max_bytes", topic.follower->maxRecordBytes()));
+                       .with("remedy", "write a smaller record, or give the VM more memory"));
 }
 
 void topic_watch::check(watched_topic& topic, instant now)
--- a/src/libs/rollout/accessstatement.h
+++ b/src/libs/rollout/accessstatement.h
@@ -7,9 +7,10 @@
 
 namespace ragwortreach {
 
-/// A daemon says whether it reaches replicas.
+/// A daemon says whether it takes the calls of others.
 struct access_statement {
     std::string vm;
+    /// It reaches replicas, and may route by its configuration.
     bool hasAccess = true;
     /// Grows with each statement of the VM, since times shift a little with each daemon that passes a statement on.
     std::uint64_t number = 0;
