Gateway: Repeat no read whose answer arrives

A log that is slow sends one answer after the other, so the 16 bytes of a probe come right behind the record that the read before it waits for, and are read first. The follower then asked for the record again: a probe's answer led to the repeated read at once, whether or not the other one had begun to arrive, though the comment of the class says otherwise. It now waits for 50 ms, and repeats nothing while bytes of the answer come.

--- a/src/libs/gateway/topicfollower.cpp
+++ b/src/libs/gateway/topicfollower.cpp
@@ -16,6 +16,8 @@
     constexpr double patienceDecay = 0.98;
     constexpr duration maxOverdueInterval = std::chrono::milliseconds(600);
     constexpr duration maxRepeatInterval = std::chrono::seconds(5);
+    /// A log that answers one read after the other may have sent the answer to a read just before that to a probe.
+    constexpr duration arrivalTime = std::chrono::milliseconds(50);
     /// Time until a page that is larger than this daemon takes is requested again.
     constexpr duration oversizedPagePause = std::chrono::seconds(15);
     /// Size of an answer.
@@ -117,11 +119,27 @@
     m_log.read(m_options.topicPartition, range, { [this, number = m_readNumber, sentAt = bootNow()](const read_outcome& outcome) { onProbeDone(number, sentAt, outcome); } });
 }
 
+bool topic_follower::isArriving() const
+{
+    return bootNow() - m_progressAt < m_patience;
+}
+
+void topic_follower::repeatReadSoon()
+{
+    m_timer.expires_after(arrivalTime);
+    m_timer.async_wait([this](const boost::system::error_code& error) {
+        if (error)
+            return;
+        repeatRead();
+        awaitAnswer(m_overdueInterval);
+    });
+}
+
 /// An answer that is merely late would only be later if the log had to send it once more.
 void topic_follower::repeatRead()
 {
     const bool isOpen = m_openReads > 0;
-    if (isOpen && bootNow() - m_readSentAt < m_repeatInterval)
+    if (isOpen && (isArriving() || bootNow() - m_readSentAt < m_repeatInterval))
         return;
     m_repeatInterval = std::min(2 * m_repeatInterval, maxRepeatInterval);
     ++m_tail.overdueReads;
@@ -141,8 +159,7 @@
 
 void topic_follower::onOverdue()
 {
-    const bool isArriving = bootNow() - m_progressAt < m_patience;
-    if (!isArriving) {
+    if (!isArriving()) {
         m_isFailing = true;
         sendProbe();
     }
@@ -184,7 +201,7 @@
         return;
     --m_openReads;
     noteEnd(outcome.end);
-    repeatRead();
+    repeatReadSoon();
 }
 
 void topic_follower::onReadDone(std::uint64_t number, instant sentAt, const read_outcome& outcome)
--- a/src/libs/gateway/topicfollower.h
+++ b/src/libs/gateway/topicfollower.h
@@ -123,7 +123,10 @@
     void readTail();
     void sendRead(read_range range);
     void sendProbe();
+    void repeatReadSoon();
     void repeatRead();
+    /// Whether a part of the answer to the present read arrived just now.
+    bool isArriving() const;
     void awaitAnswer(duration time);
     void onOverdue();
     void onProgress(std::uint64_t number, std::uint64_t end);
--- a/tests/auto/system/tst_oldroutes.cpp
+++ b/tests/auto/system/tst_oldroutes.cpp
@@ -6,6 +6,7 @@
 
 #include <string>
 #include <thread>
+#include <vector>
 
 using namespace ragwortreach::Tests;
 using namespace std::chrono_literals;
@@ -14,6 +15,9 @@
 
 /// Bound of the platform on the time from the acknowledgement of a configuration until all daemons follow it.
 constexpr std::chrono::seconds applyTime { 2 };
+/// Time that the platform adds to applyTime while its store turns daemons away or is slow.
+constexpr std::chrono::seconds disturbedTime { 5 };
+
 /// Time for which a read that is under way still gets its answer.
 constexpr std::chrono::milliseconds readWait { 800 };
 
@@ -32,6 +36,11 @@
 /// Routes that configurations have beside the usual ones: records of .3, 1 and 4 MB.
 constexpr std::size_t addedRouteCounts[] = { 2000, 6000, 24000 };
 
+/// Routes of a record of .24 MB, which the platform would take from a daemon, too, and a rate of the log at which it takes three
+/// daemons two seconds to get it.
+constexpr std::size_t slowlyAddedRoutes = 1300;
+constexpr double slowReadRate = 360e3;
+
 /// Memory in MiB of a VM that holds configurations of up to 1 MiB.
 constexpr int smallMemory = 24;
 
@@ -46,9 +55,6 @@
     { "everything", "" },
 };
 
-/// Time that the platform adds to applyTime while its store turns daemons away.
-constexpr std::chrono::seconds disturbedTime { 5 };
-
 /// Fleet of which the store refuses all daemons while it serves the operators.
 struct refused_fleet_case {
     std::size_t daemons;
@@ -85,6 +91,28 @@
     }
 }
 
+// Overdue reads got the record once more each, whatever they asked for, and the log had no time for anything else.
+TEST_CASE("A record was sent to each daemon several times while the log was slow")
+{
+    constexpr std::size_t daemons = 3;
+    platform_fleet fleet(daemons);
+    fleet.addService("shop-2");
+    std::this_thread::sleep_for(readWait);
+    std::vector<std::uint64_t> readBefore;
+    for (std::size_t daemon = 0; daemon < daemons; ++daemon)
+        readBefore.push_back(fleet.run([&fleet, daemon] { return fleet.store().readBytes(fleet.storeAddress(daemon)); }));
+    fleet.run([&fleet] { fleet.store().setReadRate(slowReadRate); });
+    const std::size_t size = fleet.moveRewardRoute(2, "shop-2", slowlyAddedRoutes);
+    std::this_thread::sleep_for(applyTime + disturbedTime);
+    for (std::size_t daemon = 0; daemon < daemons; ++daemon) {
+        CHECK(callRewards(fleet, daemon, static_cast<int>(daemon)).status == 200);
+        CHECK(fleet.isReady(daemon));
+        const std::uint64_t readBytes = fleet.run([&fleet, daemon] { return fleet.store().readBytes(fleet.storeAddress(daemon)); });
+        CHECK(readBytes - readBefore[daemon] < 2 * size);
+    }
+    CHECK(fleet.startedAt("shop-2").size() == daemons);
+}
+
 // Nothing bounded the use of the configuration before one that no daemon can hold.
 TEST_CASE("Calls went by an older configuration while the newest one was larger than the daemon has memory for")
 {
