Tests: Give the soak its share of faults back

With the slow log the draw of a fault had become one of ten, of which two did nothing without another program, in place of one of eight. It is one of nine.

--- a/tests/auto/soak/configurationsoak.cpp
+++ b/tests/auto/soak/configurationsoak.cpp
@@ -149,7 +149,7 @@
     const std::size_t all = m_options.daemons;
     const std::size_t counts[] = { 1, all / 2, all };
     const store_access kinds[] = { store_access::Busy, store_access::TooManyRequests, store_access::Resetting, store_access::Silent };
-    const std::size_t draw = std::uniform_int_distribution<std::size_t>(0, 9)(m_random);
+    const std::size_t draw = std::uniform_int_distribution<std::size_t>(0, 8)(m_random);
     if (draw < std::size(kinds)) {
         turnAway(kinds[draw], counts[std::uniform_int_distribution<std::size_t>(0, std::size(counts) - 1)(m_random)]);
         return;
