Net: Send a whole answer in one write, and keep no large buffer for the next

Cause: an answer was queued in two parts, its head and then its body. While the head was being sent, the body grew a second buffer, and both buffers of a connection were kept for the next answer when they were smaller than 64 KiB, whatever the size of that answer.

An answer that is complete is now queued as a whole and sent by one write, and only a buffer of up to 4 KiB, the size that is kept for input, is kept on the connection.

--- a/src/libs/net/httpsession.cpp
+++ b/src/libs/net/httpsession.cpp
@@ -440,20 +440,24 @@
 
 void http_session::respond(http_response response)
 {
-    http_response_head head { response.status, std::move(response.headers), response.body.size() };
-    beginStream(head);
+    beginAnswer({ response.status, std::move(response.headers), response.body.size() });
     if (!m_isHead)
-        queue(response.body);
+        m_pending += response.body;
     endStream();
 }
 
 void http_session::beginStream(const http_response_head& head)
+{
+    beginAnswer(head);
+    flush();
+}
+
+void http_session::beginAnswer(const http_response_head& head)
 {
     m_isAnswerBegun = true;
     m_isKeepAlive = m_isKeepAlive && !m_server->isDraining;
     m_isChunked = !head.contentLength && head.status != 204 && head.status != 304;
     m_pending += headText(head, m_isKeepAlive);
-    flush();
 }
 
 void http_session::write(std::string_view piece)
@@ -530,7 +534,7 @@
 void http_session::releaseSent()
 {
     // The connection may stay open for long.
-    if (m_sending.capacity() > byte_budget::maxSmallBytes)
+    if (m_sending.capacity() > keptBufferBytes)
         freeMemory(m_sending);
     m_sending.clear();
     m_heldAnswer.set(queuedBytes());
--- a/src/libs/net/httpsession.h
+++ b/src/libs/net/httpsession.h
@@ -86,6 +86,8 @@
     void onRequestRead(const boost::system::error_code& error);
     void rejectRequest(result_code code);
     void openExchange();
+    /// Queues the head of an answer.
+    void beginAnswer(const http_response_head& head);
     /// Watches the socket while an exchange is open, to learn when the caller closes its connection.
     void watchForDisconnect();
     void queue(std::string_view bytes);
