Gateway: Look again at a page that was too large once something was written

What callers saw: a daemon that started, or whose history was dropped, while a configuration lay in the log that it has no memory for, refused calls for up to 15 s after a small one had replaced it.

Cause: the page of newest records was requested again each 15 s only. The mend of large configurations had put that pause there, so that a page which cannot be taken is not fetched twice a second; it also delayed the news that the page can be taken now.

The follower now probes the end of the partition each 500 ms, which takes 16 bytes of the log, and requests the page again as soon as something was written since. The page is still requested each 15 s otherwise.

--- a/src/libs/gateway/topicfollower.cpp
+++ b/src/libs/gateway/topicfollower.cpp
@@ -18,8 +18,10 @@
     constexpr duration maxRepeatInterval = std::chrono::seconds(5);
     /// A log that answers one read after the other may have sent the answer to a read just before that to a probe.
     constexpr duration arrivalTime = std::chrono::milliseconds(50);
-    /// Time until a page that is larger than this daemon takes is requested again.
+    /// Time until a page that is larger than this daemon takes is requested again, although nothing was written since.
     constexpr duration oversizedPagePause = std::chrono::seconds(15);
+    /// Time between two probes that tell whether something was written since.
+    constexpr duration oversizedProbePause = std::chrono::milliseconds(500);
     /// Size of an answer.
     constexpr std::size_t tailReadBytes = std::size_t { 64 } * 1024;
     /// Offset beyond the end of any partition: the answer tells the end and has no records.
@@ -64,7 +66,25 @@
         return;
     }
     passOver({});
-    retryLater(oversizedPagePause, &topic_follower::readSnapshot);
+    m_repeatPageAt = bootNow() + oversizedPagePause;
+    probeOversizedPage();
+}
+
+/// Smaller records may have taken the place of those that made the page too large.
+void topic_follower::probeOversizedPage()
+{
+    m_log.read(m_options.topicPartition, { probeOffset, {}, probeBytes }, { [this](const read_outcome& outcome) { onOversizedPageProbed(outcome); } });
+}
+
+void topic_follower::onOversizedPageProbed(const read_outcome& outcome)
+{
+    const bool isWritten = outcome.status == read_status::Done && outcome.end != m_oversizedPageEnd;
+    if (isWritten)
+        m_oversizedPageEnd = outcome.end;
+    if (isWritten || bootNow() >= m_repeatPageAt)
+        readSnapshot();
+    else
+        retryLater(oversizedProbePause, &topic_follower::probeOversizedPage);
 }
 
 void topic_follower::applySnapshot(newest_records newest)
--- a/src/libs/gateway/topicfollower.h
+++ b/src/libs/gateway/topicfollower.h
@@ -70,7 +70,8 @@
 /// answered. When the answer to a read that was overtaken arrives after all, the log was only slow, and the follower
 /// becomes more patient.
 ///
-/// A record may be larger than this daemon has the memory for. Such a record is passed over and reported.
+/// A record may be larger than this daemon has the memory for. Such a record is passed over and reported. A page with one
+/// is requested again as soon as something was written.
 class topic_follower {
 public:
     struct handlers {
@@ -120,6 +121,8 @@
 private:
     void applySnapshot(newest_records newest);
     void onSnapshotFailed(newest_records newest);
+    void probeOversizedPage();
+    void onOversizedPageProbed(const read_outcome& outcome);
     void readTail();
     void sendRead(read_range range);
     void sendProbe();
@@ -172,6 +175,9 @@
     std::uint64_t m_lastLate = 0;
     /// Pages read before reading one failed, and the count of requests while pages were overdue.
     newest_records m_partial;
+    /// End of the partition when a page was requested again that was too large, and time at which it is once more.
+    std::uint64_t m_oversizedPageEnd = 0;
+    instant m_repeatPageAt {};
     retry_pause m_retryPause;
     instant m_sentAt {};
     instant m_confirmedAt {};
--- a/tests/auto/gateway/memorylog.cpp
+++ b/tests/auto/gateway/memorylog.cpp
@@ -194,8 +194,13 @@
         outcome.hasMore = outcome.records.size() == m_pageRecords || (!outcome.records.empty() && bytes > m_pageBytes);
         if (outcome.hasMore)
             break;
+        outcome.isOversized = outcome.isOversized || item.second.bytes() > range.maxRecordBytes;
         outcome.records.push_back(item.second);
     }
+    if (outcome.isOversized) {
+        outcome.isDone = false;
+        outcome.records.clear();
+    }
     answerAfter(m_pageDelay, [outcome, whenDone = std::move(onDone)] { whenDone(outcome); });
 }
 
--- a/tests/auto/gateway/tst_topicfollower.cpp
+++ b/tests/auto/gateway/tst_topicfollower.cpp
@@ -301,6 +301,36 @@
     CHECK(fixture.oversized.size() == 1);
 }
 
+TEST_CASE("A follower learned only after fifteen seconds that a small record had replaced one that was too large for a page")
+{
+    timed_follower_fixture fixture;
+    fixture.follower.setMaxRecordBytes(1000);
+    fixture.log.put("config", std::string(2000, 'c'));
+    fixture.follower.start();
+    fixture.time.advance(5s);
+    CHECK_FALSE(fixture.follower.isReady());
+    CHECK(fixture.log.pageRequests() <= 2);
+    CHECK(fixture.log.reads() <= 12);
+    fixture.log.put("config", "small");
+    fixture.time.advance(1s);
+    CHECK(fixture.follower.isReady());
+    CHECK(fixture.values["config"] == "small");
+    CHECK(fixture.log.pageRequests() <= 3);
+}
+
+TEST_CASE("A follower requests a page that was too large again, although nothing was written")
+{
+    timed_follower_fixture fixture;
+    fixture.follower.setMaxRecordBytes(1000);
+    fixture.log.put("config", std::string(2000, 'c'));
+    fixture.follower.start();
+    fixture.time.advance(5s);
+    fixture.follower.setMaxRecordBytes(4000);
+    fixture.time.advance(15s);
+    CHECK(fixture.follower.isReady());
+    CHECK(fixture.values["config"].size() == 2000);
+}
+
 // The further request is due after 1 s, and the next one 2 s later.
 TEST_CASE("A follower stayed behind for five seconds since a page got no answer")
 {
