Gateway: Name each reading of the metrics where it is passed on

The 32 sources were told apart by their order alone, in two lines of 400 characters. No change of behaviour; the daemon builds, and the members' order is checked by the compiler.

--- a/src/libs/gateway/gatewayhost.cpp
+++ b/src/libs/gateway/gatewayhost.cpp
@@ -499,8 +499,40 @@
 
 void gateway_host::state::answerMetrics(const http_exchange& exchange)
 {
-    const gateway_readings readings { relay.counters(), access.counters(), batchHandler.counters(), loader.counters(), scheduler.counters(), scheduler.rewards(), runner.rewardLatency(), runner.workCounters(), orderer.counters(), platformView.counters(), facts, streams.counters(),
-        batchJournal.counters(), batchJournal.snapshots(), batchJournal.texts().counters(), progress.counters(), pool.keptAway(), lateRefusals, outdatedRefusals, admissions, duties.counters(), usage.counters(), scaler.counters(), routes.version(), relay.openCalls(), scheduler.runs(), batchJournal.pendingWrites(), readiness.isReady(), guard->counters(), guard->connections(), guard->unfinishedBytes(), guard->bodies().held() };
+    const gateway_readings readings {
+        .calls = relay.counters(),
+        .access = access.counters(),
+        .batches = batchHandler.counters(),
+        .loads = loader.counters(),
+        .items = scheduler.counters(),
+        .rewards = scheduler.rewards(),
+        .rewardLatency = runner.rewardLatency(),
+        .work = runner.workCounters(),
+        .weights = orderer.counters(),
+        .view = platformView.counters(),
+        .facts = facts,
+        .streams = streams.counters(),
+        .journal = batchJournal.counters(),
+        .journalSnapshots = batchJournal.snapshots(),
+        .texts = batchJournal.texts().counters(),
+        .progress = progress.counters(),
+        .keptAway = pool.keptAway(),
+        .lateRefusals = lateRefusals,
+        .outdatedRefusals = outdatedRefusals,
+        .admissions = admissions,
+        .duties = duties.counters(),
+        .usage = usage.counters(),
+        .scaling = scaler.counters(),
+        .configuration = routes.version(),
+        .openCalls = relay.openCalls(),
+        .runs = scheduler.runs(),
+        .recordsWaiting = batchJournal.pendingWrites(),
+        .isReady = readiness.isReady(),
+        .callers = guard->counters(),
+        .connections = guard->connections(),
+        .unfinishedBytes = guard->unfinishedBytes(),
+        .bodyBytes = guard->bodies().held(),
+    };
     exchange.respond({ okStatus, { { "Content-Type", "text/plain; version=0.0.4" } }, metricsText(readings) });
 }
 
