Gateway: Request a page that stays too large ever more rarely

The time between the probes now doubles with each page in a row that is too large, from .5 to 15 s, and begins anew with one that is not. One large configuration and a small one after it still take at most 1 s.

--- a/src/libs/gateway/topicfollower.cpp
+++ b/src/libs/gateway/topicfollower.cpp
@@ -20,8 +20,8 @@
     constexpr duration arrivalTime = std::chrono::milliseconds(50);
     /// Time until a page that is larger than this daemon takes is requested again, although nothing was written since.
     constexpr duration oversizedPagePause = std::chrono::seconds(15);
-    /// Time between two probes that tell whether something was written since.
-    constexpr duration oversizedProbePause = std::chrono::milliseconds(500);
+    /// First time between two probes that tell whether something was written since.
+    constexpr duration firstOversizedPause = std::chrono::milliseconds(500);
     /// Size of an answer.
     constexpr std::size_t tailReadBytes = std::size_t { 64 } * 1024;
     /// Offset beyond the end of any partition: the answer tells the end and has no records.
@@ -36,6 +36,7 @@
     , m_handlers(std::move(handlers))
     , m_timer(context)
     , m_patience(minPatience)
+    , m_oversizedPause(firstOversizedPause, oversizedPagePause)
     , m_retryPause(firstRetryPause, maxRetryPause)
 {
 }
@@ -66,8 +67,9 @@
         return;
     }
     passOver({});
+    m_oversizedPause.noteFailure();
     m_repeatPageAt = bootNow() + oversizedPagePause;
-    probeOversizedPage();
+    retryLater(m_oversizedPause.next(), &topic_follower::probeOversizedPage);
 }
 
 /// Smaller records may have taken the place of those that made the page too large.
@@ -84,7 +86,7 @@
     if (isWritten || bootNow() >= m_repeatPageAt)
         readSnapshot();
     else
-        retryLater(oversizedProbePause, &topic_follower::probeOversizedPage);
+        retryLater(m_oversizedPause.next(), &topic_follower::probeOversizedPage);
 }
 
 void topic_follower::applySnapshot(newest_records newest)
@@ -95,6 +97,7 @@
         return;
     }
     m_partial.overdueRequests = newest.overdueRequests;
+    m_oversizedPause.reset();
     ++m_snapshots.snapshots;
     m_snapshots.pages += newest.pages;
     m_snapshots.bytes += newest.bytes;
--- a/src/libs/gateway/topicfollower.h
+++ b/src/libs/gateway/topicfollower.h
@@ -175,8 +175,11 @@
     std::uint64_t m_lastLate = 0;
     /// Pages read before reading one failed, and the count of requests while pages were overdue.
     newest_records m_partial;
-    /// End of the partition when a page was requested again that was too large, and time at which it is once more.
+    /// Time between the probes while a page is too large; longer with each further such page.
+    retry_pause m_oversizedPause;
+    /// End of the partition when a page that was too large was last requested again.
     std::uint64_t m_oversizedPageEnd = 0;
+    /// Time at which such a page is requested again, although nothing was written.
     instant m_repeatPageAt {};
     retry_pause m_retryPause;
     instant m_sentAt {};
