Rollout: Grant no further second to a configuration that was confirmed long ago

What callers saw: after the log had reset all connections for 12 s and was slow then, a daemon took calls by a version that had been replaced 12.9 s before. It had just found that the newest one is larger than it has memory for, and went on for a second, as after any such record.

Cause: that second counted from the time at which the daemon learned of the record, though the record may have been written at any time since the last confirmation. What is too large never arrives, so waiting serves no caller. Now the older configuration is used no longer than the platform's bound after the last confirmation.

--- a/src/libs/rollout/routetable.cpp
+++ b/src/libs/rollout/routetable.cpp
@@ -38,7 +38,8 @@
         return configuration_state::Missing;
     if (isOver(m_supersededAt, maxSupersededTime))
         return configuration_state::Superseded;
-    if (isOver(m_tooLargeSince, maxSupersededTime))
+    // What is too large may have been written at any time since the last confirmation.
+    if (isOver(m_tooLargeSince, maxSupersededTime) || (m_tooLargeSince && isOver(m_confirmedAt, m_maxUnreadTime)))
         return configuration_state::TooLarge;
     if (m_isRefused && now - m_confirmedAt >= m_maxUnconfirmedTime)
         return configuration_state::Unconfirmed;
--- a/src/libs/rollout/routetable.h
+++ b/src/libs/rollout/routetable.h
@@ -60,7 +60,7 @@
     void setMaxUnconfirmedTime(duration time) { m_maxUnconfirmedTime = time; }
 
     /// Sets the time for which services are chosen by a configuration after this daemon has learned that the operators have
-    /// written something that it has not read.
+    /// written something that it has not read, and from the last confirmation if that is too large for this daemon.
     void setMaxUnreadTime(duration time) { m_maxUnreadTime = time; }
 
     /// Sets the time from the withdrawal of a key until no daemon honours it any more; without one, keys are honoured for as
--- a/tests/auto/rollout/tst_routetable.cpp
+++ b/tests/auto/rollout/tst_routetable.cpp
@@ -153,6 +153,8 @@
         { "unread beyond the bound", false, 2s, configuration_state::Unconfirmed, false, 1500ms },
         { "found too large just now", false, 200ms, configuration_state::Current, true, {}, 900ms },
         { "too large beyond the bound", false, 200ms, configuration_state::TooLarge, false, {}, 1s },
+        { "found too large just now, confirmed within the bound", false, 1400ms, configuration_state::Current, false, {}, 0s },
+        { "found too large just now, confirmed long ago", false, 14s, configuration_state::TooLarge, false, {}, 0s },
     };
     const instant now = instant {} + 1000s;
     for (const row& row : rows) {
