Rollout: Wait a second only for what is unread when the last confirmation is long ago

What callers saw: after the log had reset all connections for 12 s and was slow then, a daemon read the next version and took calls by it while a record of 4.5 MB was on its way, up to 9.5 s after that one had been acknowledged, where the platform allows 7 s.

When the last confirmation is older than the platform allows for a log that refuses (7 s), it is one second now. For a log that is merely slow, where confirmations are at most a few seconds old, nothing changes.

Measured: two new rows of tst_rollout, of which one fails before.

--- a/src/libs/rollout/routetable.cpp
+++ b/src/libs/rollout/routetable.cpp
@@ -43,7 +43,8 @@
         return configuration_state::TooLarge;
     if (m_isRefused && now - m_confirmedAt >= m_maxUnconfirmedTime)
         return configuration_state::Unconfirmed;
-    if (isOver(m_unreadSince, m_maxUnreadTime))
+    const bool isConfirmedLongAgo = isOver(m_confirmedAt, m_maxUnconfirmedTime);
+    if (isOver(m_unreadSince, isConfirmedLongAgo ? maxSupersededTime : m_maxUnreadTime))
         return configuration_state::Unconfirmed;
     return configuration_state::Current;
 }
--- a/src/libs/rollout/routetable.h
+++ b/src/libs/rollout/routetable.h
@@ -56,7 +56,7 @@
     static constexpr duration keyMargin = std::chrono::milliseconds(100);
 
     /// Sets the time from the last confirmation of the configuration for which services are chosen by it while the log
-    /// refuses to confirm it.
+    /// refuses to confirm it. Beyond that time one that is known to be unread is waited for a second only.
     void setMaxUnconfirmedTime(duration time) { m_maxUnconfirmedTime = time; }
 
     /// Sets the time for which services are chosen by a configuration after this daemon has learned that the operators have
--- a/tests/auto/rollout/tst_routetable.cpp
+++ b/tests/auto/rollout/tst_routetable.cpp
@@ -151,6 +151,8 @@
         { "refused beyond the bound", true, 9s, configuration_state::Unconfirmed, false },
         { "unread within the bound", false, 2s, configuration_state::Current, false, 1400ms },
         { "unread beyond the bound", false, 2s, configuration_state::Unconfirmed, false, 1500ms },
+        { "unread, confirmed long ago", false, 14s, configuration_state::Unconfirmed, false, 1s },
+        { "unread since just now, confirmed long ago", false, 14s, configuration_state::Current, false, 900ms },
         { "found too large just now", false, 200ms, configuration_state::Current, true, {}, 900ms },
         { "too large beyond the bound", false, 200ms, configuration_state::TooLarge, false, {}, 1s },
         { "found too large just now, confirmed within the bound", false, 1400ms, configuration_state::Current, false, {}, 0s },
