Tests: Begin oversized pages in one place, and apply the soak's log level without a memory bound

Three cases of tst_topicfollower began with the same three lines; the fixture has them now. SOAK_LOG_LEVEL had no effect together with SOAK_MEMORY=0, since the daemons were only restarted for the memory; they are restarted in both cases, and the line of a daemon that is behind is built in two steps. Assertions, draws and bounds are the same.

--- a/tests/auto/gateway/tst_topicfollower.cpp
+++ b/tests/auto/gateway/tst_topicfollower.cpp
@@ -74,6 +74,14 @@
             log.put("key-" + std::to_string(100 + number), "value");
     }
 
+    /// Starts before a page with a record that is larger than the follower takes.
+    void startBeforeOversizedPage()
+    {
+        follower.setMaxRecordBytes(1000);
+        log.put("config", std::string(2000, 'c'));
+        follower.start();
+    }
+
     virtual_time time { context };
 };
 
@@ -304,9 +312,7 @@
 TEST_CASE("A follower learned only after fifteen seconds that a small record had replaced one that was too large for a page")
 {
     timed_follower_fixture fixture;
-    fixture.follower.setMaxRecordBytes(1000);
-    fixture.log.put("config", std::string(2000, 'c'));
-    fixture.follower.start();
+    fixture.startBeforeOversizedPage();
     fixture.time.advance(5s);
     CHECK_FALSE(fixture.follower.isReady());
     CHECK(fixture.log.pageRequests() <= 2);
@@ -321,9 +327,7 @@
 TEST_CASE("A follower of a busy log requests a page that is too large ever more rarely")
 {
     timed_follower_fixture fixture;
-    fixture.follower.setMaxRecordBytes(1000);
-    fixture.log.put("config", std::string(2000, 'c'));
-    fixture.follower.start();
+    fixture.startBeforeOversizedPage();
     for (int second = 0; second < 60; ++second) {
         fixture.log.put("other", "value");
         fixture.time.advance(1s);
@@ -335,9 +339,7 @@
 TEST_CASE("A follower requests a page that was too large again, although nothing was written")
 {
     timed_follower_fixture fixture;
-    fixture.follower.setMaxRecordBytes(1000);
-    fixture.log.put("config", std::string(2000, 'c'));
-    fixture.follower.start();
+    fixture.startBeforeOversizedPage();
     fixture.time.advance(5s);
     fixture.follower.setMaxRecordBytes(4000);
     fixture.time.advance(16s);
--- a/tests/auto/soak/configurationsoak.cpp
+++ b/tests/auto/soak/configurationsoak.cpp
@@ -53,9 +53,8 @@
 {
     for (std::size_t daemon = 0; daemon < m_options.daemons; ++daemon) {
         m_fleet.setLogLevel(daemon, m_options.logLevel);
-        if (m_options.memory == 0)
-            continue;
-        m_fleet.setGatewaySetting(daemon, "memory_mb", m_options.memory);
+        if (m_options.memory > 0)
+            m_fleet.setGatewaySetting(daemon, "memory_mb", m_options.memory);
         m_fleet.restart(daemon);
     }
     for (std::size_t daemon = 0; daemon < m_options.alone; ++daemon)
@@ -293,8 +292,11 @@
     std::vector<std::string> behind;
     for (std::size_t daemon = 0; daemon < m_options.daemons; ++daemon) {
         const auto last = std::find_if(m_calls.rbegin(), m_calls.rend(), [daemon](const judged_call& call) { return call.daemon == daemon; });
-        if (last == m_calls.rend() || last->version != m_version)
-            behind.push_back("daemon " + std::to_string(daemon) + " does not follow version " + std::to_string(m_version) + (last == m_calls.rend() ? std::string() : "; its last call got " + std::to_string(last->status) + ", version " + std::to_string(last->version.value_or(0))));
+        const std::string name = "daemon " + std::to_string(daemon);
+        if (last == m_calls.rend())
+            behind.push_back(name + " got no call");
+        else if (last->version != m_version)
+            behind.push_back(name + " does not follow version " + std::to_string(m_version) + "; its last call got " + std::to_string(last->status) + ", version " + std::to_string(last->version.value_or(0)));
     }
     return behind;
 }
