--- a/review/6/case.py
+++ b/review/6/case.py
@@ -12,7 +12,7 @@
 CUT_S = 5.0        # srv_cut: for_s (5)
 EXPIRY_S = 3 * f.Replica.HEARTBEAT_S
 LATE_S = 5.1       # "executed seconds later"; platform_lost late: done 1 to 6 s later
-WORK_S = 0.025
+WORK_S = 0.3
 
 
 class Desk(f.Replica):
@@ -43,6 +43,7 @@
         self.unanswered = entry, self.record.now()
 
     unanswered = None
+    at_work = 0
 
     def heal(self):
         self.is_cut = False
@@ -56,9 +57,15 @@
     def report_draining(self):
         self.state, self.leaving = "draining", True
         self.write_entry()
+        self.drained_at = self.record.now()
         self.record.write("store acknowledges heartbeat", self.seq_no, "draining of", self.id)
 
+    has_ended = False
+
     def end(self):
+        if self.has_ended:
+            return
+        self.has_ended = True
         self.stop_beating()
         if self.removal:
             self.removal.cancel()
@@ -66,8 +73,15 @@
         self.server.stop(True)
         self.record.write("replica", self.id, "ends, and its entry is removed")
 
+    drained_at = None
+
     async def work(self, request):
+        self.at_work += 1
+        if self.drained_at and self.record.now() > self.drained_at + DRAIN_S:
+            # It has served for drain_ms and a little longer, and may exit.
+            asyncio.get_running_loop().call_later(WORK_S / 2, self.end)
         await asyncio.sleep(WORK_S)
+        self.at_work -= 1
         return f.response(200, self.answer_headers(request), "done by " + self.id)
 
 
@@ -83,16 +97,20 @@
     await asyncio.gather(*pending)
 
 
+answers = {}
+
+
 async def one(fleet, daemon, id):
     fleet.record.write("client sends", id, "to", daemon.name)
-    answer = await f.call(daemon.port, "POST", "/lohu930/2f", {"Host": "ficu95.example", "Request-Id": id, "Deadline-Ms": "800"}, b"x" * 600, 2)
+    answer = await f.call(daemon.port, "POST", "/lohu930/2f", {"Host": "ficu95.example", "Request-Id": id, "Deadline-Ms": "3000"}, b"x" * 600, 4)
+    answers[id] = answer
     fleet.record.write("client gets", answer, "for", id)
 
 
 async def case(fleet, trouble):
     desks = [await fleet.add_replica(Desk(fleet.store, fleet.record, f"i-desk{number}", "wuno96b", zone))
              for number, zone in enumerate(("zone-a", "zone-b", "zone-c"))]
-    fleet.configure(1, [f.route("r-desk", "wuno96b", "idempotent", "/lohu930/", timeout_ms=800)], [f.plain_service("wuno96b")])
+    fleet.configure(1, [f.route("r-desk", "wuno96b", "non_idempotent", "/lohu930/", timeout_ms=3000)], [f.plain_service("wuno96b")])
     await fleet.start_daemons(3)
     leaving = desks[1]
     start = fleet.record.now()
@@ -106,16 +124,18 @@
         leaving.heal()
     else:
         await asyncio.sleep(CUT_S)
-    # Planned work: the replica leaves.
-    await asyncio.sleep(1.5)
+    # Planned work: the replica leaves, at a moment at which it has nothing to do.
+    await asyncio.sleep(1.3)
+    while leaving.at_work or fleet.record.now() - leaving.runs[-1][0] > WORK_S + 0.05:
+        await asyncio.sleep(0.005)
     leaving.report_draining()
-    acknowledged = fleet.record.now()
     # It goes on serving for a little longer than drain_ms.
     await asyncio.sleep(DRAIN_S + 3.5)
     leaving.end()
     await traffic
-    late = [(at, id) for at, id in leaving.runs if at > acknowledged + DRAIN_S]
-    return [f"DRAIN: request {id} reached {leaving.id} {at - acknowledged:.2f} s after its draining was acknowledged" for at, id in late]
+    late = [(at - leaving.drained_at, id) for at, id in leaving.runs if at > leaving.drained_at + DRAIN_S]
+    return [f"DRAIN: request {id} reached {leaving.id} {after:.2f} s after its draining was acknowledged; its client got {answers[id]}"
+            for after, id in late]
 
 
 f.run_case(case, FOLDER)
