--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -7,6 +7,7 @@
 import base64
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -28,17 +29,23 @@
     """The case cannot run here; the script exits with 2."""
 
 
+USED_PORTS = set()
+
+
 def free_port():
-    """A port that is free for TCP and UDP."""
-    for _ in range(100):
+    """A port below those that the kernel gives to connections, free for TCP and UDP."""
+    for _ in range(1000):
+        port = random.randrange(12000, 30000)
+        if port in USED_PORTS:
+            continue
         with socket.socket() as tcp, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
-            tcp.bind((LOOPBACK, 0))
-            port = tcp.getsockname()[1]
             try:
+                tcp.bind((LOOPBACK, port))
                 udp.bind((LOOPBACK, port))
             except OSError:
                 continue
-            return port
+        USED_PORTS.add(port)
+        return port
     raise CannotRun("no free port")
 
 
