--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -160,7 +160,10 @@
             pass
         finally:
             self.writers.discard(writer)
-            writer.close()
+            try:
+                writer.close()
+            except RuntimeError:
+                pass  # The loop has been closed.
 
     def stop(self, resets=False):
         self.server.close()
