--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -597,6 +597,9 @@
     async def main():
         return await asyncio.wait_for(case(fleet, trouble), limit_s)
 
+    # The daemons are ended in any case.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+
     try:
         broken = asyncio.run(main())
     except CannotRun as error:
