--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -595,10 +595,20 @@
     fleet = Fleet(record, log_level)
 
     async def main():
-        return await asyncio.wait_for(case(fleet, trouble), limit_s)
+        try:
+            return await asyncio.wait_for(case(fleet, trouble), limit_s)
+        finally:
+            # The tasks of the stand-ins end once the daemons have closed their connections.
+            fleet.close()
+
+    def stop(*_):
+        """Ends the daemons in any case, also when a task of the stand-ins does not end."""
+        fleet.close()
+        os._exit(2)
 
-    # The daemons are ended in any case.
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGALRM, stop)
+    signal.alarm(limit_s + 6)
 
     try:
         broken = asyncio.run(main())
