--- a/review/8/case.py
+++ b/review/8/case.py
@@ -109,7 +109,7 @@
 
 async def case(fleet, trouble):
     desks = [await fleet.add_replica(Desk(fleet.store, fleet.record, f"i-desk{number}", "wuno96b", zone))
-             for number, zone in enumerate(("zone-a", "zone-b", "zone-c"))]
+             for number, zone in enumerate(("zone-a", "zone-b", "zone-c", "zone-a", "zone-c"))]
     fleet.configure(1, [f.route("r-desk", "wuno96b", "non_idempotent", "/lohu930/", timeout_ms=3000)], [f.plain_service("wuno96b")])
     await fleet.start_daemons(3)
     leaving = desks[1]
