--- a/src/libs/net/sharedtext.h
+++ b/src/libs/core/sharedtext.h
@@ -26,6 +26,8 @@
     operator std::string_view() const { return view(); }
     std::size_t size() const { return view().size(); }
     bool empty() const { return !m_content; }
+    /// Whether another copy refers to the same text.
+    bool isShared() const { return m_content && m_content->use_count() > 1; }
 
     friend bool operator==(const shared_text& left, std::string_view right) { return left.view() == right; }
 
--- a/src/libs/gateway/batchhandler.cpp
+++ b/src/libs/gateway/batchhandler.cpp
@@ -1,12 +1,15 @@
 #include "batchhandler.h"
 
 #include "bootclock.h"
+#include "contentsfetcher.h"
 #include "errorresponses.h"
 #include "textkeys.h"
+#include "textscan.h"
 
 #include <platform/batchcodec.h>
 #include <support/log.h>
 #include <support/logline.h>
+#include <wire/contentscodec.h>
 
 #include <algorithm>
 #include <span>
@@ -132,14 +135,28 @@
     submission->host = caller.host;
     submission->configuration = m_routes.version();
     submission->organisation = caller.identity.organisation;
+    exchange.releaseBody();
     accept(exchange, std::move(*submission));
 }
 
+std::shared_ptr<held_bytes> batch_handler::holdContents(const batch_submission& submission) const
+{
+    if (!m_budget)
+        return nullptr;
+    std::size_t bytes = 0;
+    for (const batch_item& item : submission.items)
+        bytes += item.body.size() + (item.reward ? item.reward->body.size() : 0);
+    std::shared_ptr<held_bytes> held = std::make_shared<held_bytes>(*m_budget);
+    held->set(bytes);
+    return held;
+}
+
 /// Writes the acceptance of a batch and answers with its outcome.
 void batch_handler::accept(const http_exchange& exchange, batch_submission submission)
 {
     const std::string id = submission.id;
-    m_journal.write(batch_accepted { std::move(submission) }, write_mode::FailOnRefusal, [this, exchange, id](const append_report& report) {
+    const std::shared_ptr<held_bytes> held = holdContents(submission);
+    m_journal.write(batch_accepted { std::move(submission) }, write_mode::FailOnRefusal, [this, exchange, id, held](const append_report& report) {
         switch (report.status) {
         case append_status::Done:
             ++m_counters.accepted;
@@ -304,29 +321,50 @@
 {
     const ledger_batch* const batch = m_journal.ledger().find(call.batch);
     const std::optional<std::size_t> index = batch ? batch->indexOf(call.item) : std::nullopt;
-    if (index && !batch->isLoaded) {
-        readStoredItem(received, call, *batch->submission.contents);
+    if (!index) {
+        received.exchange.respond(failureResponse(notFoundStatus, result_code::UnknownBatch, "There is no such item."));
         return;
     }
-    if (index) {
+    if (!batch->hasStoredContents())
         received.exchange.respond(bytesAnswer(batch->submission.items[*index].body));
-        return;
-    }
-    received.exchange.respond(failureResponse(notFoundStatus, result_code::UnknownBatch, "There is no such item."));
+    else if (batch->isLoaded)
+        readStoredItem(received, *batch, *index);
+    else
+        searchStoredItem(received, *batch, *index);
 }
 
-void batch_handler::readStoredItem(const received_call& received, const platform::read_item_call& call, const text_reference& contents)
+void batch_handler::readStoredItem(const received_call& received, const ledger_batch& batch, std::size_t item)
 {
     text_read_options options { received.answerBy(), [exchange = received.exchange] { return exchange.isOpen(); } };
-    m_journal.texts().read(std::span(&contents, 1), std::move(options), [this, exchange = received.exchange, call](const text_outcome& outcome) {
-        if (!exchange.isOpen())
-            return;
-        const std::optional<std::string> body = outcome.isComplete ? journal::bodyOf(*outcome.texts.front(), call.item) : std::nullopt;
-        if (body)
-            exchange.respond(bytesAnswer(*body));
-        else
-            refuseStaleRead(exchange, call.batch, "the contents of the batch cannot be read from the log");
+    readContents(m_journal.texts(), batch, item, std::move(options), [this, exchange = received.exchange, id = batch.submission.id](const std::optional<item_contents>& contents) { respondBody(exchange, id, contents); });
+}
+
+void batch_handler::searchStoredItem(const received_call& received, const ledger_batch& batch, std::size_t item)
+{
+    const std::shared_ptr<std::optional<item_contents>> found = std::make_shared<std::optional<item_contents>>();
+    const std::shared_ptr<contents_reader> reader = std::make_shared<contents_reader>([found, left = item](std::string_view bytes, std::uint64_t) mutable {
+        if (left-- != 0)
+            return true;
+        std::optional<batch_item> decoded = decodeContentsItem(bytes);
+        if (decoded)
+            *found = takeContents(*decoded);
+        return false;
     });
+    text_scan::handlers handlers;
+    handlers.onPiece = [reader](std::string_view piece) { return reader->read(piece); };
+    handlers.onDone = [this, found, exchange = received.exchange, id = batch.submission.id](scan_end) { respondBody(exchange, id, *found); };
+    text_read_options options { received.answerBy(), [exchange = received.exchange] { return exchange.isOpen(); } };
+    std::make_shared<text_scan>(m_journal.texts(), *batch.submission.contents, std::move(options), std::move(handlers))->start();
+}
+
+void batch_handler::respondBody(const http_exchange& exchange, std::string_view batch, const std::optional<item_contents>& contents)
+{
+    if (!exchange.isOpen())
+        return;
+    if (contents)
+        exchange.respond(bytesAnswer(std::string(contents->body.view())));
+    else
+        refuseStaleRead(exchange, batch, "the contents of the batch cannot be read from the log");
 }
 
 void batch_handler::endBatch(const http_exchange& exchange, const platform::end_batch_call& call)
--- a/src/libs/gateway/batchhandler.h
+++ b/src/libs/gateway/batchhandler.h
@@ -2,6 +2,7 @@
 
 #include "journal.h"
 
+#include <net/bytebudget.h>
 #include <net/httpserver.h>
 #include <platform/requestcodec.h>
 #include <rollout/routetable.h>
@@ -10,7 +11,10 @@
 
 #include <list>
 #include <map>
+#include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace ragwortreach {
 
@@ -43,6 +47,8 @@
 public:
     batch_handler(journal& journal, const route_table& routes, log& log);
 
+    /// The contents of submissions hold their room in \a budget until they are written; without one they are not counted.
+    void setBudget(byte_budget& budget) { m_budget = &budget; }
     /// Writes the submitted batch to the journal and responds with 202 once its record is appended.
     void submit(const http_exchange& exchange, const platform::caller_request& caller);
     /// Serves a call on a batch.
@@ -83,11 +89,17 @@
     /// Serves the call once it is known whether its batch exists, or refuses it after a while; false while it has to wait.
     bool tryResolve(const received_call& received);
     void accept(const http_exchange& exchange, batch_submission submission);
+    /// Holds room for the contents of \a submission as long as the result exists.
+    std::shared_ptr<held_bytes> holdContents(const batch_submission& submission) const;
     void answerUnknown(const received_call& received);
     void readResults(const pending_read& read);
     void readItem(const received_call& received, const platform::read_item_call& call);
-    /// Responds with the body of an item whose batch is not loaded in this process, read from the log.
-    void readStoredItem(const received_call& received, const platform::read_item_call& call, const text_reference& contents);
+    /// Responds with the body of an item whose contents are stored apart from the journal.
+    void readStoredItem(const received_call& received, const ledger_batch& batch, std::size_t item);
+    /// The same while it is not known where in the contents of its batch the item is.
+    void searchStoredItem(const received_call& received, const ledger_batch& batch, std::size_t item);
+    /// Responds with the body in \a contents, or with a refusal when they were not read.
+    void respondBody(const http_exchange& exchange, std::string_view batch, const std::optional<item_contents>& contents);
     void endBatch(const http_exchange& exchange, const platform::end_batch_call& call);
     /// Answers \a read if the ledger can answer it now; false when it has to wait.
     bool tryAnswer(const pending_read& read);
@@ -108,6 +120,7 @@
     journal& m_journal;
     const route_table& m_routes;
     log& m_log;
+    byte_budget* m_budget = nullptr;
     std::list<pending_read> m_pendingReads;
     std::list<received_call> m_unknownBatchCalls;
     batch_counters m_counters;
--- a/src/libs/gateway/batchloader.cpp
+++ b/src/libs/gateway/batchloader.cpp
@@ -5,8 +5,10 @@
 #include <core/resultcode.h>
 #include <support/log.h>
 #include <support/logline.h>
+#include <wire/contentscodec.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace ragwortreach {
 
@@ -14,87 +16,162 @@
 
     constexpr duration retryPause = std::chrono::milliseconds(200);
 
+    std::string_view toString(scan_end end)
+    {
+        switch (end) {
+        case scan_end::Whole:
+            return "whole";
+        case scan_end::Stopped:
+            return "unreadable";
+        case scan_end::Unread:
+            return "the log does not answer";
+        }
+        return "unknown";
+    }
+
 }
 
-batch_loader::batch_loader(journal& journal, log& log)
+struct batch_loader::load {
+    std::string batch;
+    instant startedAt {};
+    std::vector<loaded_item> items;
+    std::unique_ptr<contents_reader> reader;
+};
+
+batch_loader::batch_loader(journal& journal, contents_cache& cache, log& log)
     : m_journal(journal)
+    , m_cache(cache)
     , m_log(log)
 {
 }
 
 void batch_loader::tick(const std::function<bool(const ledger_batch&)>& isWanted, instant now)
 {
-    std::vector<std::string> unneeded;
-    std::vector<std::string> batches;
-    std::vector<text_reference> references;
+    unloadUnwanted(isWanted);
+    m_wanted.clear();
     m_missing.clear();
     for (const std::string& id : m_journal.ledger().order()) {
         const ledger_batch& batch = *m_journal.ledger().find(id);
-        if (!batch.submission.contents)
-            continue;
-        if (!isWanted(batch)) {
-            if (batch.isLoaded)
-                unneeded.push_back(id);
-            continue;
-        }
-        if (batch.isLoaded || m_unreadable.contains(id))
+        if (batch.isLoaded || m_unreadable.contains(id) || !isWanted(batch))
             continue;
+        m_wanted.push_back(id);
         m_missing.insert(batch.submission.model);
-        batches.push_back(id);
-        references.push_back(*batch.submission.contents);
     }
-    for (const std::string& id : unneeded)
+    loadNext(now);
+}
+
+void batch_loader::unloadUnwanted(const std::function<bool(const ledger_batch&)>& isWanted)
+{
+    std::vector<std::string> unneeded;
+    for (const std::string& id : m_journal.ledger().order()) {
+        const ledger_batch& batch = *m_journal.ledger().find(id);
+        if (batch.hasStoredContents() && batch.isLoaded && !isWanted(batch))
+            unneeded.push_back(id);
+    }
+    for (const std::string& id : unneeded) {
         m_journal.unload(id);
+        m_cache.forget(id);
+    }
     std::erase_if(m_unreadable, [this](const std::string& id) { return !m_journal.ledger().find(id); });
-    if (!batches.empty() && !m_isReading && now >= m_nextReadAt)
-        read(std::move(batches), references, now);
 }
 
-void batch_loader::read(std::vector<std::string> batches, const std::vector<text_reference>& references, instant now)
+std::uint64_t batch_loader::acceptedBytes() const
 {
-    m_isReading = true;
-    m_nextReadAt = now + retryPause;
-    m_journal.texts().read(references, {}, [this, now, ids = std::move(batches)](const text_outcome& contents) {
-        m_isReading = false;
-        const duration took = bootNow() - now;
-        m_log.write(log_line(log_level::Info, "batches_loaded")
-                        .with("batches", ids.size())
-                        .with("missing", std::count(contents.texts.begin(), contents.texts.end(), nullptr))
-                        .with("outcome", contents.isComplete ? "whole" : "the log does not answer")
-                        .with("took_us", took.count()));
-        applyContents(ids, contents);
-    });
+    std::uint64_t bytes = 0;
+    for (const std::string& id : m_journal.ledger().order()) {
+        const ledger_batch& batch = *m_journal.ledger().find(id);
+        if (batch.isLoaded && batch.submission.contents)
+            bytes += batch.submission.contents->bytes;
+    }
+    return bytes;
 }
 
-void batch_loader::applyContents(const std::vector<std::string>& batches, const text_outcome& contents)
+bool batch_loader::isPaused(const std::string& model, instant now) const
 {
-    if (contents.isComplete)
-        m_nextReadAt = {};
-    else
-        ++m_counters.readFailures;
-    std::set<std::string, std::less<>> blockedModels;
-    for (std::size_t index = 0; index < batches.size(); ++index) {
-        const ledger_batch* const batch = m_journal.ledger().find(batches[index]);
-        if (!batch || blockedModels.contains(batch->submission.model))
+    const auto found = m_pausedUntil.find(model);
+    return found != m_pausedUntil.end() && now < found->second;
+}
+
+void batch_loader::loadNext(instant now)
+{
+    if (m_isReading)
+        return;
+    for (const std::string& id : m_wanted) {
+        const ledger_batch* const batch = m_journal.ledger().find(id);
+        if (!batch || batch->isLoaded || m_unreadable.contains(id) || isPaused(batch->submission.model, now))
             continue;
-        if (contents.texts[index])
-            load(batches[index], *contents.texts[index]);
-        else
-            blockedModels.insert(batch->submission.model);
+        start(*batch, now);
+        return;
     }
 }
 
-void batch_loader::load(const std::string& batch, const std::string& contents)
+void batch_loader::start(const ledger_batch& batch, instant now)
 {
-    if (m_journal.load(batch, contents)) {
+    m_isReading = true;
+    const std::shared_ptr<load> started = std::make_shared<load>();
+    started->batch = batch.submission.id;
+    started->startedAt = now;
+    started->reader = std::make_unique<contents_reader>([this, load = started.get()](std::string_view bytes, std::uint64_t offset) { return takeItem(*load, bytes, offset); });
+    text_scan::handlers handlers;
+    handlers.onPiece = [started](std::string_view piece) { return started->reader->read(piece); };
+    handlers.onDone = [this, started](scan_end end) { finish(started, end); };
+    std::make_shared<text_scan>(m_journal.texts(), *batch.submission.contents, text_read_options {}, std::move(handlers))->start();
+}
+
+/// Notes an item that was read; false when it cannot be decoded.
+bool batch_loader::takeItem(load& load, std::string_view bytes, std::uint64_t offset)
+{
+    std::optional<batch_item> item = decodeContentsItem(bytes);
+    if (!item)
+        return false;
+    loaded_item loaded { {}, digestsOf(*item) };
+    loaded.contents.offset = offset;
+    loaded.contents.bytes = bytes.size();
+    item_contents contents = takeContents(*item);
+    loaded.outline = std::move(*item);
+    const ledger_batch* const batch = m_journal.ledger().find(load.batch);
+    const std::size_t index = load.items.size();
+    if (batch && batch->isOpen() && index < batch->items.size() && !batch->items[index].position)
+        m_cache.offer({ load.batch, index }, std::move(contents));
+    load.items.push_back(std::move(loaded));
+    return true;
+}
+
+void batch_loader::finish(const std::shared_ptr<load>& load, scan_end end)
+{
+    m_isReading = false;
+    const instant now = bootNow();
+    const std::size_t items = load->items.size();
+    const ledger_batch* const batch = m_journal.ledger().find(load->batch);
+    m_log.write(log_line(log_level::Info, "batch_loaded")
+                    .with("batch", load->batch)
+                    .with("items", items)
+                    .with("bytes", batch && batch->submission.contents ? batch->submission.contents->bytes : 0)
+                    .with("outcome", toString(end))
+                    .with("contents_held_bytes", m_cache.held())
+                    .with("contents_limit_bytes", m_cache.limit())
+                    .with("took_us", (now - load->startedAt).count()));
+    const bool isComplete = end == scan_end::Whole && load->reader->isAtEnd() && load->reader->batch() == load->batch;
+    if (end == scan_end::Unread) {
+        ++m_counters.readFailures;
+        pauseModelOf(load->batch);
+    } else if (isComplete && m_journal.load(load->batch, std::move(load->items))) {
         ++m_counters.loaded;
-        return;
+    } else if (batch) {
+        ++m_counters.unreadable;
+        m_unreadable.insert(load->batch);
+        m_log.write(log_line(log_level::Error, "batch_unreadable")
+                        .with("code", static_cast<int>(result_code::MalformedMessage))
+                        .with("batch", load->batch));
     }
-    ++m_counters.unreadable;
-    m_unreadable.insert(batch);
-    m_log.write(log_line(log_level::Error, "batch_unreadable")
-                    .with("code", static_cast<int>(result_code::MalformedMessage))
-                    .with("batch", batch));
+    loadNext(now);
+}
+
+void batch_loader::pauseModelOf(const std::string& batch)
+{
+    const ledger_batch* const known = m_journal.ledger().find(batch);
+    if (known)
+        m_pausedUntil[known->submission.model] = bootNow() + retryPause;
 }
 
 }
--- a/src/libs/gateway/gatewayhost.cpp
+++ b/src/libs/gateway/gatewayhost.cpp
@@ -116,6 +116,17 @@
         return limits;
     }
 
+    /// Bytes of contents of items that may be held beside \a bodyBytes of callers.
+    std::size_t contentsLimit(std::optional<std::size_t> memoryBytes, std::size_t bodyBytes)
+    {
+        constexpr std::size_t memoryDivisor = 4;
+        constexpr std::size_t minMemoryDivisor = 16;
+        if (!memoryBytes)
+            return contents_cache::defaultLimit;
+        const std::size_t share = std::min(*memoryBytes / memoryDivisor, 2 * contents_cache::defaultLimit);
+        return std::max(share - std::min(share, bodyBytes), std::min(*memoryBytes / minMemoryDivisor, contents_cache::defaultLimit));
+    }
+
     http_response malformedResponse(std::error_code code)
     {
         if (code == result_code::MemoryFull)
@@ -147,8 +158,8 @@
         , duties(client, leaseClient.agent(), daemonSettings.vm, daemonLog)
         , usage(ioContext, store, duties, leaseClient.agent(), instance, daemonLog)
         , scaler(duties, leaseClient.agent(), routes, pool, platformView.replicas(), batchJournal, daemonLog)
-        , loader(batchJournal, daemonLog)
         , scheduler(batchJournal.ledger(), pool, routes)
+        , loader(batchJournal, scheduler.contents(), daemonLog)
         , progress(ioContext, store, daemonSettings.textPartitions, instance, batchJournal.ledger(), scheduler, daemonLog)
         , runner(ioContext, client, batchJournal, progress, scheduler, pool, facts, daemonLog)
         , orderer(client, leaseClient.agent(), pool, facts, routes, daemonSettings.vm, daemonLog)
@@ -173,6 +184,7 @@
         for (const std::unique_ptr<topic_follower>& follower : batchJournal.followers())
             topics.add(*follower);
         relay.setUsageMeter(usage.meter());
+        batchHandler.setBudget(guard->bodies());
         applySettings();
     }
 
@@ -227,8 +239,8 @@
     duty_caller duties;
     usage_reporter usage;
     replica_scaler scaler;
-    batch_loader loader;
     item_scheduler scheduler;
+    batch_loader loader;
     progress_store progress;
     item_runner runner;
     weight_orderer orderer;
@@ -532,6 +544,8 @@
         .connections = guard->connections(),
         .unfinishedBytes = guard->unfinishedBytes(),
         .bodyBytes = guard->bodies().held(),
+        .contents = scheduler.contents(),
+        .acceptedBytes = loader.acceptedBytes(),
     };
     exchange.respond({ okStatus, { { "Content-Type", "text/plain; version=0.0.4" } }, metricsText(readings) });
 }
@@ -541,6 +555,7 @@
 void gateway_host::state::loadBatches()
 {
     const instant now = bootNow();
+    scheduler.contents().setLimit(contentsLimit(settings.memoryBytes, guard->bodies().held()));
     const std::set<std::string, std::less<>> incompleteModels = batchJournal.fetchBatchesOf(heldModels);
     loader.tick([this, now, &incompleteModels](const ledger_batch& batch) {
         const std::string& model = batch.submission.model;
--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -35,6 +35,20 @@
         };
     }
 
+    std::vector<reading> contentsReadings(const contents_cache& contents, std::uint64_t acceptedBytes)
+    {
+        const contents_counters& counters = contents.counters();
+        return {
+            { gauge("ragwortreach_accepted_contents_bytes", "Bytes of the contents of the batches that the daemon runs, in the log"), acceptedBytes },
+            { gauge("ragwortreach_item_contents_bytes", "Bytes of contents of items that are in memory for their runs"), contents.held() },
+            { gauge("ragwortreach_item_contents_limit_bytes", "Bytes of contents of items that may be in memory"), contents.limit() },
+            { counter("ragwortreach_item_contents_read_total", "Contents of items that were read again for their runs"), counters.read },
+            { counter("ragwortreach_item_contents_read_bytes_total", "Bytes of these contents"), counters.readBytes },
+            { counter("ragwortreach_item_contents_reads_failed_total", "Reads of contents of items that the log did not answer"), counters.readFailures },
+            { counter("ragwortreach_item_contents_evicted_total", "Contents of items that gave way to others before they ended"), counters.evicted },
+        };
+    }
+
     std::vector<reading> textReadings(const text_counters& texts)
     {
         return {
@@ -258,6 +272,7 @@
     add(all, textReadings(from.texts));
     add(all, progressReadings(from.progress));
     add(all, loadReadings(from.loads));
+    add(all, contentsReadings(from.contents, from.acceptedBytes));
     add(all, factReadings(from.facts));
     add(all, rewardReadings(from.rewards, from.rewardLatency));
     add(all, workReadings(from.work));
--- a/src/libs/gateway/gatewaymetrics.h
+++ b/src/libs/gateway/gatewaymetrics.h
@@ -63,6 +63,9 @@
     std::size_t connections = 0;
     std::size_t unfinishedBytes = 0;
     std::size_t bodyBytes = 0;
+    const contents_cache& contents;
+    /// Bytes of the stored contents of the loaded batches.
+    std::uint64_t acceptedBytes = 0;
 };
 
 /// \a readings in the Prometheus text format, version 0.0.4.
--- a/src/libs/gateway/itemrunner.cpp
+++ b/src/libs/gateway/itemrunner.cpp
@@ -71,6 +71,7 @@
     , m_gate(gate)
     , m_log(log)
     , m_work(journal.ledger(), scheduler.routes(), log)
+    , m_contents(journal, scheduler.contents(), [this] { scheduleRun(); })
     , m_rewards(client, journal.ledger(), pool, gate, m_work, log, [this](reward_number call, const reward_answer& answer) {
         m_scheduler.onRewardEnd(call, answer, bootNow());
         scheduleRun();
@@ -86,6 +87,7 @@
         return;
     m_scheduler.schedule(bootNow());
     executeEffects();
+    m_contents.readMissing();
 }
 
 void item_runner::handOver()
@@ -150,7 +152,7 @@
     handlers.onDone = [this, run](const http_outcome& outcome) { finishRun(run, outcome); };
     const platform::replica_request_options sent { effect.replica, std::nullopt, effect.afterEvent, batch->submission.organisation };
     opened.handle = m_client.call(parseEndpoint(effect.address).value_or(endpoint {}),
-        platform::encodeItemRequest(batch->submission, item, sent), options, std::move(handlers));
+        platform::encodeItemRequest(batch->submission, item, effect.contents, sent), options, std::move(handlers));
 }
 
 void item_runner::cancel(const cancel_run& effect)
--- a/src/libs/gateway/itemrunner.h
+++ b/src/libs/gateway/itemrunner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "contentsfetcher.h"
 #include "journal.h"
 #include "progressstore.h"
 #include "rewardcaller.h"
@@ -58,6 +59,7 @@
     replica_gate& m_gate;
     log& m_log;
     work_watch m_work;
+    contents_fetcher m_contents;
     reward_caller m_rewards;
     std::map<run_number, std::unique_ptr<stream>> m_streams;
     bool m_isRunScheduled = false;
--- a/src/libs/gateway/journal.cpp
+++ b/src/libs/gateway/journal.cpp
@@ -5,6 +5,7 @@
 #include "pollintervals.h"
 #include "textkeys.h"
 
+#include <wire/contentscodec.h>
 #include <wire/journalcodec.h>
 
 #include <algorithm>
@@ -45,12 +46,26 @@
         return std::holds_alternative<batch_listed>(record) || std::holds_alternative<batch_ended>(record);
     }
 
-    /// The contents of a batch are encoded as its complete acceptance record.
-    std::optional<batch_submission> decodeContents(std::string_view contents)
+    /// Whether the whole acceptance may fit into the journal.
+    bool maySuitJournal(const batch_submission& batch)
     {
-        const std::optional<journal_record> decoded = decodeJournalRecord(contents);
-        const batch_accepted* const accepted = decoded ? std::get_if<batch_accepted>(&*decoded) : nullptr;
-        return accepted ? std::optional<batch_submission>(accepted->submission) : std::nullopt;
+        std::size_t bytes = 0;
+        for (const batch_item& item : batch.items)
+            bytes += item.id.size() + item.path.size() + item.body.size();
+        return bytes <= maxInlineBytes;
+    }
+
+    /// Encodes the contents of \a batch, whose items lose them.
+    std::vector<std::string> takeContentsOf(batch_submission& batch)
+    {
+        record_splitter splitter;
+        const auto append = [&splitter](std::string_view piece) { splitter.append(piece); };
+        splitter.append(encodeContentsBegin(batch));
+        for (batch_item& item : batch.items) {
+            encodeContentsItem(item, append);
+            item = withoutContents(std::move(item));
+        }
+        return splitter.take();
     }
 
 }
@@ -97,7 +112,7 @@
 void journal::write(const journal_record& record, write_mode mode, partition_writer::done_handler onDone)
 {
     if (const batch_accepted* const accepted = std::get_if<batch_accepted>(&record)) {
-        writeAcceptance(*accepted, mode, std::move(onDone));
+        write(batch_accepted(*accepted), mode, std::move(onDone));
         return;
     }
     const item_finished* const finished = std::get_if<item_finished>(&record);
@@ -108,63 +123,41 @@
     item_finished shortened = *finished;
     std::string text = std::move(shortened.output.text);
     shortened.output.text.clear();
-    const text_name textName { finished->batch, finished->item };
-    writeTextThenRecord(textName, std::move(text), mode, std::move(onDone), [shortened = std::move(shortened)](const text_reference& reference) {
+    const text_store::write_handler writeFinished = recordWriter(mode, std::move(onDone), [shortened = std::move(shortened)](const text_reference& reference) {
         item_finished withReference = shortened;
         withReference.reference = reference;
         return journal_record(std::move(withReference));
     });
+    m_texts.write(finished->batch, finished->item, std::move(text), mode, writeFinished);
 }
 
 /// All daemons need to know which batches exist; only the owner needs the contents of their items.
-void journal::writeAcceptance(const batch_accepted& accepted, write_mode mode, partition_writer::done_handler onDone)
+void journal::write(batch_accepted record, write_mode mode, partition_writer::done_handler onDone)
 {
-    std::string complete = encodeJournalRecord(accepted);
-    if (complete.size() <= maxInlineBytes) {
-        writeRecord(accepted, mode, std::move(onDone));
+    if (maySuitJournal(record.submission) && encodeJournalRecord(record).size() <= maxInlineBytes) {
+        writeRecord(record, mode, std::move(onDone));
         return;
     }
-    batch_accepted shortened = accepted;
-    for (batch_item& item : shortened.submission.items)
-        item = withoutContents(std::move(item));
-    const text_name textName { accepted.submission.id, contentsPart };
-    writeTextThenRecord(textName, std::move(complete), mode, std::move(onDone), [shortened = std::move(shortened)](const text_reference& reference) {
+    std::vector<std::string> contents = takeContentsOf(record.submission);
+    const std::string batch = record.submission.id;
+    const text_store::write_handler writeShortened = recordWriter(mode, std::move(onDone), [shortened = std::move(record)](const text_reference& reference) {
         batch_accepted withReference = shortened;
         withReference.submission.contents = reference;
         return journal_record(std::move(withReference));
     });
+    m_texts.write(batch, contentsPart, std::move(contents), mode, writeShortened);
 }
 
 /// A text without a record that refers to it has no effect, so a write of a text with an unknown outcome is reported as
 /// refused.
-void journal::writeTextThenRecord(const text_name& textName, std::string text, write_mode mode, partition_writer::done_handler onDone,
-    std::function<journal_record(const text_reference&)> recordFactory)
-{
-    m_texts.write(textName.batch, textName.part, std::move(text), mode,
-        [this, mode, whenDone = std::move(onDone), makeRecord = std::move(recordFactory)](const text_report& report) {
-            if (report.status == append_status::Done)
-                writeRecord(makeRecord(report.reference), mode, whenDone);
-            else if (whenDone)
-                whenDone({ append_status::Refused, std::nullopt });
-        });
-}
-
-bool journal::load(std::string_view batch, std::string_view contents)
-{
-    const std::optional<batch_submission> complete = decodeContents(contents);
-    return complete && complete->id == batch && m_ledger.load(*complete);
-}
-
-std::optional<std::string> journal::bodyOf(std::string_view contents, std::string_view item)
-{
-    const std::optional<batch_submission> complete = decodeContents(contents);
-    if (!complete)
-        return std::nullopt;
-    for (const batch_item& candidate : complete->items) {
-        if (candidate.id == item)
-            return candidate.body;
-    }
-    return std::nullopt;
+text_store::write_handler journal::recordWriter(write_mode mode, partition_writer::done_handler onDone, record_factory makeRecord)
+{
+    return [this, mode, whenDone = std::move(onDone), factory = std::move(makeRecord)](const text_report& report) {
+        if (report.status == append_status::Done)
+            writeRecord(factory(report.reference), mode, whenDone);
+        else if (whenDone)
+            whenDone({ append_status::Refused, std::nullopt });
+    };
 }
 
 void journal::writeRecord(const journal_record& record, write_mode mode, partition_writer::done_handler onDone)
--- a/src/libs/gateway/journal.h
+++ b/src/libs/gateway/journal.h
@@ -62,12 +62,11 @@
     /// Writes \a record. A long text of a result, and the contents of a batch that only a run needs, are stored in the
     /// text store, and the record refers to them.
     void write(const journal_record& record, write_mode mode, partition_writer::done_handler onDone);
+    /// The same for an acceptance, whose items are given up one by one as they are encoded.
+    void write(batch_accepted record, write_mode mode, partition_writer::done_handler onDone);
 
-    /// Adds \a contents, as read from the text store, to the items of \a batch; false if they belong to another batch or
-    /// cannot be decoded.
-    bool load(std::string_view batch, std::string_view contents);
-    /// Body of \a item in the contents of a batch; nothing when they lack it or cannot be decoded.
-    static std::optional<std::string> bodyOf(std::string_view contents, std::string_view item);
+    /// Adds the outlines of its items to \a batch; false if it is unknown or has another number of items.
+    bool load(std::string_view batch, std::vector<loaded_item> items) { return m_ledger.load(batch, std::move(items)); }
     /// Drops what load() added.
     void unload(std::string_view batch) { m_ledger.unload(batch); }
 
@@ -126,16 +125,10 @@
         std::vector<text_reference> contents;
     };
 
-    /// Identifies a text of a batch.
-    struct text_name {
-        std::string_view batch;
-        std::string_view part;
-    };
+    using record_factory = std::function<journal_record(const text_reference&)>;
 
-    void writeAcceptance(const batch_accepted& accepted, write_mode mode, partition_writer::done_handler onDone);
-    /// Stores \a text, then writes the record that \a recordFactory makes from its reference.
-    void writeTextThenRecord(const text_name& textName, std::string text, write_mode mode, partition_writer::done_handler onDone,
-        std::function<journal_record(const text_reference&)> recordFactory);
+    /// Called with the outcome of the write of a text; writes the record that \a makeRecord makes from its reference.
+    text_store::write_handler recordWriter(write_mode mode, partition_writer::done_handler onDone, record_factory makeRecord);
     void writeRecord(const journal_record& record, write_mode mode, partition_writer::done_handler onDone);
     /// Appends the log records of \a record to \a encoded.
     void encodeInto(std::vector<keyed_record>& encoded, const journal_record& record);
--- a/src/libs/gateway/rewardcaller.cpp
+++ b/src/libs/gateway/rewardcaller.cpp
@@ -56,7 +56,7 @@
     options.connectTimeout = connectTimeout;
     options.bodyLimit = maxAnswerBytes;
     const platform::replica_request_options sent { effect.replica, effect.timeout, 0, batch->submission.organisation };
-    call.handle = m_client.callBuffered(parseEndpoint(effect.address).value_or(endpoint {}), platform::encodeRewardRequest(*item.reward, sent), options,
+    call.handle = m_client.callBuffered(parseEndpoint(effect.address).value_or(endpoint {}), platform::encodeRewardRequest(*item.reward, effect.body, sent), options,
         [this, number = effect.call](const http_outcome& outcome, const http_response& response) { onResponse(number, outcome, response); });
 }
 
--- a/src/libs/gateway/textread.cpp
+++ b/src/libs/gateway/textread.cpp
@@ -31,6 +31,11 @@
     return static_cast<std::uint32_t>(std::distance(chunks.begin(), std::find(chunks.begin(), chunks.end(), nullptr)));
 }
 
+std::string text_read::wanted_text::chunkKeyOf(std::uint32_t chunk) const
+{
+    return chunkKey(reference.key, recordNumber(chunk));
+}
+
 void text_read::wanted_text::complete()
 {
     if (firstMissingChunk() < chunks.size())
@@ -62,7 +67,7 @@
     m_startedAt = bootNow();
     for (wanted_text& wanted : m_wanted) {
         for (std::uint32_t number = 0; number < wanted.chunks.size(); ++number)
-            wanted.chunks[number] = m_requests.cache().find(chunkKey(wanted.reference.key, number));
+            wanted.chunks[number] = m_requests.cache().find(wanted.chunkKeyOf(number));
         wanted.complete();
         m_requests.counters().fromCache += wanted.text ? 1U : 0U;
     }
@@ -102,7 +107,7 @@
 {
     const wanted_text* first = nullptr;
     for (const wanted_text& candidate : m_wanted) {
-        if (candidate.isMissing() && (!first || candidate.reference.offset < first->reference.offset))
+        if (candidate.isMissing() && (!first || candidate.beginOffset() < first->beginOffset()))
             first = &candidate;
     }
     return first;
@@ -110,7 +115,7 @@
 
 bool text_read::needsPage(const wanted_text& candidate) const
 {
-    return candidate.isMisplaced || m_requests.isExpired(candidate.reference);
+    return candidate.isMisplaced || m_requests.isExpired(candidate.reference.partition, candidate.firstMissingOffset());
 }
 
 std::vector<const text_read::wanted_text*> text_read::missingLike(const wanted_text& first) const
@@ -121,7 +126,7 @@
         if (candidate.isMissing() && isSameBatch && needsPage(candidate) == needsPage(first))
             found.push_back(&candidate);
     }
-    const auto isBefore = [](const wanted_text* left, const wanted_text* right) { return left->reference.offset < right->reference.offset; };
+    const auto isBefore = [](const wanted_text* left, const wanted_text* right) { return left->beginOffset() < right->beginOffset(); };
     std::sort(found.begin(), found.end(), isBefore);
     return found;
 }
@@ -144,7 +149,7 @@
         records += candidate->reference.records;
         if (sizes.empty() || candidate->endOffset() - begin > records * maxRangeSpread) {
             sizes.push_back(0);
-            begin = candidate->reference.offset;
+            begin = candidate->beginOffset();
             records = candidate->reference.records;
         }
         ++sizes.back();
@@ -164,7 +169,7 @@
         records += candidate->reference.records;
     }
     // The records of others between them are taken to be as large.
-    const std::uint64_t spread = wanted.back()->endOffset() - first.reference.offset;
+    const std::uint64_t spread = wanted.back()->endOffset() - first.beginOffset();
     const std::uint64_t askedBytes = bytes * spread / std::max<std::uint64_t>(records, 1);
     request.kind = range_request { first.firstMissingOffset(), static_cast<std::size_t>(std::min<std::uint64_t>(askedBytes, maxRangeBytes)) };
     return request;
@@ -176,7 +181,7 @@
     std::string firstKey;
     for (const wanted_text* const candidate : wanted) {
         request.textKeys.insert(candidate->reference.key);
-        const std::string key = chunkKey(candidate->reference.key, candidate->firstMissingChunk());
+        const std::string key = candidate->chunkKeyOf(candidate->firstMissingChunk());
         if (firstKey.empty() || key < firstKey)
             firstKey = key;
     }
@@ -205,7 +210,7 @@
         if (!wanted.isMissing())
             continue;
         for (std::uint32_t number = 0; number < wanted.chunks.size(); ++number) {
-            const auto found = answer.chunks.find(chunkKey(wanted.reference.key, number));
+            const auto found = answer.chunks.find(wanted.chunkKeyOf(number));
             if (found != answer.chunks.end())
                 wanted.chunks[number] = found->second;
         }
@@ -222,8 +227,8 @@
         if (!wanted.isMissing() || !isOfBatch)
             continue;
         const std::uint32_t number = wanted.firstMissingChunk();
-        wanted.isMisplaced = wanted.isMisplaced || answer.coversOffset(wanted.reference.offset + number);
-        wanted.isAbsent = answer.coversKey(chunkKey(wanted.reference.key, number));
+        wanted.isMisplaced = wanted.isMisplaced || answer.coversOffset(wanted.firstMissingOffset());
+        wanted.isAbsent = answer.coversKey(wanted.chunkKeyOf(number));
     }
 }
 
--- a/src/libs/gateway/textread.h
+++ b/src/libs/gateway/textread.h
@@ -60,8 +60,11 @@
 
         bool isMissing() const { return !text && !isAbsent; }
         std::uint32_t firstMissingChunk() const;
-        std::uint64_t firstMissingOffset() const { return reference.offset + firstMissingChunk(); }
-        std::uint64_t endOffset() const { return reference.offset + reference.records; }
+        std::uint32_t recordNumber(std::uint32_t chunk) const { return reference.firstRecord + chunk; }
+        std::string chunkKeyOf(std::uint32_t chunk) const;
+        std::uint64_t beginOffset() const { return reference.offsetOf(reference.firstRecord); }
+        std::uint64_t firstMissingOffset() const { return reference.offsetOf(recordNumber(firstMissingChunk())); }
+        std::uint64_t endOffset() const { return reference.offsetOf(recordNumber(reference.records - 1)) + 1; }
         /// Joins the chunks to the text once all are there.
         void complete();
     };
--- a/src/libs/gateway/textrequests.cpp
+++ b/src/libs/gateway/textrequests.cpp
@@ -134,10 +134,10 @@
         onAnswer(answer);
 }
 
-bool text_requests::isExpired(const text_reference& reference) const
+bool text_requests::isExpired(std::uint32_t partition, std::uint64_t offset) const
 {
-    const auto found = m_expiredBefore.find(reference.partition);
-    return found != m_expiredBefore.end() && reference.offset < found->second;
+    const auto found = m_expiredBefore.find(partition);
+    return found != m_expiredBefore.end() && offset < found->second;
 }
 
 }
--- a/src/libs/gateway/textrequests.h
+++ b/src/libs/gateway/textrequests.h
@@ -99,8 +99,8 @@
     bool join(std::string_view textKey, const answer_handler& onAnswer);
     /// The records in the answer are added to the cache, whoever waits for them by then.
     void send(text_request request, answer_handler onAnswer);
-    /// Whether the history is known to hold the record at the offset of \a reference no longer.
-    bool isExpired(const text_reference& reference) const;
+    /// Whether the history is known to hold the record at \a offset no longer.
+    bool isExpired(std::uint32_t partition, std::uint64_t offset) const;
 
     text_cache& cache() { return m_cache; }
     text_counters& counters() { return m_counters; }
--- a/src/libs/gateway/textstore.h
+++ b/src/libs/gateway/textstore.h
@@ -9,9 +9,11 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace ragwortreach {
 
@@ -38,6 +40,9 @@
 
     /// Appends \a text under the name \a part, which has to be unique within \a batch.
     void write(std::string_view batch, std::string_view part, std::string text, write_mode mode, write_handler onDone);
+    /// The same for a text that is split into \a records already, as splitIntoRecords() does. Each is given up once it is
+    /// appended.
+    void write(std::string_view batch, std::string_view part, std::vector<std::string> records, write_mode mode, write_handler onDone);
     /// \a onDone gets the texts in the order of \a references, possibly from within the call. Reads of the same texts at
     /// the same time share their requests to the log.
     void read(std::span<const text_reference> references, text_read_options options, text_read::done_handler onDone);
@@ -52,7 +57,8 @@
     /// Text that is being written, in one append after the other.
     struct text_write {
         text_reference reference;
-        std::string text;
+        /// Empty strings in place of those that are appended.
+        std::vector<std::string> records;
         write_mode mode = write_mode::RetryOnRefusal;
         write_handler onDone;
         /// Number of records that are appended.
@@ -63,8 +69,8 @@
     /// Notes the outcome of an append of \a count records.
     void onAppended(const std::shared_ptr<text_write>& write, std::uint32_t count, const append_report& report);
     void removeRecords(const text_reference& reference, std::uint32_t count);
-    /// Adds \a text, whose key is \a key, to the cache.
-    void cacheText(const std::string& key, std::string text);
+    /// Notes where the records of an append are, and moves them to the cache.
+    void takeAppended(text_write& write, std::uint32_t count, std::optional<std::uint64_t> firstOffset);
 
     boost::asio::io_context& m_context;
     std::string m_writerName;
--- a/src/libs/gateway/topicwriter.cpp
+++ b/src/libs/gateway/topicwriter.cpp
@@ -1,5 +1,7 @@
 #include "topicwriter.h"
 
+#include <algorithm>
+#include <utility>
 #include <xxhash.h>
 
 namespace ragwortreach {
@@ -14,6 +16,25 @@
     return pieces;
 }
 
+void record_splitter::append(std::string_view piece)
+{
+    while (!piece.empty()) {
+        if (m_records.back().size() == maxRecordBytes) {
+            m_records.emplace_back();
+            m_records.back().reserve(maxRecordBytes);
+        }
+        const std::size_t room = maxRecordBytes - m_records.back().size();
+        m_records.back() += piece.substr(0, room);
+        piece.remove_prefix(std::min(room, piece.size()));
+    }
+}
+
+std::vector<std::string> record_splitter::take()
+{
+    m_records.back().shrink_to_fit();
+    return std::exchange(m_records, { std::string() });
+}
+
 topic_writer::topic_writer(boost::asio::io_context& context, shared_log& log, std::string topic, std::uint32_t partitions,
     const std::string& producer)
     : m_topic(std::move(topic))
--- a/src/libs/gateway/topicwriter.h
+++ b/src/libs/gateway/topicwriter.h
@@ -17,6 +17,17 @@
 /// Splits \a bytes into pieces that fit a record, in order; at least one piece.
 std::vector<std::string_view> splitIntoRecords(std::string_view bytes);
 
+/// Puts pieces together to the records that splitIntoRecords() would make of the whole.
+class record_splitter {
+public:
+    void append(std::string_view piece);
+    /// The records, at least one.
+    std::vector<std::string> take();
+
+private:
+    std::vector<std::string> m_records { std::string() };
+};
+
 /// Writes to all partitions of a topic; has one partition_writer for each.
 class topic_writer {
 public:
--- a/src/libs/net/httpcall.cpp
+++ b/src/libs/net/httpcall.cpp
@@ -211,10 +211,18 @@
             self->fail(error);
             return;
         }
+        self->releaseBody();
         self->readHead();
     });
 }
 
+/// The answer may take long, and the body that was sent may be large.
+void http_call::releaseBody()
+{
+    m_request.body() = {};
+    m_body = {};
+}
+
 void http_call::readHead()
 {
     m_parser.emplace();
--- a/src/libs/net/httpcall.h
+++ b/src/libs/net/httpcall.h
@@ -57,6 +57,7 @@
     void buildRequest(http_request request);
     void connect();
     void write();
+    void releaseBody();
     void readHead();
     void onHeadRead();
     void reportHead();
--- a/src/libs/net/httpmessage.h
+++ b/src/libs/net/httpmessage.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "sharedtext.h"
+#include <core/sharedtext.h>
 
 #include <optional>
 #include <span>
--- a/src/libs/net/httpserver.cpp
+++ b/src/libs/net/httpserver.cpp
@@ -18,6 +18,12 @@
     return m_session->request();
 }
 
+void http_exchange::releaseBody() const
+{
+    if (m_session->isCurrent(m_number))
+        m_session->releaseBody();
+}
+
 void http_exchange::respond(http_response response) const
 {
     if (isOpen())
--- a/src/libs/net/httpserver.h
+++ b/src/libs/net/httpserver.h
@@ -49,6 +49,8 @@
     ~http_exchange();
 
     const http_request& request() const;
+    /// Gives up the body of the request, which nobody may use any more. Copies of the request keep theirs.
+    void releaseBody() const;
 
     void respond(http_response response) const;
     /// Starts the answer. With a content length the body is sent as it is, without one in chunks.
--- a/src/libs/net/httpsession.cpp
+++ b/src/libs/net/httpsession.cpp
@@ -438,6 +438,12 @@
     return m_server->guard->bodies().isScarce();
 }
 
+void http_session::releaseBody()
+{
+    m_request.body = {};
+    m_heldBody.set(0);
+}
+
 void http_session::respond(http_response response)
 {
     beginAnswer({ response.status, std::move(response.headers), response.body.size() });
@@ -547,8 +553,7 @@
     if (!m_isExchangeOpen)
         return;
     m_isExchangeOpen = false;
-    m_request.body = {};
-    m_heldBody.set(0);
+    releaseBody();
     --m_server->openExchanges;
     m_onDisconnect = nullptr;
     m_onDrained = nullptr;
--- a/src/libs/rollout/batchledger.cpp
+++ b/src/libs/rollout/batchledger.cpp
@@ -36,9 +36,11 @@
             ++batch.openItems[batch.submission.items[index].group];
         }
         m_ledger.insertIntoOrder(batch);
-        batch.isLoaded = !batch.submission.contents;
-        if (batch.isLoaded)
+        batch.isLoaded = !batch.hasStoredContents();
+        if (batch.isLoaded) {
+            batch_ledger::noteDigests(batch);
             m_ledger.linkEarlier(batch);
+        }
         return &batch;
     }
 
@@ -153,24 +155,34 @@
     return found == m_batches.end() ? nullptr : &found->second;
 }
 
-bool batch_ledger::load(const batch_submission& fullSubmission)
+bool batch_ledger::load(std::string_view id, std::vector<loaded_item> items)
 {
-    const auto found = m_batches.find(fullSubmission.id);
-    if (found == m_batches.end() || found->second.items.size() != fullSubmission.items.size())
+    const auto found = m_batches.find(id);
+    if (found == m_batches.end() || found->second.items.size() != items.size())
         return false;
     ledger_batch& batch = found->second;
     if (batch.isLoaded)
         return true;
-    batch.submission.items = fullSubmission.items;
+    for (std::size_t index = 0; index < items.size(); ++index) {
+        batch.submission.items[index] = std::move(items[index].outline);
+        batch.items[index].contents = items[index].contents;
+    }
     batch.isLoaded = true;
     linkEarlier(batch);
     return true;
 }
 
+/// For a batch whose contents are in the journal itself.
+void batch_ledger::noteDigests(ledger_batch& batch)
+{
+    for (std::size_t index = 0; index < batch.items.size(); ++index)
+        batch.items[index].contents = digestsOf(batch.submission.items[index]);
+}
+
 void batch_ledger::unload(std::string_view id)
 {
     const auto found = m_batches.find(id);
-    if (found == m_batches.end() || !found->second.submission.contents)
+    if (found == m_batches.end() || !found->second.hasStoredContents())
         return;
     found->second.isLoaded = false;
     for (batch_item& item : found->second.submission.items)
@@ -190,7 +202,7 @@
         for (std::size_t index = 0; index < batch.items.size(); ++index) {
             const batch_item& item = batch.submission.items[index];
             const std::optional<std::size_t> known = before.indexOf(item.id);
-            if (!known || batch.items[index].earlier || before.submission.items[*known].body != item.body)
+            if (!known || batch.items[index].earlier || before.items[*known].contents.body != batch.items[index].contents.body)
                 continue;
             batch.items[index].earlier = earlier_item { m_order[place - 1], *known };
             batch.requiredGroups.insert(item.group);
--- a/src/libs/rollout/batchledger.h
+++ b/src/libs/rollout/batchledger.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <span>
 #include <string_view>
+#include <vector>
 
 namespace ragwortreach {
 
@@ -26,6 +27,14 @@
     std::optional<std::size_t> position;
     /// Text, partial or complete, that a daemon of a former release journalled when it handed the item over.
     item_text progress;
+    /// Valid while the batch is loaded.
+    contents_location contents;
+};
+
+/// What a run needs to know of an item before its contents: an item without headers and bodies, and where those are.
+struct loaded_item {
+    batch_item outline;
+    contents_location contents;
 };
 
 /// Result at a position of a batch.
@@ -52,7 +61,8 @@
     /// Time at which this process read that the batch was accepted; never earlier than the acceptance.
     instant learnedAt {};
     bool isEnded = false;
-    /// Whether the items have the contents that a run needs: path, headers, body and reward call.
+    /// Whether the items have their outlines: path and reward call. Their contents are in memory only when they are stored in
+    /// the journal itself.
     bool isLoaded = true;
     std::vector<ledger_item> items;
     /// In journal order; the position of a result never changes.
@@ -67,6 +77,8 @@
     std::set<std::string, std::less<>> requiredGroups;
     std::size_t openRequiredGroups = 0;
 
+    /// Whether the contents of the items are stored apart from the journal.
+    bool hasStoredContents() const { return submission.contents.has_value(); }
     /// Index of the item with the id \a item, if the batch has it.
     std::optional<std::size_t> indexOf(std::string_view item) const;
     /// Results from \a position on whose texts have at most \a maxBytes in total; at least one result, if any is left.
@@ -104,11 +116,11 @@
     bool mayBeginWork(const ledger_batch& batch, instant now) const;
 
     const ledger_batch* find(std::string_view id) const;
-    /// Adds the contents that the record of an accepted batch left out. The batches of a model have to be loaded in
+    /// Adds the outlines that the record of an accepted batch left out. The batches of a model have to be loaded in
     /// journal order, so that resubmitted items are found in the earlier batches. False when the batch is unknown or
-    /// has another number of items than \a fullSubmission.
-    bool load(const batch_submission& fullSubmission);
-    /// Removes the contents that load() added.
+    /// has another number of items.
+    bool load(std::string_view id, std::vector<loaded_item> items);
+    /// Removes the outlines that load() added.
     void unload(std::string_view id);
     /// All batches, in the order of their acceptance.
     std::span<const std::string> order() const { return m_order; }
@@ -123,6 +135,7 @@
     friend class ledger_visitor;
 
     void insertIntoOrder(const ledger_batch& batch);
+    static void noteDigests(ledger_batch& batch);
     void linkEarlier(ledger_batch& batch) const;
 
     std::map<std::string, ledger_batch, std::less<>> m_batches;
--- a/src/libs/rollout/itemscheduler.cpp
+++ b/src/libs/rollout/itemscheduler.cpp
@@ -3,6 +3,7 @@
 #include "itemorder.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace ragwortreach {
@@ -43,6 +44,17 @@
         return std::min(maxTextBytes, baseTextBytes + tokens * textBytesPerToken);
     }
 
+    /// Whether two items have the same reward call.
+    bool hasSameReward(const ledger_batch& left, std::size_t leftItem, const ledger_batch& right, std::size_t rightItem)
+    {
+        const std::optional<reward_call>& leftCall = left.submission.items[leftItem].reward;
+        const std::optional<reward_call>& rightCall = right.submission.items[rightItem].reward;
+        if (!leftCall || !rightCall)
+            return leftCall.has_value() == rightCall.has_value();
+        const bool hasSameBody = left.items[leftItem].contents.rewardBody == right.items[rightItem].contents.rewardBody;
+        return hasSameBody && std::tie(leftCall->id, leftCall->host, leftCall->path) == std::tie(rightCall->id, rightCall->host, rightCall->path);
+    }
+
     /// Whether an item can go on with \a text, as far as the text itself tells.
     bool isUsable(const item_text& text)
     {
@@ -91,7 +103,7 @@
     : m_ledger(ledger)
     , m_pool(pool)
     , m_routes(routes)
-    , m_rewards(ledger, pool, routes)
+    , m_rewards(ledger, pool, routes, m_contents)
 {
 }
 
@@ -184,7 +196,7 @@
         state.output.isComplete = true;
         state.reference = result.reference;
         // The text can be reused with another reward call; the reward cannot.
-        if (before->submission.items[earlier->item].reward != batch.submission.items[item].reward)
+        if (!hasSameReward(*before, earlier->item, batch, item))
             return false;
         finish({ batch.submission.id, item }, state, result.reward);
         return true;
@@ -221,6 +233,7 @@
         m_pool.compareIntervals(now);
         forgetItems(now);
     }
+    m_contents.beginPass();
     checkRuns(now);
     moveRunsFromSlowReplicas(now);
     handOverRewards(now);
@@ -234,6 +247,7 @@
     }
     m_rewards.schedule(now);
     takeRewardEffects();
+    m_contents.endPass(now);
 }
 
 void item_scheduler::scheduleBatch(const ledger_batch& batch, instant now)
@@ -247,8 +261,12 @@
     bool hasRoom = true;
     for (const std::size_t item : orderOf(batch)) {
         const item_text& progress = batch.items[item].progress;
-        if (batch.items[item].position || (!hasRoom && !progress.isComplete))
+        if (batch.items[item].position)
             continue;
+        if (!hasRoom && !progress.isComplete) {
+            nameContentsAhead(batch, item);
+            continue;
+        }
         const std::pair<std::map<item_key, item_state>::iterator, bool> known = m_items.try_emplace({ batch.submission.id, item });
         item_state& state = known.first->second;
         if (state.isRecorded || state.run != 0 || state.notBefore > now)
@@ -321,12 +339,38 @@
     return { other };
 }
 
+bool item_scheduler::hasContents(const ledger_batch& batch, std::size_t item)
+{
+    return !batch.hasStoredContents() || m_contents.need({ batch.submission.id, item }, batch.items[item].contents.bytes, contents_use::Run);
+}
+
+item_contents item_scheduler::contentsOf(const ledger_batch& batch, std::size_t item) const
+{
+    const item_contents* const stored = m_contents.find({ batch.submission.id, item });
+    if (stored)
+        return *stored;
+    batch_item copy = batch.submission.items[item];
+    return takeContents(copy);
+}
+
+/// Has the contents of an item read that waits for a free slot, as far as there is room for them.
+void item_scheduler::nameContentsAhead(const ledger_batch& batch, std::size_t item)
+{
+    if (!batch.hasStoredContents() || !m_contents.wantsLookAhead())
+        return;
+    const auto known = m_items.find({ batch.submission.id, item });
+    if (known == m_items.end() || (known->second.run == 0 && !known->second.isRecorded))
+        hasContents(batch, item);
+}
+
 /// Starts the item; false when no replica with suitable weights has a free slot for it or for others.
 bool item_scheduler::startItem(const ledger_batch& batch, std::size_t item, const route& route, instant now)
 {
     const service_definition* const service = serviceOf(batch, item, route);
     if (!service)
         return false;
+    if (!hasContents(batch, item))
+        return true;
     const item_key key { batch.submission.id, item };
     item_state& state = m_items[key];
     std::string& groupReplica = m_groupReplicas[{ key.batch, batch.submission.items[item].group }];
@@ -349,7 +393,7 @@
     run.minVersion = batch.submission.minVersion;
     run.isSingleVersion = route.isSingleVersion;
     run.maxTextBytes = textLimit(batch.submission.items[item]);
-    m_effects.emplace_back(start_run { state.run, key.batch, item, run.replica, replica->entry.address, state.output.lastEvent, state.output.software });
+    m_effects.emplace_back(start_run { state.run, key.batch, item, run.replica, replica->entry.address, state.output.lastEvent, state.output.software, contentsOf(batch, item) });
     m_runs.emplace(state.run, run);
     m_pool.started(run.replica, true);
     ++m_counters.runsStarted;
@@ -439,6 +483,8 @@
         if (!m_pool.pick(criteria, now))
             return true;
     }
+    if (!hasContents(batch, key.item))
+        return true;
     ++m_counters.runsMoved;
     item.excluded.push_back(state.replica);
     cancel(run, "a faster replica has room", now);
@@ -601,7 +647,7 @@
     if (!batch || state.isRecorded)
         return;
     item_finished record { key.batch, batch->submission.items[key.item].id, true, std::move(state.output), std::move(state.reference), std::move(reward) };
-    markRecorded(state);
+    markRecorded(key, state);
     ++m_counters.itemsCompleted;
     m_effects.emplace_back(write_record { std::move(record) });
 }
@@ -611,13 +657,14 @@
     const ledger_batch* const batch = m_ledger.find(key.batch);
     if (!batch || state.isRecorded)
         return;
-    markRecorded(state);
+    markRecorded(key, state);
     ++m_counters.itemsAbandoned;
     m_effects.emplace_back(write_record { item_finished { key.batch, batch->submission.items[key.item].id, false, {} }, reason });
 }
 
-void item_scheduler::markRecorded(item_state& state)
+void item_scheduler::markRecorded(const item_key& key, item_state& state)
 {
+    m_contents.drop(key);
     state.isRecorded = true;
     state.output = {};
     state.reference.reset();
--- a/src/libs/rollout/itemscheduler.h
+++ b/src/libs/rollout/itemscheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "batchledger.h"
+#include "contentscache.h"
 #include "eventstreamreader.h"
 #include "itemkey.h"
 #include "replicapool.h"
@@ -29,6 +30,7 @@
     std::uint64_t afterEvent = 0;
     /// Version of the software that wrote the text before; empty when it is unknown.
     std::string textSoftware {};
+    item_contents contents {};
 };
 
 /// Effect: close the connection of a run.
@@ -127,6 +129,9 @@
 ///
 /// A text goes on only at replicas of the software version that wrote it, since what two versions write does not fit
 /// together. When none of them is in use any more, or for a while only others have room, the item begins anew.
+///
+/// The contents of the items may take more memory than the VM has. An item whose contents are not in memory waits until they
+/// have been read, and others start meanwhile.
 class item_scheduler {
 public:
     /// Texts of a closed batch are kept for this time, since trainers resubmit its groups soon after they ended it.
@@ -170,6 +175,9 @@
 
     const scheduler_counters& counters() const { return m_counters; }
     const reward_scheduler& rewards() const { return m_rewards; }
+    /// Contents of the items of batches that are stored apart from the journal; schedule() names those that it needs.
+    contents_cache& contents() { return m_contents; }
+    const contents_cache& contents() const { return m_contents; }
     std::size_t runs() const { return m_runs.size(); }
     /// Whether \a run has not ended.
     bool isRunning(run_number run) const { return m_runs.contains(run); }
@@ -217,6 +225,10 @@
     const std::vector<std::size_t>& orderOf(const ledger_batch& batch);
     void scheduleBatch(const ledger_batch& batch, instant now);
     bool startItem(const ledger_batch& batch, std::size_t item, const route& route, instant now);
+    /// Whether the contents of the item are in memory; otherwise they will be read.
+    bool hasContents(const ledger_batch& batch, std::size_t item);
+    item_contents contentsOf(const ledger_batch& batch, std::size_t item) const;
+    void nameContentsAhead(const ledger_batch& batch, std::size_t item);
     void checkRuns(instant now);
     void moveRunsFromSlowReplicas(instant now);
     bool moveRun(run_number run, instant now);
@@ -238,7 +250,7 @@
     /// Records the text of \a state as the result of the item.
     void finish(const item_key& key, item_state& state, std::string reward = {});
     void abandon(const item_key& key, item_state& state, abandon_reason reason);
-    void markRecorded(item_state& state);
+    void markRecorded(const item_key& key, item_state& state);
     void handOver(run_number run, instant now);
     void handOverText(const item_key& key);
     void handOverRewards(instant now);
@@ -254,6 +266,7 @@
     const batch_ledger& m_ledger;
     replica_pool& m_pool;
     const route_table& m_routes;
+    contents_cache m_contents;
     reward_scheduler m_rewards;
     std::map<std::string, ownership, std::less<>> m_owned;
     std::map<item_key, item_state> m_items;
--- a/src/libs/rollout/journalrecord.h
+++ b/src/libs/rollout/journalrecord.h
@@ -1,8 +1,14 @@
 #pragma once
 
+#include "requestdigest.h"
+
+#include <core/sharedtext.h>
+
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -41,6 +47,33 @@
     std::optional<reward_call> reward {};
 };
 
+/// Part of an item that only its run and its reward call need, and that may be large: the headers and bodies of both.
+struct item_contents {
+    std::vector<item_header> headers;
+    shared_text body;
+    /// Empty for an item without a reward call.
+    shared_text rewardBody;
+
+    /// Memory that the contents take, in bytes, about.
+    std::size_t bytes() const;
+};
+
+/// Contents of \a item, whose headers and bodies are moved out of it.
+item_contents takeContents(batch_item& item);
+
+/// Location and digests of the contents of an item within the stored contents of its batch.
+struct contents_location {
+    /// First byte of the encoded item, and number of its bytes.
+    std::uint64_t offset = 0;
+    std::uint64_t bytes = 0;
+    /// Equal for items with the same body, and for those with the same body of the reward call.
+    request_digest body;
+    request_digest rewardBody;
+};
+
+/// Digests of the bodies of \a item; the location is left out.
+contents_location digestsOf(const batch_item& item);
+
 /// Location of a text that is stored in records of its own in the log.
 struct text_reference {
     /// Key of the record; with several records, the common prefix of their keys.
@@ -52,6 +85,16 @@
     std::uint32_t records = 1;
     /// Length of the text in bytes.
     std::uint64_t bytes = 0;
+    /// Offsets of the first records of the later appends of a text that took several; 0 for one that the log did not name.
+    /// Releases that did not write them left them out.
+    std::vector<std::uint64_t> laterAppends {};
+    /// Number of records of each append but the last one; 0 with a single append.
+    std::uint32_t recordsPerAppend = 0;
+    /// Number of the first record; not 0 for a part of a text only.
+    std::uint32_t firstRecord = 0;
+
+    /// Offset at which \a record, counted from the begin of the whole text, is expected.
+    std::uint64_t offsetOf(std::uint32_t record) const;
 };
 
 /// Batch as a trainer submitted it.
--- a/src/libs/rollout/rewardscheduler.cpp
+++ b/src/libs/rollout/rewardscheduler.cpp
@@ -61,10 +61,11 @@
     return "unknown";
 }
 
-reward_scheduler::reward_scheduler(const batch_ledger& ledger, replica_pool& pool, const route_table& routes)
+reward_scheduler::reward_scheduler(const batch_ledger& ledger, replica_pool& pool, const route_table& routes, contents_cache& contents)
     : m_ledger(ledger)
     , m_pool(pool)
     , m_routes(routes)
+    , m_contents(contents)
 {
 }
 
@@ -102,6 +103,18 @@
     return *m_ledger.find(key.batch)->submission.items[key.item].reward;
 }
 
+bool reward_scheduler::hasBody(const item_key& key)
+{
+    const ledger_batch& batch = *m_ledger.find(key.batch);
+    return !batch.hasStoredContents() || m_contents.need(key, batch.items[key.item].contents.bytes, contents_use::Reward);
+}
+
+shared_text reward_scheduler::bodyOf(const item_key& key) const
+{
+    const item_contents* const stored = m_contents.find(key);
+    return stored ? stored->rewardBody : shared_text(callOf(key).body);
+}
+
 const route* reward_scheduler::routeOf(const item_key& key) const
 {
     const reward_call& call = callOf(key);
@@ -210,7 +223,7 @@
         return;
     service_load& load = loadOf(target->service);
     const bool isRepeated = pending->second.isRepeated();
-    if (!hasRoom(load, slotsPerModel(target->service), isRepeated, share, now))
+    if (!hasRoom(load, slotsPerModel(target->service), isRepeated, share, now) || !hasBody(pending->first))
         return;
     replica_criteria criteria { target->service, {} };
     criteria.usesPermits = true;
@@ -223,7 +236,7 @@
     load.repeated += isRepeated ? 1 : 0;
     ++m_counters.sent;
     m_calls.emplace(call, open_call { pending->first, target->service, replica->entry.id, now, load.inFlight, isRepeated });
-    m_effects.emplace_back(start_reward { call, pending->first, replica->entry.id, replica->entry.address, rewardTimeout(*route) });
+    m_effects.emplace_back(start_reward { call, pending->first, replica->entry.id, replica->entry.address, rewardTimeout(*route), bodyOf(pending->first) });
     m_pool.started(replica->entry.id, true);
 }
 
--- a/src/libs/rollout/rewardscheduler.h
+++ b/src/libs/rollout/rewardscheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "batchledger.h"
+#include "contentscache.h"
 #include "itemkey.h"
 #include "replicapool.h"
 #include "routetable.h"
@@ -28,6 +29,7 @@
     std::string address;
     /// Time-out for the answer.
     duration timeout {};
+    shared_text body {};
 };
 /// Effect: close the connection of a reward call.
 struct cancel_reward {
@@ -90,7 +92,8 @@
 /// without success get a small part of a service: of the open calls or, where only few may be open, of the time.
 class reward_scheduler {
 public:
-    reward_scheduler(const batch_ledger& ledger, replica_pool& pool, const route_table& routes);
+    /// \a contents: of the items; they are named between beginPass() and endPass() by schedule(), which calls neither.
+    reward_scheduler(const batch_ledger& ledger, replica_pool& pool, const route_table& routes, contents_cache& contents);
 
     /// Adds an item whose text is complete.
     void add(const item_key& key, instant now);
@@ -155,6 +158,9 @@
     using pending_map = std::map<item_key, pending_reward>;
 
     const reward_call& callOf(const item_key& key) const;
+    /// Whether the body of the call is in memory.
+    bool hasBody(const item_key& key);
+    shared_text bodyOf(const item_key& key) const;
     const route* routeOf(const item_key& key) const;
     service_load& loadOf(const std::string& service);
     std::uint32_t slotsPerModel(std::string_view service) const;
@@ -168,6 +174,7 @@
     const batch_ledger& m_ledger;
     replica_pool& m_pool;
     const route_table& m_routes;
+    contents_cache& m_contents;
     pending_map m_pending;
     std::map<reward_number, open_call> m_calls;
     std::map<std::string, service_load, std::less<>> m_loads;
--- /dev/null
+++ b/src/libs/wire/contentscodec.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <rollout/journalrecord.h>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace ragwortreach {
+
+/// Encodes the contents of a batch: its acceptance record, in parts. The parts together can also be decoded as one record, as
+/// releases do that know no parts.
+///
+/// \return everything but the items.
+std::string encodeContentsBegin(const batch_submission& batch);
+/// Encodes the contents of \a item, to be put after what was encoded before. \a append gets the bytes piece by piece, so that
+/// no copy of a large body is made.
+void encodeContentsItem(const batch_item& item, const std::function<void(std::string_view)>& append);
+
+/// Decodes an item of contents; nothing when it is malformed.
+std::optional<batch_item> decodeContentsItem(std::string_view bytes);
+
+/// Finds the items in the contents of a batch, which it gets piece by piece. Holds the bytes of one item at most.
+class contents_reader {
+public:
+    /// Called with each encoded item and its location within the contents; false ends the reading.
+    using item_handler = std::function<bool(std::string_view bytes, std::uint64_t offset)>;
+
+    explicit contents_reader(item_handler onItem);
+
+    /// Reads the next \a piece; false when the contents are malformed or the handler has ended the reading.
+    bool read(std::string_view piece);
+    /// Whether the contents may end here.
+    bool isAtEnd() const { return m_pending.empty() && m_recordLeft == 0; }
+    /// Id of the batch, once it has been read.
+    const std::string& batch() const { return m_batch; }
+
+private:
+    /// Result of an attempt to read a field.
+    enum class progress {
+        Read,
+        /// The field has not arrived as a whole.
+        Incomplete,
+        /// The field is malformed, or the handler has ended the reading.
+        Ended,
+    };
+
+    progress readField(std::string_view& bytes);
+    progress readRecordHead(std::string_view& bytes);
+    progress readRecordField(std::string_view& bytes);
+    progress readText(std::uint32_t tag, std::string_view text);
+    void consume(std::string_view& bytes, std::size_t count);
+
+    item_handler m_onItem;
+    std::string m_batch;
+    /// Begin of a field that has not arrived as a whole.
+    std::string m_pending;
+    /// Bytes that the field in m_pending needs, as far as is known.
+    std::size_t m_needed = 0;
+    /// Bytes before those that are read next.
+    std::uint64_t m_offset = 0;
+    /// Bytes of the record that have not been read.
+    std::uint64_t m_recordLeft = 0;
+};
+
+}
--- a/src/libs/wire/journalcodec.cpp
+++ b/src/libs/wire/journalcodec.cpp
@@ -1,6 +1,6 @@
 #include "journalcodec.h"
 
-#include "journal.pb.h"
+#include "itemcodec.h"
 
 namespace ragwortreach {
 
@@ -28,46 +28,15 @@
         to.set_offset(from.offset);
         to.set_records(from.records);
         to.set_bytes(from.bytes);
+        for (const std::uint64_t offset : from.laterAppends)
+            to.add_later_appends(offset);
+        to.set_records_per_append(from.recordsPerAppend);
     }
 
     text_reference readReference(const wire::JournalTextReference& from)
     {
-        return { from.key(), from.partition(), from.offset(), from.records(), from.bytes() };
-    }
-
-    void writeReward(const reward_call& from, wire::JournalRewardCall& to)
-    {
-        to.set_id(from.id);
-        to.set_host(from.host);
-        to.set_path(from.path);
-        to.set_body(from.body);
-    }
-
-    void writeItem(const batch_item& from, wire::JournalItem& to)
-    {
-        to.set_id(from.id);
-        to.set_path(from.path);
-        to.set_body(from.body);
-        to.set_tokens(from.tokens);
-        to.set_expected_tokens(from.expectedTokens);
-        to.set_group(from.group);
-        if (from.reward)
-            writeReward(*from.reward, *to.mutable_reward());
-        for (const item_header& header : from.headers) {
-            wire::JournalHeader& written = *to.add_headers();
-            written.set_name(header.name);
-            written.set_value(header.value);
-        }
-    }
-
-    batch_item readItem(const wire::JournalItem& from)
-    {
-        batch_item item { from.id(), from.path(), {}, from.body(), from.tokens(), from.expected_tokens(), from.group() };
-        for (const wire::JournalHeader& header : from.headers())
-            item.headers.push_back({ header.name(), header.value() });
-        if (from.has_reward())
-            item.reward = reward_call { from.reward().id(), from.reward().host(), from.reward().path(), from.reward().body() };
-        return item;
+        return { from.key(), from.partition(), from.offset(), from.records(), from.bytes(),
+            { from.later_appends().begin(), from.later_appends().end() }, from.records_per_append() };
     }
 
     class record_writer {
@@ -131,7 +100,7 @@
         wire::JournalRecord& m_message;
     };
 
-    batch_accepted readAccepted(const wire::JournalBatchAccepted& from)
+    batch_accepted readAccepted(wire::JournalBatchAccepted& from)
     {
         batch_accepted record;
         record.submission.id = from.id();
@@ -140,8 +109,8 @@
         record.submission.trainStep = from.train_step();
         record.submission.minVersion = from.min_version();
         record.submission.wantedGroups = from.wanted_groups();
-        for (const wire::JournalItem& item : from.items())
-            record.submission.items.push_back(readItem(item));
+        for (wire::JournalItem& item : *from.mutable_items())
+            record.submission.items.push_back(takeItem(item));
         record.submission.configuration = from.configuration();
         if (from.has_organisation())
             record.submission.organisation = from.organisation();
@@ -166,7 +135,7 @@
         return std::nullopt;
     switch (message.record_case()) {
     case wire::JournalRecord::kAccepted:
-        return readAccepted(message.accepted());
+        return readAccepted(*message.mutable_accepted());
     case wire::JournalRecord::kFinished: {
         const wire::JournalItemFinished& finished = message.finished();
         item_finished record { finished.batch(), finished.item(), finished.completed(), readText(finished.output()), std::nullopt, finished.reward() };
--- a/tests/auto/gateway/tst_journal.cpp
+++ b/tests/auto/gateway/tst_journal.cpp
@@ -39,9 +39,11 @@
             int changes = 0;
             journal first(context, log, {}, "first", [&changes](const ledger_batch&) { ++changes; });
             first.start();
-            first.write(batch_accepted { largeBatch(bytes) }, write_mode::FailOnRefusal, {});
+            batch_submission submission = largeBatch(bytes);
+            submission.items.push_back({ "finished", "/1", {}, "p", 3, 0, "g" });
+            first.write(batch_accepted { submission }, write_mode::FailOnRefusal, {});
             runUntil(context, [&changes] { return changes == 1; });
-            first.write(item_finished { "b", "i", true, { "text", 1, { 4 } } }, write_mode::RetryOnRefusal, {});
+            first.write(item_finished { "b", "finished", true, { "text", 1, { 4 } } }, write_mode::RetryOnRefusal, {});
             runUntil(context, [&changes] { return changes == 2; });
             log.compact();
             journal second(context, log, {}, "second", [](const ledger_batch&) {});
@@ -54,17 +56,25 @@
             const ledger_batch* const batch = second.ledger().find("b");
             REQUIRE(batch);
             ragwortreach::log logger({}, "vm1");
-            batch_loader loader(second, logger);
+            contents_cache cache;
+            batch_loader loader(second, cache, logger);
             // Contents stored apart from the journal are loaded on demand only.
             CHECK(batch->isLoaded == (bytes < 600));
             loader.tick([](const ledger_batch&) { return true; }, bootNow());
             runUntil(context, [batch] { return batch->isLoaded; });
-            CHECK(batch->submission.items[0].body.size() == bytes);
-            CHECK(batch->submission.items[0].headers.size() == 1);
+            const batch_item& item = batch->submission.items[0];
+            CHECK(item.path == "/1");
+            const item_contents* const read = cache.find({ "b", 0 });
+            CHECK((read != nullptr) == (bytes >= 600));
+            CHECK((read ? read->body.size() : item.body.size()) == bytes);
+            CHECK((read ? read->headers : item.headers).size() == 1);
+            CHECK_FALSE(cache.find({ "b", 1 }));
             REQUIRE(batch->results.size() == 1);
             CHECK(batch->results[0].output.versions == std::vector<std::uint64_t> { 4 });
             loader.tick([](const ledger_batch&) { return false; }, bootNow());
-            CHECK(batch->submission.items[0].body.empty() == (bytes >= 600));
+            CHECK(item.path.empty() == (bytes >= 600));
+            CHECK_FALSE(cache.find({ "b", 0 }));
+            CHECK(cache.held() == 0);
         }
     }
 }
@@ -202,7 +212,8 @@
         writer.write(batch_accepted { batch }, write_mode::FailOnRefusal, {});
     }
     runUntil(context, [&changes] { return changes == 2; });
-    batch_loader loader(writer, logger);
+    contents_cache cache;
+    batch_loader loader(writer, cache, logger);
     loader.tick([](const ledger_batch&) { return true; }, bootNow());
     runUntil(context, [&loader] { return loader.counters().loaded == 2; });
     for (const char* const id : { "a-batch-with-a-long-id", "b-batch-with-a-long-id" })
@@ -447,9 +458,11 @@
             owner.fetch("b");
             runUntil(context, [&owner] { return owner.isFollowed("a") && owner.isFollowed("b"); });
             ragwortreach::log logger({}, "vm1");
-            batch_loader loader(owner, logger);
+            contents_cache cache;
+            batch_loader loader(owner, cache, logger);
             loader.tick([](const ledger_batch&) { return true; }, bootNow());
-            runUntil(context, [&loader] { return loader.counters().readFailures == 1; });
+            const std::uint64_t expected = (row.isLoadedA ? 1 : 0) + (row.isLoadedB ? 1 : 0);
+            runUntil(context, [&loader, expected] { return loader.counters().readFailures == 1 && loader.counters().loaded == expected; });
             CHECK(owner.ledger().find("a")->isLoaded == row.isLoadedA);
             CHECK(owner.ledger().find("b")->isLoaded == row.isLoadedB);
         }
--- a/tests/auto/gateway/tst_staleowners.cpp
+++ b/tests/auto/gateway/tst_staleowners.cpp
@@ -3,7 +3,6 @@
 #include <gateway/pollintervals.h>
 #include <rollout/itemscheduler.h>
 #include <support/rolloutfixture.h>
-#include <wire/journalcodec.h>
 
 #include <catch2/catch.hpp>
 
@@ -144,10 +143,21 @@
             const batch_submission submission = submissionOf(plan, m_model);
             const ledger_batch* const batch = ledger.find(submission.id);
             if (batch && !batch->isLoaded)
-                m_daemon.batches().load(submission.id, encodeJournalRecord(batch_accepted { submission }));
+                load(submission);
         }
     }
 
+    void load(const batch_submission& submission)
+    {
+        std::vector<loaded_item> items;
+        for (batch_item item : submission.items) {
+            const contents_location location = digestsOf(item);
+            m_scheduler.contents().offer({ submission.id, items.size() }, takeContents(item));
+            items.push_back({ std::move(item), location });
+        }
+        m_daemon.batches().load(submission.id, std::move(items));
+    }
+
     void carryOut(const scheduler_effect& effect)
     {
         if (const start_run* const run = std::get_if<start_run>(&effect))
--- a/tests/auto/platform/tst_requestcodec.cpp
+++ b/tests/auto/platform/tst_requestcodec.cpp
@@ -8,6 +8,11 @@
 
 namespace {
 
+item_contents contentsOf(batch_item item)
+{
+    return takeContents(item);
+}
+
 std::string header(const http_request& request, std::string_view name)
 {
     return std::string(headerValue(request.headers, name).value_or("(none)"));
@@ -68,9 +73,10 @@
     batch_submission batch;
     batch.host = "h";
     const batch_item item { "item-1", "/lots/1", { { "Token-Usage", "5,6" } }, "prompt", 11, 0, "g" };
-    const http_request sent = encodeItemRequest(batch, item, { "i-1", std::nullopt, 4 });
+    const http_request sent = encodeItemRequest(batch, item, contentsOf(item), { "i-1", std::nullopt, 4 });
     CHECK(sent.method == "POST");
     CHECK(sent.target == "/lots/1");
+    CHECK(sent.body == "prompt");
     CHECK(header(sent, "Request-Id") == "item-1");
     CHECK(header(sent, "Token-Usage") == "5,6");
     CHECK(header(sent, "Last-Event-Id") == "4");
@@ -87,7 +93,7 @@
         item.headers.push_back({ line.name, line.value });
     const reward_call reward { "s-1", "rewards.example", "/score/1", "body" };
     const replica_request_options options { "i-1", 420ms, 0, "guild" };
-    for (const http_request& request : { encodeReplicaRequest(call, options), encodeItemRequest(batch, item, options), encodeRewardRequest(reward, options) }) {
+    for (const http_request& request : { encodeReplicaRequest(call, options), encodeItemRequest(batch, item, contentsOf(item), options), encodeRewardRequest(reward, reward.body, options) }) {
         CHECK(header(request, "Tenant") == "guild");
         CHECK(header(request, "Authorization") == "(none)");
     }
@@ -131,7 +137,7 @@
     item.path = "/lots/1";
     for (const char* const name : { "Transfer-Encoding", "content-length", "Connection", "host", "Request-Id", "Expect-Instance", "Last-Event-Id", "Token-Usage" })
         item.headers.push_back({ name, "odd" });
-    const http_request request = encodeItemRequest(batch, item, { "r1", std::nullopt, 0 });
+    const http_request request = encodeItemRequest(batch, item, contentsOf(item), { "r1", std::nullopt, 0 });
     const std::vector<std::string> names { "Host", "Request-Id", "Token-Usage", "Expect-Instance" };
     REQUIRE(request.headers.size() == names.size());
     for (std::size_t index = 0; index < names.size(); ++index)
@@ -142,7 +148,7 @@
 TEST_CASE("A reward call has its own request id, a deadline and the id of the expected replica")
 {
     const reward_call call { "s-1", "rewards.example", "/score/1", "body" };
-    const http_request sent = encodeRewardRequest(call, { "i-1", std::chrono::milliseconds(900), 0 });
+    const http_request sent = encodeRewardRequest(call, call.body, { "i-1", std::chrono::milliseconds(900), 0 });
     CHECK(sent.method == "POST");
     CHECK(sent.target == "/score/1");
     CHECK(sent.body == "body");
--- a/tests/auto/rollout/tst_itemscheduler.cpp
+++ b/tests/auto/rollout/tst_itemscheduler.cpp
@@ -783,7 +783,6 @@
         fixture.pool.update(entry);
         const batch_submission batch = makeBatch("b", 1, 1);
         fixture.ledger.apply(batch_accepted { batch }, at(0ms));
-        fixture.ledger.load(batch);
         const item_text text { "text", 5, { 1 }, row.isComplete, row.software };
         CHECK(fixture.scheduler.adoptText(*fixture.ledger.find("b"), 0, text, at(0ms)) == row.isAdopted);
         const std::vector<start_run> started = fixture.take<start_run>(1ms);
--- a/tests/auto/rollout/tst_rewardscheduler.cpp
+++ b/tests/auto/rollout/tst_rewardscheduler.cpp
@@ -38,7 +38,7 @@
 struct reward_fixture {
     explicit reward_fixture(std::size_t groups, std::size_t size = 1, std::vector<std::string> models = { testModel })
         : pool("north-a")
-        , rewards(ledger, pool, routes)
+        , rewards(ledger, pool, routes, contents)
     {
         routes.setConfiguration(makeRewardConfiguration(std::move(models), 8));
         for (const char* id : { "s1", "s2", "s3" })
@@ -63,6 +63,7 @@
     batch_ledger ledger;
     replica_pool pool;
     route_table routes;
+    contents_cache contents;
     reward_scheduler rewards;
     int cancelled = 0;
 };
--- a/tests/auto/system/callercrowd.cpp
+++ b/tests/auto/system/callercrowd.cpp
@@ -35,6 +35,21 @@
         return count;
     }
 
+    /// Value of the line \a name of the status of a process; 0 when it has ended.
+    std::size_t statusKilobytes(pid_t pid, std::string_view name)
+    {
+        std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+        std::string word;
+        while (status >> word) {
+            if (word != name)
+                continue;
+            std::size_t kilobytes = 0;
+            status >> kilobytes;
+            return kilobytes;
+        }
+        return 0;
+    }
+
 }
 
 class caller_crowd::caller {
@@ -101,16 +116,12 @@
 
 std::size_t residentKilobytes(pid_t pid)
 {
-    std::ifstream status("/proc/" + std::to_string(pid) + "/status");
-    std::string word;
-    while (status >> word) {
-        if (word != "VmRSS:")
-            continue;
-        std::size_t kilobytes = 0;
-        status >> kilobytes;
-        return kilobytes;
-    }
-    return 0;
+    return statusKilobytes(pid, "VmRSS:");
+}
+
+std::size_t peakKilobytes(pid_t pid)
+{
+    return statusKilobytes(pid, "VmHWM:");
 }
 
 void sendLoad(caller_crowd& crowd, pid_t pid, peak_use& peak)
--- a/tests/auto/system/callercrowd.h
+++ b/tests/auto/system/callercrowd.h
@@ -54,6 +54,9 @@
 /// Resident memory of a process; 0 when it has ended.
 std::size_t residentKilobytes(pid_t pid);
 
+/// Most memory that a process has had resident since its start; 0 when it has ended.
+std::size_t peakKilobytes(pid_t pid);
+
 /// Sends the load until the daemon \a pid has taken it or takes no more of it, and measures the daemon meanwhile.
 void sendLoad(caller_crowd& crowd, pid_t pid, peak_use& peak);
 
--- a/tests/platform/replicastandin.cpp
+++ b/tests/platform/replicastandin.cpp
@@ -13,8 +13,6 @@
 
 namespace {
 
-    /// Time between two events of a stream.
-    constexpr std::chrono::milliseconds eventInterval { 20 };
     /// Size of the data of one event: large enough that a result refers to its text instead of containing it.
     constexpr std::size_t eventBytes = 400;
 
@@ -140,7 +138,7 @@
     }
     const std::string number = std::to_string(event);
     exchange.write("id: " + number + "\ndata: " + number + std::string(eventBytes, '.') + "\n\n");
-    const std::shared_ptr<boost::asio::steady_timer> timer = std::make_shared<boost::asio::steady_timer>(m_context, eventInterval);
+    const std::shared_ptr<boost::asio::steady_timer> timer = std::make_shared<boost::asio::steady_timer>(m_context, m_eventInterval);
     timer->async_wait([this, timer, exchange, event, last](const boost::system::error_code&) { stream(exchange, event + 1, last); });
 }
 
--- a/tests/platform/replicastandin.h
+++ b/tests/platform/replicastandin.h
@@ -49,6 +49,8 @@
     void failHeld();
     /// While set, plain requests are held until answerHeld() or failHeld() is called.
     void setHolding(bool isHolding) { m_isHolding = isHolding; }
+    /// Time between two events of a stream from now on.
+    void setEventInterval(std::chrono::milliseconds interval) { m_eventInterval = interval; }
     /// Requests a second that the replica says in its answers to take from all daemons together; none when empty.
     void setLimit(std::optional<double> perSecond) { m_limit = perSecond; }
     /// While set, the replica says in its answers that it is leaving; its entry does not change.
@@ -85,6 +87,7 @@
     bool m_hasSeenCredentials = false;
     std::vector<http_exchange> m_held;
     bool m_isHolding = false;
+    std::chrono::milliseconds m_eventInterval { 20 };
     std::optional<double> m_limit;
     bool m_isLeaving = false;
     int m_resumed = 0;
