Platform: Decode a submission in the memory of its text

What callers saw: a batch of one large item ended its VM where as many bytes in many items did not: tst_batchmemory "items nearly as large as a body may be" took 76.8 MB of 60.

Cause: the JSON parser kept two growing copies of the value being read beside its tree, could not be stopped before the end of the text, and the items had no bound until all were read.

The text is moved out of the request and is gone once decoded.

--- a/src/libs/core/sharedtext.h
+++ b/src/libs/core/sharedtext.h
@@ -26,6 +26,14 @@
     operator std::string_view() const { return view(); }
     std::size_t size() const { return view().size(); }
     bool empty() const { return !m_content; }
+    /// Gives up the text: moves it out unless other copies refer to it.
+    std::string take()
+    {
+        std::string text = !m_content ? std::string() : isShared() ? m_content->text
+                                                                   : std::move(m_content->text);
+        m_content = nullptr;
+        return text;
+    }
     /// Whether another copy refers to the same text.
     bool isShared() const { return m_content && m_content->use_count() > 1; }
 
@@ -38,10 +46,10 @@
         {
         }
 
-        const std::string text;
+        std::string text;
     };
 
-    boost::intrusive_ptr<const content> m_content;
+    boost::intrusive_ptr<content> m_content;
 };
 
 }
--- a/src/libs/gateway/batchhandler.cpp
+++ b/src/libs/gateway/batchhandler.cpp
@@ -116,27 +116,37 @@
         exchange.respond(jsonAnswer(acceptedStatus, "{}"));
         return;
     }
-    std::string detail;
-    std::optional<batch_submission> submission = platform::decodeSubmission(exchange.request().body, detail);
-    if (submission)
-        detail = firstIdFault(caller.id, *submission);
-    if (!submission || !detail.empty() || caller.id.empty()) {
-        logOutcome("batch_submitted", caller.id, "rejected", detail);
-        exchange.respond(failureResponse(badRequestStatus, result_code::MalformedRequest, detail));
+    platform::decoded_submission decoded = platform::decodeSubmission(exchange.takeBody(), journal::maxSharedBytes);
+    if (decoded.batch)
+        decoded.detail = firstIdFault(caller.id, *decoded.batch);
+    if (decoded.excessiveBytes != 0) {
+        refuseSize(exchange, caller.id, decoded.excessiveBytes);
         return;
     }
-    const std::size_t sharedBytes = journal::sharedBytes(*submission);
+    if (!decoded.batch || !decoded.detail.empty() || caller.id.empty()) {
+        logOutcome("batch_submitted", caller.id, "rejected", decoded.detail);
+        exchange.respond(failureResponse(badRequestStatus, result_code::MalformedRequest, decoded.detail));
+        return;
+    }
+    batch_submission& submission = *decoded.batch;
+    submission.id = caller.id;
+    submission.host = caller.host;
+    submission.configuration = m_routes.version();
+    submission.organisation = caller.identity.organisation;
+    const std::size_t sharedBytes = journal::sharedBytes(submission);
     if (sharedBytes > journal::maxSharedBytes) {
-        logOutcome("batch_submitted", caller.id, "rejected", "too many items");
-        exchange.respond(failureResponse(result_code::BodyTooLarge, tooManyItems(sharedBytes)));
+        refuseSize(exchange, caller.id, sharedBytes);
         return;
     }
-    submission->id = caller.id;
-    submission->host = caller.host;
-    submission->configuration = m_routes.version();
-    submission->organisation = caller.identity.organisation;
     exchange.releaseBody();
-    accept(exchange, std::move(*submission));
+    accept(exchange, std::move(submission));
+}
+
+/// All daemons have to read \a sharedBytes of the batch, which are too many.
+void batch_handler::refuseSize(const http_exchange& exchange, std::string_view batch, std::size_t sharedBytes)
+{
+    logOutcome("batch_submitted", batch, "rejected", "too many items");
+    exchange.respond(failureResponse(result_code::BodyTooLarge, tooManyItems(sharedBytes)));
 }
 
 std::shared_ptr<held_bytes> batch_handler::holdContents(const batch_submission& submission) const
--- a/src/libs/gateway/batchhandler.h
+++ b/src/libs/gateway/batchhandler.h
@@ -89,6 +89,7 @@
     /// Serves the call once it is known whether its batch exists, or refuses it after a while; false while it has to wait.
     bool tryResolve(const received_call& received);
     void accept(const http_exchange& exchange, batch_submission submission);
+    void refuseSize(const http_exchange& exchange, std::string_view batch, std::size_t sharedBytes);
     /// Holds room for the contents of \a submission as long as the result exists.
     std::shared_ptr<held_bytes> holdContents(const batch_submission& submission) const;
     void answerUnknown(const received_call& received);
--- a/src/libs/gateway/journal.cpp
+++ b/src/libs/gateway/journal.cpp
@@ -23,8 +23,7 @@
     /// First byte of a record's value: whether more parts of the same journal record follow.
     constexpr char partialMarker = '+';
     constexpr char finalMarker = '.';
-    /// Most bytes that the numbers and the framing of an item, or of the batch itself, take in a record.
-    constexpr std::size_t itemOverhead = 48;
+    /// Most bytes that the numbers and the framing of a batch take in a record, without its items.
     constexpr std::size_t batchOverhead = 256;
 
     std::string_view batchOf(const journal_record& record)
@@ -93,7 +92,7 @@
 {
     std::size_t bytes = batchOverhead + 2 * (batch.id.size() + batch.model.size() + batch.organisation.value_or("").size()) + batch.host.size();
     for (const batch_item& item : batch.items)
-        bytes += itemOverhead + item.id.size() + item.group.size();
+        bytes += ragwortreach::sharedBytes(item);
     return bytes;
 }
 
--- a/src/libs/net/httpserver.cpp
+++ b/src/libs/net/httpserver.cpp
@@ -18,6 +18,11 @@
     return m_session->request();
 }
 
+std::string http_exchange::takeBody() const
+{
+    return m_session->isCurrent(m_number) ? m_session->takeBody() : std::string();
+}
+
 void http_exchange::releaseBody() const
 {
     if (m_session->isCurrent(m_number))
--- a/src/libs/net/httpserver.h
+++ b/src/libs/net/httpserver.h
@@ -49,7 +49,8 @@
     ~http_exchange();
 
     const http_request& request() const;
-    /// Gives up the body of the request, which nobody may use any more. Copies of the request keep theirs.
+    /// Moves the body out of the request. Its room is held until releaseBody() is called, or the exchange ends.
+    std::string takeBody() const;
     void releaseBody() const;
 
     void respond(http_response response) const;
--- a/src/libs/net/httpsession.h
+++ b/src/libs/net/httpsession.h
@@ -45,6 +45,7 @@
     const http_request& request() const { return m_request; }
     bool isCurrent(std::uint64_t number) const { return number == m_number && m_isExchangeOpen; }
     bool isMemoryScarce() const;
+    std::string takeBody() { return m_request.body.take(); }
     void releaseBody();
     void respond(http_response response);
     void beginStream(const http_response_head& head);
--- a/src/libs/rollout/journalrecord.cpp
+++ b/src/libs/rollout/journalrecord.cpp
@@ -32,6 +32,13 @@
     return contents;
 }
 
+std::size_t sharedBytes(const batch_item& item)
+{
+    // Numbers and framing.
+    constexpr std::size_t overhead = 48;
+    return overhead + item.id.size() + item.group.size();
+}
+
 contents_location digestsOf(const batch_item& item)
 {
     contents_location location;
--- a/src/libs/rollout/journalrecord.h
+++ b/src/libs/rollout/journalrecord.h
@@ -71,6 +71,9 @@
     request_digest rewardBody;
 };
 
+/// Upper bound of what all daemons have to read of \a item in the record of its batch, in bytes.
+std::size_t sharedBytes(const batch_item& item);
+
 /// Digests of the bodies of \a item; the location is left out.
 contents_location digestsOf(const batch_item& item);
 
--- a/tests/auto/system/tst_batchmemory.cpp
+++ b/tests/auto/system/tst_batchmemory.cpp
@@ -50,6 +50,7 @@
     { "the owner is suspended, and goes on", disturbance::Suspended, 4, 24, 340 * kibibyte },
     { "the owner is stopped and hands over", disturbance::Stopped, 4, 24, 340 * kibibyte },
     { "all daemons are killed", disturbance::AllKilled, 4, 24, 340 * kibibyte },
+    { "items nearly as large as a body may be", disturbance::Killed, 3, 1, 10 * kibibyte* kibibyte },
     { "nothing happens", disturbance::None, 4, 24, 340 * kibibyte },
 };
 
