Gateway: Copy no body of an item to read it, and share the room of large items with bodies

Cause: an item was decoded beside its bytes, once to load it and once to run it, and an item larger than the limit of contents was counted nowhere else, so a body of the largest size was accepted beside it.

An item is decoded without its body now: loading needs its digest only, and running moves the body out of what was read. What contents take beyond their limit holds room in the budget of bodies, and is not read while bodies take that room; the trainer is refused as not run meanwhile, and served elsewhere.

--- a/src/libs/gateway/batchhandler.cpp
+++ b/src/libs/gateway/batchhandler.cpp
@@ -355,7 +355,7 @@
     const std::shared_ptr<contents_reader> reader = std::make_shared<contents_reader>([found, left = item](std::string_view bytes, std::uint64_t) mutable {
         if (left-- != 0)
             return true;
-        std::optional<batch_item> decoded = decodeContentsItem(bytes);
+        std::optional<batch_item> decoded = takeContentsItem(std::string(bytes));
         if (decoded)
             *found = takeContents(*decoded);
         return false;
--- a/src/libs/gateway/batchloader.cpp
+++ b/src/libs/gateway/batchloader.cpp
@@ -121,18 +121,22 @@
 /// Notes an item that was read; false when it cannot be decoded.
 bool batch_loader::takeItem(load& load, std::string_view bytes, std::uint64_t offset)
 {
-    std::optional<batch_item> item = decodeContentsItem(bytes);
-    if (!item)
+    std::optional<encoded_item> encoded = decodeContentsItem(bytes);
+    if (!encoded)
         return false;
-    loaded_item loaded { {}, digestsOf(*item) };
+    batch_item& item = encoded->item;
+    loaded_item loaded { {}, digestsOf(item, encoded->body) };
     loaded.contents.offset = offset;
     loaded.contents.bytes = bytes.size();
-    item_contents contents = takeContents(*item);
-    loaded.outline = std::move(*item);
     const ledger_batch* const batch = m_journal.ledger().find(load.batch);
     const std::size_t index = load.items.size();
-    if (batch && batch->isOpen() && index < batch->items.size() && !batch->items[index].position)
+    const bool isUnfinished = batch && batch->isOpen() && index < batch->items.size() && !batch->items[index].position;
+    if (isUnfinished && m_cache.admits(bytes.size()))
+        item.body = encoded->body;
+    item_contents contents = takeContents(item);
+    if (isUnfinished && contents.body.size() == encoded->body.size())
         m_cache.offer({ load.batch, index }, std::move(contents));
+    loaded.outline = std::move(item);
     load.items.push_back(std::move(loaded));
     return true;
 }
--- a/src/libs/gateway/contentsfetcher.cpp
+++ b/src/libs/gateway/contentsfetcher.cpp
@@ -19,8 +19,9 @@
         const std::uint64_t begin = location.offset - recordsBegin;
         if (begin + location.bytes > records.size())
             return std::nullopt;
-        std::optional<batch_item> item = decodeContentsItem(std::string_view(records).substr(begin, location.bytes));
-        std::string().swap(records);
+        records.resize(begin + location.bytes);
+        records.erase(0, begin);
+        std::optional<batch_item> item = takeContentsItem(std::move(records));
         return item ? std::optional<item_contents>(takeContents(*item)) : std::nullopt;
     }
 
--- a/src/libs/gateway/gatewayhost.cpp
+++ b/src/libs/gateway/gatewayhost.cpp
@@ -215,6 +215,7 @@
     bool refuseLate(const http_exchange& exchange, const platform::caller_request& caller, duration longest, duration usual);
     duration usualTime(const route& route) const;
     void answerMetrics(const http_exchange& exchange);
+    void shareMemory();
     void loadBatches();
     void tick();
     void checkStop();
@@ -248,6 +249,8 @@
     batch_handler batchHandler;
     /// Bounds the connections of all ports.
     std::shared_ptr<connection_guard> guard = std::make_shared<connection_guard>();
+    /// Room for an item that is larger than all contents may be.
+    held_bytes oversizedContents { guard->bodies() };
     http_server callerServer;
     http_server peerServer;
     http_server readinessServer;
@@ -550,12 +553,24 @@
     exchange.respond({ okStatus, { { "Content-Type", "text/plain; version=0.0.4" } }, metricsText(readings) });
 }
 
+/// Shares the memory between bodies of callers and contents of items. An item larger than the part for contents takes its room
+/// from the bodies.
+void gateway_host::state::shareMemory()
+{
+    contents_cache& contents = scheduler.contents();
+    const std::size_t bodyBytes = guard->bodies().held() - oversizedContents.bytes();
+    const std::size_t limit = contentsLimit(settings.memoryBytes, bodyBytes);
+    contents.setLimit(limit);
+    contents.setLargestItem(guard->bodies().largestBody() - std::min(guard->bodies().largestBody(), bodyBytes));
+    oversizedContents.set(contents.committed() - std::min(contents.committed(), limit));
+}
+
 /// Loads the batches of the models that this daemon owns. Closed batches stay loaded for the reuse time, since a trainer
 /// may submit their groups again.
 void gateway_host::state::loadBatches()
 {
     const instant now = bootNow();
-    scheduler.contents().setLimit(contentsLimit(settings.memoryBytes, guard->bodies().held()));
+    shareMemory();
     const std::set<std::string, std::less<>> incompleteModels = batchJournal.fetchBatchesOf(heldModels);
     loader.tick([this, now, &incompleteModels](const ledger_batch& batch) {
         const std::string& model = batch.submission.model;
--- a/src/libs/net/bytebudget.h
+++ b/src/libs/net/bytebudget.h
@@ -22,6 +22,8 @@
     void setLimit(std::size_t bytes) { m_limit = bytes; }
     void setLargestBody(std::size_t bytes) { m_largestBody = bytes; }
 
+    /// Largest body that fits beside nothing else.
+    std::size_t largestBody() const { return largeLimit(); }
     /// Whether a body that holds \a before bytes may hold \a after.
     bool admitsBody(std::size_t before, std::size_t after) const;
     /// Whether no large body fits any more, so that nothing should be read on behalf of those who do not take it.
--- a/src/libs/rollout/contentscache.cpp
+++ b/src/libs/rollout/contentscache.cpp
@@ -21,12 +21,17 @@
     return found == m_entries.end() ? nullptr : &found->second.contents;
 }
 
+bool contents_cache::admits(std::size_t bytes)
+{
+    const bool hasRoom = committed() + bytes <= m_limit;
+    m_hasLeftOut = m_hasLeftOut || !hasRoom;
+    return hasRoom;
+}
+
 void contents_cache::offer(const item_key& key, item_contents contents)
 {
-    if (m_held + m_readingBytes + contents.bytes() <= m_limit)
+    if (admits(contents.bytes()))
         insert(key, std::move(contents));
-    else
-        m_hasLeftOut = true;
 }
 
 void contents_cache::beginPass()
@@ -147,7 +152,7 @@
 
 bool contents_cache::makeRoomFor(std::size_t bytes)
 {
-    const auto fits = [this, bytes] { return m_held + m_readingBytes + bytes <= m_limit; };
+    const auto fits = [this, bytes] { return committed() + bytes <= m_limit; };
     for (entry_map::iterator it = m_entries.begin(); !fits() && it != m_entries.end();) {
         if (it->second.neededIn == m_pass || isInUse(it->second)) {
             ++it;
@@ -163,7 +168,7 @@
 /// Contents larger than the limit are read when nothing else is here.
 bool contents_cache::mayRead(std::size_t bytes)
 {
-    return makeRoomFor(bytes) || m_held + m_readingBytes == 0;
+    return makeRoomFor(bytes) || (committed() == 0 && bytes <= m_largestItem);
 }
 
 }
--- a/src/libs/rollout/contentscache.h
+++ b/src/libs/rollout/contentscache.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <string_view>
 #include <vector>
@@ -36,7 +37,7 @@
 /// shortly before they are needed, in the order in which the scheduler names them, and dropped when others need the room.
 /// The contents of a usual batch fit the limit and are read once.
 ///
-/// Contents that are being sent stay until they are sent. One item of any size may be here while nothing else is.
+/// Contents that are being sent stay until they are sent. One larger item may be here while nothing else is.
 class contents_cache {
 public:
     static constexpr std::size_t defaultLimit = std::size_t { 32 } * 1024 * 1024;
@@ -48,7 +49,14 @@
 
     /// The contents of \a key; null when they are not here. Valid until the next call that is not const.
     const item_contents* find(const item_key& key) const;
-    /// Keeps contents that were read for another reason, if there is room.
+    /// Bytes of the contents that are here and of those that are being read.
+    std::size_t committed() const { return m_held + m_readingBytes; }
+    /// Sets the size of the largest item that may be here beyond the limit, while nothing else is.
+    void setLargestItem(std::size_t bytes) { m_largestItem = bytes; }
+
+    /// Whether there is room for contents of \a bytes that were read for another reason. Notes that some are left out if not.
+    bool admits(std::size_t bytes);
+    /// Keeps such contents, if there is room.
     void offer(const item_key& key, item_contents contents);
 
     /// Begins to name what is needed.
@@ -98,6 +106,7 @@
     bool mayRead(std::size_t bytes);
 
     std::size_t m_limit = defaultLimit;
+    std::size_t m_largestItem = std::numeric_limits<std::size_t>::max();
     std::size_t m_held = 0;
     entry_map m_entries;
     std::uint64_t m_pass = 0;
--- a/src/libs/rollout/journalrecord.cpp
+++ b/src/libs/rollout/journalrecord.cpp
@@ -40,9 +40,14 @@
 }
 
 contents_location digestsOf(const batch_item& item)
+{
+    return digestsOf(item, item.body);
+}
+
+contents_location digestsOf(const batch_item& item, std::string_view body)
 {
     contents_location location;
-    location.body = digestOf(item.body);
+    location.body = digestOf(body);
     if (item.reward)
         location.rewardBody = digestOf(item.reward->body);
     return location;
--- a/src/libs/rollout/journalrecord.h
+++ b/src/libs/rollout/journalrecord.h
@@ -74,7 +74,9 @@
 /// Upper bound of what all daemons have to read of \a item in the record of its batch, in bytes.
 std::size_t sharedBytes(const batch_item& item);
 
-/// Digests of the bodies of \a item; the location is left out.
+/// Digests of \a body and of the body of the reward call of \a item; the location is left out.
+contents_location digestsOf(const batch_item& item, std::string_view body);
+/// Digests of the bodies of \a item.
 contents_location digestsOf(const batch_item& item);
 
 /// Location of a text that is stored in records of its own in the log.
--- a/src/libs/wire/contentscodec.cpp
+++ b/src/libs/wire/contentscodec.cpp
@@ -58,12 +58,43 @@
     append(item.body);
 }
 
-std::optional<batch_item> decodeContentsItem(std::string_view bytes)
+std::optional<encoded_item> decodeContentsItem(std::string_view bytes)
 {
+    CodedInputStream stream(reinterpret_cast<const std::uint8_t*>(bytes.data()), static_cast<int>(bytes.size()));
+    std::string others;
+    std::string_view body;
+    while (stream.CurrentPosition() < static_cast<int>(bytes.size())) {
+        const std::size_t begin = static_cast<std::size_t>(stream.CurrentPosition());
+        const std::uint32_t tag = stream.ReadTag();
+        if (tag == bodyTag) {
+            std::uint32_t size = 0;
+            if (!stream.ReadVarint32(&size))
+                return std::nullopt;
+            body = bytes.substr(static_cast<std::size_t>(stream.CurrentPosition()), size);
+            if (!stream.Skip(static_cast<int>(size)))
+                return std::nullopt;
+            continue;
+        }
+        if (tag == 0 || !WireFormatLite::SkipField(&stream, tag))
+            return std::nullopt;
+        others += bytes.substr(begin, static_cast<std::size_t>(stream.CurrentPosition()) - begin);
+    }
     wire::JournalItem message;
-    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+    if (!message.ParseFromString(others))
+        return std::nullopt;
+    return encoded_item { takeItem(message), body };
+}
+
+std::optional<batch_item> takeContentsItem(std::string bytes)
+{
+    std::optional<encoded_item> decoded = decodeContentsItem(bytes);
+    if (!decoded)
         return std::nullopt;
-    return takeItem(message);
+    const std::size_t bodyBegin = decoded->body.empty() ? 0 : static_cast<std::size_t>(decoded->body.data() - bytes.data());
+    bytes.resize(bodyBegin + decoded->body.size());
+    bytes.erase(0, bodyBegin);
+    decoded->item.body = std::move(bytes);
+    return std::move(decoded->item);
 }
 
 contents_reader::contents_reader(item_handler onItem)
--- a/src/libs/wire/contentscodec.h
+++ b/src/libs/wire/contentscodec.h
@@ -19,8 +19,18 @@
 /// no copy of a large body is made.
 void encodeContentsItem(const batch_item& item, const std::function<void(std::string_view)>& append);
 
+/// An item of contents whose body has not been copied.
+struct encoded_item {
+    /// The item without its body.
+    batch_item item;
+    /// Refers to the bytes that were decoded.
+    std::string_view body;
+};
+
 /// Decodes an item of contents; nothing when it is malformed.
-std::optional<batch_item> decodeContentsItem(std::string_view bytes);
+std::optional<encoded_item> decodeContentsItem(std::string_view bytes);
+/// The same with its body, which is moved out of \a bytes and not copied.
+std::optional<batch_item> takeContentsItem(std::string bytes);
 
 /// Finds the items in the contents of a batch, which it gets piece by piece. Holds the bytes of one item at most.
 class contents_reader {
--- a/tests/auto/rollout/tst_contentscache.cpp
+++ b/tests/auto/rollout/tst_contentscache.cpp
@@ -21,6 +21,7 @@
 std::vector<std::size_t> numbersOf(const std::vector<item_key>& keys)
 {
     std::vector<std::size_t> numbers;
+    numbers.reserve(keys.size());
     for (const item_key& key : keys)
         numbers.push_back(key.item);
     return numbers;
@@ -98,6 +99,12 @@
     contents_cache cache;
     cache.setLimit(2 * entryBytes);
     cache.offer({ "b", 5 }, contentsOf());
+    cache.setLargestItem(9 * entryBytes);
+    cache.beginPass();
+    cache.need({ "b", 0 }, 10 * entryBytes, contents_use::Run);
+    cache.endPass({});
+    CHECK(cache.takeReads().empty());
+    cache.setLargestItem(10 * entryBytes);
     cache.beginPass();
     CHECK_FALSE(cache.need({ "b", 0 }, 10 * entryBytes, contents_use::Run));
     cache.need({ "b", 5 }, bodyBytes, contents_use::Run);
--- a/tests/auto/wire/tst_contentscodec.cpp
+++ b/tests/auto/wire/tst_contentscodec.cpp
@@ -3,7 +3,7 @@
 
 #include <catch2/catch.hpp>
 
-#include <map>
+#include <tuple>
 
 using namespace ragwortreach;
 
@@ -33,13 +33,8 @@
 
 void checkSame(const batch_item& read, const batch_item& expected)
 {
-    CHECK(read.id == expected.id);
-    CHECK(read.path == expected.path);
+    CHECK(std::tie(read.id, read.path, read.body, read.tokens, read.expectedTokens, read.group) == std::tie(expected.id, expected.path, expected.body, expected.tokens, expected.expectedTokens, expected.group));
     CHECK(read.headers.size() == expected.headers.size());
-    CHECK(read.body == expected.body);
-    CHECK(read.tokens == expected.tokens);
-    CHECK(read.expectedTokens == expected.expectedTokens);
-    CHECK(read.group == expected.group);
     CHECK(read.reward == expected.reward);
 }
 
@@ -70,7 +65,11 @@
                 std::size_t items = 0;
                 contents_reader reader([&items, &batch, &contents](std::string_view bytes, std::uint64_t offset) {
                     CHECK(contents.substr(offset, bytes.size()) == bytes);
-                    const std::optional<batch_item> item = decodeContentsItem(bytes);
+                    const std::optional<encoded_item> encoded = decodeContentsItem(bytes);
+                    REQUIRE(encoded);
+                    CHECK(encoded->body == batch.items.at(items).body);
+                    CHECK(encoded->item.body.empty());
+                    const std::optional<batch_item> item = takeContentsItem(std::string(bytes));
                     REQUIRE(item);
                     checkSame(*item, batch.items.at(items++));
                     return true;
@@ -113,5 +112,10 @@
     std::string wrongSize = contents;
     wrongSize[3] = '\x7f';
     CHECK_FALSE(tooLong.read(wrongSize));
-    CHECK_FALSE(decodeContentsItem("\xff\xff"));
+    for (const char* const bytes : { "\xff\xff", "\x22\x7f"
+                                                 "a",
+             "\x22" }) {
+        CHECK_FALSE(decodeContentsItem(bytes));
+        CHECK_FALSE(takeContentsItem(bytes));
+    }
 }
