Rollout, Gateway: Order the entries of a replica by its start and number

The log had carried out a heartbeat from before the leaving after the one that says draining.

Cause: the last record that was read won, whatever it says of its own age. seq_no was dropped, and any other born was a new start. Ruled out: records read in another order than the log's (the offsets in replica_listed rise).

replica_history orders entries by born and seq_no, also after their removal. A start that is leaving does not take that back; an older entry counts only once it has stood for four heartbeats; the same start after its removal is a last resort for as long; an entry without a start, of a replica that names one, is another writer's. The heartbeat comes from the platform's settings (replica_heartbeat_ms). Line replica_entry_late, counter ragwortreach_replica_entries_late_total.

--- a/src/libs/gateway/gatewayhost.cpp
+++ b/src/libs/gateway/gatewayhost.cpp
@@ -289,6 +289,7 @@
     guard->setDescriptors(settings.maxDescriptors.value_or(std::numeric_limits<std::size_t>::max()));
     orderer.plan().setLoadShare(settings.loadShare);
     platformView.setMemory(settings.memoryBytes);
+    platformView.setReplicaHeartbeat(settings.replicaHeartbeat);
     routes.setMaxUnconfirmedTime(settings.configurationApply + settings.configurationGrace);
     routes.setMaxUnreadTime(settings.configurationApply);
     routes.setKeyRevocation(settings.keyRevocation);
@@ -720,6 +721,7 @@
     daemon.settings.processorShare = settings.processorShare;
     daemon.settings.configurationApply = settings.configurationApply;
     daemon.settings.configurationGrace = settings.configurationGrace;
+    daemon.settings.replicaHeartbeat = settings.replicaHeartbeat;
     daemon.settings.keyRevocation = settings.keyRevocation;
     daemon.settings.duties = settings.duties;
     daemon.settings.memoryBytes = settings.memoryBytes;
--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -256,6 +256,7 @@
         { counter("ragwortreach_requests_kept_away_total", "Times that a replica was passed over since it had announced its leaving, though listed as ready"), from.keptAway },
         { counter("ragwortreach_configurations_total", "Configurations that came in force"), from.view.configurations },
         { counter("ragwortreach_replica_entries_total", "Entries of replicas that were read"), from.view.replicaEntries },
+        { counter("ragwortreach_replica_entries_late_total", "Entries of replicas that were older than one that was read before"), from.view.lateEntries },
         { counter("ragwortreach_platform_records_unreadable_total", "Records of the platform that were skipped"), from.view.unreadable },
         { gauge("ragwortreach_configuration_version", "Version of the configuration in force"), from.configuration },
         { gauge("ragwortreach_calls_open", "Calls under way"), from.openCalls },
--- a/src/libs/gateway/gatewaysettings.cpp
+++ b/src/libs/gateway/gatewaysettings.cpp
@@ -42,6 +42,7 @@
         "order_lease_ms": { "type": "integer", "minimum": 0, "maximum": 600000, "description": "milliseconds, from 0 to 600000" },
         "configuration_apply_ms": { "type": "integer", "minimum": 0, "maximum": 600000, "description": "milliseconds, from 0 to 600000" },
         "configuration_grace_ms": { "type": "integer", "minimum": 0, "maximum": 600000, "description": "milliseconds, from 0 to 600000" },
+        "replica_heartbeat_ms": { "type": "integer", "minimum": 1, "maximum": 600000, "description": "milliseconds, from 1 to 600000" },
         "key_revocation_ms": { "type": "integer", "minimum": 500, "maximum": 600000, "description": "milliseconds, from 500 to 600000" },
         "load_share": { "type": "number", "minimum": 0.001, "maximum": 1, "description": "a part of the replicas of a service, from 0.001 to 1" },
         "processor_share": { "type": "number", "minimum": 0.001, "maximum": 1024, "description": "cores, from 0.001 to 1024" },
@@ -134,6 +135,7 @@
     read.orderLease = readMilliseconds(gateway, "order_lease_ms", read.orderLease);
     read.configurationApply = readMilliseconds(gateway, "configuration_apply_ms", read.configurationApply);
     read.configurationGrace = readMilliseconds(gateway, "configuration_grace_ms", read.configurationGrace);
+    read.replicaHeartbeat = readMilliseconds(gateway, "replica_heartbeat_ms", read.replicaHeartbeat);
     if (gateway.contains("key_revocation_ms"))
         read.keyRevocation = readMilliseconds(gateway, "key_revocation_ms", {});
     read.loadShare = gateway.value("load_share", read.loadShare);
--- a/src/libs/gateway/gatewaysettings.h
+++ b/src/libs/gateway/gatewaysettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <core/instant.h>
+#include <rollout/replicahistory.h>
 #include <rollout/usagerecord.h>
 #include <support/settings.h>
 
@@ -53,6 +54,8 @@
     duration configurationApply = std::chrono::milliseconds(2000);
     /// Time that is added to it while the log refuses some daemons and serves the operators.
     duration configurationGrace = std::chrono::milliseconds(5000);
+    /// Time between two heartbeats of a replica in the platform's list.
+    duration replicaHeartbeat = replica_history::defaultHeartbeat;
     /// Time from the withdrawal of a key of an organisation until no daemon honours it; empty when there is no such bound.
     std::optional<duration> keyRevocation;
     /// Share of the replicas of a service that may load weights at once without slowing each other down, from 0 to 1.
--- a/src/libs/gateway/platformview.cpp
+++ b/src/libs/gateway/platformview.cpp
@@ -158,35 +158,69 @@
         return;
     }
     const std::optional<replica_entry> entry = platform::decodeReplicaEntry(record.key, *record.value);
-    if (!entry) {
-        reportUnreadable(record);
-        // Another writer has overwritten the entry. A replica that is alive writes the next one soon.
-        if (m_pool.find(record.key))
-            m_pool.markVanished(record.key, bootNow());
+    const entry_standing standing = entry ? m_history.note(*entry, bootNow()) : entry_standing::Foreign;
+    switch (standing) {
+    case entry_standing::Foreign:
+        skipReplicaRecord(record);
         return;
-    }
-    ++m_counters.replicaEntries;
-    const replica_pool::replica* const known = m_pool.find(record.key);
-    const bool isChanged = !known || known->entry.isDraining != entry->isDraining || known->entry.startedAt != entry->startedAt || known->entry.software != entry->software;
-    m_pool.update(*entry);
-    if (isChanged)
-        m_logger.write(log_line(log_level::Info, "replica_listed")
+    case entry_standing::Late:
+        ++m_counters.replicaEntries;
+        ++m_counters.lateEntries;
+        m_logger.write(log_line(log_level::Info, "replica_entry_late")
                            .with("replica", record.key)
-                           .with("service", entry->service)
-                           .with("address", entry->address)
-                           .with("software", entry->software)
+                           .with("number", entry->number)
+                           .with("started_at_ms", entry->startedAt)
                            .with("draining", entry->isDraining)
                            .with("offset", record.offset));
+        return;
+    case entry_standing::Current:
+    case entry_standing::Returned:
+        ++m_counters.replicaEntries;
+        listReplica(*entry, standing, record.offset);
+        return;
+    }
+}
+
+void platform_view::skipReplicaRecord(const keyed_record& record)
+{
+    reportUnreadable(record);
+    if (m_pool.find(record.key))
+        m_pool.markVanished(record.key, bootNow());
+}
+
+void platform_view::listReplica(const replica_entry& entry, entry_standing standing, std::uint64_t offset)
+{
+    const replica_pool::replica* const known = m_pool.find(entry.id);
+    const bool isChanged = !known || known->entry.isDraining != entry.isDraining || known->entry.startedAt != entry.startedAt || known->entry.software != entry.software;
+    const instant now = bootNow();
+    // A start that says it is leaving does not take that back, whatever is listed later.
+    if (entry.isDraining && entry.startedAt != 0)
+        m_pool.noteLeaving({ { entry.id, entry.startedAt }, now });
+    m_pool.update(entry);
+    if (standing == entry_standing::Returned)
+        m_pool.setUnconfirmed(entry.id, now + m_history.confirmationTime());
+    if (isChanged)
+        m_logger.write(log_line(log_level::Info, "replica_listed")
+                           .with("replica", entry.id)
+                           .with("service", entry.service)
+                           .with("address", entry.address)
+                           .with("software", entry.software)
+                           .with("draining", entry.isDraining)
+                           .with("standing", toString(standing))
+                           .with("offset", offset));
 }
 
 void platform_view::removeReplica(const std::string& id)
 {
+    const instant now = bootNow();
+    const bool isAfterOutage = m_replicas.regainedAt() != instant {} && now - m_replicas.regainedAt() < relistTime;
+    if (!isAfterOutage)
+        m_history.noteRemoved(id, now);
     if (!m_pool.find(id))
         return;
-    const bool isAfterOutage = m_replicas.regainedAt() != instant {} && bootNow() - m_replicas.regainedAt() < relistTime;
     m_logger.write(log_line(log_level::Info, "replica_removed").with("replica", id).with("after_outage", isAfterOutage));
     if (isAfterOutage)
-        m_pool.markVanished(id, bootNow());
+        m_pool.markVanished(id, now);
     else
         m_pool.remove(id);
 }
@@ -203,7 +237,12 @@
 
 void platform_view::tick()
 {
-    m_pool.removeVanishedBefore(bootNow() - relistTime);
+    const instant now = bootNow();
+    for (const std::string& id : m_pool.removeVanishedBefore(now - relistTime))
+        m_history.noteRemoved(id, now);
+    for (const replica_entry& entry : m_history.takeConfirmed(now))
+        listReplica(entry, entry_standing::Current, 0);
+    m_history.forgetOld(now);
 }
 
 }
--- a/src/libs/gateway/platformview.h
+++ b/src/libs/gateway/platformview.h
@@ -2,6 +2,7 @@
 
 #include "topicfollower.h"
 
+#include <rollout/replicahistory.h>
 #include <rollout/replicapool.h>
 #include <rollout/routetable.h>
 
@@ -16,6 +17,8 @@
 struct view_counters {
     std::uint64_t configurations = 0;
     std::uint64_t replicaEntries = 0;
+    /// Of these, older than one that was read before.
+    std::uint64_t lateEntries = 0;
     /// Records that were skipped, among them those of the operators that are larger than this daemon takes.
     std::uint64_t unreadable = 0;
 };
@@ -39,6 +42,8 @@
     void setMemory(std::optional<std::size_t> memoryBytes);
     /// Largest configuration that a daemon with \a memoryBytes of memory takes, in bytes of its text.
     static std::size_t maxConfigurationBytes(std::size_t memoryBytes);
+    /// Sets the time between two heartbeats of a replica.
+    void setReplicaHeartbeat(duration heartbeat) { m_history.setHeartbeat(heartbeat); }
     void setReplicaPollInterval(duration pollInterval) { m_replicas.setPollInterval(pollInterval); }
     /// Removes replicas that were not listed again after an outage of the list. To be called periodically.
     void tick();
@@ -58,6 +63,10 @@
     void applyReplicaSnapshot(std::span<const keyed_record> all);
     void applyReplicaRecords(std::span<const keyed_record> records);
     void applyReplicaRecord(const keyed_record& record);
+    /// Applies an entry that is the newest one of its replica.
+    void listReplica(const replica_entry& entry, entry_standing standing, std::uint64_t offset);
+    /// Skips an entry of another writer. A replica that is alive writes the next one soon.
+    void skipReplicaRecord(const keyed_record& record);
     void removeReplica(const std::string& id);
     /// Logs and counts a record that cannot be decoded.
     void reportUnreadable(const keyed_record& record, std::string_view reason = {});
@@ -68,6 +77,7 @@
     handlers m_handlers;
     topic_follower m_operators;
     topic_follower m_replicas;
+    replica_history m_history;
     bool m_isConfigurationReadable = true;
     view_counters m_counters;
 };
--- a/src/libs/rollout/replicapool.cpp
+++ b/src/libs/rollout/replicapool.cpp
@@ -109,12 +109,23 @@
         found->second.vanishedAt = now;
 }
 
-void replica_pool::removeVanishedBefore(instant limit)
+void replica_pool::setUnconfirmed(std::string_view id, instant time)
 {
-    const std::size_t removed = std::erase_if(m_replicas, [limit](const std::pair<const std::string, replica>& item) {
-        return item.second.vanishedAt && *item.second.vanishedAt < limit;
-    });
-    m_listingRevision += removed > 0 ? 1U : 0U;
+    const auto found = m_replicas.find(id);
+    if (found != m_replicas.end())
+        found->second.unconfirmedUntil = time;
+}
+
+std::vector<std::string> replica_pool::removeVanishedBefore(instant limit)
+{
+    std::vector<std::string> removed;
+    for (const std::pair<const std::string, replica>& item : m_replicas) {
+        if (item.second.vanishedAt && *item.second.vanishedAt < limit)
+            removed.push_back(item.first);
+    }
+    for (const std::string& id : removed)
+        remove(id);
+    return removed;
 }
 
 void replica_pool::noteVersion(std::string_view id, std::string_view model, std::uint64_t version)
@@ -268,7 +279,7 @@
 
 bool replica_pool::isLastResort(const replica& replica, instant now) const
 {
-    return replica.suspectUntil > now || replica.vanishedAt.has_value() || replica.trials > 0;
+    return replica.suspectUntil > now || replica.unconfirmedUntil > now || replica.vanishedAt.has_value() || replica.trials > 0;
 }
 
 replica_pool::rank replica_pool::rankOf(const replica& replica, instant now) const
--- a/src/libs/rollout/replicapool.h
+++ b/src/libs/rollout/replicapool.h
@@ -30,6 +30,8 @@
     bool isDraining = false;
     /// Start time of the replica in Unix milliseconds. A replica that restarts under its id has a later one.
     std::int64_t startedAt = 0;
+    /// Grows with each entry that the replica writes, and starts anew with the replica.
+    std::uint64_t number = 0;
     /// Version of the replica's software; empty when it is unknown. Versions have no order.
     std::string software;
     /// Version of the weights of each model.
@@ -108,6 +110,8 @@
         instant fullUntil {};
         /// The replica announced in an answer that it is leaving, whatever the list says.
         bool hasAnnouncedLeaving = false;
+        /// Until then it is not certain that the entry, which was listed again, is not an old one.
+        instant unconfirmedUntil {};
         /// Set when the replica vanished from the list during an outage of the list; it may reappear.
         std::optional<instant> vanishedAt;
         /// Smoothed latency of answers, in seconds; 0 before the first one.
@@ -136,8 +140,10 @@
     void remove(std::string_view id);
     /// Keeps the replica as a last resort until it is confirmed or removed.
     void markVanished(std::string_view id, instant now);
-    /// Removes the replicas that vanished before \a limit.
-    void removeVanishedBefore(instant limit);
+    /// Keeps a replica that was listed again as a last resort until \a time.
+    void setUnconfirmed(std::string_view id, instant time);
+    /// Removes the replicas that vanished before \a limit; \return their ids.
+    std::vector<std::string> removeVanishedBefore(instant limit);
     /// Notes the version of a model's weights that an answer named.
     void noteVersion(std::string_view id, std::string_view model, std::uint64_t version);
 
--- a/tests/auto/gateway/tst_gatewaysettings.cpp
+++ b/tests/auto/gateway/tst_gatewaysettings.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr const char* validSettings = R"({"vm":"vm1","data_centre":"north-a","region":"north","log_level":"warning","gateway":{
-    "caller":"127.0.0.1:1","readiness":"127.0.0.1:2","metrics":"127.0.0.1:3","store":"127.0.0.1:4","order_lease_ms":2500,"configuration_apply_ms":3000,"configuration_grace_ms":6000,"memory_mb":88.5,"max_descriptors":1024,"stop_s":7.5}})";
+    "caller":"127.0.0.1:1","readiness":"127.0.0.1:2","metrics":"127.0.0.1:3","store":"127.0.0.1:4","order_lease_ms":2500,"configuration_apply_ms":3000,"configuration_grace_ms":6000,"replica_heartbeat_ms":700,"memory_mb":88.5,"max_descriptors":1024,"stop_s":7.5}})";
 
 struct settings_case {
     const char* name;
@@ -38,6 +38,7 @@
     CHECK(settings.orderLease == std::chrono::milliseconds(2500));
     CHECK(settings.configurationApply == std::chrono::milliseconds(3000));
     CHECK(settings.configurationGrace == std::chrono::milliseconds(6000));
+    CHECK(settings.replicaHeartbeat == std::chrono::milliseconds(700));
     CHECK(settings.stopTime == std::chrono::milliseconds(7500));
     CHECK(settings.log.level == log_level::Warning);
     CHECK(settings.memoryBytes == std::size_t { 177 } * 512 * 1024);
