--- a/src/libs/wire/contentscodec.cpp
+++ b/src/libs/wire/contentscodec.cpp
@@ -93,6 +93,9 @@
     const std::size_t bodyBegin = decoded->body.empty() ? 0 : static_cast<std::size_t>(decoded->body.data() - bytes.data());
     bytes.resize(bodyBegin + decoded->body.size());
     bytes.erase(0, bodyBegin);
+    // A small body is copied, since it would keep all memory of what was around it.
+    if (bytes.size() < bytes.capacity() / 2)
+        bytes.shrink_to_fit();
     decoded->item.body = std::move(bytes);
     return std::move(decoded->item);
 }
--- a/tests/auto/wire/tst_contentscodec.cpp
+++ b/tests/auto/wire/tst_contentscodec.cpp
@@ -98,6 +98,25 @@
         checkSame(read.items[index], batch.items[index]);
 }
 
+// A small item kept the memory of the records that it was read from.
+TEST_CASE("The body of an item takes no more memory than a body of its size, whatever it is read from")
+{
+    std::string encoded;
+    encodeContentsItem(makeSubmission(1, 3000).items[0], [&encoded](std::string_view piece) { encoded += piece; });
+    std::optional<std::string> item;
+    contents_reader reader([&item](std::string_view bytes, std::uint64_t) {
+        item = bytes;
+        return true;
+    });
+    REQUIRE(reader.read(encoded));
+    REQUIRE(item);
+    item->reserve(400000);
+    const std::optional<batch_item> read = takeContentsItem(std::move(*item));
+    REQUIRE(read);
+    CHECK(read->body.size() == 3000);
+    CHECK(read->body.capacity() < 6100);
+}
+
 TEST_CASE("Contents that are malformed or cut off are told")
 {
     const batch_submission batch = makeSubmission(2, 50);
