Gateway, Platform: Keep no contents of a batch that was unloaded while they were read

Found on reading the change again: such contents stayed in the cache, within its limit, until others needed the room.

--- a/src/libs/gateway/contentsfetcher.cpp
+++ b/src/libs/gateway/contentsfetcher.cpp
@@ -69,7 +69,8 @@
         return;
     }
     readContents(m_journal.texts(), *batch, key.item, {}, [this, key](std::optional<item_contents> contents) {
-        if (contents)
+        const ledger_batch* const stillLoaded = m_journal.ledger().find(key.batch);
+        if (contents && stillLoaded && stillLoaded->isLoaded)
             m_cache.add(key, std::move(*contents));
         else
             m_cache.noteUnread(key, bootNow());
